--- /dev/null
+++ b/crates/ebony_burn/src/lib.rs
@@ -0,0 +1,1 @@
+//! Service-level objectives, burn rates and the report on them.
--- /dev/null
+++ b/crates/ebony_entry/src/lib.rs
@@ -0,0 +1,1 @@
+//! The entry process: caller API, program owner, links and administration.
--- /dev/null
+++ b/crates/ebony_ledger/src/lib.rs
@@ -0,0 +1,1 @@
+//! The side process's ledger: at-most-once execution, fencing and crash tracking.
--- /dev/null
+++ b/crates/ebony_membership/src/lib.rs
@@ -0,0 +1,1 @@
+//! Liveness, incarnation and draining of targets and entries.
--- /dev/null
+++ b/crates/ebony_owner/src/lib.rs
@@ -0,0 +1,1 @@
+//! Ownership of programs: sessions, shards, journal, recovery, order, budgets and intents.
--- /dev/null
+++ b/crates/ebony_policy/src/lib.rs
@@ -0,0 +1,1 @@
+//! Scheduling decisions: queueing, placement, prefix cache model, admission, retention and model loading.
--- /dev/null
+++ b/crates/ebony_side/src/lib.rs
@@ -0,0 +1,1 @@
+//! The side process: link server, queue, ledger and target adapters.
--- /dev/null
+++ b/crates/ebony_telemetry/src/lib.rs
@@ -0,0 +1,1 @@
+//! Logs, metrics and health of a process.
--- /dev/null
+++ b/crates/ebony_trace/src/lib.rs
@@ -0,0 +1,1 @@
+//! Recorded traces of programs, their generator, and the summary of a replay.
--- /dev/null
+++ b/crates/ebony_types/src/lib.rs
@@ -0,0 +1,28 @@
+//! Identifiers, verdicts, problems, budgets and limits that all crates of ebonyswitch share.
+//!
+//! The crate has no I/O and no state. Types that cross a process boundary implement `serde` traits here, so that
+//! every crate agrees on their encoding.
+
+pub mod budget;
+pub mod call;
+pub mod clock_time;
+pub mod id;
+pub mod limits;
+pub mod name;
+pub mod problem;
+pub mod verdict;
+
+/// Re-exports the types that most crates need.
+pub mod prelude {
+    pub use crate::budget::{BudgetUse, ProgramBudget};
+    pub use crate::call::{CallKind, CallRequest, CallUsage, HeaderField, RequestDigest};
+    pub use crate::clock_time::ClockTime;
+    pub use crate::id::{CallId, FencingToken, ProcessIncarnation, ProgramId, SessionId, ShardKey};
+    pub use crate::name::{
+        CallerName, DomainName, HostName, IdempotencyKey, ModelName, ServiceName, TargetName,
+    };
+    pub use crate::problem::{ProblemCode, ProblemReport};
+    pub use crate::verdict::RunVerdict;
+}
+
+pub use prelude::*;
--- /dev/null
+++ b/crates/ebony_types/src/problem.rs
@@ -0,0 +1,175 @@
+//! Errors towards callers and between processes.
+
+use std::borrow::Cow;
+
+use serde::{Deserialize, Serialize};
+
+use crate::verdict::RunVerdict;
+
+macro_rules! problem_codes {
+    ($($(#[$meta:meta])* $variant:ident = $status:literal, $text:literal;)*) => {
+        /// A stable, machine-readable code of a problem.
+        #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+        #[derive(Serialize, Deserialize)]
+        #[serde(rename_all = "snake_case")]
+        pub enum ProblemCode {
+            $($(#[$meta])* $variant,)*
+        }
+
+        impl ProblemCode {
+            /// Every code, in the order of the documentation.
+            pub const ALL: &'static [Self] = &[$(Self::$variant,)*];
+
+            /// Returns the HTTP status that goes with the code.
+            pub fn status(self) -> u16 {
+                match self {
+                    $(Self::$variant => $status,)*
+                }
+            }
+
+            /// Returns the code's stable text.
+            pub fn as_str(self) -> &'static str {
+                match self {
+                    $(Self::$variant => $text,)*
+                }
+            }
+        }
+    };
+}
+
+problem_codes! {
+    /// The request is malformed.
+    BadRequest = 400, "bad_request";
+    /// The bearer key is missing or unknown.
+    Unauthorized = 401, "unauthorized";
+    /// The program belongs to another caller, or the operation needs other credentials.
+    Forbidden = 403, "forbidden";
+    /// No such route, model, service or program.
+    NotFound = 404, "not_found";
+    /// The model is not in force.
+    UnknownModel = 404, "unknown_model";
+    /// The service is not in force.
+    UnknownService = 404, "unknown_service";
+    /// The program is unknown, or its end lies too far back.
+    UnknownProgram = 404, "unknown_program";
+    /// The method is not allowed on this route.
+    MethodNotAllowed = 405, "method_not_allowed";
+    /// The caller was too slow to send its request.
+    RequestTimeout = 408, "request_timeout";
+    /// The idempotency key was used with another request.
+    KeyReused = 409, "key_reused";
+    /// The idempotency key's answer is no longer stored.
+    KeyExpired = 409, "key_expired";
+    /// A call with this idempotency key is under way.
+    KeyInUse = 409, "key_in_use";
+    /// An operator lost a race: the configuration has a newer version.
+    VersionConflict = 409, "version_conflict";
+    /// The program has ended or was cancelled.
+    ProgramEnded = 409, "program_ended";
+    /// The body is larger than the limit.
+    BodyTooLarge = 413, "body_too_large";
+    /// The configuration or an exception in it is invalid.
+    InvalidConfig = 422, "invalid_config";
+    /// The request crashed two targets and will not run again.
+    CrashingRequest = 422, "crashing_request";
+    /// The program's budget of tokens, calls, time or depth is spent.
+    BudgetExhausted = 429, "budget_exhausted";
+    /// Too many calls of one program wait for their turn.
+    TooManyCalls = 429, "too_many_calls";
+    /// The system admits no further program at present.
+    Overloaded = 503, "overloaded";
+    /// No target serves the request at present.
+    NoTarget = 503, "no_target";
+    /// The program's owner is not known or not reachable at present.
+    OwnerUnavailable = 503, "owner_unavailable";
+    /// The platform's table service or object store does not take a write that the request needs.
+    PlatformUnavailable = 503, "platform_unavailable";
+    /// The process is stopping.
+    Draining = 503, "draining";
+    /// The target failed or its connection broke.
+    TargetFailed = 502, "target_failed";
+    /// The deadline passed.
+    DeadlineExceeded = 504, "deadline_exceeded";
+    /// The call was cancelled.
+    Cancelled = 499, "cancelled";
+    /// A fault of the system itself.
+    Internal = 500, "internal";
+}
+
+/// An error with its status, code, verdict and the time to come back.
+///
+/// ```
+/// use ebony_types::{ProblemCode, ProblemReport, RunVerdict};
+///
+/// let report = ProblemReport::not_run(ProblemCode::Overloaded, "the queue is full").retry_after(2);
+/// assert_eq!(report.status(), 503);
+/// assert_eq!(report.run, RunVerdict::NotRun);
+/// assert_eq!(report.to_json()["retry_after"], 2);
+/// ```
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+#[derive(thiserror::Error)]
+#[error("{}: {detail}", code.as_str())]
+pub struct ProblemReport {
+    /// The stable code.
+    pub code: ProblemCode,
+    /// One sentence for people.
+    pub detail: Cow<'static, str>,
+    /// Whether the request may have run.
+    pub run: RunVerdict,
+    /// Seconds after which coming back helps.
+    pub retry_after_seconds: Option<u32>,
+}
+
+/// The result of an operation that reports a problem.
+pub type Result<T, E = ProblemReport> = std::result::Result<T, E>;
+
+impl ProblemReport {
+    /// Creates a problem with the given verdict.
+    pub fn new(code: ProblemCode, run: RunVerdict, detail: impl Into<Cow<'static, str>>) -> Self {
+        Self {
+            code,
+            detail: detail.into(),
+            run,
+            retry_after_seconds: None,
+        }
+    }
+
+    /// Creates a problem of a request that no target received.
+    pub fn not_run(code: ProblemCode, detail: impl Into<Cow<'static, str>>) -> Self {
+        Self::new(code, RunVerdict::NotRun, detail)
+    }
+
+    /// Creates a problem of a request whose outcome is unknown.
+    pub fn may_have_run(code: ProblemCode, detail: impl Into<Cow<'static, str>>) -> Self {
+        Self::new(code, RunVerdict::MayHaveRun, detail)
+    }
+
+    /// Sets the seconds after which coming back helps.
+    #[must_use]
+    pub fn retry_after(mut self, seconds: u32) -> Self {
+        self.retry_after_seconds = Some(seconds);
+        self
+    }
+
+    /// Returns the HTTP status.
+    pub fn status(&self) -> u16 {
+        self.code.status()
+    }
+
+    /// Returns the body of an `application/problem+json` answer.
+    pub fn to_json(&self) -> serde_json::Value {
+        let mut body = serde_json::json!({
+            "type": format!("urn:ebonyswitch:problem:{}", self.code.as_str()),
+            "title": self.code.as_str(),
+            "status": self.status(),
+            "code": self.code.as_str(),
+            "detail": self.detail,
+            "run": self.run.as_str(),
+        });
+        if let Some(seconds) = self.retry_after_seconds {
+            body["retry_after"] = seconds.into();
+        }
+        body
+    }
+}
--- /dev/null
+++ b/crates/ebony_wire/src/peer_frame.rs
@@ -0,0 +1,143 @@
+//! Messages between entries.
+
+use bytes::Bytes;
+use ebony_types::{
+    BudgetUse, CallId, CallRequest, CallerName, ProblemReport, ProgramBudget, ProgramId, SessionId, ShardKey,
+};
+use serde::{Deserialize, Serialize};
+
+use crate::answer::AnswerFrame;
+use crate::config_push::{ConfigPush, ConfigStatus};
+
+/// An operation on a program, for its owner.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub enum ProgramOperation {
+    /// Opens a program.
+    Open {
+        /// The identifier, chosen by the receiving entry.
+        program: ProgramId,
+        /// The parent, if this is a sub-agent's program. It is in the same shard.
+        parent: Option<ProgramId>,
+        /// The caller.
+        caller: CallerName,
+        /// The limits that the caller asks for.
+        budget: ProgramBudget,
+    },
+    /// Returns a view of the program.
+    Show {
+        /// The program.
+        program: ProgramId,
+        /// The caller; `None` for an operator.
+        caller: Option<CallerName>,
+        /// Whether the view has the history.
+        with_history: bool,
+    },
+    /// Ends a program in the ordinary way.
+    Finish {
+        /// The program.
+        program: ProgramId,
+        /// The caller.
+        caller: CallerName,
+    },
+    /// Cancels a program, its children and its calls.
+    Cancel {
+        /// The program.
+        program: ProgramId,
+        /// The caller; `None` for an operator.
+        caller: Option<CallerName>,
+    },
+}
+
+impl ProgramOperation {
+    /// Returns the program that the operation is for.
+    pub fn program(&self) -> ProgramId {
+        match self {
+            Self::Open { program, .. }
+            | Self::Show { program, .. }
+            | Self::Finish { program, .. }
+            | Self::Cancel { program, .. } => *program,
+        }
+    }
+}
+
+/// A program as its owner sees it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct ProgramView {
+    /// The program.
+    pub program: ProgramId,
+    /// Its parent.
+    pub parent: Option<ProgramId>,
+    /// `open`, `finished`, `cancelled` or `exhausted`.
+    pub state: String,
+    /// Completed turns.
+    pub turns: u32,
+    /// The limits.
+    pub budget: ProgramBudget,
+    /// Spent amounts, children included.
+    pub used: BudgetUse,
+    /// Children that are open.
+    pub open_children: Vec<ProgramId>,
+    /// The history as a JSON array of turns, if it was asked for.
+    pub history: Option<Bytes>,
+}
+
+/// A message between entries.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub enum PeerFrame {
+    /// Describes the sender; the first message on a link, and sent again when it changes.
+    Presence {
+        /// The sender's session, if it has one.
+        session: Option<SessionId>,
+        /// Whether the sender is leaving.
+        is_draining: bool,
+        /// The shards that the sender owns and serves.
+        shards: Vec<ShardKey>,
+    },
+    /// Forwards a call to the owner of its program.
+    Forward(Box<CallRequest>),
+    /// Ends a forwarded call early.
+    Cancel {
+        /// The call.
+        call: CallId,
+    },
+    /// Allows more bytes of an answer.
+    Credit {
+        /// The call.
+        call: CallId,
+        /// Additional bytes.
+        bytes: u32,
+    },
+    /// A part of the answer to a forwarded call.
+    Answer(AnswerFrame),
+    /// Asks the owner for an operation.
+    Operate {
+        /// Pairs the reply with the request.
+        request: u64,
+        /// The operation.
+        operation: ProgramOperation,
+    },
+    /// Replies to an operation.
+    Operated {
+        /// The request's number.
+        request: u64,
+        /// The program afterwards, or the problem.
+        result: Result<Box<ProgramView>, ProblemReport>,
+    },
+    /// Distributes the configuration.
+    Config(ConfigPush),
+    /// The configuration in force at the sender and the side processes that it is linked to.
+    ConfigInForce(Vec<ConfigStatus>),
+    /// Asks for a [`PeerFrame::Pong`].
+    Ping {
+        /// Echoed.
+        nonce: u64,
+    },
+    /// Answers a ping.
+    Pong {
+        /// The ping's nonce.
+        nonce: u64,
+    },
+}
--- /dev/null
+++ b/crates/ebony_wire/src/side_frame.rs
@@ -0,0 +1,45 @@
+//! Messages from a side process to an entry.
+
+use ebony_types::{DomainName, FencingToken, ShardKey};
+use serde::{Deserialize, Serialize};
+
+use crate::answer::AnswerFrame;
+use crate::config_push::ConfigStatus;
+use crate::report::{CacheEvent, LoadReport, TargetReport};
+
+/// A message from a side process to an entry.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub enum SideFrame {
+    /// Describes the side process; the first message on a link, and sent again when its targets change.
+    Welcome {
+        /// The failure domain of the host.
+        domain: DomainName,
+        /// The targets.
+        targets: Vec<TargetReport>,
+        /// Whether the process is leaving.
+        is_draining: bool,
+    },
+    /// A part of an answer.
+    Answer(AnswerFrame),
+    /// An order was refused because its token is too low.
+    Fenced {
+        /// The shard of the order's program.
+        shard: ShardKey,
+        /// The highest token seen.
+        highest: FencingToken,
+    },
+    /// Load of the targets.
+    Load(Vec<LoadReport>),
+    /// Changes of prefix caches.
+    Cache(Vec<CacheEvent>),
+    /// The process is leaving: it takes no new call, and ends those under way.
+    Draining,
+    /// The configuration in force.
+    ConfigInForce(ConfigStatus),
+    /// Answers a ping.
+    Pong {
+        /// The ping's nonce.
+        nonce: u64,
+    },
+}
--- /dev/null
+++ b/crates/ebonyctl/src/main.rs
@@ -0,0 +1,3 @@
+//! The operators' command of ebonyswitch.
+
+fn main() {}
