--- a/crates/ebony_platform/src/lib.rs
+++ b/crates/ebony_platform/src/lib.rs
@@ -1,1 +1,28 @@
-//! Access to the platform: table service, object store, host list, engines, plain services, weight store.
+//! Access to the platform and the targets: table service, object store, host list, model engines, plain services and
+//! weight store.
+//!
+//! Each outside system sits behind one narrow trait with typed requests and a verdict in its error, so that another
+//! protocol means one more adapter. Traits are not `Send`: every actor runs on one thread and owns its adapters.
+
+pub mod engine;
+pub mod error;
+pub mod host_list;
+pub mod object_store;
+pub mod service;
+pub mod table;
+pub mod weight_store;
+
+/// Re-exports the traits and their messages.
+pub mod prelude {
+    pub use crate::engine::{
+        CacheNotice, EngineAnswer, EngineCall, EngineLoad, EngineOrder, EngineTarget, HeldProgram,
+    };
+    pub use crate::error::PlatformError;
+    pub use crate::host_list::{HostEntry, HostList, HostRole, HostState};
+    pub use crate::object_store::ObjectStore;
+    pub use crate::service::{ServiceAnswer, ServiceCall, ServiceTarget};
+    pub use crate::table::{RowKey, RowRecord, RowVersion, TableService, WriteNonce};
+    pub use crate::weight_store::WeightStore;
+}
+
+pub use prelude::*;
--- /dev/null
+++ b/crates/ebony_platform/src/object_store.rs
@@ -0,0 +1,19 @@
+//! The object store.
+
+use async_trait::async_trait;
+use bytes::Bytes;
+
+pub use crate::error::Result;
+
+/// The object store. Objects are written once under keys that are never reused, so a repeated write is harmless.
+#[async_trait(?Send)]
+pub trait ObjectStore {
+    /// Writes an object.
+    async fn put(&self, key: &str, bytes: Bytes) -> Result<()>;
+
+    /// Reads an object.
+    async fn get(&self, key: &str) -> Result<Option<Bytes>>;
+
+    /// Deletes an object.
+    async fn delete(&self, key: &str) -> Result<()>;
+}
