Add links between processes, and logs, metrics and health

Links run over WebSocket with CBOR frames; both ends prove that they hold the cluster key before the first frame.

--- /dev/null
+++ b/crates/ebony_link/src/lib.rs
@@ -0,0 +1,24 @@
+//! Links between the system's processes.
+//!
+//! A link is a WebSocket connection, over TLS if the settings ask for it, whose ends have proved to each other that
+//! they hold the cluster key. It carries one CBOR value a frame. [`dial`] opens a link from an entry, and
+//! [`LinkListener`] accepts links. Both yield an [`OpenLink`], which splits into a [`LinkSender`] with a bounded queue
+//! and a [`LinkReceiver`].
+
+pub mod dial;
+pub mod error;
+pub mod listener;
+pub mod open_link;
+pub mod options;
+pub mod stream;
+
+/// Re-exports the ends of a link and the functions that open one.
+pub mod prelude {
+    pub use crate::dial::dial;
+    pub use crate::error::LinkError;
+    pub use crate::listener::LinkListener;
+    pub use crate::open_link::{LinkReceiver, LinkSender, OpenLink};
+    pub use crate::options::{LinkIdentity, LinkOptions};
+}
+
+pub use prelude::*;
--- /dev/null
+++ b/crates/ebony_link/src/open_link.rs
@@ -0,0 +1,152 @@
+//! An open link and its two ends.
+
+use std::marker::PhantomData;
+use std::time::Duration;
+
+use bytes::Bytes;
+use ebony_wire::{PeerIdentity, decode, encode};
+use futures_util::stream::{SplitSink, SplitStream};
+use futures_util::{SinkExt, StreamExt};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use tokio::sync::{OwnedSemaphorePermit, mpsc};
+use tokio_tungstenite::tungstenite::Message;
+
+use crate::error::{LinkError, Result};
+use crate::options::LinkOptions;
+use crate::stream::LinkSocket;
+
+/// A link whose handshake is complete.
+pub struct OpenLink {
+    pub(crate) peer: PeerIdentity,
+    pub(crate) socket: LinkSocket,
+    pub(crate) options: LinkOptions,
+    /// Counts an accepted link towards the listener's limit.
+    pub(crate) permit: Option<OwnedSemaphorePermit>,
+}
+
+impl OpenLink {
+    /// Returns who the other end is.
+    pub fn peer(&self) -> &PeerIdentity {
+        &self.peer
+    }
+
+    /// Splits the link into its ends and starts the task that sends queued frames.
+    ///
+    /// Must be called within a local task set, such as an actix arbiter.
+    pub fn split<Out: Serialize, In: DeserializeOwned>(self) -> (LinkSender<Out>, LinkReceiver<In>) {
+        let (queue, frames) = mpsc::channel(self.options.queue_frames);
+        let (sink, stream) = self.socket.split();
+        tokio::task::spawn_local(send_queued(sink, frames));
+        let sender = LinkSender {
+            queue,
+            message: PhantomData,
+        };
+        let receiver = LinkReceiver {
+            stream,
+            silence_limit: self.options.silence_limit,
+            message: PhantomData,
+        };
+        (sender, receiver)
+    }
+}
+
+/// Sends frames in the order of the queue; flushes when the queue is empty.
+async fn send_queued(mut sink: SplitSink<LinkSocket, Message>, mut frames: mpsc::Receiver<Bytes>) {
+    while let Some(first) = frames.recv().await {
+        let mut next = Some(first);
+        while let Some(frame) = next {
+            if sink.feed(Message::Binary(frame)).await.is_err() {
+                return;
+            }
+            next = frames.try_recv().ok();
+        }
+        if sink.flush().await.is_err() {
+            return;
+        }
+    }
+    // The peer may be gone already, in which case there is nobody left to tell.
+    let _ = sink.close().await;
+}
+
+/// The sending end of a link. Dropping all clones closes the link.
+pub struct LinkSender<Out> {
+    queue: mpsc::Sender<Bytes>,
+    message: PhantomData<fn(Out)>,
+}
+
+impl<Out> Clone for LinkSender<Out> {
+    fn clone(&self) -> Self {
+        Self {
+            queue: self.queue.clone(),
+            message: PhantomData,
+        }
+    }
+}
+
+impl<Out: Serialize> LinkSender<Out> {
+    /// Queues a message.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`LinkError::QueueFull`] or [`LinkError::Closed`] if the message was not queued, in which case it is
+    /// never sent.
+    pub fn send(&self, message: &Out) -> Result<()> {
+        let frame = Bytes::from(encode(message)?);
+        self.queue.try_send(frame).map_err(|error| match error {
+            mpsc::error::TrySendError::Full(_) => LinkError::QueueFull,
+            mpsc::error::TrySendError::Closed(_) => LinkError::Closed,
+        })
+    }
+
+    /// Returns `true` once the other end or the connection is gone.
+    pub fn is_closed(&self) -> bool {
+        self.queue.is_closed()
+    }
+}
+
+/// The receiving end of a link.
+pub struct LinkReceiver<In> {
+    stream: SplitStream<LinkSocket>,
+    silence_limit: Duration,
+    _permit: Option<OwnedSemaphorePermit>,
+    message: PhantomData<fn() -> In>,
+}
+
+impl<In: DeserializeOwned> LinkReceiver<In> {
+    /// Returns the next message.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`LinkError`] when the link is over: closed, silent for too long, or a malformed frame arrived.
+    pub async fn next(&mut self) -> Result<In> {
+        loop {
+            let frame = tokio::time::timeout(self.silence_limit, self.stream.next())
+                .await
+                .map_err(|_| LinkError::Silent)?
+                .ok_or(LinkError::Closed)?
+                .map_err(Box::new)?;
+            match frame {
+                Message::Binary(bytes) => return Ok(decode(&bytes)?),
+                Message::Close(_) => return Err(LinkError::Closed),
+                _ => {}
+            }
+        }
+    }
+}
+
+pub(crate) async fn send_one<T: Serialize>(socket: &mut LinkSocket, message: &T) -> Result<()> {
+    let frame = Message::Binary(encode(message)?.into());
+    socket
+        .send(frame)
+        .await
+        .map_err(|error| LinkError::Socket(Box::new(error)))
+}
+
+pub(crate) async fn receive_one<T: DeserializeOwned>(socket: &mut LinkSocket) -> Result<T> {
+    match socket.next().await {
+        Some(Ok(Message::Binary(bytes))) => Ok(decode(&bytes)?),
+        Some(Ok(_)) | None => Err(LinkError::Closed),
+        Some(Err(error)) => Err(LinkError::Socket(Box::new(error))),
+    }
+}
--- a/crates/ebony_telemetry/src/lib.rs
+++ b/crates/ebony_telemetry/src/lib.rs
@@ -1,1 +1,19 @@
 //! Logs, metrics and health of a process.
+//!
+//! [`open_logger`] builds the process's `slog` logger, [`MetricsRegistry`] holds its `prometheus` metrics, and
+//! [`HealthServer`] serves `/metrics`, `/healthz` and `/readyz` on a port of its own.
+
+pub mod health;
+pub mod logger;
+pub mod metrics;
+pub mod server;
+
+/// Re-exports the logger, the registry and the server.
+pub mod prelude {
+    pub use crate::health::HealthState;
+    pub use crate::logger::{LogFormat, LogLevel, LoggerGuard, open_logger};
+    pub use crate::metrics::MetricsRegistry;
+    pub use crate::server::HealthServer;
+}
+
+pub use prelude::*;
--- /dev/null
+++ b/crates/ebony_telemetry/src/logger.rs
@@ -0,0 +1,82 @@
+//! The process's logger.
+
+use std::io;
+use std::str::FromStr;
+
+use slog::{Drain, Level, LevelFilter, Logger, o};
+use slog_async::{Async, AsyncGuard, OverflowStrategy};
+
+/// Records that wait for the writer thread. Further ones are dropped and counted, so that a blocked terminal never
+/// blocks a call.
+const QUEUE_RECORDS: usize = 4_096;
+
+/// How log records are written.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LogFormat {
+    /// One JSON object a line, on standard error.
+    Json,
+    /// Text for people, on standard error.
+    Terminal,
+}
+
+/// The least severe level that is written.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LogLevel(Level);
+
+impl FromStr for LogLevel {
+    type Err = ();
+
+    fn from_str(text: &str) -> Result<Self, ()> {
+        Level::from_str(text).map(Self)
+    }
+}
+
+impl Default for LogLevel {
+    fn default() -> Self {
+        Self(Level::Info)
+    }
+}
+
+/// Writes the remaining records when it is dropped.
+pub struct LoggerGuard {
+    _guard: AsyncGuard,
+}
+
+/// Opens the process's logger. Every record names the process and its role.
+///
+/// ```
+/// use ebony_telemetry::{LogFormat, LogLevel, open_logger};
+///
+/// let (logger, _guard) = open_logger("entry-1", "entry", LogFormat::Json, LogLevel::default());
+/// slog::info!(logger, "process started");
+/// ```
+pub fn open_logger(
+    process: &str,
+    role: &'static str,
+    format: LogFormat,
+    level: LogLevel,
+) -> (Logger, LoggerGuard) {
+    let (drain, guard) = match format {
+        LogFormat::Json => {
+            let drain = slog_json::Json::new(io::stderr()).add_default_keys().build();
+            open_async(LevelFilter::new(drain, level.0).fuse())
+        }
+        LogFormat::Terminal => {
+            let decorator = slog_term::PlainSyncDecorator::new(io::stderr());
+            let drain = slog_term::FullFormat::new(decorator).build();
+            open_async(LevelFilter::new(drain, level.0).fuse())
+        }
+    };
+    let logger = Logger::root(drain.fuse(), o!("process" => process.to_owned(), "role" => role));
+    (logger, LoggerGuard { _guard: guard })
+}
+
+fn open_async<D>(drain: D) -> (Async, AsyncGuard)
+where
+    D: Drain<Err = slog::Never, Ok = ()> + Send + 'static,
+{
+    Async::new(drain)
+        .chan_size(QUEUE_RECORDS)
+        .overflow_strategy(OverflowStrategy::DropAndReport)
+        .build_with_guard()
+}
--- /dev/null
+++ b/crates/ebony_telemetry/src/server.rs
@@ -0,0 +1,88 @@
+//! The HTTP server for metrics and health.
+
+use std::net::{SocketAddr, TcpListener};
+use std::time::Duration;
+
+use actix_web::dev::ServerHandle;
+use actix_web::web::Data;
+use actix_web::{App, HttpResponse, HttpServer, web};
+use anyhow::Context;
+
+use crate::health::HealthState;
+use crate::metrics::MetricsRegistry;
+
+/// Connections at once: a few scrapers and probes.
+const MAX_CONNECTIONS: usize = 32;
+
+/// The longest time that a client may take to send its request.
+const REQUEST_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// The result of starting the server.
+pub type Result<T, E = anyhow::Error> = std::result::Result<T, E>;
+
+/// A running server for `/metrics`, `/healthz` and `/readyz`.
+pub struct HealthServer {
+    address: SocketAddr,
+    handle: ServerHandle,
+}
+
+impl HealthServer {
+    /// Binds the address and starts to serve in the running actix system.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address can't be bound.
+    pub fn bind(address: SocketAddr, registry: MetricsRegistry, health: HealthState) -> Result<Self> {
+        let listener = TcpListener::bind(address)
+            .with_context(|| format!("cannot bind the metrics address {address}"))?;
+        let address = listener.local_addr()?;
+        let server = HttpServer::new(move || {
+            App::new()
+                .app_data(Data::new(registry.clone()))
+                .app_data(Data::new(health.clone()))
+                .route("/metrics", web::get().to(metrics))
+                .route("/healthz", web::get().to(healthz))
+                .route("/readyz", web::get().to(readyz))
+        })
+        .workers(1)
+        .max_connections(MAX_CONNECTIONS)
+        .client_request_timeout(REQUEST_TIMEOUT)
+        .disable_signals()
+        .listen(listener)?
+        .run();
+        let handle = server.handle();
+        actix_web::rt::spawn(server);
+        Ok(Self { address, handle })
+    }
+
+    /// Returns the bound address.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Stops the server.
+    pub async fn stop(self) {
+        self.handle.stop(false).await;
+    }
+}
+
+async fn metrics(registry: Data<MetricsRegistry>) -> HttpResponse {
+    match registry.to_text() {
+        Ok(text) => HttpResponse::Ok()
+            .content_type("text/plain; version=0.0.4")
+            .body(text),
+        Err(_) => HttpResponse::InternalServerError().finish(),
+    }
+}
+
+async fn healthz() -> HttpResponse {
+    HttpResponse::Ok().body("ok\n")
+}
+
+async fn readyz(health: Data<HealthState>) -> HttpResponse {
+    if health.is_ready() {
+        HttpResponse::Ok().body("ready\n")
+    } else {
+        HttpResponse::ServiceUnavailable().body("not ready\n")
+    }
+}
