--- a/crates/ebony_link/src/dial.rs
+++ b/crates/ebony_link/src/dial.rs
@@ -38,6 +38,7 @@
         peer,
         socket,
         options: options.clone(),
+        permit: None,
     })
 }
 
--- a/crates/ebony_link/src/listener.rs
+++ b/crates/ebony_link/src/listener.rs
@@ -67,9 +67,13 @@
     options: LinkOptions,
     queue: mpsc::Sender<OpenLink>,
 ) {
-    let permits = Arc::new(Semaphore::new(CONCURRENT_HANDSHAKES));
+    let handshakes = Arc::new(Semaphore::new(CONCURRENT_HANDSHAKES));
+    let links = Arc::new(Semaphore::new(options.max_links));
     loop {
-        let Ok(permit) = Arc::clone(&permits).acquire_owned().await else {
+        let Ok(handshake) = Arc::clone(&handshakes).acquire_owned().await else {
+            return;
+        };
+        let Ok(permit) = Arc::clone(&links).acquire_owned().await else {
             return;
         };
         let Ok((stream, _)) = socket.accept().await else {
@@ -105,6 +109,7 @@
         peer,
         socket,
         options: options.clone(),
+        permit: None,
     })
 }
 
--- a/crates/ebony_link/src/open_link.rs
+++ b/crates/ebony_link/src/open_link.rs
@@ -45,6 +45,7 @@
         let receiver = LinkReceiver {
             stream,
             silence_limit: self.options.silence_limit,
+            _permit: self.permit,
             message: PhantomData,
         };
         (sender, receiver)
