Add the settings of a process

Each process reads one file of JSON with comments. The file is parsed to a syntax tree with positions, checked against one table of keys, and decoded into typed settings, so that all errors are reported at once with line, column, what was expected, and a close match.

--- a/crates/ebony_settings/src/lib.rs
+++ b/crates/ebony_settings/src/lib.rs
@@ -1,1 +1,40 @@
-//! Settings in JSON with comments, checked as a whole before a process starts.
+//! Settings of one process, in JSON with comments.
+//!
+//! A process reads one file when it starts. [`ProcessSettings::open`] checks the file as a whole and reports all its
+//! errors at once, each with its line and column, what was expected, and a close match for a misspelled key.
+//! `docs/settings.md` lists every key.
+//!
+//! The file is parsed to a syntax tree with positions, checked against the tables in [`schema`], and then decoded into
+//! the types of [`settings`]. What changes while processes run is in the configuration document, not here.
+
+pub mod base_url;
+pub mod entry_settings;
+pub mod issue;
+pub mod key_source;
+mod open;
+pub mod position;
+mod reader;
+mod rules;
+pub mod schema;
+pub mod settings;
+pub mod side_settings;
+pub mod unit;
+
+/// Re-exports the settings and the report on them.
+pub mod prelude {
+    pub use crate::base_url::{BaseUrl, UrlError};
+    pub use crate::entry_settings::{CallerSettings, CallerTls, EntrySettings, OwnershipSettings};
+    pub use crate::issue::{IssueKind, SettingsIssue, SettingsReport};
+    pub use crate::key_source::{KeyError, KeySource};
+    pub use crate::position::TextPosition;
+    pub use crate::schema::{KeyReference, settings_reference};
+    pub use crate::settings::{
+        AdministrationSettings, HostsAddress, LimitSettings, LinkSettings, LinkTls, LogFormat, LogLevel,
+        LogSettings, MetricsSettings, PlatformSettings, ProcessRole, ProcessSettings, RoleSettings,
+        ServiceAddress,
+    };
+    pub use crate::side_settings::{LedgerSettings, SideSettings, TargetSettings};
+    pub use crate::unit::{UnitError, parse_duration, parse_size};
+}
+
+pub use prelude::*;
