--- /dev/null
+++ b/crates/ebony_entry/src/caller_api/state.rs
@@ -0,0 +1,118 @@
+//! What the handlers share.
+
+use std::sync::Mutex;
+use std::sync::PoisonError;
+
+use actix::Recipient;
+use ebony_settings::LimitSettings;
+use ebony_telemetry::MetricsRegistry;
+use ebony_types::{CallId, ProgramId, ShardKey};
+use prometheus::{HistogramVec, IntCounterVec, IntGauge};
+use rand::rngs::StdRng;
+use rand::seq::IndexedRandom;
+use rand::{Rng, SeedableRng};
+
+use crate::burn::BurnCell;
+use crate::config::ConfigView;
+use crate::peers::{ForwardCall, ForwardOperation, OperateProgram, ShardRouter, StartCall};
+
+/// The result of registering metrics.
+type Result<T, E = prometheus::Error> = std::result::Result<T, E>;
+
+/// Metrics of the callers' interface.
+#[derive(Clone)]
+pub struct CallerMetrics {
+    /// Calls by kind and outcome code.
+    pub calls: IntCounterVec,
+    /// Seconds from receipt to the first part of an answer, by kind.
+    pub first_part: HistogramVec,
+    /// Seconds from receipt to the end of an answer, by kind.
+    pub whole: HistogramVec,
+    /// Calls under way.
+    pub under_way: IntGauge,
+}
+
+impl CallerMetrics {
+    /// Registers the metrics.
+    ///
+    /// # Errors
+    ///
+    /// Fails if they are registered already.
+    pub fn register(registry: &MetricsRegistry) -> Result<Self> {
+        Ok(Self {
+            calls: registry.counter_family("calls_total", "Calls by kind and outcome.", &["kind", "outcome"])?,
+            first_part: registry.latency_family(
+                "first_part_seconds",
+                "Time from receipt to the first part of the answer.",
+                &["kind"],
+            )?,
+            whole: registry.latency_family(
+                "call_seconds",
+                "Time from receipt to the end of the answer.",
+                &["kind"],
+            )?,
+            under_way: registry.gauge("calls_under_way", "Calls that have been received and have not ended.")?,
+        })
+    }
+}
+
+/// What the handlers share.
+pub struct CallerState {
+    /// Starts a call that this process owns.
+    pub start: Recipient<StartCall>,
+    /// Runs an operation on a program that this process owns.
+    pub operate: Recipient<OperateProgram>,
+    /// Forwards a call to its owner.
+    pub forward: Recipient<ForwardCall>,
+    /// Forwards an operation to a program's owner.
+    pub forward_operation: Recipient<ForwardOperation>,
+    /// Which entry owns which shard.
+    pub router: ShardRouter,
+    /// The configuration in force.
+    pub config: ConfigView,
+    /// Bounds on what one caller may send.
+    pub limits: LimitSettings,
+    /// Metrics.
+    pub metrics: CallerMetrics,
+    /// Service-level objectives.
+    pub burn: BurnCell,
+    source: Mutex<StdRng>,
+}
+
+impl CallerState {
+    /// Creates the state.
+    #[expect(clippy::too_many_arguments, reason = "each is a separate collaborator")]
+    pub fn new(
+        start: Recipient<StartCall>,
+        operate: Recipient<OperateProgram>,
+        forward: Recipient<ForwardCall>,
+        forward_operation: Recipient<ForwardOperation>,
+        router: ShardRouter,
+        config: ConfigView,
+        limits: LimitSettings,
+        metrics: CallerMetrics,
+        burn: BurnCell,
+    ) -> Self {
+        let source = Mutex::new(StdRng::from_os_rng());
+        Self { start, operate, forward, forward_operation, router, config, limits, metrics, burn, source }
+    }
+
+    /// Returns a new call identifier.
+    pub fn new_call(&self) -> CallId {
+        CallId::random(&mut *self.source.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    /// Returns a new program identifier, in a shard of this process if it has any, or in the parent's shard.
+    pub fn new_program(&self, parent: Option<ProgramId>) -> ProgramId {
+        let local = self.router.local_shards();
+        let mut source = self.source.lock().unwrap_or_else(PoisonError::into_inner);
+        let shard = match parent {
+            Some(parent) => parent.shard(),
+            None => match local.choose(&mut *source) {
+                Some(shard) => *shard,
+                None => ShardKey(source.random_range(0..self.router.shards())),
+            },
+        };
+        ProgramId::random(shard, &mut *source)
+    }
+}
--- /dev/null
+++ b/crates/ebony_entry/src/owner/actor.rs
@@ -0,0 +1,365 @@
+//! The actor that owns programs.
+
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use actix::{Actor, ActorFutureExt, Addr, AsyncContext, Context, Recipient, SpawnHandle, WrapFuture};
+use bytes::Bytes;
+use ebony_owner::journal::BodyPlace;
+use ebony_owner::program::HistoryPlan;
+use ebony_owner::{OwnerAction, OwnerCore, OwnerEvent, OwnerSettings, WallTime};
+use ebony_platform::table::{create_resolved, replace_resolved};
+use ebony_platform::{RowKey, RowVersion, TableService, WriteNonce};
+use ebony_types::{CallId, CallUsage, ClockTime, DomainName, ProblemCode, ProblemReport, RunVerdict, SessionId};
+use ebony_wire::{ProgramView, ShardClaim};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use slog::{Logger, debug, info, warn};
+use tokio::sync::oneshot;
+
+use super::members::{MemberBook, SessionRow};
+use super::messages::{SessionsListed, StorageEvent};
+use super::open_call::OpenCall;
+use super::storage::StorageClient;
+use crate::answer::{AnswerPart, CancelCall};
+use crate::dispatch::{DispatchActor, PlaceCall, ReleaseProgram, SettleCall};
+use crate::peers::{OperationResult, PresenceChanged};
+
+/// The most session rows that are read at once.
+const MAX_SESSIONS: u32 = 1_000;
+
+/// The pause after a failed write of the session row.
+const SESSION_RETRY: Duration = Duration::from_millis(250);
+
+/// What the owner needs to run.
+pub struct OwnerOptions {
+    /// Bounds and rates of the owner.
+    pub settings: OwnerSettings,
+    /// The process's name.
+    pub process: String,
+    /// The failure domain of the host.
+    pub domain: DomainName,
+    /// The time between two renewals of the session row.
+    pub heartbeat: Duration,
+    /// A session that is not renewed for this long may be taken over.
+    pub lease: Duration,
+    /// The table service.
+    pub table: Rc<dyn TableService>,
+    /// What owners keep.
+    pub storage: StorageClient,
+    /// The process's logger.
+    pub logger: Logger,
+}
+
+/// Whom the owner talks to.
+pub(super) struct OwnerLinks {
+    pub(super) dispatch: Addr<DispatchActor>,
+    pub(super) presence: Recipient<PresenceChanged>,
+}
+
+/// Owns programs: carries events into the core and its actions out.
+pub struct OwnerActor {
+    pub(super) options: OwnerOptions,
+    pub(super) links: Option<OwnerLinks>,
+    pub(super) core: OwnerCore,
+    pub(super) calls: HashMap<CallId, OpenCall>,
+    pub(super) operations: HashMap<u64, oneshot::Sender<OperationResult>>,
+    pub(super) next_operation: u64,
+    pub(super) members: MemberBook,
+    pub(super) is_draining: bool,
+    started: Instant,
+    source: StdRng,
+    session_version: Option<RowVersion>,
+    wakeup: Option<(ClockTime, SpawnHandle)>,
+}
+
+fn open_core(options: &OwnerOptions, source: &mut StdRng) -> OwnerCore {
+    let session = SessionId::random(source);
+    info!(options.logger, "session opened"; "session" => %session);
+    OwnerCore::open(session, options.settings.clone(), source.random())
+}
+
+/// Returns the wall-clock time now, for [`OwnerSettings::wall_start`].
+pub fn wall_now() -> WallTime {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    WallTime::from_millis(u64::try_from(since.as_millis()).unwrap_or(u64::MAX))
+}
+
+impl OwnerActor {
+    /// Creates the owner with a new session.
+    pub fn new(options: OwnerOptions) -> Self {
+        let mut source = StdRng::from_os_rng();
+        let core = open_core(&options, &mut source);
+        Self {
+            options,
+            links: None,
+            core,
+            calls: HashMap::new(),
+            operations: HashMap::new(),
+            next_operation: 0,
+            members: MemberBook::default(),
+            is_draining: false,
+            started: Instant::now(),
+            source,
+            session_version: None,
+            wakeup: None,
+        }
+    }
+
+    pub(super) fn now(&self) -> ClockTime {
+        ClockTime::from_micros(u64::try_from(self.started.elapsed().as_micros()).unwrap_or(u64::MAX))
+    }
+
+    /// Hands an event to the core, carries its actions out and sets the next wake-up.
+    pub(super) fn handle_event(&mut self, event: OwnerEvent, context: &mut Context<Self>) {
+        let now = self.now();
+        let actions = self.core.handle(event, now);
+        for action in actions {
+            self.carry_out(action, context);
+        }
+        self.schedule_wakeup(context);
+    }
+
+    fn schedule_wakeup(&mut self, context: &mut Context<Self>) {
+        let next = self.core.next_wakeup();
+        if self.wakeup.map(|(time, _)| time) == next {
+            return;
+        }
+        if let Some((_, handle)) = self.wakeup.take() {
+            context.cancel_future(handle);
+        }
+        let Some(time) = next else { return };
+        let handle = context.run_later(time.since(self.now()), |actor, context| {
+            actor.wakeup = None;
+            actor.handle_event(OwnerEvent::Tick, context);
+        });
+        self.wakeup = Some((time, handle));
+    }
+
+    fn carry_out(&mut self, action: OwnerAction, context: &mut Context<Self>) {
+        match action {
+            OwnerAction::Dispatch { call, program, token, rank } => {
+                let Some(open) = self.calls.get(&call) else { return };
+                let mut request = open.request.clone();
+                request.program = Some(program);
+                let (pipe, session) = (open.pipe(), self.core.session());
+                self.to_dispatch(|dispatch| dispatch.do_send(PlaceCall { request, token, session, rank, pipe }));
+            }
+            OwnerAction::Refuse { call, problem } => {
+                if let Some(open) = self.calls.remove(&call) {
+                    open.refuse(problem);
+                }
+            }
+            OwnerAction::Finish { call } => self.finish(call),
+            OwnerAction::Replay { call, place } => self.replay(call, place),
+            OwnerAction::CancelCall { call } => {
+                self.to_dispatch(|dispatch| dispatch.do_send(CancelCall { call }));
+            }
+            OwnerAction::ReleaseProgram { program, token } => {
+                self.to_dispatch(|dispatch| dispatch.do_send(ReleaseProgram { program, token }));
+            }
+            OwnerAction::Reply { request, result } => self.reply(request, result),
+            OwnerAction::ReadHistory { request, view, plan } => self.read_history(request, view, plan),
+            OwnerAction::ShardServing { .. } | OwnerAction::ShardReleased { .. } => self.publish_presence(),
+            OwnerAction::TakeoverFailed { shard, detail } => {
+                warn!(self.options.logger, "shard could not be taken over"; "shard" => %shard, "detail" => detail);
+            }
+            OwnerAction::SessionLost => self.reopen(context),
+            storage => self.start_storage(storage, context),
+        }
+    }
+
+    fn start_storage(&self, action: OwnerAction, context: &mut Context<Self>) {
+        let (storage, session) = (self.options.storage.clone(), self.core.session());
+        let address = context.address();
+        actix::spawn(async move {
+            if let Some(event) = store(&storage, session, action).await {
+                address.do_send(StorageEvent { session, event });
+            }
+        });
+    }
+
+    pub(super) fn to_dispatch(&self, send: impl FnOnce(&Addr<DispatchActor>)) {
+        if let Some(links) = &self.links {
+            send(&links.dispatch);
+        }
+    }
+
+    fn finish(&mut self, call: CallId) {
+        let Some(open) = self.calls.remove(&call) else { return };
+        if let Some(side) = open.side {
+            self.to_dispatch(|dispatch| dispatch.do_send(SettleCall { call, side }));
+        }
+        open.finish();
+    }
+
+    fn replay(&mut self, call: CallId, place: BodyPlace) {
+        let Some(open) = self.calls.remove(&call) else { return };
+        let storage = self.options.storage.clone();
+        actix::spawn(async move {
+            match storage.read_turn(place).await {
+                Ok(body) => {
+                    let pipe = open.pipe();
+                    pipe.push(AnswerPart::Head(body.head));
+                    pipe.push(AnswerPart::Bytes(body.answer));
+                    pipe.push(AnswerPart::End(CallUsage::default()));
+                }
+                Err(_) => {
+                    let detail = "the stored answer can't be read at present";
+                    let problem = ProblemReport::new(ProblemCode::PlatformUnavailable, RunVerdict::Ran, detail);
+                    open.refuse(problem.retry_after(2));
+                }
+            }
+        });
+    }
+
+    fn reply(&mut self, request: u64, result: OperationResult) {
+        if let Some(reply) = self.operations.remove(&request) {
+            // The requester may have given up.
+            let _ = reply.send(result);
+        }
+    }
+
+    fn read_history(&mut self, request: u64, mut view: Box<ProgramView>, plan: HistoryPlan) {
+        let Some(reply) = self.operations.remove(&request) else { return };
+        let storage = self.options.storage.clone();
+        actix::spawn(async move {
+            let result = match storage.read_history(&plan).await {
+                Ok(history) => {
+                    view.history = Some(history);
+                    Ok(view)
+                }
+                Err(error) => {
+                    let detail = format!("the history can't be read at present: {error}");
+                    Err(ProblemReport::not_run(ProblemCode::PlatformUnavailable, detail).retry_after(2))
+                }
+            };
+            // The requester may have given up.
+            let _ = reply.send(result);
+        });
+    }
+
+    /// Opens a new session after the present one was sealed by a successor.
+    fn reopen(&mut self, context: &mut Context<Self>) {
+        warn!(self.options.logger, "session lost; opening a new one"; "session" => %self.core.session());
+        for (_, open) in self.calls.drain() {
+            let detail = "the owner of the program was replaced";
+            open.refuse(ProblemReport::may_have_run(ProblemCode::OwnerUnavailable, detail).retry_after(1));
+        }
+        self.operations.clear();
+        self.core = open_core(&self.options, &mut self.source);
+        self.session_version = None;
+        self.publish_presence();
+        self.write_session(context);
+    }
+
+    pub(super) fn publish_presence(&self) {
+        let shards = self.core.serving_shards();
+        debug!(self.options.logger, "shards changed"; "count" => shards.len());
+        let presence = PresenceChanged {
+            session: Some(self.core.session()),
+            is_draining: self.is_draining,
+            shards: shards.into_iter().map(|(shard, epoch)| ShardClaim { shard, epoch }).collect(),
+        };
+        if let Some(links) = &self.links {
+            links.presence.do_send(presence);
+        }
+    }
+
+    fn session_row(&self) -> Option<Bytes> {
+        let row = SessionRow {
+            process: self.options.process.clone(),
+            domain: self.options.domain.clone(),
+            is_draining: self.is_draining,
+            shards: self.core.serving_shards().into_iter().map(|(shard, _)| shard).collect(),
+        };
+        serde_json::to_vec(&row).ok().map(Bytes::from)
+    }
+
+    /// Creates or renews the session row, lists all rows, and repeats after a heartbeat.
+    pub(super) fn write_session(&mut self, context: &mut Context<Self>) {
+        let Some(row) = self.session_row() else { return };
+        let session = self.core.session();
+        let (table, version) = (Rc::clone(&self.options.table), self.session_version);
+        let nonce = WriteNonce(self.source.random());
+        let renew = async move {
+            let key = RowKey(format!("sessions/{session}"));
+            let written = match version {
+                Some(version) => replace_resolved(&*table, &key, version, row, nonce).await,
+                None => create_resolved(&*table, &key, row, nonce).await,
+            };
+            let listed = table.list("sessions/", None, MAX_SESSIONS).await;
+            (written, listed)
+        };
+        let renew = renew.into_actor(self).map(move |(written, listed), actor, context| {
+            if session != actor.core.session() {
+                return;
+            }
+            let pause = if written.is_ok() { actor.options.heartbeat } else { SESSION_RETRY };
+            actor.session_version = written.ok().or(actor.session_version);
+            if let Ok(rows) = listed {
+                context.notify(SessionsListed(rows));
+            }
+            context.run_later(pause, move |actor, context| {
+                if session == actor.core.session() {
+                    actor.write_session(context);
+                }
+            });
+        });
+        context.spawn(renew);
+    }
+
+    /// Hands the live sessions to the core.
+    pub(super) fn publish_sessions(&mut self, context: &mut Context<Self>) {
+        let mut sessions = self.members.live(self.options.lease, self.now());
+        let own = self.core.session();
+        if let Some(session) = sessions.iter_mut().find(|session| session.session == own) {
+            session.is_draining = self.is_draining;
+            session.shards = self.core.serving_shards().into_iter().map(|(shard, _)| shard).collect();
+        }
+        self.handle_event(OwnerEvent::SessionsChanged { sessions }, context);
+    }
+
+    /// Deletes rows of sessions that ended long ago.
+    pub(super) fn delete_abandoned(&self) {
+        for session in self.members.abandoned(self.options.lease, self.now()) {
+            let table = Rc::clone(&self.options.table);
+            actix::spawn(async move {
+                let key = RowKey(format!("sessions/{session}"));
+                if let Ok(Some(row)) = table.read(&key).await {
+                    // Another entry may have deleted it.
+                    let _ = table.delete(&key, row.version).await;
+                }
+            });
+        }
+    }
+}
+
+/// Carries out a storage action; returns the event that reports its outcome, if the core waits for one.
+async fn store(storage: &StorageClient, session: SessionId, action: OwnerAction) -> Option<OwnerEvent> {
+    match action {
+        OwnerAction::Append(append) => {
+            let sequence = append.sequence;
+            let outcome = storage.append(session, append).await;
+            Some(OwnerEvent::AppendDone { sequence, outcome })
+        }
+        OwnerAction::Checkpoint { sequence, bytes } => {
+            let is_stored = storage.store_checkpoint(session, sequence, bytes).await;
+            Some(OwnerEvent::CheckpointDone { sequence, is_stored })
+        }
+        OwnerAction::Storage { ticket, request } => {
+            let reply = storage.carry_out(request).await;
+            Some(OwnerEvent::StorageDone { ticket, reply })
+        }
+        OwnerAction::Truncate { first, last, checkpoint } => {
+            storage.truncate(session, first, last, checkpoint).await;
+            None
+        }
+        OwnerAction::DeleteBodies { sequence } => {
+            storage.delete_bodies(session, sequence).await;
+            None
+        }
+        _ => None,
+    }
+}
--- /dev/null
+++ b/crates/ebony_entry/src/owner/members.rs
@@ -0,0 +1,89 @@
+//! Which sessions of entries are live, as far as this entry can tell.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use ebony_owner::session::LiveSession;
+use ebony_types::{ClockTime, DomainName, SessionId, ShardKey};
+use serde::{Deserialize, Serialize};
+
+use crate::peers::{PeerKey, PresenceChanged};
+
+/// The value of a row `sessions/{session}`.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub(super) struct SessionRow {
+    /// The process, by the name in its settings.
+    pub(super) process: String,
+    /// The failure domain of its host.
+    pub(super) domain: DomainName,
+    /// Whether the process is leaving.
+    pub(super) is_draining: bool,
+    /// The shards that it serves.
+    pub(super) shards: Vec<ShardKey>,
+}
+
+struct SeenRow {
+    row: SessionRow,
+    version: u64,
+    renewed: ClockTime,
+}
+
+/// Session rows and what linked entries say of themselves.
+///
+/// A row counts as renewed when its version changes, by this process's clock; clocks of hosts are never compared.
+#[derive(Default)]
+pub(super) struct MemberBook {
+    rows: HashMap<SessionId, SeenRow>,
+    presence: HashMap<PeerKey, PresenceChanged>,
+}
+
+impl MemberBook {
+    /// Takes over a listing of all session rows.
+    pub(super) fn list(&mut self, rows: Vec<(SessionId, u64, SessionRow)>, now: ClockTime) {
+        self.rows.retain(|session, _| rows.iter().any(|(listed, _, _)| listed == session));
+        for (session, version, row) in rows {
+            let renewed = match self.rows.get(&session) {
+                Some(seen) if seen.version == version => seen.renewed,
+                _ => now,
+            };
+            self.rows.insert(session, SeenRow { row, version, renewed });
+        }
+    }
+
+    /// Takes over what a linked entry says of itself.
+    pub(super) fn set_presence(&mut self, peer: PeerKey, presence: Option<PresenceChanged>) {
+        match presence {
+            Some(presence) => self.presence.insert(peer, presence),
+            None => self.presence.remove(&peer),
+        };
+    }
+
+    /// Returns the live sessions: those whose row was renewed within `lease`.
+    pub(super) fn live(&self, lease: Duration, now: ClockTime) -> Vec<LiveSession> {
+        let live = self.rows.iter().filter(|(_, seen)| now.since(seen.renewed) < lease);
+        let mut sessions: Vec<LiveSession> = live.map(|(session, seen)| self.describe(*session, &seen.row)).collect();
+        sessions.sort_by_key(|session| session.session);
+        sessions
+    }
+
+    /// Returns the sessions whose row was not renewed for ten times the lease.
+    pub(super) fn abandoned(&self, lease: Duration, now: ClockTime) -> Vec<SessionId> {
+        let abandoned = self.rows.iter().filter(|(_, seen)| now.since(seen.renewed) > lease * 10);
+        abandoned.map(|(session, _)| *session).collect()
+    }
+
+    /// A link's news is fresher than the row.
+    fn describe(&self, session: SessionId, row: &SessionRow) -> LiveSession {
+        let presence = self.presence.values().find(|presence| presence.session == Some(session));
+        LiveSession {
+            session,
+            domain: row.domain.clone(),
+            is_draining: presence.map_or(row.is_draining, |presence| presence.is_draining),
+            shards: match presence {
+                Some(presence) => presence.shards.iter().map(|claim| claim.shard).collect(),
+                None => row.shards.clone(),
+            },
+        }
+    }
+}
--- /dev/null
+++ b/crates/ebony_entry/src/owner/storage.rs
@@ -0,0 +1,175 @@
+//! Carries storage actions of an owner to the table service and the object store.
+
+use std::rc::Rc;
+
+use bytes::Bytes;
+use ebony_owner::journal::{AppendOutcome, AppendRow, BodyPlace};
+use ebony_owner::program::{HistoryPlan, TurnBody, assemble_history};
+use ebony_owner::storage::{StorageReply, StorageRequest, StoredRow, StoredShardRow};
+use ebony_platform::table::{create_resolved, replace_resolved};
+use ebony_platform::{ObjectStore, PlatformError, RowKey, RowRecord, RowVersion, TableService, WriteNonce};
+use ebony_types::{SessionId, ShardKey};
+
+/// The result of reading stored bodies.
+pub type Result<T, E = PlatformError> = std::result::Result<T, E>;
+
+/// Access to what the owners of programs keep.
+#[derive(Clone)]
+pub struct StorageClient {
+    table: Rc<dyn TableService>,
+    objects: Rc<dyn ObjectStore>,
+}
+
+fn journal_prefix(session: SessionId) -> String {
+    format!("journal/{session}/")
+}
+
+/// Twelve digits keep the order of keys equal to the order of numbers.
+fn journal_key(session: SessionId, sequence: u64) -> RowKey {
+    RowKey(format!("journal/{session}/{sequence:012}"))
+}
+
+fn shard_key(shard: ShardKey) -> RowKey {
+    RowKey(format!("shards/{shard}"))
+}
+
+fn bodies_key(session: SessionId, sequence: u64) -> String {
+    format!("bodies/{session}/{sequence:012}")
+}
+
+fn checkpoint_key(session: SessionId, sequence: u64) -> String {
+    format!("checkpoint/{session}/{sequence:012}")
+}
+
+fn stored_row(record: RowRecord) -> Option<StoredRow> {
+    let sequence = record.key.0.rsplit('/').next()?.parse().ok()?;
+    Some(StoredRow { sequence, row: record.value })
+}
+
+impl StorageClient {
+    /// Creates a client of the platform's services.
+    pub fn new(table: Rc<dyn TableService>, objects: Rc<dyn ObjectStore>) -> Self {
+        Self { table, objects }
+    }
+
+    /// Stores a row of a journal, its bodies first.
+    pub async fn append(&self, session: SessionId, append: AppendRow) -> AppendOutcome {
+        if let Some(bodies) = append.bodies
+            && self.objects.put(&bodies_key(session, append.sequence), bodies).await.is_err()
+        {
+            return AppendOutcome::Unavailable;
+        }
+        let key = journal_key(session, append.sequence);
+        match create_resolved(&*self.table, &key, append.row, WriteNonce(append.nonce)).await {
+            Ok(_) => AppendOutcome::Durable,
+            Err(PlatformError::Conflict) => AppendOutcome::Sealed,
+            Err(_) => AppendOutcome::Unavailable,
+        }
+    }
+
+    /// Stores a checkpoint; returns whether it is stored.
+    pub async fn store_checkpoint(&self, session: SessionId, sequence: u64, bytes: Bytes) -> bool {
+        self.objects.put(&checkpoint_key(session, sequence), bytes).await.is_ok()
+    }
+
+    /// Deletes rows that a checkpoint includes. Failures do no harm.
+    pub async fn truncate(&self, session: SessionId, first: u64, last: u64, checkpoint: Option<u64>) {
+        for sequence in first..=last {
+            let key = journal_key(session, sequence);
+            let Ok(Some(row)) = self.table.read(&key).await else { continue };
+            // A row that stays takes space only.
+            let _ = self.table.delete(&key, row.version).await;
+        }
+        if let Some(sequence) = checkpoint {
+            // A checkpoint that stays takes space only.
+            let _ = self.objects.delete(&checkpoint_key(session, sequence)).await;
+        }
+    }
+
+    /// Deletes the bodies of a row. A failure does no harm.
+    pub async fn delete_bodies(&self, session: SessionId, sequence: u64) {
+        // Bodies that stay take space only.
+        let _ = self.objects.delete(&bodies_key(session, sequence)).await;
+    }
+
+    /// Reads the stored answer of a turn.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`PlatformError`] if it can't be read or is malformed.
+    pub async fn read_turn(&self, place: BodyPlace) -> Result<TurnBody> {
+        let object = self.objects.get(&bodies_key(place.session, place.sequence)).await?;
+        let object = object.ok_or_else(|| PlatformError::Malformed("the stored answer is missing".to_owned()))?;
+        TurnBody::from_object(&object, place).map_err(|error| PlatformError::Malformed(error.to_string()))
+    }
+
+    /// Reads the bodies of a history and assembles its JSON.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`PlatformError`] if a body can't be read or the history is not whole.
+    pub async fn read_history(&self, plan: &HistoryPlan) -> Result<Bytes> {
+        let mut bodies = Vec::with_capacity(plan.places.len());
+        for place in &plan.places {
+            let object = self.objects.get(&bodies_key(place.session, place.sequence)).await?;
+            let start = place.span.offset as usize;
+            let end = start + place.span.length as usize;
+            bodies.push(object.filter(|object| end <= object.len()).map(|object| object.slice(start..end)));
+        }
+        assemble_history(plan, &bodies).map_err(|error| PlatformError::Malformed(error.to_string()))
+    }
+
+    /// Carries out a request of a takeover.
+    pub async fn carry_out(&self, request: StorageRequest) -> StorageReply {
+        let reply = match request {
+            StorageRequest::ReadShardRow { shard } => self.read_shard(shard).await,
+            StorageRequest::ReplaceShardRow { shard, version, row, nonce } => {
+                self.replace_shard(shard, version, row, nonce).await
+            }
+            StorageRequest::ReadJournal { session, after, limit } => {
+                self.read_journal(session, after, limit).await
+            }
+            StorageRequest::SealJournal { session, sequence, row, nonce } => {
+                let key = journal_key(session, sequence);
+                create_resolved(&*self.table, &key, row, WriteNonce(nonce)).await.map(|_| StorageReply::Sealed)
+            }
+            StorageRequest::ReadCheckpoint { session, sequence } => {
+                self.objects.get(&checkpoint_key(session, sequence)).await.map(StorageReply::Object)
+            }
+            StorageRequest::ReadBodies { session, sequence } => {
+                self.objects.get(&bodies_key(session, sequence)).await.map(StorageReply::Object)
+            }
+        };
+        reply.unwrap_or_else(|error| match error {
+            PlatformError::Conflict => StorageReply::Conflict,
+            _ => StorageReply::Unavailable,
+        })
+    }
+
+    async fn read_shard(&self, shard: ShardKey) -> Result<StorageReply> {
+        let row = self.table.read(&shard_key(shard)).await?;
+        let row = row.map(|record| StoredShardRow { version: record.version.0, row: record.value });
+        Ok(StorageReply::ShardRow(row))
+    }
+
+    async fn replace_shard(
+        &self,
+        shard: ShardKey,
+        version: Option<u64>,
+        row: Bytes,
+        nonce: u128,
+    ) -> Result<StorageReply> {
+        let (key, nonce) = (shard_key(shard), WriteNonce(nonce));
+        let version = match version {
+            Some(version) => replace_resolved(&*self.table, &key, RowVersion(version), row, nonce).await?,
+            None => create_resolved(&*self.table, &key, row, nonce).await?,
+        };
+        Ok(StorageReply::Replaced { version: version.0 })
+    }
+
+    async fn read_journal(&self, session: SessionId, after: u64, limit: u32) -> Result<StorageReply> {
+        let after = (after > 0).then(|| journal_key(session, after));
+        let rows = self.table.list(&journal_prefix(session), after.as_ref(), limit).await?;
+        Ok(StorageReply::JournalRows(rows.into_iter().filter_map(stored_row).collect()))
+    }
+}
--- /dev/null
+++ b/crates/ebony_entry/src/peers/actor.rs
@@ -0,0 +1,422 @@
+//! The actor that holds the links to other entries.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use actix::{Actor, ActorFutureExt, Addr, AsyncContext, Context, Handler, Recipient, ResponseFuture, WrapFuture};
+use ebony_link::{LinkIdentity, LinkListener, LinkOptions, LinkReceiver, dial};
+use ebony_types::{CallRequest, ProblemCode, ProblemReport};
+use ebony_wire::{ConfigPush, ConfigStatus, PeerFrame};
+use futures_util::Stream;
+use futures_util::stream::unfold;
+use slog::{Logger, info, warn};
+use slotmap::SlotMap;
+use tokio::sync::oneshot;
+
+use super::incoming::IncomingLink;
+use super::messages::{
+    ForwardCall, ForwardOperation, IncomingEvent, IncomingKey, OperateProgram, OperationResult, OutgoingEvent,
+    PeerLinkUp, PeerPresence, PeersListed, PresenceChanged, StartCall,
+};
+use super::outgoing::{ForwardedWork, PeerRecord};
+use super::router::{PeerKey, ShardRoute, ShardRouter};
+use crate::answer::{AnswerPart, AnswerPipe, CancelCall, CreditGrant};
+use crate::config::{ConfigOffered, StatusHeard};
+use crate::dispatch::ConfigPublished;
+
+/// The time between two pings on a link, and the least time between two dials.
+const HEARTBEAT: Duration = Duration::from_millis(500);
+
+/// What the peer actor needs to run.
+pub struct PeerOptions {
+    /// Who this process is on its links.
+    pub identity: LinkIdentity,
+    /// Limits of links.
+    pub link: LinkOptions,
+    /// The routes that the actor keeps.
+    pub router: ShardRouter,
+    /// Starts calls that other entries forward.
+    pub start: Recipient<StartCall>,
+    /// Runs operations that other entries forward.
+    pub operate: Recipient<OperateProgram>,
+    /// Receives what other entries say of themselves.
+    pub presence: Recipient<PeerPresence>,
+    /// Receives configurations from other entries.
+    pub config: Recipient<ConfigOffered>,
+    /// Receives which configuration is in force elsewhere.
+    pub status: Recipient<StatusHeard>,
+    /// The process's logger.
+    pub logger: Logger,
+}
+
+/// Holds the links to other entries.
+pub struct PeerActor {
+    options: PeerOptions,
+    own_address: SocketAddr,
+    listener: Option<LinkListener>,
+    peers: SlotMap<PeerKey, PeerRecord>,
+    incoming: SlotMap<IncomingKey, IncomingLink>,
+    work: ForwardedWork,
+    presence: PresenceChanged,
+    config: Option<ConfigPush>,
+    status: Vec<ConfigStatus>,
+    next_generation: u64,
+}
+
+impl PeerActor {
+    /// Creates the actor with a listener that is already bound.
+    pub fn new(options: PeerOptions, listener: LinkListener) -> Self {
+        Self {
+            options,
+            own_address: listener.address(),
+            listener: Some(listener),
+            peers: SlotMap::with_key(),
+            incoming: SlotMap::with_key(),
+            work: ForwardedWork::default(),
+            presence: PresenceChanged::default(),
+            config: None,
+            status: Vec::new(),
+            next_generation: 0,
+        }
+    }
+
+    fn presence_frame(&self) -> PeerFrame {
+        PeerFrame::Presence {
+            session: self.presence.session,
+            is_draining: self.presence.is_draining,
+            shards: self.presence.shards.clone(),
+        }
+    }
+
+    fn send(&self, peer: PeerKey, frame: &PeerFrame) -> bool {
+        let sender = self.peers.get(peer).and_then(|record| record.sender.as_ref());
+        sender.is_some_and(|sender| sender.send(frame).is_ok())
+    }
+
+    fn broadcast_outgoing(&self, frame: &PeerFrame) {
+        for key in self.peers.keys() {
+            self.send(key, frame);
+        }
+    }
+
+    fn broadcast_incoming(&self, frame: &PeerFrame) {
+        for link in self.incoming.values() {
+            // A link that is full or closed is about to be lost; the news goes out again when it is back.
+            let _ = link.sender.send(frame);
+        }
+    }
+
+    fn dial(&self, peer: PeerKey, address: Addr<Self>) {
+        let Some(record) = self.peers.get(peer) else { return };
+        let target = record.address;
+        let (identity, options) = (self.options.identity.clone(), self.options.link.clone());
+        actix::spawn(async move {
+            let message = match dial(target, &identity, &options).await {
+                Ok(link) => PeerLinkUp::Dialed(peer, link),
+                Err(_) => PeerLinkUp::DialFailed(peer),
+            };
+            address.do_send(message);
+        });
+    }
+
+    fn accept_next(&mut self, context: &mut Context<Self>) {
+        let Some(mut listener) = self.listener.take() else { return };
+        let next = async move {
+            let link = listener.next().await;
+            (listener, link)
+        };
+        let next = next.into_actor(self).map(|(listener, link), actor, context| {
+            actor.listener = Some(listener);
+            if let Some(link) = link {
+                context.notify(PeerLinkUp::Accepted(link));
+                actor.accept_next(context);
+            }
+        });
+        context.spawn(next);
+    }
+
+    fn start_forwarded(&mut self, key: IncomingKey, request: CallRequest) {
+        let Some(link) = self.incoming.get_mut(key) else { return };
+        let pipe = Arc::new(AnswerPipe::new(request.call));
+        link.return_answer(Arc::clone(&pipe));
+        self.options.start.do_send(StartCall { request, pipe });
+    }
+
+    fn operate_forwarded(&self, key: IncomingKey, request: u64, operation: ebony_wire::ProgramOperation) {
+        let Some(link) = self.incoming.get(key) else { return };
+        let (operate, sender) = (self.options.operate.clone(), link.sender.clone());
+        actix::spawn(async move {
+            let unavailable = || ProblemReport::not_run(ProblemCode::Overloaded, "the owner is too busy");
+            let result = operate.send(OperateProgram(operation)).await.unwrap_or_else(|_| Err(unavailable()));
+            // The requester learns of a lost link by itself.
+            let _ = sender.send(&PeerFrame::Operated { request, result });
+        });
+    }
+
+    fn accept_outgoing(&mut self, peer: PeerKey, frame: PeerFrame) {
+        match frame {
+            PeerFrame::Presence { session, is_draining, shards } => {
+                self.options.router.set_claims(ShardRoute::Peer(peer), &shards);
+                let presence = Some(PresenceChanged { session, is_draining, shards });
+                self.options.presence.do_send(PeerPresence { peer, presence });
+            }
+            PeerFrame::Answer(frame) => {
+                let call = frame.call();
+                if self.work.accept(frame) {
+                    self.send(peer, &PeerFrame::Cancel { call });
+                }
+            }
+            PeerFrame::Operated { request, result } => self.work.end_operation(request, result),
+            PeerFrame::Config(push) => self.options.config.do_send(ConfigOffered(push)),
+            PeerFrame::ConfigInForce(status) => self.options.status.do_send(StatusHeard(status)),
+            _ => {}
+        }
+    }
+
+    fn accept_incoming(&mut self, key: IncomingKey, frame: PeerFrame) {
+        match frame {
+            PeerFrame::Forward(request) => self.start_forwarded(key, *request),
+            PeerFrame::Operate { request, operation } => self.operate_forwarded(key, request, operation),
+            PeerFrame::Cancel { call } => self.with_incoming(key, |link| link.cancel(call)),
+            PeerFrame::Credit { call, bytes } => self.with_incoming(key, |link| link.grant(call, bytes)),
+            PeerFrame::Config(push) => self.options.config.do_send(ConfigOffered(push)),
+            PeerFrame::ConfigInForce(status) => self.options.status.do_send(StatusHeard(status)),
+            PeerFrame::Ping { nonce } => self.with_incoming(key, |link| {
+                // A full queue means that the link is busy, which is a sign of life as well.
+                let _ = link.sender.send(&PeerFrame::Pong { nonce });
+            }),
+            _ => {}
+        }
+    }
+
+    fn with_incoming(&mut self, key: IncomingKey, action: impl FnOnce(&mut IncomingLink)) {
+        if let Some(link) = self.incoming.get_mut(key) {
+            action(link);
+        }
+    }
+
+    fn greet(&self) -> Vec<PeerFrame> {
+        let mut frames = vec![self.presence_frame()];
+        frames.extend(self.config.clone().map(PeerFrame::Config));
+        if !self.status.is_empty() {
+            frames.push(PeerFrame::ConfigInForce(self.status.clone()));
+        }
+        frames
+    }
+}
+
+impl Actor for PeerActor {
+    type Context = Context<Self>;
+
+    fn started(&mut self, context: &mut Self::Context) {
+        self.accept_next(context);
+        context.run_interval(HEARTBEAT, |actor, _| actor.broadcast_outgoing(&PeerFrame::Ping { nonce: 0 }));
+    }
+}
+
+fn outgoing_events(
+    peer: PeerKey,
+    generation: u64,
+    receiver: LinkReceiver<PeerFrame>,
+) -> impl Stream<Item = OutgoingEvent> {
+    unfold(Some(receiver), move |receiver| async move {
+        let mut receiver = receiver?;
+        match receiver.next().await {
+            Ok(frame) => Some((OutgoingEvent { peer, generation, frame: Some(frame) }, Some(receiver))),
+            Err(_) => Some((OutgoingEvent { peer, generation, frame: None }, None)),
+        }
+    })
+}
+
+fn incoming_events(key: IncomingKey, receiver: LinkReceiver<PeerFrame>) -> impl Stream<Item = IncomingEvent> {
+    unfold(Some(receiver), move |receiver| async move {
+        let mut receiver = receiver?;
+        match receiver.next().await {
+            Ok(frame) => Some((IncomingEvent { key, frame: Some(frame) }, Some(receiver))),
+            Err(_) => Some((IncomingEvent { key, frame: None }, None)),
+        }
+    })
+}
+
+impl Handler<PeersListed> for PeerActor {
+    type Result = ();
+
+    fn handle(&mut self, PeersListed(addresses): PeersListed, context: &mut Context<Self>) {
+        for record in self.peers.values_mut() {
+            record.is_listed = addresses.contains(&record.address);
+        }
+        // A peer that is neither listed nor linked is gone.
+        self.peers.retain(|_, record| record.is_listed || record.sender.is_some());
+        for address in addresses {
+            let is_known = self.peers.values().any(|record| record.address == address);
+            if is_known || address == self.own_address {
+                continue;
+            }
+            let record = PeerRecord { address, sender: None, generation: 0, is_listed: true };
+            let peer = self.peers.insert(record);
+            self.dial(peer, context.address());
+        }
+    }
+}
+
+impl Handler<PeerLinkUp> for PeerActor {
+    type Result = ();
+
+    fn handle(&mut self, message: PeerLinkUp, context: &mut Context<Self>) {
+        match message {
+            PeerLinkUp::Accepted(link) => {
+                let (sender, receiver) = link.split();
+                for frame in self.greet() {
+                    // A new link's queue has room for its first frames.
+                    let _ = sender.send(&frame);
+                }
+                let key = self.incoming.insert(IncomingLink::new(sender));
+                context.add_message_stream(incoming_events(key, receiver));
+            }
+            PeerLinkUp::Dialed(peer, link) => {
+                self.next_generation += 1;
+                let generation = self.next_generation;
+                let Some(record) = self.peers.get_mut(peer) else { return };
+                info!(self.options.logger, "link to entry opened"; "peer" => &link.peer().process);
+                let (sender, receiver) = link.split();
+                record.sender = Some(sender);
+                record.generation = generation;
+                context.add_message_stream(outgoing_events(peer, generation, receiver));
+                for frame in self.greet() {
+                    self.send(peer, &frame);
+                }
+            }
+            PeerLinkUp::DialFailed(peer) => {
+                context.run_later(HEARTBEAT, move |actor, context| actor.dial(peer, context.address()));
+            }
+        }
+    }
+}
+
+impl Handler<OutgoingEvent> for PeerActor {
+    type Result = ();
+
+    fn handle(&mut self, event: OutgoingEvent, context: &mut Context<Self>) {
+        let peer = event.peer;
+        if self.peers.get(peer).is_none_or(|record| record.generation != event.generation) {
+            return;
+        }
+        match event.frame {
+            Some(frame) => self.accept_outgoing(peer, frame),
+            None => {
+                warn!(self.options.logger, "link to entry lost");
+                if let Some(record) = self.peers.get_mut(peer) {
+                    record.sender = None;
+                }
+                self.options.router.set_claims(ShardRoute::Peer(peer), &[]);
+                self.work.lose(peer);
+                self.options.presence.do_send(PeerPresence { peer, presence: None });
+                self.dial(peer, context.address());
+            }
+        }
+    }
+}
+
+impl Handler<IncomingEvent> for PeerActor {
+    type Result = ();
+
+    fn handle(&mut self, event: IncomingEvent, _: &mut Context<Self>) {
+        match event.frame {
+            Some(frame) => self.accept_incoming(event.key, frame),
+            None => {
+                if let Some(mut link) = self.incoming.remove(event.key) {
+                    link.cancel_all();
+                }
+            }
+        }
+    }
+}
+
+impl Handler<ForwardCall> for PeerActor {
+    type Result = ();
+
+    fn handle(&mut self, message: ForwardCall, context: &mut Context<Self>) {
+        let ForwardCall { peer, request, pipe } = message;
+        let call = pipe.call();
+        pipe.set_credit(context.address().recipient::<CreditGrant>());
+        pipe.set_cancel(context.address().recipient::<CancelCall>());
+        if !self.work.add_call(peer, Arc::clone(&pipe)) {
+            let problem = ProblemReport::not_run(ProblemCode::Overloaded, "too many calls are under way");
+            pipe.push(AnswerPart::Failed(problem.retry_after(1)));
+            return;
+        }
+        if !self.send(peer, &PeerFrame::Forward(Box::new(request))) {
+            self.work.remove_call(call);
+            let problem = ProblemReport::not_run(ProblemCode::OwnerUnavailable, "the owner is not reachable");
+            pipe.push(AnswerPart::Failed(problem.retry_after(1)));
+        }
+    }
+}
+
+impl Handler<ForwardOperation> for PeerActor {
+    type Result = ResponseFuture<OperationResult>;
+
+    fn handle(&mut self, message: ForwardOperation, _: &mut Context<Self>) -> Self::Result {
+        let (reply, result) = oneshot::channel();
+        let not_run = |detail| Err(ProblemReport::not_run(ProblemCode::OwnerUnavailable, detail).retry_after(1));
+        let Some(request) = self.work.add_operation(message.peer, reply) else {
+            return Box::pin(async move { not_run("too many operations are under way") });
+        };
+        if !self.send(message.peer, &PeerFrame::Operate { request, operation: message.operation }) {
+            self.work.end_operation(request, not_run("the owner is not reachable"));
+        }
+        Box::pin(async move { result.await.unwrap_or_else(|_| not_run("the owner is not reachable")) })
+    }
+}
+
+impl Handler<CancelCall> for PeerActor {
+    type Result = ();
+
+    fn handle(&mut self, CancelCall { call }: CancelCall, _: &mut Context<Self>) {
+        let peer = self.work.peer_of(call);
+        self.work.remove_call(call);
+        if let Some(peer) = peer {
+            self.send(peer, &PeerFrame::Cancel { call });
+        }
+    }
+}
+
+impl Handler<CreditGrant> for PeerActor {
+    type Result = ();
+
+    fn handle(&mut self, CreditGrant { call, bytes }: CreditGrant, _: &mut Context<Self>) {
+        if let Some(peer) = self.work.peer_of(call) {
+            self.send(peer, &PeerFrame::Credit { call, bytes });
+        }
+    }
+}
+
+impl Handler<PresenceChanged> for PeerActor {
+    type Result = ();
+
+    fn handle(&mut self, presence: PresenceChanged, _: &mut Context<Self>) {
+        self.options.router.set_claims(ShardRoute::Local, &presence.shards);
+        self.presence = presence;
+        self.broadcast_incoming(&self.presence_frame());
+    }
+}
+
+impl Handler<ConfigPublished> for PeerActor {
+    type Result = ();
+
+    fn handle(&mut self, ConfigPublished(push): ConfigPublished, _: &mut Context<Self>) {
+        self.broadcast_outgoing(&PeerFrame::Config(push.clone()));
+        self.config = Some(push);
+    }
+}
+
+impl Handler<StatusHeard> for PeerActor {
+    type Result = ();
+
+    fn handle(&mut self, StatusHeard(status): StatusHeard, _: &mut Context<Self>) {
+        self.broadcast_outgoing(&PeerFrame::ConfigInForce(status.clone()));
+        self.status = status;
+    }
+}
+
--- /dev/null
+++ b/crates/ebony_entry/src/peers/mod.rs
@@ -0,0 +1,13 @@
+//! Links to other entries: forwarding calls and operations to the owner of a program, and spreading news.
+
+mod actor;
+mod incoming;
+mod messages;
+mod outgoing;
+mod router;
+
+pub use actor::{PeerActor, PeerOptions};
+pub use messages::{
+    ForwardCall, ForwardOperation, OperateProgram, OperationResult, PeerPresence, PeersListed, PresenceChanged, StartCall,
+};
+pub use router::{PeerKey, RouteState, ShardRoute, ShardRouter};
--- /dev/null
+++ b/crates/ebony_side/src/target.rs
@@ -0,0 +1,57 @@
+//! The targets beside the process.
+
+use std::rc::Rc;
+
+use anyhow::Context;
+use ebony_platform::{EngineTarget, HttpEngine, HttpService, RequestLimits, ServiceTarget};
+use ebony_settings::TargetSettings;
+use ebony_wire::{TargetKind, TargetReport};
+
+/// The result of opening a target.
+pub type Result<T, E = anyhow::Error> = std::result::Result<T, E>;
+
+/// How a target is reached.
+#[derive(Clone)]
+pub enum TargetAdapter {
+    /// A model engine.
+    Engine(Rc<dyn EngineTarget>),
+    /// A plain service.
+    Service(Rc<dyn ServiceTarget>),
+}
+
+/// A target and its adapter.
+#[derive(Clone)]
+pub struct OpenTarget {
+    /// What entries learn about it.
+    pub report: TargetReport,
+    /// How it is reached.
+    pub adapter: TargetAdapter,
+}
+
+impl OpenTarget {
+    /// Opens a target from its settings.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the adapter can't be built.
+    pub fn open(settings: &TargetSettings) -> Result<Self> {
+        let url = format!("http://{}", settings.address);
+        let limits = RequestLimits::for_targets();
+        let context = || format!("cannot open the target {}", settings.name);
+        let adapter = match &settings.kind {
+            TargetKind::Engine { .. } => {
+                TargetAdapter::Engine(Rc::new(HttpEngine::open(&url, limits).with_context(context)?))
+            }
+            TargetKind::Service { .. } => {
+                TargetAdapter::Service(Rc::new(HttpService::open(&url, limits).with_context(context)?))
+            }
+        };
+        let report = TargetReport {
+            target: settings.name.clone(),
+            kind: settings.kind.clone(),
+            slots: settings.slots,
+            checks_fencing: settings.checks_fencing,
+        };
+        Ok(Self { report, adapter })
+    }
+}
--- a/crates/ebony_types/src/limits.rs
+++ b/crates/ebony_types/src/limits.rs
@@ -23,3 +23,9 @@
 
 /// The most calls of one program that wait for their turn.
 pub const MAX_WAITING_CALLS_PER_PROGRAM: usize = 8;
+
+/// Bytes of an answer that a sender may have under way before the receiver grants more.
+pub const ANSWER_WINDOW_BYTES: u32 = 256 * 1024;
+
+/// Bytes that a receiver consumes before it grants them again.
+pub const CREDIT_STEP_BYTES: u32 = 64 * 1024;
--- a/crates/ebony_wire/src/lib.rs
+++ b/crates/ebony_wire/src/lib.rs
@@ -19,7 +19,7 @@
     pub use crate::config_push::{ConfigPush, ConfigStatus};
     pub use crate::entry_frame::{DispatchOrder, EntryFrame, LoadOrder, QueueRank};
     pub use crate::handshake::{ClusterKey, HandshakeFrame, HandshakeState, LinkRole, PeerIdentity};
-    pub use crate::peer_frame::{PeerFrame, ProgramOperation, ProgramView};
+    pub use crate::peer_frame::{PeerFrame, ProgramOperation, ProgramView, ShardClaim};
     pub use crate::report::{CacheEvent, LoadReport, TargetKind, TargetReport};
     pub use crate::side_frame::SideFrame;
 }
--- a/crates/ebony_wire/src/peer_frame.rs
+++ b/crates/ebony_wire/src/peer_frame.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use ebony_types::{
-    BudgetUse, CallId, CallRequest, CallerName, ProblemReport, ProgramBudget, ProgramId, SessionId, ShardKey,
+    BudgetUse, CallId, CallRequest, CallerName, FencingToken, ProblemReport, ProgramBudget, ProgramId, SessionId, ShardKey,
 };
 use serde::{Deserialize, Serialize};
 
@@ -83,6 +83,16 @@
     pub history: Option<Bytes>,
 }
 
+/// A shard that an entry owns and serves. Of two claims, the one with the higher epoch holds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct ShardClaim {
+    /// The shard.
+    pub shard: ShardKey,
+    /// The epoch of the shard's row.
+    pub epoch: FencingToken,
+}
+
 /// A message between entries.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -94,7 +104,7 @@
         /// Whether the sender is leaving.
         is_draining: bool,
         /// The shards that the sender owns and serves.
-        shards: Vec<ShardKey>,
+        shards: Vec<ShardClaim>,
     },
     /// Forwards a call to the owner of its program.
     Forward(Box<CallRequest>),
--- /dev/null
+++ b/src/run.rs
@@ -0,0 +1,110 @@
+//! Runs the roles.
+
+use std::future::Future;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
+use anyhow::Context;
+use ebony_entry::EntryProcess;
+use ebony_settings::{ProcessRole, ProcessSettings};
+use ebony_side::SideProcess;
+use ebony_telemetry::open_logger;
+use slog::{Logger, error, info, warn};
+
+use crate::stop::StopSignals;
+
+/// The exit code for wrong settings.
+const EXIT_SETTINGS: u8 = 2;
+
+/// The result of a run.
+type Result<T, E = anyhow::Error> = std::result::Result<T, E>;
+
+/// Checks settings files and prints what is wrong with them.
+pub(crate) fn check(files: &[PathBuf]) -> ExitCode {
+    let mut code = ExitCode::SUCCESS;
+    for file in files {
+        match ProcessSettings::open(file) {
+            Ok(settings) => println!("{}: ok ({})", file.display(), settings.role.role()),
+            Err(report) => {
+                eprint!("{report}");
+                code = ExitCode::from(EXIT_SETTINGS);
+            }
+        }
+    }
+    code
+}
+
+/// Runs an entry process until it is stopped.
+pub(crate) fn entry(file: &Path) -> ExitCode {
+    run(file, ProcessRole::Entry, async |settings, logger, signals| {
+        let process = EntryProcess::spawn(settings, logger.clone()).await?;
+        let process = process.serve().await?;
+        announce(&logger, &process.addresses().to_json());
+        signals.next().await;
+        let stopped = process.drain();
+        stop_or_abort(&logger, signals, stopped).await
+    })
+}
+
+/// Runs a side process until it is stopped.
+pub(crate) fn side(file: &Path) -> ExitCode {
+    run(file, ProcessRole::Side, async |settings, logger, signals| {
+        let process = SideProcess::spawn(settings, logger.clone()).await?;
+        announce(&logger, &process.addresses().to_json());
+        signals.next().await;
+        let stopped = process.drain();
+        stop_or_abort(&logger, signals, stopped).await
+    })
+}
+
+/// Prints the bound addresses as one line of JSON, so that whoever started the process learns ports that were 0.
+fn announce(logger: &Logger, addresses: &str) {
+    println!("{addresses}");
+    info!(logger, "process serves"; "addresses" => addresses);
+}
+
+async fn stop_or_abort<T>(
+    logger: &Logger,
+    signals: &mut StopSignals,
+    stopped: impl Future<Output = T>,
+) -> Result<()> {
+    info!(logger, "graceful stop began");
+    tokio::select! {
+        _ = stopped => info!(logger, "graceful stop is complete"),
+        () = signals.next() => warn!(logger, "second signal; stopping at once"),
+    }
+    Ok(())
+}
+
+fn run(
+    file: &Path,
+    role: ProcessRole,
+    body: impl AsyncFnOnce(ProcessSettings, Logger, &mut StopSignals) -> Result<()>,
+) -> ExitCode {
+    let settings = match ProcessSettings::open(file) {
+        Ok(settings) => settings,
+        Err(report) => {
+            eprint!("{report}");
+            return ExitCode::from(EXIT_SETTINGS);
+        }
+    };
+    if settings.role.role() != role {
+        eprintln!("{}: these are the settings of a {}, not of a {role}", file.display(), settings.role.role());
+        return ExitCode::from(EXIT_SETTINGS);
+    }
+    let (logger, guard) = open_logger(&settings.process, role.as_str(), settings.log.format, settings.log.level);
+    let result = actix_rt::System::new().block_on(async {
+        let mut signals = StopSignals::open().context("cannot take over signals")?;
+        body(settings, logger.clone(), &mut signals).await
+    });
+    let code = match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(failure) => {
+            error!(logger, "process failed"; "error" => format!("{failure:#}"));
+            eprintln!("ebonyswitch: {failure:#}");
+            ExitCode::FAILURE
+        }
+    };
+    drop(guard);
+    code
+}
