Add service-level objectives, burn rates and their report

Cause: operators need to see per deployment and caller group how fast the error budget is spent, across all entry processes, within the memory that a node allows for control.

Change: BurnLedger counts events in rings of buckets (5 min, 30 min, 1 h, 6 h, 3 days). BurnReport applies the multi-window thresholds of the Site Reliability Workbook and renders text, JSON and one HTML page.

Refusals are neither good nor bad and are counted apart: as good events they would dilute the burn rate during overload.

--- /dev/null
+++ b/crates/ebony_burn/src/render/mod.rs
@@ -0,0 +1,21 @@
+//! The report as text, JSON and HTML.
+
+mod html;
+mod text;
+
+use crate::report::BurnReport;
+
+pub use html::render_html;
+pub use text::render_text;
+
+/// The result of rendering.
+pub type Result<T, E = serde_json::Error> = std::result::Result<T, E>;
+
+/// Renders the report as JSON.
+///
+/// # Errors
+///
+/// Returns an error of `serde_json`; none is known for this type.
+pub fn render_json(report: &BurnReport) -> Result<String> {
+    serde_json::to_string_pretty(report)
+}
