Add the queue, placement and the prefix cache model

The side process and the entry need the order of waiting calls and the choice of a target as pure decisions.

The queue orders calls by a weighted fair share between callers and, within a bounded slack, by the attained service of their programs with ageing. Placement chooses among sampled targets by estimated finish time; its index is a vector for each pool and failure domain with swap-remove.

--- a/crates/ebony_policy/src/lib.rs
+++ b/crates/ebony_policy/src/lib.rs
@@ -1,1 +1,23 @@
 //! Scheduling decisions: queueing, placement, prefix cache model, admission, retention and model loading.
+//!
+//! Every module takes an event and the current time and returns decisions. Nothing here does I/O, reads a clock or
+//! draws randomness of its own; where a decision samples, a seeded generator is passed in.
+
+pub mod cache_model;
+pub mod drain_rate;
+pub mod placement;
+pub mod queue;
+pub mod speed;
+
+/// Re-exports the types that most shells need.
+pub mod prelude {
+    pub use crate::cache_model::{CacheModel, CacheOptions, CachedPrefix};
+    pub use crate::placement::{
+        CallWork, NewTarget, PlacementChoice, PlacementError, PlacementOptions, PlacementPlanner,
+        PlacementRequest, PlacementRule, PoolName, TargetKey, TargetState,
+    };
+    pub use crate::queue::{CallQueue, QueueKey, QueueOptions, QueueOrder, QueueRefusal, QueuedCall};
+    pub use crate::speed::EngineSpeed;
+}
+
+pub use prelude::*;
--- /dev/null
+++ b/crates/ebony_policy/src/placement/load_view.rs
@@ -0,0 +1,181 @@
+//! The load of one target between lagging reports.
+//!
+//! A report says what the target had some time ago. Calls that this entry sent since, or so shortly before that the
+//! report cannot contain them, are added; calls that ended since are subtracted.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use ebony_types::ClockTime;
+use ebony_wire::LoadReport;
+
+use crate::speed::EngineSpeed;
+
+/// The most changes of one's own that are remembered between two reports; older ones merge into a sum. At 2.7 calls
+/// a second and target, and a report a second, fewer than ten occur.
+const MAX_RECENT_CHANGES: usize = 64;
+
+/// The share by which one observation moves a running mean.
+const OBSERVATION_SHARE: f64 = 0.1;
+
+/// Bounds of the measured pace of a target, against outliers.
+const PACE_RANGE: (f64, f64) = (0.5, 16.0);
+
+/// What one call adds to the load of a target.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct CallWork {
+    /// Prompt tokens that are expected to need prefill.
+    pub uncached_tokens: u64,
+    /// Tokens of KV cache that the call adds.
+    pub new_kv_tokens: u64,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct LoadChange {
+    at: ClockTime,
+    calls: i64,
+    prefill_tokens: i64,
+    kv_tokens: i64,
+}
+
+/// The estimated load of a target.
+#[derive(Clone, Debug)]
+pub struct LoadView {
+    slots: u32,
+    reported_calls: i64,
+    reported_prefill_tokens: i64,
+    reported_kv_tokens: i64,
+    kv_total_tokens: Option<u64>,
+    recent: VecDeque<LoadChange>,
+    own_calls: u32,
+    pace: f64,
+    mean_call_seconds: Option<f64>,
+}
+
+impl LoadView {
+    pub(crate) fn open(slots: u32) -> Self {
+        Self {
+            slots: slots.max(1),
+            reported_calls: 0,
+            reported_prefill_tokens: 0,
+            reported_kv_tokens: 0,
+            kv_total_tokens: None,
+            recent: VecDeque::new(),
+            own_calls: 0,
+            pace: 1.0,
+            mean_call_seconds: None,
+        }
+    }
+
+    /// Returns the number of calls that the target runs at once.
+    pub fn slots(&self) -> u32 {
+        self.slots
+    }
+
+    /// Returns the calls of this entry that have not ended.
+    pub fn own_calls(&self) -> u32 {
+        self.own_calls
+    }
+
+    /// Returns the estimated calls that run or wait.
+    pub fn calls(&self) -> u32 {
+        let recent: i64 = self.recent.iter().map(|change| change.calls).sum();
+        let calls = (self.reported_calls + recent).max(i64::from(self.own_calls));
+        u32::try_from(calls).unwrap_or(u32::MAX)
+    }
+
+    /// Returns the estimated prompt tokens that wait for prefill.
+    pub fn prefill_tokens(&self) -> u64 {
+        let recent: i64 = self.recent.iter().map(|change| change.prefill_tokens).sum();
+        u64::try_from(self.reported_prefill_tokens + recent).unwrap_or(0)
+    }
+
+    /// Returns the estimated free tokens of KV cache; `None` before the first report.
+    pub fn free_kv_tokens(&self) -> Option<u64> {
+        let recent: i64 = self.recent.iter().map(|change| change.kv_tokens).sum();
+        let used = u64::try_from(self.reported_kv_tokens + recent).unwrap_or(0);
+        Some(self.kv_total_tokens?.saturating_sub(used))
+    }
+
+    /// Returns how many times slower than expected the target decodes.
+    pub fn pace(&self) -> f64 {
+        self.pace
+    }
+
+    /// Returns the mean seconds that a call occupies a slot; `None` before one ended.
+    pub fn mean_call_seconds(&self) -> Option<f64> {
+        self.mean_call_seconds
+    }
+
+    pub(crate) fn record_dispatch(&mut self, work: CallWork, now: ClockTime) {
+        self.own_calls += 1;
+        self.push(LoadChange {
+            at: now,
+            calls: 1,
+            prefill_tokens: signed(work.uncached_tokens),
+            kv_tokens: signed(work.new_kv_tokens),
+        });
+    }
+
+    pub(crate) fn record_end(&mut self, now: ClockTime) {
+        self.own_calls = self.own_calls.saturating_sub(1);
+        self.push(LoadChange {
+            at: now,
+            calls: -1,
+            prefill_tokens: 0,
+            kv_tokens: 0,
+        });
+    }
+
+    /// Records that a call's prefill ended with its first token.
+    pub(crate) fn record_first_token(&mut self, uncached_tokens: u64, now: ClockTime) {
+        self.push(LoadChange {
+            at: now,
+            calls: 0,
+            prefill_tokens: -signed(uncached_tokens),
+            kv_tokens: 0,
+        });
+    }
+
+    pub(crate) fn observe_call(&mut self, seconds: f64) {
+        let mean = self.mean_call_seconds.unwrap_or(seconds);
+        self.mean_call_seconds = Some(mean + (seconds - mean) * OBSERVATION_SHARE);
+    }
+
+    pub(crate) fn observe_pace(&mut self, ratio: f64) {
+        let (low, high) = PACE_RANGE;
+        self.pace += (ratio.clamp(low, high) - self.pace) * OBSERVATION_SHARE;
+    }
+
+    /// Replaces the reported load. Changes older than `lag` are taken to be in the report.
+    pub(crate) fn apply_report(
+        &mut self,
+        report: &LoadReport,
+        speed: &EngineSpeed,
+        lag: Duration,
+        now: ClockTime,
+    ) {
+        self.reported_calls = i64::from(report.running) + i64::from(report.queued);
+        self.reported_prefill_tokens = signed(report.pending_tokens);
+        self.reported_kv_tokens = signed(speed.tokens_in(report.kv_bytes_held));
+        self.kv_total_tokens = Some(speed.tokens_in(report.kv_bytes_total));
+        self.recent.retain(|change| change.at + lag > now);
+    }
+
+    fn push(&mut self, change: LoadChange) {
+        if self.recent.len() == MAX_RECENT_CHANGES
+            && let Some(oldest) = self.recent.pop_front()
+        {
+            self.reported_calls += oldest.calls;
+            self.reported_prefill_tokens += oldest.prefill_tokens;
+            self.reported_kv_tokens += oldest.kv_tokens;
+        }
+        self.recent.push_back(change);
+    }
+}
+
+/// Converts a number of tokens for sums; the bound keeps sums of malformed reports from overflowing.
+fn signed(tokens: u64) -> i64 {
+    const MAX_TOKENS: u64 = 1 << 48;
+    i64::try_from(tokens.min(MAX_TOKENS)).unwrap_or(0)
+}
