Add retention, admission, retries, model loading, options and a comparison

The shells need the remaining decisions as pure modules, and the policy needs figures against its baselines.

Retention learns pauses and releases what nobody vouches for; admission takes whole programs; retries and hedges share one budget; loading moves models within the weight store's rate. The example replays generated programs on a fake engine in virtual time. Defaults are not tuned yet.

--- /dev/null
+++ b/crates/ebony_policy/examples/compare/scenario.rs
@@ -0,0 +1,259 @@
+//! Deployments, scenarios, and the policies under comparison.
+
+use ebony_policy::options::{PolicyName, PolicyOptions};
+use ebony_policy::placement::PlacementRule;
+use ebony_policy::queue::QueueOrder;
+use ebony_policy::speed::EngineSpeed;
+
+use crate::programs::{BurstPlan, LoadPlan, ProgramMix};
+
+/// Calls that an engine runs at once.
+pub(crate) const SLOTS: u32 = 32;
+
+/// Tokens of KV cache of an engine: two accelerators with about 40 GB each beside the weights.
+pub(crate) const KV_TOKENS: u64 = 800_000;
+
+/// Seconds in which programs arrive. The run goes on until all have ended.
+pub(crate) const ARRIVAL_SECONDS: f64 = 1_200.0;
+
+/// An engine that fills 12,000 tokens a second and decodes in 16 ms to 29 ms. Ten of them serve about 27 calls a
+/// second of 294 tokens, which is the peak of docs/design.md, section 1.3, for ten of 12,000 engines.
+pub(crate) fn engine_speed() -> EngineSpeed {
+    EngineSpeed {
+        prefill_tokens_per_second: 12_000.0,
+        step_base_ms: 16.0,
+        step_per_call_ms: 0.4,
+        kv_bytes_per_token: 100_000,
+    }
+}
+
+/// One of the current deployments.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct DeploymentPlan {
+    pub(crate) name: &'static str,
+    pub(crate) latency_weight: f64,
+    pub(crate) domains: &'static [(&'static str, usize)],
+    pub(crate) mix: ProgramMix,
+}
+
+pub(crate) const DEPLOYMENTS: [DeploymentPlan; 2] = [
+    DeploymentPlan {
+        name: "calabash",
+        latency_weight: 0.3,
+        domains: &[("viti-west-a", 4), ("viti-west-b", 3), ("viti-west-c", 3)],
+        mix: ProgramMix {
+            chats: 0.45,
+            agents: 0.35,
+            fan_outs: 0.08,
+            long_sessions: 0.12,
+        },
+    },
+    DeploymentPlan {
+        name: "fanghi",
+        latency_weight: 0.8,
+        domains: &[("catania-a", 4), ("catania-b", 3), ("palermo-a", 3)],
+        mix: ProgramMix {
+            chats: 0.35,
+            agents: 0.40,
+            fan_outs: 0.18,
+            long_sessions: 0.07,
+        },
+    },
+];
+
+/// An engine that becomes slow for a while.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct SlowPlan {
+    pub(crate) from: f64,
+    pub(crate) until: f64,
+    pub(crate) pace: f64,
+}
+
+/// What a run is about.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ScenarioPlan {
+    pub(crate) name: &'static str,
+    pub(crate) load: f64,
+    pub(crate) burst: Option<BurstPlan>,
+    pub(crate) long_factor: f64,
+    pub(crate) slow: Option<SlowPlan>,
+    pub(crate) event_loss: f64,
+    pub(crate) second_model: (f64, f64),
+    /// Refusals after which a caller gives a program up.
+    pub(crate) patience: u32,
+}
+
+const MIXED: ScenarioPlan = ScenarioPlan {
+    name: "mixed",
+    load: 0.6,
+    burst: None,
+    long_factor: 1.0,
+    slow: None,
+    event_loss: 0.02,
+    second_model: (0.0, 0.0),
+    patience: u32::MAX,
+};
+
+pub(crate) const SCENARIOS: [ScenarioPlan; 9] = [
+    ScenarioPlan {
+        name: "half-load",
+        load: 0.4,
+        ..MIXED
+    },
+    ScenarioPlan {
+        name: "mixed",
+        load: 0.6,
+        ..MIXED
+    },
+    ScenarioPlan {
+        name: "saturation",
+        load: 0.85,
+        ..MIXED
+    },
+    ScenarioPlan {
+        name: "bursts",
+        load: 0.6,
+        burst: Some(BurstPlan {
+            every_seconds: 300.0,
+            programs: 80,
+        }),
+        ..MIXED
+    },
+    ScenarioPlan {
+        name: "long",
+        load: 0.7,
+        long_factor: 3.0,
+        ..MIXED
+    },
+    ScenarioPlan {
+        name: "faults",
+        load: 0.6,
+        slow: Some(SlowPlan {
+            from: 300.0,
+            until: 700.0,
+            pace: 6.0,
+        }),
+        event_loss: 0.3,
+        ..MIXED
+    },
+    ScenarioPlan {
+        name: "shift",
+        load: 0.5,
+        second_model: (0.25, 0.75),
+        ..MIXED
+    },
+    ScenarioPlan {
+        name: "overload-2x",
+        load: 1.7,
+        patience: 5,
+        ..MIXED
+    },
+    ScenarioPlan {
+        name: "overload-4x",
+        load: 3.4,
+        patience: 5,
+        ..MIXED
+    },
+];
+
+impl ScenarioPlan {
+    /// Returns what is generated for the scenario in a deployment.
+    pub(crate) fn load_plan(&self, deployment: &DeploymentPlan) -> LoadPlan {
+        let mut mix = deployment.mix;
+        mix.long_sessions *= self.long_factor;
+        LoadPlan {
+            mix,
+            seconds: ARRIVAL_SECONDS,
+            load: self.load,
+            engines: deployment.domains.iter().map(|(_, engines)| engines).sum(),
+            slots: SLOTS,
+            callers: 12,
+            burst: self.burst,
+            second_model: self.second_model,
+        }
+    }
+}
+
+/// A policy under comparison.
+#[derive(Clone, Debug)]
+pub(crate) struct PolicyPlan {
+    pub(crate) name: &'static str,
+    pub(crate) options: PolicyOptions,
+}
+
+/// Returns ours, the baselines, the reference, and each ablation.
+pub(crate) fn policies() -> Vec<PolicyPlan> {
+    let mut plans = vec![
+        named("ours", PolicyName::Ebonyswitch),
+        named("round-robin", PolicyName::RoundRobin),
+        named("least-outstanding", PolicyName::LeastOutstanding),
+        named("last-target (reference)", PolicyName::LastTarget),
+        named("ours, fcfs by call", PolicyName::FirstComeFirstServed),
+    ];
+    plans.extend(ablations().into_iter().map(|(name, disable)| {
+        let mut plan = named(name, PolicyName::Ebonyswitch);
+        disable(&mut plan.options);
+        plan
+    }));
+    plans
+}
+
+fn named(name: &'static str, policy: PolicyName) -> PolicyPlan {
+    let mut options = PolicyOptions::named(policy);
+    options.speed = engine_speed();
+    PolicyPlan { name, options }
+}
+
+type Ablation = (&'static str, fn(&mut PolicyOptions));
+
+fn ablations() -> Vec<Ablation> {
+    vec![
+        ("- fair share of queue", |options| {
+            options.queue.fair_share = false;
+        }),
+        ("- ageing", |options| options.queue.ageing = false),
+        ("- parents first", |options| options.queue.parents_first = false),
+        ("- deadlines", |options| options.queue.deadlines = false),
+        ("- early refusal", |options| options.queue.early_refusal = false),
+        ("- all of queue", |options| {
+            options.queue.order = QueueOrder::FirstComeFirstServed;
+            options.queue.fair_share = false;
+            options.queue.early_refusal = false;
+        }),
+        ("- affinity", |options| options.placement.affinity = false),
+        ("- optimistic", |options| options.placement.optimistic = false),
+        ("- measured pace", |options| {
+            options.placement.measured_pace = false;
+        }),
+        ("- refill cost", |options| options.placement.refill_cost = false),
+        ("- spill", |options| options.placement.spill = false),
+        ("- all of placement", |options| {
+            options.placement.rule = PlacementRule::LeastOutstanding;
+        }),
+        ("- cache model", |options| options.cache.enabled = false),
+        ("- cache events", |options| options.cache.events = false),
+        ("- loss of trust", |options| {
+            options.cache.trust_per_lost_event = 1.0;
+        }),
+        ("- keep", |options| options.retention.keep = false),
+        ("- learned pauses", |options| {
+            options.retention.learned_pauses = false;
+        }),
+        ("- export", |options| options.retention.export = false),
+        ("- release ended", |options| {
+            options.retention.release_ended = false;
+        }),
+        ("- all of retention", |options| {
+            options.retention.keep = false;
+            options.retention.export = false;
+            options.retention.release_ended = false;
+        }),
+        ("- admission", |options| options.admission.enabled = false),
+        ("- adaptive limit", |options| options.admission.adaptive = false),
+        ("- memory bound", |options| options.admission.memory_bound = false),
+        ("- fair admission", |options| options.admission.fair_share = false),
+        ("- retries", |options| options.retry.enabled = false),
+        ("- hedging", |options| options.retry.hedging = false),
+        ("- loading", |options| options.loading.enabled = false),
+    ]
+}
--- /dev/null
+++ b/crates/ebony_policy/src/admission/mod.rs
@@ -0,0 +1,262 @@
+//! Admission: whole programs enter, or are refused before anything of them has run.
+//!
+//! A program that was admitted is never refused afterwards, so programs that started first finish first. The limit on
+//! programs in progress adapts to measured latency, and the KV cache that they need may not exceed what the targets
+//! have. Programs beyond the limit wait a bounded time in a bounded room and are refused early, with the time that
+//! the room takes to drain.
+
+mod limit;
+mod options;
+mod waiting_room;
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use ebony_types::{CallerName, ClockTime, ProblemCode, ProblemReport, ProgramId};
+
+use self::limit::ConcurrencyLimit;
+pub use self::limit::FirstTokenSample;
+pub use self::options::AdmissionOptions;
+use self::waiting_room::{CallerKey, WaitingRoom};
+use crate::drain_rate::DrainRate;
+
+/// The time constant of the rate at which programs end. Programs take a minute or two.
+const DRAIN_WINDOW: Duration = Duration::from_secs(60);
+
+/// The most programs in progress, children and adopted ones included. 330,000 programs over 390 entries are 850.
+pub const MAX_PROGRAMS: usize = 131_072;
+
+/// A program that wants to start.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ProgramArrival {
+    /// The program.
+    pub program: ProgramId,
+    /// Its caller.
+    pub caller: CallerName,
+    /// The deadline of its first call.
+    pub deadline: ClockTime,
+    /// Whether it belongs to a program in progress or was adopted from another entry. Such a program always enters:
+    /// it is part of a whole that was admitted.
+    pub is_admitted: bool,
+}
+
+/// What becomes of a program that arrives.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AdmissionDecision {
+    /// The program starts.
+    Admitted,
+    /// The program waits; [`AdmissionGate::poll`] tells when it starts or is refused.
+    Waiting,
+    /// The program is refused. Nothing of it has run.
+    Refused {
+        /// Seconds after which coming back helps.
+        retry_after_seconds: u32,
+    },
+}
+
+/// The end of a program's wait.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct WaitOutcome {
+    /// The program.
+    pub program: ProgramId,
+    /// The decision, which is never [`AdmissionDecision::Waiting`].
+    pub decision: AdmissionDecision,
+}
+
+/// Returns the answer to a program that was refused.
+pub fn refusal_report(retry_after_seconds: u32) -> ProblemReport {
+    let detail = "no further program is admitted at present";
+    ProblemReport::not_run(ProblemCode::Overloaded, detail).retry_after(retry_after_seconds)
+}
+
+#[derive(Clone, Copy, Debug)]
+struct ProgramSeat {
+    caller: CallerKey,
+    kv_tokens: u64,
+}
+
+/// The gate that programs enter by.
+///
+/// ```
+/// use ebony_policy::admission::{AdmissionDecision, AdmissionGate, AdmissionOptions, ProgramArrival};
+/// use ebony_types::{CallerName, ClockTime, ProgramId, ShardKey};
+///
+/// let options = AdmissionOptions { initial_limit: 1, min_limit: 1, ..AdmissionOptions::default() };
+/// let mut gate = AdmissionGate::open(options);
+/// let now = ClockTime::from_millis(0);
+/// let arrival = |number: u8| ProgramArrival {
+///     program: ProgramId::from_parts(ShardKey(0), [number; 14]),
+///     caller: CallerName::parse("shop").unwrap(),
+///     deadline: ClockTime::from_millis(60_000),
+///     is_admitted: false,
+/// };
+/// assert_eq!(gate.arrive(&arrival(1), now), AdmissionDecision::Admitted);
+/// assert_eq!(gate.arrive(&arrival(2), now), AdmissionDecision::Waiting);
+/// gate.finish(arrival(1).program, now);
+/// assert_eq!(gate.poll(now)[0].program, arrival(2).program);
+/// ```
+#[derive(Debug)]
+pub struct AdmissionGate {
+    options: AdmissionOptions,
+    limit: ConcurrencyLimit,
+    room: WaitingRoom,
+    programs: HashMap<ProgramId, ProgramSeat>,
+    kv_tokens: u64,
+    kv_limit_tokens: Option<u64>,
+    rate: DrainRate,
+}
+
+impl AdmissionGate {
+    /// Creates a gate without programs.
+    pub fn open(options: AdmissionOptions) -> Self {
+        Self {
+            limit: ConcurrencyLimit::open(&options),
+            room: WaitingRoom::open(options.fair_share),
+            options,
+            programs: HashMap::new(),
+            kv_tokens: 0,
+            kv_limit_tokens: None,
+            rate: DrainRate::open(DRAIN_WINDOW),
+        }
+    }
+
+    /// Returns the number of programs in progress.
+    pub fn in_progress(&self) -> usize {
+        self.programs.len()
+    }
+
+    /// Returns the number of programs that wait.
+    pub fn waiting(&self) -> usize {
+        self.room.len()
+    }
+
+    /// Returns the present limit on programs in progress.
+    pub fn limit(&self) -> u32 {
+        self.limit.programs()
+    }
+
+    /// Decides on a program that wants to start.
+    pub fn arrive(&mut self, arrival: &ProgramArrival, now: ClockTime) -> AdmissionDecision {
+        if self.programs.contains_key(&arrival.program) {
+            return AdmissionDecision::Admitted;
+        }
+        let must_enter = arrival.is_admitted || !self.options.enabled;
+        let may_enter = self.room.len() == 0 && self.has_room();
+        if self.programs.len() < MAX_PROGRAMS && (must_enter || may_enter) {
+            let caller = self.room.enter(&arrival.caller);
+            self.seat(arrival.program, caller);
+            return AdmissionDecision::Admitted;
+        }
+        if let Some(retry_after_seconds) = self.refusal(arrival, now) {
+            return AdmissionDecision::Refused { retry_after_seconds };
+        }
+        let longest = now + Duration::from_millis(2 * u64::from(self.options.max_wait_ms));
+        let deadline = arrival.deadline.min(longest);
+        self.room.push(&arrival.caller, arrival.program, deadline);
+        self.rate.advance(true, now);
+        AdmissionDecision::Waiting
+    }
+
+    /// Admits and refuses waiting programs. To be called after programs ended and about once a second.
+    pub fn poll(&mut self, now: ClockTime) -> Vec<WaitOutcome> {
+        let retry_after_seconds = self.rate.retry_after_seconds(self.room.len() as u64);
+        let expired = self.room.take_expired(now);
+        let refused = AdmissionDecision::Refused { retry_after_seconds };
+        let mut outcomes: Vec<WaitOutcome> = expired
+            .into_iter()
+            .map(|program| WaitOutcome {
+                program,
+                decision: refused,
+            })
+            .collect();
+        while self.has_room()
+            && let Some((caller, waiting)) = self.room.pop()
+        {
+            self.seat(waiting.program, caller);
+            outcomes.push(WaitOutcome {
+                program: waiting.program,
+                decision: AdmissionDecision::Admitted,
+            });
+        }
+        self.rate.advance(self.room.len() > 0, now);
+        outcomes
+    }
+
+    /// Records that a program ended, was cancelled or moved to another entry.
+    pub fn finish(&mut self, program: ProgramId, now: ClockTime) {
+        if let Some(seat) = self.programs.remove(&program) {
+            self.room.leave(seat.caller);
+            self.kv_tokens -= seat.kv_tokens;
+            self.rate.record(1, self.room.len() > 0, now);
+        }
+    }
+
+    /// Removes a program that was cancelled while it waited.
+    pub fn withdraw(&mut self, caller: &CallerName, program: ProgramId) -> bool {
+        self.room.remove(caller, program)
+    }
+
+    /// Records the length of a program's history, which its KV cache needs.
+    pub fn record_history(&mut self, program: ProgramId, kv_tokens: u64) {
+        if let Some(seat) = self.programs.get_mut(&program) {
+            self.kv_tokens = self.kv_tokens - seat.kv_tokens + kv_tokens;
+            seat.kv_tokens = kv_tokens;
+        }
+    }
+
+    /// Sets the tokens of KV cache that this entry's programs may need together: its part of what the targets have.
+    pub fn set_kv_limit(&mut self, kv_limit_tokens: u64) {
+        self.kv_limit_tokens = Some(kv_limit_tokens);
+    }
+
+    /// Learns from the time to a call's first token.
+    pub fn observe_first_token(&mut self, sample: FirstTokenSample, now: ClockTime) {
+        if self.options.adaptive {
+            let programs = u32::try_from(self.programs.len()).unwrap_or(u32::MAX);
+            self.limit.observe(&self.options, sample, programs, now);
+        }
+    }
+
+    /// Sets a caller's weight. Returns `false` if too many callers have a weight of their own.
+    pub fn set_weight(&mut self, caller: &CallerName, weight: u32) -> bool {
+        self.room.set_weight(caller, weight)
+    }
+
+    fn has_room(&self) -> bool {
+        if !self.options.enabled {
+            return self.programs.len() < MAX_PROGRAMS;
+        }
+        let has_memory =
+            !self.options.memory_bound || self.kv_limit_tokens.is_none_or(|limit| self.kv_tokens < limit);
+        let limit = (self.limit.programs() as usize).min(MAX_PROGRAMS);
+        // One program always runs, whatever its size, so that a wrong limit cannot stop all work.
+        self.programs.is_empty() || (has_memory && self.programs.len() < limit)
+    }
+
+    /// Returns the retry time if the program is refused at once.
+    fn refusal(&self, arrival: &ProgramArrival, now: ClockTime) -> Option<u32> {
+        let waiting = self.room.len();
+        let own = self.room.waiting_of(&arrival.caller);
+        let free = self.options.waiting_places.saturating_sub(waiting);
+        let ahead = if self.options.fair_share {
+            let callers = self.room.callers_waiting() + usize::from(own == 0);
+            waiting.min(own * callers + callers)
+        } else {
+            waiting
+        };
+        let wait = self.rate.time_for(ahead as u64 + 1).unwrap_or_default();
+        let longest = Duration::from_millis(u64::from(self.options.max_wait_ms));
+        let has_place = if self.options.fair_share {
+            own < free
+        } else {
+            free > 0
+        };
+        let is_refused = !has_place || wait > longest || now + wait > arrival.deadline;
+        is_refused.then(|| self.rate.retry_after_seconds(ahead as u64 + 1))
+    }
+
+    fn seat(&mut self, program: ProgramId, caller: CallerKey) {
+        let seat = ProgramSeat { caller, kv_tokens: 0 };
+        self.programs.insert(program, seat);
+    }
+}
--- /dev/null
+++ b/crates/ebony_policy/src/admission/options.rs
@@ -0,0 +1,56 @@
+//! Options of admission.
+
+use serde::{Deserialize, Serialize};
+
+/// Options of an [`AdmissionGate`](super::AdmissionGate).
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct AdmissionOptions {
+    /// Whether programs are ever refused or held back.
+    pub enabled: bool,
+    /// Whether callers get a fair share of admissions and waiting places.
+    pub fair_share: bool,
+    /// Whether the limit on programs adapts to the measured latency; otherwise it stays at `initial_limit`.
+    pub adaptive: bool,
+    /// Whether the KV cache that admitted programs need limits admission.
+    pub memory_bound: bool,
+    /// Programs in progress at the start.
+    pub initial_limit: u32,
+    /// The least limit on programs in progress.
+    pub min_limit: u32,
+    /// The highest limit on programs in progress.
+    pub max_limit: u32,
+    /// Target of the time to the first token at the 95th percentile, in milliseconds.
+    pub first_token_target_ms: u32,
+    /// Calls in a thousand that may exceed the target.
+    pub slow_permille: u32,
+    /// The least time between two changes of the limit, in milliseconds.
+    pub window_ms: u32,
+    /// The fewest calls on which a change of the limit rests.
+    pub min_samples: u32,
+    /// Programs that may wait for admission.
+    pub waiting_places: usize,
+    /// The longest expected wait for admission, in milliseconds; a program that would wait longer is refused.
+    pub max_wait_ms: u32,
+}
+
+impl Default for AdmissionOptions {
+    fn default() -> Self {
+        Self {
+            enabled: true,
+            fair_share: true,
+            adaptive: true,
+            memory_bound: true,
+            initial_limit: 256,
+            min_limit: 8,
+            max_limit: 65_536,
+            first_token_target_ms: 930,
+            slow_permille: 50,
+            window_ms: 5_000,
+            min_samples: 20,
+            waiting_places: 256,
+            max_wait_ms: 30_000,
+        }
+    }
+}
--- a/crates/ebony_policy/src/lib.rs
+++ b/crates/ebony_policy/src/lib.rs
@@ -3,20 +3,35 @@
 //! Every module takes an event and the current time and returns decisions. Nothing here does I/O, reads a clock or
 //! draws randomness of its own; where a decision samples, a seeded generator is passed in.
 
+pub mod admission;
 pub mod cache_model;
 pub mod drain_rate;
+pub mod loading;
+pub mod options;
 pub mod placement;
 pub mod queue;
+pub mod retention;
+pub mod retry;
 pub mod speed;
 
 /// Re-exports the types that most shells need.
 pub mod prelude {
+    pub use crate::admission::{
+        AdmissionDecision, AdmissionGate, AdmissionOptions, FirstTokenSample, ProgramArrival, WaitOutcome,
+    };
     pub use crate::cache_model::{CacheModel, CacheOptions, CachedPrefix};
+    pub use crate::loading::{LoadDecision, LoadPlanner, LoadingOptions};
+    pub use crate::options::{PolicyName, PolicyOptions};
     pub use crate::placement::{
         CallWork, NewTarget, PlacementChoice, PlacementError, PlacementOptions, PlacementPlanner,
         PlacementRequest, PlacementRule, PoolName, TargetKey, TargetState,
     };
     pub use crate::queue::{CallQueue, QueueKey, QueueOptions, QueueOrder, QueueRefusal, QueuedCall};
+    pub use crate::retention::{
+        HeldOrder, HeldTable, HoldDecision, HoldPlan, ListedProgram, MemoryPressure, PauseKind, PauseModel,
+        RetentionOptions,
+    };
+    pub use crate::retry::{CallRepeat, HedgeRule, RetryBudget, RetryDecision, RetryOptions};
     pub use crate::speed::EngineSpeed;
 }
 
--- a/crates/ebony_policy/src/placement/load_view.rs
+++ b/crates/ebony_policy/src/placement/load_view.rs
@@ -97,6 +97,14 @@
         Some(self.kv_total_tokens?.saturating_sub(used))
     }
 
+    /// Returns the share of the KV cache in use, in 0..=1; zero before the first report.
+    pub fn kv_used_share(&self) -> f64 {
+        match (self.kv_total_tokens, self.free_kv_tokens()) {
+            (Some(total), Some(free)) if total > 0 => 1.0 - free as f64 / total as f64,
+            _ => 0.0,
+        }
+    }
+
     /// Returns how many times slower than expected the target decodes.
     pub fn pace(&self) -> f64 {
         self.pace
--- /dev/null
+++ b/crates/ebony_policy/src/retention/held_state.rs
@@ -0,0 +1,53 @@
+//! The state of one program's KV cache on a target.
+
+use ebony_types::{ClockTime, ProgramId};
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum HeldState {
+    /// Calls of the program run.
+    Running { calls: u32 },
+    /// The program pauses and is expected back at `back_at`; if it is pinned, then until `pinned_until`.
+    Paused {
+        back_at: ClockTime,
+        pinned_until: Option<ClockTime>,
+    },
+    /// An export was ordered.
+    Exporting,
+    /// The exported copy exists; `release` is the release of the engine's copy until it is confirmed.
+    Exported { release: Option<PendingRelease> },
+    /// A release was ordered.
+    Releasing(PendingRelease),
+}
+
+/// A release that was ordered `attempts` times and not confirmed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct PendingRelease {
+    pub(crate) attempts: u32,
+    pub(crate) repeat_at: ClockTime,
+}
+
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct HeldEntry {
+    pub(crate) program: ProgramId,
+    pub(crate) tokens: u64,
+    pub(crate) state: HeldState,
+    pub(crate) lease_until: ClockTime,
+    pub(crate) has_ended: bool,
+}
+
+impl HeldEntry {
+    /// Returns the time at which the entry needs attention.
+    pub(crate) fn due(&self) -> ClockTime {
+        match self.state {
+            HeldState::Paused {
+                pinned_until: Some(until),
+                ..
+            } => self.lease_until.min(until),
+            HeldState::Releasing(pending) => pending.repeat_at,
+            HeldState::Exported {
+                release: Some(pending),
+            } => self.lease_until.min(pending.repeat_at),
+            _ => self.lease_until,
+        }
+    }
+}
--- /dev/null
+++ b/crates/ebony_policy/tests/admission.rs
@@ -0,0 +1,193 @@
+//! Guards against programs that are refused halfway, callers that crowd others out, and dishonest retry times.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use ebony_policy::admission::{
+    AdmissionDecision, AdmissionGate, AdmissionOptions, FirstTokenSample, ProgramArrival,
+};
+use ebony_testkit::check_seeds;
+use ebony_types::{CallerName, ClockTime, ProgramId, ShardKey};
+
+fn arrival(number: u32, caller: &str, deadline: ClockTime) -> ProgramArrival {
+    let mut bytes = [0; 14];
+    bytes[..4].copy_from_slice(&number.to_be_bytes());
+    ProgramArrival {
+        program: ProgramId::from_parts(ShardKey(0), bytes),
+        caller: CallerName::parse(caller).expect("a name"),
+        deadline,
+        is_admitted: false,
+    }
+}
+
+fn seconds(number: u64) -> ClockTime {
+    ClockTime::from_millis(number * 1_000)
+}
+
+fn fixed(limit: u32) -> AdmissionOptions {
+    AdmissionOptions {
+        adaptive: false,
+        initial_limit: limit,
+        min_limit: 1,
+        ..AdmissionOptions::default()
+    }
+}
+
+/// Whatever arrives, ends and is cancelled, programs in progress stay within the limit, every waiting program gets
+/// one outcome, and an ended program frees its place.
+#[test]
+fn the_limit_holds_and_nobody_is_forgotten() {
+    check_seeds(48, 4_096, |input| {
+        let limit = input.int_in_range(1..=12_u32)?;
+        let mut gate = AdmissionGate::open(fixed(limit));
+        let (mut running, mut waiting) = (Vec::new(), BTreeMap::new());
+        let mut now = 0;
+        for number in 0..300 {
+            now += input.int_in_range(0..=4)?;
+            if input.ratio(3, 5)? {
+                let caller = format!("caller-{}", input.int_in_range(0..=3)?);
+                let arrival = arrival(number, &caller, seconds(now + 60));
+                match gate.arrive(&arrival, seconds(now)) {
+                    AdmissionDecision::Admitted => running.push(arrival.program),
+                    AdmissionDecision::Waiting => {
+                        waiting.insert(arrival.program, arrival.caller);
+                    }
+                    AdmissionDecision::Refused { retry_after_seconds } => {
+                        assert!((1..=60).contains(&retry_after_seconds));
+                    }
+                }
+            } else if input.ratio(1, 5)?
+                && let Some((program, caller)) = waiting.pop_first()
+            {
+                assert!(gate.withdraw(&caller, program));
+            } else if !running.is_empty() {
+                let index = input.choose_index(running.len())?;
+                gate.finish(running.swap_remove(index), seconds(now));
+            }
+            for outcome in gate.poll(seconds(now)) {
+                assert!(
+                    waiting.remove(&outcome.program).is_some(),
+                    "one outcome for each waiting program"
+                );
+                if outcome.decision == AdmissionDecision::Admitted {
+                    running.push(outcome.program);
+                }
+            }
+            assert!(running.len() <= limit as usize);
+            assert_eq!(
+                (gate.in_progress(), gate.waiting()),
+                (running.len(), waiting.len())
+            );
+        }
+        let outcomes = gate.poll(seconds(now + 1_000));
+        assert_eq!(outcomes.len(), waiting.len());
+        Ok(())
+    });
+}
+
+/// A caller that floods the gate gets no more admissions than one that sends a program at a time.
+#[test]
+fn admissions_are_shared_between_callers() {
+    let mut gate = AdmissionGate::open(fixed(20));
+    let mut admitted: BTreeMap<char, u32> = BTreeMap::new();
+    let mut running = Vec::new();
+    let mut callers = BTreeMap::new();
+    for step in 0..400_u32 {
+        let now = seconds(u64::from(step));
+        for (offset, caller) in ["flood", "flood", "flood", "steady"].into_iter().enumerate() {
+            let arrival = arrival(step * 4 + offset as u32, caller, now + Duration::from_secs(60));
+            callers.insert(arrival.program, caller);
+            if gate.arrive(&arrival, now) == AdmissionDecision::Admitted {
+                running.push(arrival.program);
+            }
+        }
+        if running.len() == 20 {
+            gate.finish(running.remove(0), now);
+        }
+        for outcome in gate.poll(now) {
+            if outcome.decision == AdmissionDecision::Admitted {
+                running.push(outcome.program);
+                let caller = callers[&outcome.program];
+                *admitted.entry(caller.chars().next().unwrap()).or_default() += 1;
+            }
+        }
+    }
+    let (flood, steady) = (admitted[&'f'], admitted[&'s']);
+    assert!(flood.abs_diff(steady) <= 20, "flood {flood}, steady {steady}");
+}
+
+/// A program that belongs to an admitted whole enters at any load.
+#[test]
+fn parts_of_admitted_programs_always_enter() {
+    let mut gate = AdmissionGate::open(fixed(1));
+    let deadline = seconds(60);
+    gate.arrive(&arrival(1, "shop", deadline), seconds(0));
+    let mut child = arrival(2, "shop", deadline);
+    assert_eq!(gate.arrive(&child, seconds(0)), AdmissionDecision::Waiting);
+    child = arrival(3, "shop", deadline);
+    child.is_admitted = true;
+    assert_eq!(gate.arrive(&child, seconds(0)), AdmissionDecision::Admitted);
+}
+
+/// The retry time is the time after which a place is free at the measured rate.
+#[test]
+fn retry_times_follow_the_drain_rate() {
+    let options = AdmissionOptions {
+        max_wait_ms: 10_000,
+        ..fixed(10)
+    };
+    let mut gate = AdmissionGate::open(options);
+    let mut number = 0;
+    let mut refused = Vec::new();
+    // One program ends every two seconds, and two arrive each second.
+    for second in 0..200 {
+        let now = seconds(second);
+        for _ in 0..2 {
+            number += 1;
+            let decision = gate.arrive(&arrival(number, "shop", seconds(second + 600)), now);
+            if let AdmissionDecision::Refused { retry_after_seconds } = decision {
+                refused.push(retry_after_seconds);
+            }
+        }
+        if second % 2 == 0 && second > 10 {
+            let oldest = (1..=number).map(|number| arrival(number, "shop", now).program);
+            let before = gate.in_progress();
+            oldest
+                .take_while(|program| {
+                    gate.finish(*program, now);
+                    gate.in_progress() == before
+                })
+                .for_each(drop);
+        }
+        gate.poll(now);
+    }
+    // Beyond the ten seconds that programs may wait, the next place is 11 to 14 seconds away.
+    let last = &refused[refused.len() - 20..];
+    assert!(last.iter().all(|retry| (10..=15).contains(retry)), "{last:?}");
+}
+
+/// The limit falls while first tokens are late, never below its minimum, and rises again when they are not.
+#[test]
+fn the_limit_follows_latency() {
+    let options = AdmissionOptions {
+        initial_limit: 100,
+        ..AdmissionOptions::default()
+    };
+    let mut gate = AdmissionGate::open(options.clone());
+    for number in 0..100 {
+        gate.arrive(&arrival(number, "shop", seconds(60)), seconds(0));
+    }
+    let mut limits = Vec::new();
+    for second in 0..600 {
+        let measured = if second < 200 { 3_000 } else { 300 };
+        let sample = FirstTokenSample {
+            measured: Duration::from_millis(measured),
+            own_prefill: Duration::from_millis(100),
+        };
+        (0..10).for_each(|_| gate.observe_first_token(sample, seconds(second)));
+        limits.push(gate.limit());
+    }
+    assert!(limits.iter().all(|limit| *limit >= options.min_limit));
+    assert!(limits[199] <= 90, "{}", limits[199]);
+    assert!(limits[599] > limits[199]);
+}
