Add HTTP adapters and the first stand-ins of the platform

The traits of ebony_platform had no implementation, so no shell and no failure test could run against another process.

ebony_platform gets one adapter for each trait over awc. A request that found no connection is refused; anything later is unknown. awc ends a body without an error when the peer closes the connection in its middle, so the adapters establish their own connections and report such a body as incomplete.

ebony_standins gets engine, plain service, table service, object store, host list and weight store with control and inspection routes, a typed client for these, and a set that runs them on a thread of its own.

--- a/crates/ebony_platform/src/lib.rs
+++ b/crates/ebony_platform/src/lib.rs
@@ -7,7 +7,9 @@
 pub mod engine;
 pub mod error;
 pub mod host_list;
+pub mod http;
 pub mod object_store;
+pub mod protocol;
 pub mod service;
 pub mod table;
 pub mod weight_store;
@@ -19,6 +21,9 @@
     };
     pub use crate::error::PlatformError;
     pub use crate::host_list::{HostEntry, HostList, HostRole, HostState};
+    pub use crate::http::{
+        HttpEngine, HttpHosts, HttpObjects, HttpService, HttpTable, HttpWeights, RequestLimits,
+    };
     pub use crate::object_store::ObjectStore;
     pub use crate::service::{ServiceAnswer, ServiceCall, ServiceTarget};
     pub use crate::table::{RowKey, RowRecord, RowVersion, TableService, WriteNonce};
--- /dev/null
+++ b/crates/ebony_standins/src/counters.rs
@@ -0,0 +1,40 @@
+//! Counts by key, bounded in number.
+
+use std::collections::{BTreeMap, VecDeque};
+
+/// The most keys of a table; the oldest leave first. A test that counts more calls than this reads in between.
+const MAX_KEYS: usize = 200_000;
+
+/// Counts by key.
+#[derive(Default)]
+pub(crate) struct CountTable {
+    counts: BTreeMap<String, u32>,
+    order: VecDeque<String>,
+}
+
+impl CountTable {
+    /// Adds one and returns the new count.
+    pub(crate) fn add(&mut self, key: &str) -> u32 {
+        if let Some(count) = self.counts.get_mut(key) {
+            *count += 1;
+            return *count;
+        }
+        if self.order.len() >= MAX_KEYS
+            && let Some(oldest) = self.order.pop_front()
+        {
+            self.counts.remove(&oldest);
+        }
+        self.counts.insert(key.to_owned(), 1);
+        self.order.push_back(key.to_owned());
+        1
+    }
+
+    /// Returns the keys that were counted at least `min` times.
+    pub(crate) fn at_least(&self, min: u32) -> BTreeMap<String, u32> {
+        self.counts
+            .iter()
+            .filter(|(_, count)| **count >= min)
+            .map(|(key, count)| (key.clone(), *count))
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/ebony_standins/src/engine/mod.rs
@@ -0,0 +1,52 @@
+//! The stand-in of a model engine.
+//!
+//! It answers the OpenAI-compatible chat completion, plain and as server-sent events, with continuous batching, a
+//! limited prefix cache, priorities, streams that can be resumed and cancelled, orders with fencing tokens, and
+//! crashes.
+
+mod answer;
+mod cache;
+mod control;
+mod echo;
+mod models;
+mod notices;
+mod record;
+mod routes;
+mod run;
+mod seen;
+mod settings;
+mod slots;
+mod state;
+
+pub use cache::CacheCounters;
+pub use control::EngineControl;
+pub use echo::{ChatMessage, ChatRequest, DEFAULT_ANSWER_WORDS, EchoAnswer, EchoError};
+pub use seen::{EngineCounts, EngineSeen, RunCounts, SeenOrder, SeenRun};
+pub use settings::{EngineOptions, EngineSettings};
+
+use actix_web::web;
+
+use crate::server::control::StandinKind;
+use crate::server::{BoundStandin, Result, StandinHandle};
+use state::EngineState;
+
+/// The kind of stand-in that plays an engine.
+pub enum EngineKind {}
+
+impl StandinKind for EngineKind {
+    type Settings = EngineSettings;
+    type Seen = EngineSeen;
+}
+
+/// Starts an engine in the running actix system.
+///
+/// # Errors
+///
+/// Fails if a port cannot be bound.
+pub async fn spawn(options: EngineOptions) -> Result<StandinHandle> {
+    let bound = BoundStandin::bind(options.ports, options.faults, routes::has_effect).await?;
+    let state = web::Data::new(EngineState::open(options, bound.faults.clone()));
+    bound
+        .serve(state, routes::data_routes, control::control_routes)
+        .await
+}
--- a/crates/ebony_standins/src/lib.rs
+++ b/crates/ebony_standins/src/lib.rs
@@ -1,1 +1,25 @@
 //! Stand-ins for the platform, a fault-injecting proxy and a load tool, for tests and examples.
+//!
+//! Each stand-in starts with a `spawn` function in the running actix system and listens on the loopback address. It
+//! keeps what it saw and takes faults over its control port, so that a test in another process can steer it.
+//! docs/standins.md describes the protocols.
+
+mod control_client;
+mod counters;
+pub mod engine;
+pub mod hosts;
+mod lagged;
+pub mod objects;
+mod rate_limit;
+mod server;
+pub mod service;
+mod settings_cell;
+mod standin_set;
+pub mod table;
+pub mod weights;
+
+pub use control_client::StandinControl;
+pub use server::control::StandinKind;
+pub use server::faults::{FaultSettings, FaultsSeen, OutageMode};
+pub use server::{PortOptions, StandinAddress, StandinHandle};
+pub use standin_set::{StandinOptions, StandinSet};
--- /dev/null
+++ b/crates/ebony_standins/src/objects/mod.rs
@@ -0,0 +1,207 @@
+//! The stand-in of the object store.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+
+use actix_web::dev::ServiceRequest;
+use actix_web::http::Method;
+use actix_web::{HttpResponse, web};
+use bytes::Bytes;
+use ebony_platform::protocol::OBJECT_ROUTE;
+use serde::{Deserialize, Serialize};
+
+use crate::control_client::StandinControl;
+use crate::rate_limit::RateLimit;
+use crate::server::control::{StandinKind, StandinState};
+use crate::server::faults::FaultSettings;
+use crate::server::{BoundStandin, PortOptions, Result, StandinHandle};
+use crate::settings_cell::SettingsCell;
+
+/// Options of an object store at its start.
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct ObjectsOptions {
+    /// The ports.
+    pub ports: PortOptions,
+    /// The settings.
+    pub settings: ObjectsSettings,
+    /// The faults.
+    pub faults: FaultSettings,
+}
+
+/// Settings of an object store.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct ObjectsSettings {
+    /// Reads per second; more are rejected as not run. No limit if absent.
+    pub reads_per_second: Option<f64>,
+    /// Writes and deletions per second; more are rejected as not run. No limit if absent.
+    pub writes_per_second: Option<f64>,
+    /// The most bytes of all objects. A write for which there is no room is rejected as not run.
+    pub max_bytes: u64,
+}
+
+impl Default for ObjectsSettings {
+    fn default() -> Self {
+        Self {
+            reads_per_second: None,
+            writes_per_second: None,
+            max_bytes: 1024 * 1024 * 1024,
+        }
+    }
+}
+
+/// What an object store has seen.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct ObjectsSeen {
+    /// Objects.
+    pub objects: u64,
+    /// Bytes of all objects.
+    pub bytes: u64,
+    /// Reads.
+    pub reads: u64,
+    /// Writes and deletions that took effect.
+    pub writes: u64,
+    /// Reads over the rate.
+    pub rejected_reads: u64,
+    /// Writes and deletions over the rate, and writes for which there was no room.
+    pub rejected_writes: u64,
+}
+
+/// The kind of stand-in that plays an object store.
+pub enum ObjectsKind {}
+
+impl StandinKind for ObjectsKind {
+    type Settings = ObjectsSettings;
+    type Seen = ObjectsSeen;
+}
+
+/// Controls an object store.
+pub type ObjectsControl = StandinControl<ObjectsKind>;
+
+struct ObjectsState {
+    settings: SettingsCell<ObjectsSettings>,
+    // Bounded by the setting `max_bytes`; each object counts at least one byte.
+    objects: RefCell<HashMap<String, Bytes>>,
+    seen: SettingsCell<ObjectsSeen>,
+    read_limit: RefCell<RateLimit>,
+    write_limit: RefCell<RateLimit>,
+}
+
+impl ObjectsState {
+    fn takes_read(&self) -> bool {
+        let rate = self.settings.read(|settings| settings.reads_per_second);
+        let is_allowed = self.read_limit.borrow_mut().try_take(rate);
+        self.seen.change(|seen| match is_allowed {
+            true => seen.reads += 1,
+            false => seen.rejected_reads += 1,
+        });
+        is_allowed
+    }
+
+    fn takes_write(&self, bytes: u64) -> bool {
+        let (rate, max_bytes) = self
+            .settings
+            .read(|settings| (settings.writes_per_second, settings.max_bytes));
+        let has_room = self.seen.read(|seen| seen.bytes) + bytes <= max_bytes;
+        let is_allowed = has_room && self.write_limit.borrow_mut().try_take(rate);
+        self.seen.change(|seen| match is_allowed {
+            true => seen.writes += 1,
+            false => seen.rejected_writes += 1,
+        });
+        is_allowed
+    }
+
+    fn store(&self, key: String, object: Option<Bytes>) {
+        let mut objects = self.objects.borrow_mut();
+        let added = object.as_ref().map_or(0, size);
+        let removed = match object {
+            Some(object) => objects.insert(key, object),
+            None => objects.remove(&key),
+        };
+        let removed = removed.as_ref().map_or(0, size);
+        self.seen.change(|seen| seen.bytes = seen.bytes + added - removed);
+    }
+}
+
+fn size(object: &Bytes) -> u64 {
+    object.len().max(1) as u64
+}
+
+impl StandinState for ObjectsState {
+    type Kind = ObjectsKind;
+
+    fn settings(&self) -> &SettingsCell<ObjectsSettings> {
+        &self.settings
+    }
+
+    fn seen(&self) -> ObjectsSeen {
+        ObjectsSeen {
+            objects: self.objects.borrow().len() as u64,
+            ..self.seen.get()
+        }
+    }
+}
+
+/// Starts an object store in the running actix system.
+///
+/// # Errors
+///
+/// Fails if a port cannot be bound.
+pub async fn spawn(options: ObjectsOptions) -> Result<StandinHandle> {
+    let bound = BoundStandin::bind(options.ports, options.faults, is_write).await?;
+    let state = web::Data::new(ObjectsState {
+        settings: SettingsCell::open(options.settings),
+        objects: RefCell::default(),
+        seen: SettingsCell::open(ObjectsSeen::default()),
+        read_limit: RefCell::default(),
+        write_limit: RefCell::default(),
+    });
+    bound.serve(state, data_routes, |_| {}).await
+}
+
+fn data_routes(config: &mut web::ServiceConfig) {
+    let route = format!("{OBJECT_ROUTE}{{key:.+}}");
+    let resource = web::resource(route)
+        .route(web::put().to(put))
+        .route(web::get().to(get))
+        .route(web::delete().to(delete));
+    config.service(resource);
+}
+
+fn is_write(request: &ServiceRequest) -> bool {
+    request.method() != Method::GET
+}
+
+fn rejection() -> HttpResponse {
+    HttpResponse::ServiceUnavailable().body("over the rate, or no room")
+}
+
+async fn put(state: web::Data<ObjectsState>, key: web::Path<String>, body: Bytes) -> HttpResponse {
+    if !state.takes_write(size(&body)) {
+        return rejection();
+    }
+    state.store(key.into_inner(), Some(body));
+    HttpResponse::NoContent().finish()
+}
+
+async fn get(state: web::Data<ObjectsState>, key: web::Path<String>) -> HttpResponse {
+    if !state.takes_read() {
+        return rejection();
+    }
+    match state.objects.borrow().get(key.as_str()) {
+        Some(object) => HttpResponse::Ok().body(object.clone()),
+        None => HttpResponse::NotFound().finish(),
+    }
+}
+
+async fn delete(state: web::Data<ObjectsState>, key: web::Path<String>) -> HttpResponse {
+    if !state.takes_write(0) {
+        return rejection();
+    }
+    state.store(key.into_inner(), None);
+    HttpResponse::NoContent().finish()
+}
--- /dev/null
+++ b/crates/ebony_standins/src/server/connections.rs
@@ -0,0 +1,61 @@
+//! The open connections of a stand-in.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::convert::Infallible;
+use std::future::pending;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use tokio::task::AbortHandle;
+
+/// The most connections of one port. Further ones are closed at once.
+pub(crate) const MAX_CONNECTIONS: usize = 4_096;
+
+/// The open connections of one port by the address of their peer. An entry leaves when its connection ends.
+#[derive(Clone, Default)]
+pub(crate) struct ConnectionTable {
+    handles: Rc<RefCell<HashMap<SocketAddr, AbortHandle>>>,
+}
+
+impl ConnectionTable {
+    pub(crate) fn is_full(&self) -> bool {
+        self.handles.borrow().len() >= MAX_CONNECTIONS
+    }
+
+    pub(crate) fn insert(&self, peer: SocketAddr, handle: AbortHandle) {
+        self.handles.borrow_mut().insert(peer, handle);
+    }
+
+    /// Returns a guard that removes the connection when it is dropped.
+    pub(crate) fn guard(&self, peer: SocketAddr) -> ConnectionGuard {
+        ConnectionGuard {
+            table: self.clone(),
+            peer,
+        }
+    }
+
+    /// Closes the connection that the current request came on. Never returns, because the request's handler is part
+    /// of the connection.
+    pub(crate) async fn close_own(&self, peer: Option<SocketAddr>) -> ! {
+        if let Some(peer) = peer {
+            let handle = self.handles.borrow().get(&peer).cloned();
+            if let Some(handle) = handle {
+                handle.abort();
+            }
+        }
+        match pending::<Infallible>().await {}
+    }
+}
+
+/// Removes a connection from its table when it is dropped.
+pub(crate) struct ConnectionGuard {
+    table: ConnectionTable,
+    peer: SocketAddr,
+}
+
+impl Drop for ConnectionGuard {
+    fn drop(&mut self) {
+        self.table.handles.borrow_mut().remove(&self.peer);
+    }
+}
--- /dev/null
+++ b/crates/ebony_standins/src/server/control.rs
@@ -0,0 +1,89 @@
+//! Control and inspection routes that every HTTP stand-in has.
+
+use actix_web::{HttpResponse, web};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use serde_json::Value;
+
+use super::crash;
+use super::faults::{FaultGate, FaultSettings, FaultsSeen};
+use crate::settings_cell::{SettingsCell, merge};
+
+/// A kind of stand-in: the types of its settings and of its summary.
+pub trait StandinKind: 'static {
+    /// What can be set while the stand-in runs.
+    type Settings: Clone + Serialize + DeserializeOwned;
+    /// What the stand-in tells about what it has seen.
+    type Seen: Serialize + DeserializeOwned;
+}
+
+/// The state of a running stand-in, as the common routes use it.
+pub(crate) trait StandinState: 'static {
+    type Kind: StandinKind;
+
+    fn settings(&self) -> &SettingsCell<<Self::Kind as StandinKind>::Settings>;
+
+    fn seen(&self) -> <Self::Kind as StandinKind>::Seen;
+
+    /// Follows changed settings.
+    fn on_settings(&self) {}
+
+    /// Loses what a crash loses.
+    fn on_crash(&self) {}
+
+    /// Comes back after a crash.
+    fn on_restart(&self) {}
+}
+
+type SettingsOf<S> = <<S as StandinState>::Kind as StandinKind>::Settings;
+type SeenOf<S> = <<S as StandinState>::Kind as StandinKind>::Seen;
+
+/// Adds the routes for settings, faults and the summary.
+pub(crate) fn common_routes<S: StandinState>(config: &mut web::ServiceConfig) {
+    config
+        .route("/_control/settings", web::get().to(get_settings::<S>))
+        .route("/_control/settings", web::post().to(set_settings::<S>))
+        .route("/_control/faults", web::get().to(get_faults))
+        .route("/_control/faults", web::post().to(set_faults))
+        .route("/_control/crash", web::post().to(crash::post_crash::<S>))
+        .route("/_control/restart", web::post().to(crash::post_restart))
+        .route("/_seen/faults", web::get().to(get_faults_seen))
+        .route("/_seen/summary", web::get().to(get_seen::<S>));
+}
+
+async fn get_settings<S: StandinState>(state: web::Data<S>) -> web::Json<SettingsOf<S>> {
+    web::Json(state.settings().get())
+}
+
+async fn set_settings<S: StandinState>(state: web::Data<S>, patch: web::Json<Value>) -> HttpResponse {
+    match merge(&state.settings().get(), patch.into_inner()) {
+        Ok(settings) => {
+            state.settings().set(settings.clone());
+            state.on_settings();
+            HttpResponse::Ok().json(settings)
+        }
+        Err(error) => HttpResponse::BadRequest().body(error.to_string()),
+    }
+}
+
+async fn get_faults(gate: web::Data<FaultGate>) -> web::Json<FaultSettings> {
+    web::Json(gate.settings.get())
+}
+
+async fn set_faults(gate: web::Data<FaultGate>, patch: web::Json<Value>) -> HttpResponse {
+    match merge(&gate.settings.get(), patch.into_inner()) {
+        Ok(settings) => {
+            gate.set(settings).await;
+            HttpResponse::Ok().json(settings)
+        }
+        Err(error) => HttpResponse::BadRequest().body(error.to_string()),
+    }
+}
+
+async fn get_faults_seen(gate: web::Data<FaultGate>) -> web::Json<FaultsSeen> {
+    web::Json(gate.seen.get())
+}
+
+async fn get_seen<S: StandinState>(state: web::Data<S>) -> web::Json<SeenOf<S>> {
+    web::Json(state.seen())
+}
--- /dev/null
+++ b/crates/ebony_standins/src/table/mod.rs
@@ -0,0 +1,156 @@
+//! The stand-in of the table service.
+//!
+//! Rows have versions and nonces; writes are conditional. Faults: outages, lost replies, rate limits, and stale
+//! answers to reads of keys with a prefix.
+
+mod routes;
+mod rows;
+
+use std::cell::RefCell;
+
+use actix_web::web;
+use serde::{Deserialize, Serialize};
+
+use crate::control_client::StandinControl;
+use crate::rate_limit::RateLimit;
+use crate::server::control::{StandinKind, StandinState};
+use crate::server::faults::FaultSettings;
+use crate::server::{BoundStandin, PortOptions, Result, StandinHandle};
+use crate::settings_cell::SettingsCell;
+use rows::RowTable;
+
+/// Options of a table service at its start.
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct TableOptions {
+    /// The ports.
+    pub ports: PortOptions,
+    /// The settings.
+    pub settings: TableSettings,
+    /// The faults.
+    pub faults: FaultSettings,
+}
+
+/// Settings of a table service.
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct TableSettings {
+    /// Reads and lists per second; more are rejected as not run. No limit if absent.
+    pub reads_per_second: Option<f64>,
+    /// Writes per second; more are rejected as not run. No limit if absent.
+    pub writes_per_second: Option<f64>,
+    /// Reads and lists of keys with this prefix are answered from the rows as they were when the prefix was set.
+    pub stale_prefix: Option<String>,
+}
+
+/// What a table service has seen.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct TableSeen {
+    /// Rows.
+    pub rows: u64,
+    /// Reads of single rows.
+    pub reads: u64,
+    /// Lists.
+    pub lists: u64,
+    /// Writes that took effect: creations, replacements and deletions.
+    pub writes: u64,
+    /// Writes that lost.
+    pub conflicts: u64,
+    /// Reads and lists over the rate.
+    pub rejected_reads: u64,
+    /// Writes over the rate, or for which there was no room.
+    pub rejected_writes: u64,
+    /// Reads and lists that were answered with stale rows.
+    pub stale_reads: u64,
+}
+
+/// The kind of stand-in that plays a table service.
+pub enum TableKind {}
+
+impl StandinKind for TableKind {
+    type Settings = TableSettings;
+    type Seen = TableSeen;
+}
+
+/// Controls a table service.
+pub type TableControl = StandinControl<TableKind>;
+
+/// The state of a running table service.
+pub(crate) struct TableState {
+    settings: SettingsCell<TableSettings>,
+    rows: RefCell<RowTable>,
+    seen: SettingsCell<TableSeen>,
+    read_limit: RefCell<RateLimit>,
+    write_limit: RefCell<RateLimit>,
+}
+
+impl TableState {
+    fn takes_read(&self) -> bool {
+        let rate = self.settings.read(|settings| settings.reads_per_second);
+        let is_allowed = self.read_limit.borrow_mut().try_take(rate);
+        if !is_allowed {
+            self.seen.change(|seen| seen.rejected_reads += 1);
+        }
+        is_allowed
+    }
+
+    fn takes_write(&self) -> bool {
+        let rate = self.settings.read(|settings| settings.writes_per_second);
+        let is_allowed = self.write_limit.borrow_mut().try_take(rate);
+        if !is_allowed {
+            self.seen.change(|seen| seen.rejected_writes += 1);
+        }
+        is_allowed
+    }
+
+    /// Tells whether a read of keys with this start is answered from old rows.
+    fn is_stale(&self, key: &str) -> bool {
+        let prefix = self.settings.read(|settings| settings.stale_prefix.clone());
+        let is_stale = prefix.as_ref().is_some_and(|prefix| key.starts_with(prefix));
+        if is_stale {
+            self.seen.change(|seen| seen.stale_reads += 1);
+        }
+        is_stale
+    }
+}
+
+impl StandinState for TableState {
+    type Kind = TableKind;
+
+    fn settings(&self) -> &SettingsCell<TableSettings> {
+        &self.settings
+    }
+
+    /// Keeps the rows that stale reads are answered from.
+    fn on_settings(&self) {
+        let prefix = self.settings.read(|settings| settings.stale_prefix.clone());
+        self.rows.borrow_mut().set_stale_prefix(prefix);
+    }
+
+    fn seen(&self) -> TableSeen {
+        TableSeen {
+            rows: self.rows.borrow().len(),
+            ..self.seen.get()
+        }
+    }
+}
+
+/// Starts a table service in the running actix system.
+///
+/// # Errors
+///
+/// Fails if a port cannot be bound.
+pub async fn spawn(options: TableOptions) -> Result<StandinHandle> {
+    let bound = BoundStandin::bind(options.ports, options.faults, routes::is_write).await?;
+    let state = web::Data::new(TableState {
+        settings: SettingsCell::open(options.settings),
+        rows: RefCell::new(RowTable::default()),
+        seen: SettingsCell::open(TableSeen::default()),
+        read_limit: RefCell::default(),
+        write_limit: RefCell::default(),
+    });
+    bound.serve(state, routes::data_routes, |_| {}).await
+}
--- /dev/null
+++ b/crates/ebony_standins/src/weights.rs
@@ -0,0 +1,135 @@
+//! The stand-in of the weight store.
+
+use std::cell::RefCell;
+
+use actix_web::{HttpResponse, web};
+use ebony_platform::protocol::{TRANSFERS_ROUTE, TransferRequest};
+use ebony_types::ModelName;
+use serde::{Deserialize, Serialize};
+
+use crate::control_client::{self, StandinControl};
+use crate::rate_limit::RateLimit;
+use crate::server::control::{StandinKind, StandinState};
+use crate::server::faults::FaultSettings;
+use crate::server::{BoundStandin, PortOptions, Result, StandinHandle};
+use crate::settings_cell::SettingsCell;
+
+/// The most transfers that are kept in order; older ones leave.
+const MAX_RECENT: usize = 1_000;
+
+/// Options of a weight store at its start.
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct WeightsOptions {
+    /// The ports.
+    pub ports: PortOptions,
+    /// The settings.
+    pub settings: WeightsSettings,
+    /// The faults.
+    pub faults: FaultSettings,
+}
+
+/// Settings of a weight store.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct WeightsSettings {
+    /// Transfers per second, with a burst of one second but at least one transfer; more are refused. No limit if
+    /// absent.
+    pub transfers_per_second: Option<f64>,
+}
+
+/// What a weight store has seen.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct WeightsSeen {
+    /// Transfers that began.
+    pub begun: u64,
+    /// Transfers over the rate.
+    pub refused: u64,
+}
+
+/// The kind of stand-in that plays a weight store.
+pub enum WeightsKind {}
+
+impl StandinKind for WeightsKind {
+    type Settings = WeightsSettings;
+    type Seen = WeightsSeen;
+}
+
+/// Controls a weight store.
+pub type WeightsControl = StandinControl<WeightsKind>;
+
+impl StandinControl<WeightsKind> {
+    /// Returns the models of the last transfers in their order.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the weight store's control port does not answer.
+    pub async fn recent_transfers(&self) -> control_client::Result<Vec<ModelName>> {
+        self.get("/_seen/transfers").await
+    }
+}
+
+struct WeightsState {
+    settings: SettingsCell<WeightsSettings>,
+    seen: SettingsCell<WeightsSeen>,
+    limit: RefCell<RateLimit>,
+    recent: RefCell<Vec<ModelName>>,
+}
+
+impl StandinState for WeightsState {
+    type Kind = WeightsKind;
+
+    fn settings(&self) -> &SettingsCell<WeightsSettings> {
+        &self.settings
+    }
+
+    fn seen(&self) -> WeightsSeen {
+        self.seen.get()
+    }
+}
+
+/// Starts a weight store in the running actix system.
+///
+/// # Errors
+///
+/// Fails if a port cannot be bound.
+pub async fn spawn(options: WeightsOptions) -> Result<StandinHandle> {
+    let bound = BoundStandin::bind(options.ports, options.faults, |_| true).await?;
+    let state = web::Data::new(WeightsState {
+        settings: SettingsCell::open(options.settings),
+        seen: SettingsCell::open(WeightsSeen::default()),
+        limit: RefCell::default(),
+        recent: RefCell::default(),
+    });
+    bound.serve(state, data_routes, control_routes).await
+}
+
+fn data_routes(config: &mut web::ServiceConfig) {
+    config.route(TRANSFERS_ROUTE, web::post().to(begin_transfer));
+}
+
+fn control_routes(config: &mut web::ServiceConfig) {
+    config.route("/_seen/transfers", web::get().to(recent_transfers));
+}
+
+async fn begin_transfer(state: web::Data<WeightsState>, request: web::Json<TransferRequest>) -> HttpResponse {
+    let rate = state.settings.read(|settings| settings.transfers_per_second);
+    if !state.limit.borrow_mut().try_take(rate) {
+        state.seen.change(|seen| seen.refused += 1);
+        return HttpResponse::ServiceUnavailable().body("over the rate");
+    }
+    state.seen.change(|seen| seen.begun += 1);
+    let mut recent = state.recent.borrow_mut();
+    recent.push(request.into_inner().model);
+    if recent.len() > MAX_RECENT {
+        recent.remove(0);
+    }
+    HttpResponse::NoContent().finish()
+}
+
+async fn recent_transfers(state: web::Data<WeightsState>) -> HttpResponse {
+    HttpResponse::Ok().json(&*state.recent.borrow())
+}
--- /dev/null
+++ b/crates/ebony_standins/tests/engine.rs
@@ -0,0 +1,545 @@
+//! The model engine behind its adapter.
+
+use std::time::Duration;
+
+use anyhow::{Context, Result, bail, ensure};
+use bytes::{Bytes, BytesMut};
+use ebony_platform::{
+    EngineAnswer, EngineCall, EngineOrder, EngineTarget, HttpEngine, PlatformError, RequestLimits,
+};
+use ebony_standins::engine::{
+    self, ChatMessage, ChatRequest, EchoAnswer, EngineControl, EngineOptions, EngineSeen, EngineSettings,
+};
+use ebony_standins::{FaultSettings, StandinHandle};
+use ebony_types::{CallId, FencingToken, ModelName, ProgramId, ShardKey};
+use futures_util::StreamExt;
+
+/// How often a condition is looked at before a test gives up.
+const MAX_LOOKS: u32 = 2_000;
+
+const MODEL: &str = "kalo-70b";
+
+struct EngineFixture {
+    handle: StandinHandle,
+    control: EngineControl,
+    engine: HttpEngine,
+}
+
+impl EngineFixture {
+    async fn spawn(settings: EngineSettings) -> Result<Self> {
+        let options = EngineOptions {
+            models: vec![ModelName::parse(MODEL)?],
+            settings,
+            ..EngineOptions::default()
+        };
+        let handle = engine::spawn(options).await?;
+        Ok(Self {
+            control: EngineControl::open(handle.address().control),
+            engine: HttpEngine::open(&handle.url(), RequestLimits::for_targets())?,
+            handle,
+        })
+    }
+
+    async fn wait_for(&self, condition: impl Fn(&EngineSeen) -> bool) -> Result<EngineSeen> {
+        for _ in 0..MAX_LOOKS {
+            let seen = self.control.seen().await?;
+            if condition(&seen) {
+                return Ok(seen);
+            }
+        }
+        bail!("the engine never met the condition")
+    }
+
+    /// Runs a call to its end and returns the checked text of its answer.
+    async fn run(&self, number: u8, request: &ChatRequest) -> Result<String> {
+        let answer = self.engine.complete(call(number, request)?).await?;
+        let text = read_text(&read(answer).await?, request.stream)?;
+        let echo = EchoAnswer::check(&text, request)?;
+        ensure!(echo.call == call_id(number) && echo.program == Some(program(1)));
+        Ok(text)
+    }
+}
+
+fn call_id(number: u8) -> CallId {
+    CallId::from_bytes([number; 16])
+}
+
+fn program(number: u8) -> ProgramId {
+    ProgramId::from_parts(ShardKey(7), [number; 14])
+}
+
+fn request(messages: &[ChatMessage], words: u32, stream: bool) -> ChatRequest {
+    ChatRequest {
+        model: MODEL.to_owned(),
+        messages: messages.to_vec(),
+        max_tokens: Some(words),
+        stream,
+    }
+}
+
+fn prompt(text: &str) -> Vec<ChatMessage> {
+    vec![ChatMessage::text("user", text)]
+}
+
+fn call(number: u8, request: &ChatRequest) -> Result<EngineCall> {
+    Ok(EngineCall {
+        call: call_id(number),
+        program: program(1),
+        priority: 0,
+        body: Bytes::from(serde_json::to_vec(request)?),
+    })
+}
+
+async fn read(mut answer: EngineAnswer) -> Result<Bytes> {
+    ensure!(answer.status == 200, "status {}", answer.status);
+    let mut body = BytesMut::new();
+    while let Some(part) = answer.body.next().await {
+        body.extend_from_slice(&part?);
+    }
+    Ok(body.freeze())
+}
+
+/// Reads a body until it breaks.
+async fn read_broken(mut answer: EngineAnswer) -> Result<(Bytes, PlatformError)> {
+    let mut body = BytesMut::new();
+    while let Some(part) = answer.body.next().await {
+        match part {
+            Ok(bytes) => body.extend_from_slice(&bytes),
+            Err(error) => return Ok((body.freeze(), error)),
+        }
+    }
+    bail!("the body ended as if it were whole")
+}
+
+fn read_text(body: &[u8], is_streamed: bool) -> Result<String> {
+    let body = std::str::from_utf8(body)?;
+    let content = |json: &str, pointer: &str| -> Result<String> {
+        let value: serde_json::Value = serde_json::from_str(json)?;
+        let text = value.pointer(pointer).and_then(|text| text.as_str());
+        Ok(text.unwrap_or_default().to_owned())
+    };
+    if !is_streamed {
+        return content(body, "/choices/0/message/content");
+    }
+    let events = body
+        .strip_suffix("data: [DONE]\n\n")
+        .context("no end of the stream")?;
+    let mut text = String::new();
+    for event in events.split_terminator("\n\n") {
+        let json = event.strip_prefix("data: ").context("no event")?;
+        text.push_str(&content(json, "/choices/0/delta/content")?);
+    }
+    Ok(text)
+}
+
+/// Guards against answers that are not whole or belong to another call, and against changes of their form.
+#[actix_rt::test]
+async fn answers_are_whole_and_have_a_stable_form() -> Result<()> {
+    let fixture = EngineFixture::spawn(EngineSettings::default()).await?;
+    let plain = request(&prompt("hello"), 3, false);
+    let answer = fixture.engine.complete(call(1, &plain)?).await?;
+    let body = read(answer).await?;
+    insta::assert_snapshot!("plain_answer", std::str::from_utf8(&body)?);
+    let streamed = request(&prompt("hello"), 2, true);
+    let answer = fixture.engine.complete(call(2, &streamed)?).await?;
+    let body = read(answer).await?;
+    insta::assert_snapshot!("streamed_answer", std::str::from_utf8(&body)?);
+    fixture.run(3, &request(&prompt("long"), 5_000, true)).await?;
+    fixture.run(3, &request(&prompt("long"), 5_000, false)).await?;
+    let counts = fixture.control.run_counts(2).await?;
+    assert_eq!(counts.calls.get(&call_id(3).to_string()), Some(&2));
+    assert_eq!(counts.calls.len(), 1);
+    Ok(())
+}
+
+/// Guards against a model that is served before it is loaded, and a refusal that hides that nothing ran.
+#[actix_rt::test]
+async fn calls_for_models_that_are_not_loaded_do_not_run() -> Result<()> {
+    let fixture = EngineFixture::spawn(EngineSettings::default()).await?;
+    let mut unknown = request(&prompt("hello"), 1, false);
+    unknown.model = "other".to_owned();
+    let refused = fixture
+        .engine
+        .complete(call(1, &unknown)?)
+        .await
+        .map(|answer| answer.status);
+    assert!(matches!(refused, Err(PlatformError::Refused(_))), "{refused:?}");
+    let model = ModelName::parse("other")?;
+    fixture
+        .engine
+        .order(EngineOrder::Load(model.clone()), FencingToken(1))
+        .await?;
+    fixture.run(2, &unknown).await?;
+    assert!(fixture.engine.load().await?.models.contains(&model));
+    assert_eq!(fixture.control.runs_of(call_id(1)).await?, 0);
+    Ok(())
+}
+
+/// Guards against a batch that overruns its slots or runs calls out of the order of their priorities.
+#[actix_rt::test]
+async fn waiting_calls_run_by_priority() -> Result<()> {
+    let settings = EngineSettings {
+        slots: 1,
+        max_waiting: 3,
+        is_hung: true,
+        ..EngineSettings::default()
+    };
+    let fixture = EngineFixture::spawn(settings).await?;
+    let request = request(&prompt("hello"), 2, true);
+    let mut answers = Vec::new();
+    for (number, priority) in [(1, 5), (2, 9), (3, 1), (4, 5)] {
+        let call = EngineCall {
+            priority,
+            ..call(number, &request)?
+        };
+        answers.push(fixture.engine.complete(call).await?);
+        // Calls queue in the order in which they arrive.
+        fixture
+            .wait_for(|seen| seen.running + seen.waiting == u32::from(number))
+            .await?;
+    }
+    let full = fixture
+        .engine
+        .complete(call(5, &request)?)
+        .await
+        .map(|answer| answer.status);
+    assert!(matches!(full, Err(PlatformError::Refused(_))), "{full:?}");
+    fixture
+        .control
+        .change(|settings| settings.is_hung = false)
+        .await?;
+    for answer in answers {
+        read(answer).await?;
+    }
+    let order: Vec<CallId> = fixture
+        .control
+        .recent_runs()
+        .await?
+        .iter()
+        .map(|run| run.call)
+        .collect();
+    assert_eq!(order, [1, 3, 4, 2].map(call_id));
+    assert_eq!(fixture.control.seen().await?.peak_running, 1);
+    Ok(())
+}
+
+/// Guards against a cut stream that looks whole, and against a resumed one with missing or repeated bytes.
+#[actix_rt::test]
+async fn cut_streams_are_errors_and_resume_from_their_offset() -> Result<()> {
+    let fixture = EngineFixture::spawn(EngineSettings::default()).await?;
+    let cut = |settings: &mut EngineSettings| {
+        settings.cut_answers = 2;
+        settings.cut_after_bytes = 700;
+        settings.is_hung = true;
+    };
+    fixture.control.change(cut).await?;
+    let request = request(&prompt("hello"), 40, true);
+    let answer = fixture.engine.complete(call(1, &request)?).await?;
+    fixture
+        .control
+        .change(|settings| settings.is_hung = false)
+        .await?;
+    let (first, error) = read_broken(answer).await?;
+    assert!(matches!(error, PlatformError::Unknown(_)), "{error:?}");
+    let answer = fixture.engine.resume(call_id(1), first.len() as u64).await?;
+    let (second, _) = read_broken(answer).await?;
+    let mut whole = BytesMut::from(&first[..]);
+    whole.extend_from_slice(&second);
+    let rest = read(fixture.engine.resume(call_id(1), whole.len() as u64).await?).await?;
+    whole.extend_from_slice(&rest);
+    EchoAnswer::check(&read_text(&whole, true)?, &request)?;
+
+    let again = read(fixture.engine.resume(call_id(1), 0).await?).await?;
+    assert_eq!(again, whole);
+    let beyond = fixture
+        .engine
+        .resume(call_id(1), 1 << 30)
+        .await
+        .map(|answer| answer.status);
+    assert!(matches!(beyond, Err(PlatformError::Refused(_))), "{beyond:?}");
+    assert_eq!(fixture.control.runs_of(call_id(1)).await?, 1);
+    fixture.control.change(|settings| settings.keep_ms = 0).await?;
+    let expired = fixture
+        .engine
+        .resume(call_id(1), 0)
+        .await
+        .map(|answer| answer.status);
+    assert!(matches!(expired, Err(PlatformError::Refused(_))), "{expired:?}");
+    Ok(())
+}
+
+/// Guards against a lost reply that ends the call or that hides that it ran.
+#[actix_rt::test]
+async fn a_call_whose_reply_was_lost_has_run_and_can_be_resumed() -> Result<()> {
+    let fixture = EngineFixture::spawn(EngineSettings::default()).await?;
+    let lose = FaultSettings {
+        lose_replies: 1,
+        ..FaultSettings::default()
+    };
+    fixture.control.set_faults(lose).await?;
+    let request = request(&prompt("hello"), 8, true);
+    let lost = fixture
+        .engine
+        .complete(call(1, &request)?)
+        .await
+        .map(|answer| answer.status);
+    assert!(matches!(lost, Err(PlatformError::Unknown(_))), "{lost:?}");
+    let body = read(fixture.engine.resume(call_id(1), 0).await?).await?;
+    EchoAnswer::check(&read_text(&body, true)?, &request)?;
+    assert_eq!(fixture.control.runs_of(call_id(1)).await?, 1);
+    Ok(())
+}
+
+/// Guards against a cancelled call that keeps its slot or whose answer looks whole.
+#[actix_rt::test]
+async fn cancelled_calls_free_their_slot() -> Result<()> {
+    let settings = EngineSettings {
+        slots: 1,
+        is_hung: true,
+        ..EngineSettings::default()
+    };
+    let fixture = EngineFixture::spawn(settings).await?;
+    let request = request(&prompt("hello"), 8, true);
+    let running = fixture.engine.complete(call(1, &request)?).await?;
+    let waiting = fixture.engine.complete(call(2, &request)?).await?;
+    fixture
+        .wait_for(|seen| seen.running == 1 && seen.waiting == 1)
+        .await?;
+    fixture.engine.cancel(call_id(2)).await?;
+    fixture.engine.cancel(call_id(1)).await?;
+    fixture.engine.cancel(call_id(9)).await?;
+    read_broken(running).await?;
+    read_broken(waiting).await?;
+    fixture
+        .control
+        .change(|settings| settings.is_hung = false)
+        .await?;
+    fixture.run(3, &request).await?;
+    let seen = fixture.wait_for(|seen| seen.running == 0).await?;
+    assert_eq!(
+        (seen.waiting, seen.counts.cancelled, seen.counts.ended),
+        (0, 2, 1)
+    );
+    Ok(())
+}
+
+/// Guards against orders that run, or are refused, against the setting on fencing.
+#[actix_rt::test]
+async fn fencing_is_honoured_or_ignored_by_a_setting() -> Result<()> {
+    let fixture = EngineFixture::spawn(EngineSettings::default()).await?;
+    let load = |name: &str| ModelName::parse(name).map(EngineOrder::Load);
+    fixture.engine.order(load("a")?, FencingToken(7)).await?;
+    let fenced = fixture.engine.order(load("b")?, FencingToken(6)).await;
+    assert_eq!(fenced, Err(PlatformError::Fenced { highest: 7 }));
+    fixture
+        .control
+        .change(|settings| settings.checks_fencing = false)
+        .await?;
+    fixture.engine.order(load("c")?, FencingToken(6)).await?;
+    let models = fixture.engine.load().await?.models;
+    let names: Vec<&str> = models.iter().map(ModelName::as_str).collect();
+    assert_eq!(names, [MODEL, "a", "c"]);
+    let counts = fixture.control.seen().await?.counts;
+    assert_eq!(
+        (counts.orders, counts.fenced_orders, counts.stale_orders),
+        (2, 1, 1)
+    );
+    let orders = fixture.control.recent_orders().await?;
+    assert_eq!(
+        orders.iter().map(|order| order.has_run).collect::<Vec<_>>(),
+        [true, false, true]
+    );
+    Ok(())
+}
+
+/// Guards against a crash that leaves cache, calls or tokens behind, or whose refusals are taken for lost replies.
+#[actix_rt::test]
+async fn a_crash_refuses_and_comes_back_empty() -> Result<()> {
+    let fixture = EngineFixture::spawn(EngineSettings::default()).await?;
+    fixture.run(1, &request(&prompt("hello"), 4, true)).await?;
+    fixture
+        .engine
+        .order(EngineOrder::Pin(program(1)), FencingToken(9))
+        .await?;
+    let before = fixture.control.seen().await?;
+    assert!(before.held_tokens > 0 && before.pinned == [program(1)]);
+    fixture
+        .control
+        .change(|settings| settings.crash_down_ms = 3_600_000)
+        .await?;
+
+    let fatal = EngineCall {
+        program: program(2),
+        ..call(2, &request(&prompt("please [[crash-engine]] now"), 4, false))?
+    };
+    let crashed = fixture.engine.complete(fatal).await.map(|answer| answer.status);
+    assert!(matches!(crashed, Err(PlatformError::Unknown(_))), "{crashed:?}");
+    let down = fixture
+        .engine
+        .complete(call(3, &request(&prompt("x"), 1, false))?)
+        .await;
+    let down = down.map(|answer| answer.status);
+    assert!(matches!(down, Err(PlatformError::Refused(_))), "{down:?}");
+
+    fixture.control.restart().await?;
+    assert_eq!(fixture.engine.held().await?, []);
+    assert_eq!(fixture.engine.cache_notices(0).await?, []);
+    let forgotten = fixture
+        .engine
+        .resume(call_id(1), 0)
+        .await
+        .map(|answer| answer.status);
+    assert!(
+        matches!(forgotten, Err(PlatformError::Refused(_))),
+        "{forgotten:?}"
+    );
+    let after = fixture.control.seen().await?;
+    assert_ne!(after.incarnation, before.incarnation);
+    assert_eq!(
+        (after.highest_token, after.running, after.counts.crashes),
+        (0, 0, 1)
+    );
+    assert_eq!(after.cache.lost, before.held_tokens + 7);
+    fixture.run(4, &request(&prompt("hello"), 4, true)).await?;
+    assert_eq!(fixture.control.runs_of(call_id(2)).await?, 1);
+    Ok(())
+}
+
+/// Guards against wrong counts of filled, reused and wasted tokens, which the second metric rests on.
+#[actix_rt::test]
+async fn the_prefix_cache_counts_reuse_and_waste() -> Result<()> {
+    let settings = EngineSettings {
+        cache_tokens: 100,
+        ..EngineSettings::default()
+    };
+    let fixture = EngineFixture::spawn(settings).await?;
+    let mut messages = prompt("a first message of this conversation");
+    let answer = fixture.run(1, &request(&messages, 2, false)).await?;
+    let filled = fixture.control.seen().await?.cache.filled;
+    messages.push(ChatMessage::text("assistant", &answer));
+    messages.push(ChatMessage::text("user", "next"));
+    fixture.run(2, &request(&messages, 2, false)).await?;
+    let runs = fixture.control.recent_runs().await?;
+    assert_eq!((runs[0].cached_tokens, runs[1].cached_tokens), (0, filled));
+
+    let other = EngineCall {
+        program: program(2),
+        ..call(3, &request(&prompt(&"x".repeat(200)), 1, false))?
+    };
+    read(fixture.engine.complete(other).await?).await?;
+    let seen = fixture.control.seen().await?;
+    insta::assert_json_snapshot!("cache_counters", seen.cache);
+    assert_eq!(seen.cache.filled, seen.cache.evicted + seen.held_tokens);
+    let held = fixture.engine.held().await?;
+    assert_eq!(held.len(), 1);
+    assert_eq!(
+        (held[0].program, held[0].bytes),
+        (program(2), seen.held_tokens * 1_024)
+    );
+    let notices = fixture.engine.cache_notices(0).await?;
+    let evicted = notices.iter().find(|notice| notice.held_tokens == 0);
+    assert_eq!(evicted.map(|notice| notice.program), Some(program(1)));
+    Ok(())
+}
+
+/// Guards against pinned programs that are evicted, and programs that stay held after a release or a move.
+#[actix_rt::test]
+async fn kv_cache_is_pinned_moved_and_released() -> Result<()> {
+    let settings = EngineSettings {
+        cache_tokens: 60,
+        ..EngineSettings::default()
+    };
+    let fixture = EngineFixture::spawn(settings.clone()).await?;
+    let other = EngineFixture::spawn(settings).await?;
+    let request = request(&prompt("hello"), 1, false);
+    fixture.run(1, &request).await?;
+    fixture
+        .engine
+        .order(EngineOrder::Pin(program(1)), FencingToken(1))
+        .await?;
+    let large = EngineCall {
+        program: program(2),
+        ..call(2, &self::request(&prompt(&"x".repeat(200)), 1, false))?
+    };
+    read(fixture.engine.complete(large).await?).await?;
+    let seen = fixture.control.seen().await?;
+    assert!(seen.cache.not_stored >= 50, "{seen:?}");
+    let held = fixture.engine.held().await?;
+    assert!(held.iter().any(|held| held.program == program(1)));
+
+    let kv = fixture.engine.export_kv(program(1)).await?;
+    other.engine.import_kv(program(1), kv).await?;
+    fixture
+        .engine
+        .order(EngineOrder::Release(program(1)), FencingToken(1))
+        .await?;
+    assert!(
+        fixture
+            .engine
+            .held()
+            .await?
+            .iter()
+            .all(|held| held.program != program(1))
+    );
+    let absent = fixture.engine.export_kv(program(1)).await;
+    assert!(matches!(absent, Err(PlatformError::Refused(_))), "{absent:?}");
+    other.run(3, &request).await?;
+    assert!(other.control.recent_runs().await?[0].cached_tokens > 0);
+    Ok(())
+}
+
+/// Guards against load reports and notices that are fresher or fuller than an engine's are.
+#[actix_rt::test]
+async fn reports_lag_and_notices_have_gaps() -> Result<()> {
+    let settings = EngineSettings {
+        load_lag_ms: 3_600_000,
+        notice_gap_every: 2,
+        notice_delay_ms: 3_600_000,
+        ..EngineSettings::default()
+    };
+    let fixture = EngineFixture::spawn(settings).await?;
+    fixture.run(1, &request(&prompt("hello"), 4, false)).await?;
+    assert_eq!(fixture.engine.load().await?.kv_bytes_held, 0);
+    assert_eq!(fixture.engine.cache_notices(0).await?, []);
+    let now = |settings: &mut EngineSettings| {
+        settings.load_lag_ms = 0;
+        settings.notice_delay_ms = 0;
+    };
+    fixture.control.change(now).await?;
+    assert!(fixture.engine.load().await?.kv_bytes_held > 0);
+    let notices = fixture.engine.cache_notices(0).await?;
+    assert_eq!(
+        notices.iter().map(|notice| notice.sequence).collect::<Vec<_>>(),
+        [1]
+    );
+    Ok(())
+}
+
+/// Guards against a control connection that waits behind calls that fill all connections.
+#[actix_rt::test]
+async fn calls_are_bounded_and_do_not_hold_up_control() -> Result<()> {
+    let settings = EngineSettings {
+        is_hung: true,
+        ..EngineSettings::default()
+    };
+    let fixture = EngineFixture::spawn(settings).await?;
+    let limits = RequestLimits {
+        max_connections: 1,
+        connect_timeout: Duration::from_millis(20),
+        ..RequestLimits::for_targets()
+    };
+    let engine = HttpEngine::open(&fixture.handle.url(), limits)?;
+    let request = request(&prompt("hello"), 4, true);
+    let held = engine.complete(call(1, &request)?).await?;
+    let refused = engine
+        .complete(call(2, &request)?)
+        .await
+        .map(|answer| answer.status);
+    assert!(matches!(refused, Err(PlatformError::Refused(_))), "{refused:?}");
+    assert_eq!(engine.load().await?.running, 1);
+    engine.cancel(call_id(1)).await?;
+    read_broken(held).await?;
+    assert_eq!(fixture.control.runs_of(call_id(2)).await?, 0);
+    engine.complete(call(3, &request)?).await?;
+    Ok(())
+}
