Add the ledger for at-most-once execution

Side processes need to know which calls and idempotency keys were dispatched, so that a repeat never runs again and a refusal as not run is true.

The ledger decides on orders (run, attach, replay, refuse, fenced), on starts, cancellations, resumed answers and crashes of targets. It owns the fencing tokens, the crash counts with quarantine, and the answers with a byte bound. Keys leave tombstones; at the bound, new keys are refused as not run.

--- /dev/null
+++ b/crates/ebony_ledger/src/ledger/mod.rs
@@ -0,0 +1,179 @@
+//! The calls of one side process, from admission until they are forgotten.
+//!
+//! Each call, and each idempotency key of a caller, is queued, dispatched, answered or failed. A repeat attaches to the
+//! call under way, receives the stored answer, or is refused; a key never runs twice in one life of the process.
+
+mod admit;
+mod cancel;
+mod decision;
+mod end;
+mod record;
+mod run;
+mod withdrawn;
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use ebony_types::{CallId, ClockTime, FencingToken, ProcessIncarnation, ProgramId, TargetName};
+use slotmap::SlotMap;
+
+pub use self::decision::{
+    CancelDecision, CrashOutcome, LedgerDecision, LedgerError, Result, ResumeDecision, StartDecision,
+};
+pub use self::record::CallState;
+use self::record::{CallRecord, RecordKey};
+use self::withdrawn::WithdrawnCalls;
+use crate::answer_buffer::AnswerBuffer;
+use crate::crash_tracker::CrashTracker;
+use crate::fencing::{FenceError, TokenFence};
+use crate::limits::LedgerLimits;
+use crate::quarantine::TargetQuarantine;
+use crate::tombstone::{KeyMark, TombstoneTable};
+
+/// The state of a side process for at-most-once execution.
+///
+/// Entries leave the tables as follows: open calls when they end; ended calls when they are settled, after
+/// [`LedgerLimits::answer_lifetime`], or at [`LedgerLimits::ended_calls`]; keys after [`LedgerLimits::key_lifetime`],
+/// and not while their program is confirmed as open.
+///
+/// ```
+/// use ebony_ledger::{CallLedger, LedgerLimits};
+/// use ebony_types::ClockTime;
+///
+/// let ledger = CallLedger::open(LedgerLimits::default(), ClockTime::default());
+/// assert_eq!(ledger.open_calls(), 0);
+/// ```
+#[derive(Clone, Debug)]
+pub struct CallLedger {
+    limits: LedgerLimits,
+    records: SlotMap<RecordKey, CallRecord>,
+    /// Every call that is attached to a record, and the call that was admitted first even if it was detached.
+    calls: BTreeMap<CallId, RecordKey>,
+    keys: BTreeMap<KeyMark, RecordKey>,
+    open_calls: usize,
+    /// Ended calls by the time of their end.
+    ended: BTreeSet<(ClockTime, RecordKey)>,
+    /// Ended calls whose answer is stored, by the time of their end.
+    stored: BTreeSet<(ClockTime, RecordKey)>,
+    answer_bytes: usize,
+    tombstones: TombstoneTable,
+    withdrawn: WithdrawnCalls,
+    /// The last time at which a call was forgotten that an entry may still ask for. An empty ledger counts as having
+    /// forgotten the calls of the process's former life.
+    forgot_at: ClockTime,
+    fence: TokenFence,
+    crashes: CrashTracker,
+    quarantine: TargetQuarantine,
+}
+
+impl CallLedger {
+    /// Creates the empty ledger of a new incarnation of the process.
+    pub fn open(limits: LedgerLimits, now: ClockTime) -> Self {
+        Self {
+            limits,
+            records: SlotMap::with_key(),
+            calls: BTreeMap::new(),
+            keys: BTreeMap::new(),
+            open_calls: 0,
+            ended: BTreeSet::new(),
+            stored: BTreeSet::new(),
+            answer_bytes: 0,
+            tombstones: TombstoneTable::default(),
+            withdrawn: WithdrawnCalls::default(),
+            forgot_at: now,
+            fence: TokenFence::default(),
+            crashes: CrashTracker::open(limits.tracked_requests),
+            quarantine: TargetQuarantine::open(limits.suspect_companions),
+        }
+    }
+
+    /// Adds a target in its present life, and whether it refuses stale fencing tokens itself.
+    pub fn add_target(&mut self, target: &TargetName, incarnation: ProcessIncarnation, checks_fencing: bool) {
+        self.quarantine.add_target(target, incarnation);
+        self.fence.add_target(target, checks_fencing);
+    }
+
+    /// Forgets targets that are no longer behind this process.
+    pub fn retain_targets(&mut self, targets: &BTreeSet<TargetName>) {
+        self.quarantine.retain_targets(targets);
+        self.fence.retain_targets(targets);
+    }
+
+    /// Notes programs that an entry confirms as open; their keys are kept.
+    pub fn confirm_programs(&mut self, programs: &[ProgramId], now: ClockTime) {
+        for program in programs {
+            self.tombstones.confirm_program(*program, now);
+        }
+    }
+
+    /// Notes that a program has ended; its keys are kept for [`LedgerLimits::key_lifetime`] only.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`FenceError::Stale`] if the sender no longer owns the program's shard.
+    pub fn release_program(&mut self, program: ProgramId, token: FencingToken) -> Result<(), FenceError> {
+        self.fence.check_shard(program.shard(), token)?;
+        self.tombstones.release_program(program);
+        Ok(())
+    }
+
+    /// Removes what has expired. A shell calls it about once a second.
+    pub fn tick(&mut self, now: ClockTime) {
+        self.expire_ended(now);
+        self.tombstones.retire(now);
+        self.withdrawn.expire(now);
+        self.crashes.expire(now);
+    }
+
+    /// Returns the state of a call.
+    pub fn state(&self, call: CallId) -> Option<CallState> {
+        self.record(call).map(|record| record.state)
+    }
+
+    /// Returns the answer of a call.
+    pub fn buffer(&self, call: CallId) -> Option<&AnswerBuffer> {
+        self.record(call).map(|record| &record.buffer)
+    }
+
+    /// Returns the calls that receive the same answer as `call`.
+    pub fn attached(&self, call: CallId) -> &[CallId] {
+        self.record(call).map_or(&[], |record| &record.calls)
+    }
+
+    /// Returns the number of calls that wait or run.
+    pub fn open_calls(&self) -> usize {
+        self.open_calls
+    }
+
+    /// Returns the number of idempotency keys that are known.
+    pub fn known_keys(&self) -> usize {
+        self.keys.len() + self.tombstones.len()
+    }
+
+    /// Returns the bytes of answers that are stored.
+    pub fn answer_bytes(&self) -> usize {
+        self.answer_bytes
+    }
+
+    /// Returns the number of calls that occupy a target.
+    pub fn running_on(&self, target: &TargetName) -> usize {
+        self.quarantine.running_on(target)
+    }
+
+    /// Returns the fencing tokens.
+    pub fn fence(&mut self) -> &mut TokenFence {
+        &mut self.fence
+    }
+
+    /// Returns the crash counts, to share and to merge.
+    pub fn crashes(&mut self) -> &mut CrashTracker {
+        &mut self.crashes
+    }
+
+    fn record(&self, call: CallId) -> Option<&CallRecord> {
+        self.records.get(*self.calls.get(&call)?)
+    }
+
+    fn key_of(&self, call: CallId) -> Result<RecordKey> {
+        self.calls.get(&call).copied().ok_or(LedgerError::UnknownCall)
+    }
+}
