--- a/crates/ebony_entry/src/answer/assembly.rs
+++ b/crates/ebony_entry/src/answer/assembly.rs
@@ -84,7 +84,11 @@
     fn accept_start(&mut self) -> AssemblyStep {
         let is_new = !self.is_accepted;
         self.is_accepted = true;
-        if is_new { AssemblyStep::Accepted } else { AssemblyStep::Nothing }
+        if is_new {
+            AssemblyStep::Accepted
+        } else {
+            AssemblyStep::Nothing
+        }
     }
 
     fn accept_head(&mut self, head: AnswerHead) -> AssemblyStep {
--- a/crates/ebony_entry/src/answer/pipe.rs
+++ b/crates/ebony_entry/src/answer/pipe.rs
@@ -71,7 +71,11 @@
 impl AnswerPipe {
     /// Creates an empty pipe for a call.
     pub fn new(call: CallId) -> Self {
-        Self { call, state: Mutex::default(), changed: Notify::new() }
+        Self {
+            call,
+            state: Mutex::default(),
+            changed: Notify::new(),
+        }
     }
 
     /// Returns the call.
@@ -162,7 +166,10 @@
         let bytes = state.body.split_to(length).freeze();
         state.consumed += u32::try_from(length).unwrap_or(u32::MAX);
         if state.consumed >= CREDIT_STEP_BYTES {
-            let grant = CreditGrant { call: self.call, bytes: std::mem::take(&mut state.consumed) };
+            let grant = CreditGrant {
+                call: self.call,
+                bytes: std::mem::take(&mut state.consumed),
+            };
             if let Some(recipient) = &state.credit {
                 recipient.do_send(grant);
             }
--- a/crates/ebony_entry/src/burn.rs
+++ b/crates/ebony_entry/src/burn.rs
@@ -30,8 +30,14 @@
     pub fn open(deployment: &str) -> Result<Self> {
         let catalog = SloCatalog::default();
         let ledger = BurnLedger::open(LabelName::parse(deployment)?, catalog.clone())?;
-        let state = BurnState { ledger, catalog, started: Instant::now() };
-        Ok(Self { state: Arc::new(Mutex::new(state)) })
+        let state = BurnState {
+            ledger,
+            catalog,
+            started: Instant::now(),
+        };
+        Ok(Self {
+            state: Arc::new(Mutex::new(state)),
+        })
     }
 
     /// Counts an event of a caller group.
--- a/crates/ebony_entry/src/caller_api/answer.rs
+++ b/crates/ebony_entry/src/caller_api/answer.rs
@@ -17,7 +17,13 @@
 use crate::answer::{AnswerPart, AnswerPipe};
 
 /// Fields of a target's answer that belong to its connection.
-const LOCAL_FIELDS: &[&str] = &["connection", "content-length", "date", "keep-alive", "transfer-encoding"];
+const LOCAL_FIELDS: &[&str] = &[
+    "connection",
+    "content-length",
+    "date",
+    "keep-alive",
+    "transfer-encoding",
+];
 
 /// How a call ended, as its caller sees it.
 pub(super) enum CallOutcome {
@@ -71,9 +77,22 @@
 }
 
 impl AnswerReader {
-    pub(super) fn new(state: Data<CallerState>, labels: CallLabels, started: Instant, deadline: Instant) -> Self {
+    pub(super) fn new(
+        state: Data<CallerState>,
+        labels: CallLabels,
+        started: Instant,
+        deadline: Instant,
+    ) -> Self {
         state.metrics.under_way.inc();
-        Self { state, labels, pipe: None, started, deadline, last_bytes: None, is_finished: false }
+        Self {
+            state,
+            labels,
+            pipe: None,
+            started,
+            deadline,
+            last_bytes: None,
+            is_finished: false,
+        }
     }
 
     /// Returns the time until the call's deadline.
@@ -88,7 +107,9 @@
 
     /// Waits for the next part until the deadline.
     pub(super) async fn next(&mut self) -> AnswerPart {
-        let Some(pipe) = &self.pipe else { return AnswerPart::Failed(incomplete()) };
+        let Some(pipe) = &self.pipe else {
+            return AnswerPart::Failed(incomplete());
+        };
         match tokio::time::timeout(self.remaining(), pipe.next()).await {
             Ok(Some(part)) => {
                 if matches!(part, AnswerPart::Bytes(_)) {
@@ -110,10 +131,17 @@
         let event = match self.last_bytes.replace(now) {
             None => {
                 let wait = now - self.started;
-                self.state.metrics.first_part.with_label_values(&[self.labels.kind]).observe(wait.as_secs_f64());
+                self.state
+                    .metrics
+                    .first_part
+                    .with_label_values(&[self.labels.kind])
+                    .observe(wait.as_secs_f64());
                 BurnEvent::FirstToken { wait }
             }
-            Some(last) => BurnEvent::TokensArrived { interval: now - last, tokens: 1 },
+            Some(last) => BurnEvent::TokensArrived {
+                interval: now - last,
+                tokens: 1,
+            },
         };
         if self.labels.kind == "model" {
             self.record_burn(event);
@@ -137,8 +165,16 @@
         self.is_finished = true;
         let elapsed = self.started.elapsed();
         let kind = self.labels.kind;
-        self.state.metrics.calls.with_label_values(&[kind, outcome.label()]).inc();
-        self.state.metrics.whole.with_label_values(&[kind]).observe(elapsed.as_secs_f64());
+        self.state
+            .metrics
+            .calls
+            .with_label_values(&[kind, outcome.label()])
+            .inc();
+        self.state
+            .metrics
+            .whole
+            .with_label_values(&[kind])
+            .observe(elapsed.as_secs_f64());
         self.state.metrics.under_way.dec();
         self.record_burn(BurnEvent::CallEnded(outcome.to_end(self.labels.must_run_once)));
         if self.labels.is_program && matches!(outcome, CallOutcome::Whole) {
--- a/crates/ebony_entry/src/caller_api/body.rs
+++ b/crates/ebony_entry/src/caller_api/body.rs
@@ -17,13 +17,16 @@
 /// Returns `body_too_large`, `request_timeout` or `bad_request`, all of them not run.
 pub(super) async fn read_body(payload: Payload, limit: usize, timeout: Duration) -> Result<Bytes> {
     let too_slow = || ProblemReport::not_run(ProblemCode::RequestTimeout, "the body did not arrive in time");
-    tokio::time::timeout(timeout, collect(payload, limit)).await.unwrap_or_else(|_| Err(too_slow()))
+    tokio::time::timeout(timeout, collect(payload, limit))
+        .await
+        .unwrap_or_else(|_| Err(too_slow()))
 }
 
 async fn collect(mut payload: Payload, limit: usize) -> Result<Bytes> {
     let mut body = BytesMut::new();
     while let Some(chunk) = payload.next().await {
-        let broken = |_| ProblemReport::not_run(ProblemCode::BadRequest, "the body ended before it was whole");
+        let broken =
+            |_| ProblemReport::not_run(ProblemCode::BadRequest, "the body ended before it was whole");
         let chunk = chunk.map_err(broken)?;
         if body.len() + chunk.len() > limit {
             let detail = format!("the body is larger than {limit} bytes");
--- a/crates/ebony_entry/src/caller_api/chat.rs
+++ b/crates/ebony_entry/src/caller_api/chat.rs
@@ -30,11 +30,19 @@
 pub type Result<T, E = ProblemReport> = std::result::Result<T, E>;
 
 /// Handles `POST /v1/chat/completions`.
-pub(super) async fn complete(request: HttpRequest, payload: Payload, state: Data<CallerState>) -> HttpResponse {
+pub(super) async fn complete(
+    request: HttpRequest,
+    payload: Payload,
+    state: Data<CallerState>,
+) -> HttpResponse {
     match accept(&request, payload, &state).await {
         Ok(response) => response,
         Err(problem) => {
-            state.metrics.calls.with_label_values(&["model", problem.code.as_str()]).inc();
+            state
+                .metrics
+                .calls
+                .with_label_values(&["model", problem.code.as_str()])
+                .inc();
             problem_response(&problem)
         }
     }
@@ -52,7 +60,10 @@
         let detail = format!("the model {model} is not in force");
         return Err(ProblemReport::not_run(ProblemCode::UnknownModel, detail));
     }
-    let fields = vec![HeaderField { name: "content-type".to_owned(), value: "application/json".to_owned() }];
+    let fields = vec![HeaderField {
+        name: "content-type".to_owned(),
+        value: "application/json".to_owned(),
+    }];
     Ok(run_call(state, headers.into_call(state, caller, kind, fields, body)).await)
 }
 
@@ -77,14 +88,20 @@
     let body: Value = serde_json::from_slice(body).map_err(|error| {
         ProblemReport::not_run(ProblemCode::BadRequest, format!("the body is not JSON: {error}"))
     })?;
-    let model = body.get("model").and_then(Value::as_str).ok_or_else(|| bad_request("\"model\" is missing"))?;
+    let model = body
+        .get("model")
+        .and_then(Value::as_str)
+        .ok_or_else(|| bad_request("\"model\" is missing"))?;
     let model = ModelName::parse(model).map_err(|_| bad_request("\"model\" is not a name"))?;
     let messages = body.get("messages").and_then(Value::as_array);
     let messages = messages.ok_or_else(|| bad_request("\"messages\" is missing"))?;
     if messages.is_empty() {
         return Err(bad_request("\"messages\" is empty"));
     }
-    if !messages.iter().all(|message| message.get("role").is_some_and(Value::is_string)) {
+    if !messages
+        .iter()
+        .all(|message| message.get("role").is_some_and(Value::is_string))
+    {
         return Err(bad_request("a message has no \"role\""));
     }
     let prompt_bytes: usize = messages.iter().map(content_length).sum();
@@ -113,19 +130,25 @@
 }
 
 fn parse_max_tokens(body: &Value) -> Result<u32> {
-    let value = body.get("max_completion_tokens").or_else(|| body.get("max_tokens"));
+    let value = body
+        .get("max_completion_tokens")
+        .or_else(|| body.get("max_tokens"));
     match value {
         None | Some(Value::Null) => Ok(DEFAULT_OUTPUT_TOKENS),
         Some(value) => match value.as_u64() {
             Some(tokens @ 1..=MAX_OUTPUT_TOKENS) => Ok(u32::try_from(tokens).unwrap_or(u32::MAX)),
-            _ => Err(bad_request("\"max_tokens\" is not a positive whole number in its bounds")),
+            _ => Err(bad_request(
+                "\"max_tokens\" is not a positive whole number in its bounds",
+            )),
         },
     }
 }
 
 /// Returns the messages of a checked body, for the history.
 pub(crate) fn messages_of(body: &Bytes) -> Vec<Value> {
-    let Ok(Value::Object(mut body)) = serde_json::from_slice(body) else { return Vec::new() };
+    let Ok(Value::Object(mut body)) = serde_json::from_slice(body) else {
+        return Vec::new();
+    };
     match body.remove("messages") {
         Some(Value::Array(messages)) => messages,
         _ => Vec::new(),
--- a/crates/ebony_entry/src/caller_api/models.rs
+++ b/crates/ebony_entry/src/caller_api/models.rs
@@ -17,7 +17,9 @@
     let models = state.config.models(&caller);
     let data: Vec<_> = models
         .iter()
-        .map(|model| json!({"id": model.as_str(), "object": "model", "created": 0, "owned_by": "ebonyswitch"}))
+        .map(
+            |model| json!({"id": model.as_str(), "object": "model", "created": 0, "owned_by": "ebonyswitch"}),
+        )
         .collect();
     HttpResponse::Ok().json(json!({"object": "list", "data": data}))
 }
--- a/crates/ebony_entry/src/caller_api/program.rs
+++ b/crates/ebony_entry/src/caller_api/program.rs
@@ -75,13 +75,26 @@
 async fn try_open(request: &HttpRequest, payload: Payload, state: &CallerState) -> Result<Box<ProgramView>> {
     let caller = authenticate(request, &state.config)?;
     let body = read_body(payload, MAX_OPERATION_BYTES, BODY_TIMEOUT).await?;
-    let malformed = |error| ProblemReport::not_run(ProblemCode::BadRequest, format!("malformed body: {error}"));
-    let body: OpenBody =
-        if body.is_empty() { OpenBody::default() } else { serde_json::from_slice(&body).map_err(malformed)? };
+    let malformed =
+        |error| ProblemReport::not_run(ProblemCode::BadRequest, format!("malformed body: {error}"));
+    let body: OpenBody = if body.is_empty() {
+        OpenBody::default()
+    } else {
+        serde_json::from_slice(&body).map_err(malformed)?
+    };
     let limits = state.config.budget(&caller);
     let budget = body.budget.unwrap_or_default().limit(limits);
     let program = state.new_program(body.parent);
-    operate(state, ProgramOperation::Open { program, parent: body.parent, caller, budget }).await
+    operate(
+        state,
+        ProgramOperation::Open {
+            program,
+            parent: body.parent,
+            caller,
+            budget,
+        },
+    )
+    .await
 }
 
 /// Handles `GET /v1/programs/{id}`.
@@ -92,18 +105,33 @@
     state: Data<CallerState>,
 ) -> HttpResponse {
     let with_history = query.history.unwrap_or(true);
-    let make = |program, caller| ProgramOperation::Show { program, caller: Some(caller), with_history };
+    let make = |program, caller| ProgramOperation::Show {
+        program,
+        caller: Some(caller),
+        with_history,
+    };
     respond(StatusCode::OK, operate_on(&request, &path, &state, make).await)
 }
 
 /// Handles `DELETE /v1/programs/{id}`.
-pub(super) async fn cancel(request: HttpRequest, path: Path<String>, state: Data<CallerState>) -> HttpResponse {
-    let make = |program, caller| ProgramOperation::Cancel { program, caller: Some(caller) };
+pub(super) async fn cancel(
+    request: HttpRequest,
+    path: Path<String>,
+    state: Data<CallerState>,
+) -> HttpResponse {
+    let make = |program, caller| ProgramOperation::Cancel {
+        program,
+        caller: Some(caller),
+    };
     respond(StatusCode::OK, operate_on(&request, &path, &state, make).await)
 }
 
 /// Handles `POST /v1/programs/{id}/finish`.
-pub(super) async fn finish(request: HttpRequest, path: Path<String>, state: Data<CallerState>) -> HttpResponse {
+pub(super) async fn finish(
+    request: HttpRequest,
+    path: Path<String>,
+    state: Data<CallerState>,
+) -> HttpResponse {
     let make = |program, caller| ProgramOperation::Finish { program, caller };
     respond(StatusCode::OK, operate_on(&request, &path, &state, make).await)
 }
@@ -129,7 +157,11 @@
             let detail = "the owner of the program is not known at present";
             ProblemReport::not_run(ProblemCode::OwnerUnavailable, detail).retry_after(1)
         };
-        let route = state.router.wait_route(operation.program().shard(), limit).await.ok_or_else(unavailable)?;
+        let route = state
+            .router
+            .wait_route(operation.program().shard(), limit)
+            .await
+            .ok_or_else(unavailable)?;
         match send(state, route, operation.clone(), limit).await {
             Err(problem) if is_moved(&problem) && Instant::now() < give_up => {
                 tokio::time::sleep(ROUTE_RETRY).await;
@@ -148,10 +180,16 @@
     let sent = async {
         match route {
             ShardRoute::Local => state.operate.send(OperateProgram(operation)).await,
-            ShardRoute::Peer(peer) => state.forward_operation.send(ForwardOperation { peer, operation }).await,
+            ShardRoute::Peer(peer) => {
+                state
+                    .forward_operation
+                    .send(ForwardOperation { peer, operation })
+                    .await
+            }
         }
     };
-    let late = || ProblemReport::may_have_run(ProblemCode::DeadlineExceeded, "the owner did not answer in time");
+    let late =
+        || ProblemReport::may_have_run(ProblemCode::DeadlineExceeded, "the owner did not answer in time");
     let stopped = |_| ProblemReport::not_run(ProblemCode::Draining, "the process is stopping").retry_after(1);
     match tokio::time::timeout(limit, sent).await {
         Ok(result) => result.map_err(stopped)?,
@@ -160,7 +198,10 @@
 }
 
 fn is_moved(problem: &ProblemReport) -> bool {
-    let is_moving = matches!(problem.code, ProblemCode::OwnerUnavailable | ProblemCode::Draining);
+    let is_moving = matches!(
+        problem.code,
+        ProblemCode::OwnerUnavailable | ProblemCode::Draining
+    );
     is_moving && problem.run.is_safe_to_retry()
 }
 
--- a/crates/ebony_entry/src/caller_api/server.rs
+++ b/crates/ebony_entry/src/caller_api/server.rs
@@ -104,5 +104,8 @@
 }
 
 async fn wrong_method() -> HttpResponse {
-    problem_response(&ProblemReport::not_run(ProblemCode::MethodNotAllowed, "the method is not allowed here"))
+    problem_response(&ProblemReport::not_run(
+        ProblemCode::MethodNotAllowed,
+        "the method is not allowed here",
+    ))
 }
--- a/crates/ebony_entry/src/caller_api/service.rs
+++ b/crates/ebony_entry/src/caller_api/service.rs
@@ -43,7 +43,11 @@
     match accept(&request, payload, &state).await {
         Ok(response) => response,
         Err(problem) => {
-            state.metrics.calls.with_label_values(&["service", problem.code.as_str()]).inc();
+            state
+                .metrics
+                .calls
+                .with_label_values(&["service", problem.code.as_str()])
+                .inc();
             problem_response(&problem)
         }
     }
@@ -68,12 +72,22 @@
 fn parse_target(request: &HttpRequest) -> Result<CallKind> {
     let bad = |detail| ProblemReport::not_run(ProblemCode::BadRequest, detail);
     let path = request.uri().path_and_query().map_or("", |path| path.as_str());
-    let rest = path.strip_prefix(PREFIX).ok_or_else(|| bad("the path names no service"))?;
+    let rest = path
+        .strip_prefix(PREFIX)
+        .ok_or_else(|| bad("the path names no service"))?;
     let end = rest.find(['/', '?']).unwrap_or(rest.len());
     let (service, rest) = rest.split_at(end);
     let service = ServiceName::parse(service).map_err(|_| bad("the path names no service"))?;
-    let path = if rest.starts_with('/') { rest.to_owned() } else { format!("/{rest}") };
-    Ok(CallKind::Service { service, method: request.method().to_string(), path })
+    let path = if rest.starts_with('/') {
+        rest.to_owned()
+    } else {
+        format!("/{rest}")
+    };
+    Ok(CallKind::Service {
+        service,
+        method: request.method().to_string(),
+        path,
+    })
 }
 
 fn passed_fields(headers: &HeaderMap) -> Result<Vec<HeaderField>> {
@@ -86,8 +100,13 @@
         if fields.len() == MAX_HEADER_FIELDS {
             return Err(bad("too many header fields"));
         }
-        let value = value.to_str().map_err(|_| bad("a header field is not visible ASCII"))?;
-        fields.push(HeaderField { name: name.to_string(), value: value.to_owned() });
+        let value = value
+            .to_str()
+            .map_err(|_| bad("a header field is not visible ASCII"))?;
+        fields.push(HeaderField {
+            name: name.to_string(),
+            value: value.to_owned(),
+        });
     }
     Ok(fields)
 }
--- a/crates/ebony_entry/src/caller_api/start.rs
+++ b/crates/ebony_entry/src/caller_api/start.rs
@@ -45,7 +45,9 @@
     pub(super) fn parse(request: &HttpRequest) -> Result<Self> {
         Ok(Self {
             program: parse_field(request, "ebony-program", |text| text.parse().ok())?,
-            idempotency_key: parse_field(request, "idempotency-key", |text| IdempotencyKey::parse(text).ok())?,
+            idempotency_key: parse_field(request, "idempotency-key", |text| {
+                IdempotencyKey::parse(text).ok()
+            })?,
             timeout_ms: parse_field(request, "ebony-timeout-ms", |text| text.parse().ok())?
                 .unwrap_or(DEFAULT_TIMEOUT_MS)
                 .clamp(1, MAX_TIMEOUT_MS),
@@ -75,11 +77,21 @@
 }
 
 fn parse_field<T>(request: &HttpRequest, name: &str, parse: impl Fn(&str) -> Option<T>) -> Result<Option<T>> {
-    let Some(value) = request.headers().get(name) else { return Ok(None) };
+    let Some(value) = request.headers().get(name) else {
+        return Ok(None);
+    };
     let malformed = || {
-        ProblemReport::not_run(ProblemCode::BadRequest, format!("the header field {name} is malformed"))
+        ProblemReport::not_run(
+            ProblemCode::BadRequest,
+            format!("the header field {name} is malformed"),
+        )
     };
-    value.to_str().ok().and_then(parse).map(Some).ok_or_else(malformed)
+    value
+        .to_str()
+        .ok()
+        .and_then(parse)
+        .map(Some)
+        .ok_or_else(malformed)
 }
 
 /// Runs a call at its owner and returns the answer.
@@ -119,12 +131,19 @@
 ) -> std::result::Result<(AnswerReader, AnswerPart), (AnswerReader, ProblemReport)> {
     let give_up = Instant::now() + ROUTE_WAIT;
     loop {
-        let limit = give_up.saturating_duration_since(Instant::now()).min(reader.remaining());
+        let limit = give_up
+            .saturating_duration_since(Instant::now())
+            .min(reader.remaining());
         let Some(route) = state.router.wait_route(program.shard(), limit).await else {
             let detail = "the owner of the program is not known at present";
-            return Err((reader, ProblemReport::not_run(ProblemCode::OwnerUnavailable, detail).retry_after(1)));
+            return Err((
+                reader,
+                ProblemReport::not_run(ProblemCode::OwnerUnavailable, detail).retry_after(1),
+            ));
         };
-        request.timeout_ms = u32::try_from(reader.remaining().as_millis()).unwrap_or(MAX_TIMEOUT_MS).max(1);
+        request.timeout_ms = u32::try_from(reader.remaining().as_millis())
+            .unwrap_or(MAX_TIMEOUT_MS)
+            .max(1);
         let pipe = Arc::new(AnswerPipe::new(request.call));
         send(state, route, request.clone(), Arc::clone(&pipe));
         reader.attach(pipe);
@@ -140,7 +159,10 @@
 
 /// Returns `true` if the call did not run because its shard is moving.
 fn is_moved(problem: &ProblemReport) -> bool {
-    let is_moving = matches!(problem.code, ProblemCode::OwnerUnavailable | ProblemCode::Draining);
+    let is_moving = matches!(
+        problem.code,
+        ProblemCode::OwnerUnavailable | ProblemCode::Draining
+    );
     is_moving && problem.run.is_safe_to_retry()
 }
 
@@ -148,10 +170,18 @@
     let copy = Arc::clone(&pipe);
     let is_sent = match route {
         ShardRoute::Local => state.start.try_send(StartCall { request, pipe: copy }).is_ok(),
-        ShardRoute::Peer(peer) => state.forward.try_send(ForwardCall { peer, request, pipe: copy }).is_ok(),
+        ShardRoute::Peer(peer) => state
+            .forward
+            .try_send(ForwardCall {
+                peer,
+                request,
+                pipe: copy,
+            })
+            .is_ok(),
     };
     if !is_sent {
-        let problem = ProblemReport::not_run(ProblemCode::Overloaded, "the process is too busy").retry_after(1);
+        let problem =
+            ProblemReport::not_run(ProblemCode::Overloaded, "the process is too busy").retry_after(1);
         pipe.push(AnswerPart::Failed(problem));
     }
 }
--- a/crates/ebony_entry/src/caller_api/state.rs
+++ b/crates/ebony_entry/src/caller_api/state.rs
@@ -40,7 +40,11 @@
     /// Fails if they are registered already.
     pub fn register(registry: &MetricsRegistry) -> Result<Self> {
         Ok(Self {
-            calls: registry.counter_family("calls_total", "Calls by kind and outcome.", &["kind", "outcome"])?,
+            calls: registry.counter_family(
+                "calls_total",
+                "Calls by kind and outcome.",
+                &["kind", "outcome"],
+            )?,
             first_part: registry.latency_family(
                 "first_part_seconds",
                 "Time from receipt to the first part of the answer.",
@@ -51,7 +55,10 @@
                 "Time from receipt to the end of the answer.",
                 &["kind"],
             )?,
-            under_way: registry.gauge("calls_under_way", "Calls that have been received and have not ended.")?,
+            under_way: registry.gauge(
+                "calls_under_way",
+                "Calls that have been received and have not ended.",
+            )?,
         })
     }
 }
@@ -94,7 +101,18 @@
         burn: BurnCell,
     ) -> Self {
         let source = Mutex::new(StdRng::from_os_rng());
-        Self { start, operate, forward, forward_operation, router, config, limits, metrics, burn, source }
+        Self {
+            start,
+            operate,
+            forward,
+            forward_operation,
+            router,
+            config,
+            limits,
+            metrics,
+            burn,
+            source,
+        }
     }
 
     /// Returns a new call identifier.
--- a/crates/ebony_entry/src/config/actor.rs
+++ b/crates/ebony_entry/src/config/actor.rs
@@ -132,7 +132,9 @@
     }
 
     fn accepted(&mut self, version: u64) {
-        let HolderState::Serving(holder) = &self.holder else { return };
+        let HolderState::Serving(holder) = &self.holder else {
+            return;
+        };
         info!(self.options.logger, "configuration in force"; "version" => version);
         let document = Bytes::from(ConfigUpdate::Full(Box::new((*holder.document()).clone())).encode());
         let push = ConfigPush { version, document };
@@ -150,7 +152,10 @@
     }
 
     fn fleet_status(&self) -> Vec<ConfigStatus> {
-        let status = |(process, version): (&String, &u64)| ConfigStatus { process: process.clone(), version: *version };
+        let status = |(process, version): (&String, &u64)| ConfigStatus {
+            process: process.clone(),
+            version: *version,
+        };
         self.statuses.iter().map(status).collect()
     }
 }
--- a/crates/ebony_entry/src/config/view.rs
+++ b/crates/ebony_entry/src/config/view.rs
@@ -42,32 +42,59 @@
     /// Returns the group of a caller.
     pub fn group(&self, caller: &CallerName) -> Option<String> {
         let document = self.document()?;
-        Some(document.callers.find_name(caller.as_str())?.group.as_str().to_owned())
+        Some(
+            document
+                .callers
+                .find_name(caller.as_str())?
+                .group
+                .as_str()
+                .to_owned(),
+        )
     }
 
     /// Returns `true` if the model is in force and the caller may use it.
     pub fn serves_model(&self, caller: &CallerName, model: &ModelName) -> bool {
-        let Some(document) = self.document() else { return false };
-        let may_use = document.callers.find_name(caller.as_str()).is_some_and(|view| view.may_use(model));
+        let Some(document) = self.document() else {
+            return false;
+        };
+        let may_use = document
+            .callers
+            .find_name(caller.as_str())
+            .is_some_and(|view| view.may_use(model));
         may_use && document.models.contains(model)
     }
 
     /// Returns `true` if the service is in force.
     pub fn serves_service(&self, service: &ServiceName) -> bool {
-        self.document().is_some_and(|document| document.services.contains(service))
+        self.document()
+            .is_some_and(|document| document.services.contains(service))
     }
 
     /// Returns the models that a caller may use.
     pub fn models(&self, caller: &CallerName) -> Vec<ModelName> {
-        let Some(document) = self.document() else { return Vec::new() };
-        let Some(view) = document.callers.find_name(caller.as_str()) else { return Vec::new() };
-        document.models.iter().filter(|model| view.may_use(model)).cloned().collect()
+        let Some(document) = self.document() else {
+            return Vec::new();
+        };
+        let Some(view) = document.callers.find_name(caller.as_str()) else {
+            return Vec::new();
+        };
+        document
+            .models
+            .iter()
+            .filter(|model| view.may_use(model))
+            .cloned()
+            .collect()
     }
 
     /// Returns the values for a caller.
     pub fn values(&self, caller: &CallerName) -> FleetValues {
-        let scope = ResolveScope { caller: Some(caller), ..ResolveScope::default() };
-        self.document().map_or_else(FleetValues::default, |document| document.resolve(&scope, wall_now()))
+        let scope = ResolveScope {
+            caller: Some(caller),
+            ..ResolveScope::default()
+        };
+        self.document().map_or_else(FleetValues::default, |document| {
+            document.resolve(&scope, wall_now())
+        })
     }
 
     /// Returns the limits of a caller's new program.
--- a/crates/ebony_entry/src/dispatch/actor.rs
+++ b/crates/ebony_entry/src/dispatch/actor.rs
@@ -80,7 +80,9 @@
     }
 
     fn dial(&self, key: SideKey, context: &mut Context<Self>) {
-        let Some(record) = self.directory.get(key) else { return };
+        let Some(record) = self.directory.get(key) else {
+            return;
+        };
         let (identity, options) = (self.options.identity.clone(), self.options.link.clone());
         link::spawn_dial(key, record.address, identity, options, context.address());
     }
@@ -97,14 +99,21 @@
     }
 
     fn linked(&mut self) -> Vec<SideKey> {
-        self.directory.iter_mut().filter(|(_, side)| side.sender.is_some()).map(|(key, _)| key).collect()
+        self.directory
+            .iter_mut()
+            .filter(|(_, side)| side.sender.is_some())
+            .map(|(key, _)| key)
+            .collect()
     }
 
     /// Sends a call to the target that it names.
     fn dispatch(&mut self, call: DispatchedCall) {
         let id = call.order.request.call;
         let side = call.side;
-        self.options.placed.do_send(CallPlaced { call: id, target: call.order.target.clone() });
+        self.options.placed.do_send(CallPlaced {
+            call: id,
+            target: call.order.target.clone(),
+        });
         let frame = EntryFrame::Dispatch(Box::new(call.order.clone()));
         self.calls.insert(id, call);
         if let Some(record) = self.directory.get_mut(side) {
@@ -145,16 +154,26 @@
     }
 
     fn end(&self, call: CallId, outcome: Result<super::FinishedAnswer, ProblemReport>) {
-        self.options.ended.do_send(CallEnded { call, was_placed: true, outcome });
+        self.options.ended.do_send(CallEnded {
+            call,
+            was_placed: true,
+            outcome,
+        });
     }
 
     fn refuse(&self, call: CallId, problem: ProblemReport) {
-        self.options.ended.do_send(CallEnded { call, was_placed: false, outcome: Err(problem) });
+        self.options.ended.do_send(CallEnded {
+            call,
+            was_placed: false,
+            outcome: Err(problem),
+        });
     }
 
     fn accept_answer(&mut self, key: SideKey, frame: AnswerFrame) {
         let id = frame.call();
-        let Some(call) = self.calls.get_mut(&id) else { return };
+        let Some(call) = self.calls.get_mut(&id) else {
+            return;
+        };
         // An answer of an earlier attempt on another side process is late.
         if call.side != key {
             return;
@@ -173,23 +192,39 @@
     }
 
     fn lose_calls(&mut self, key: SideKey) {
-        let lost: Vec<CallId> =
-            self.calls.iter().filter(|(_, call)| call.side == key).map(|(id, _)| *id).collect();
+        let lost: Vec<CallId> = self
+            .calls
+            .iter()
+            .filter(|(_, call)| call.side == key)
+            .map(|(id, _)| *id)
+            .collect();
         for id in lost {
-            let Some(problem) = self.calls.get(&id).map(DispatchedCall::loss) else { continue };
+            let Some(problem) = self.calls.get(&id).map(DispatchedCall::loss) else {
+                continue;
+            };
             self.fail_attempt(id, problem);
         }
     }
 
     fn resume_calls(&self, key: SideKey) {
         for (id, call) in self.calls.iter().filter(|(_, call)| call.side == key) {
-            self.send(key, &EntryFrame::Resume { call: *id, offset: call.received() });
+            self.send(
+                key,
+                &EntryFrame::Resume {
+                    call: *id,
+                    offset: call.received(),
+                },
+            );
         }
     }
 
     fn accept_frame(&mut self, key: SideKey, frame: SideFrame) {
         match frame {
-            SideFrame::Welcome { domain, targets, is_draining } => {
+            SideFrame::Welcome {
+                domain,
+                targets,
+                is_draining,
+            } => {
                 if let Some(record) = self.directory.get_mut(key) {
                     record.domain = Some(domain);
                     record.targets = targets;
@@ -245,7 +280,10 @@
             if let Some(key) = self.directory.add(address) {
                 self.dial(key, context);
             }
-            let known = self.directory.iter_mut().find(|(_, side)| side.address == address);
+            let known = self
+                .directory
+                .iter_mut()
+                .find(|(_, side)| side.address == address);
             if let Some((_, record)) = known
                 && state == HostState::Leaving
             {
@@ -262,7 +300,9 @@
         self.next_generation += 1;
         let generation = self.next_generation;
         let incarnation = link.peer().incarnation;
-        let Some(record) = self.directory.get_mut(key) else { return };
+        let Some(record) = self.directory.get_mut(key) else {
+            return;
+        };
         let is_same = record.incarnation == Some(incarnation);
         info!(self.options.logger, "link to side process opened"; "side" => &link.peer().process);
         let (sender, receiver) = link.split();
@@ -296,7 +336,10 @@
 
     fn handle(&mut self, event: SideEvent, context: &mut Context<Self>) {
         let key = event.key;
-        let is_present = self.directory.get(key).is_some_and(|side| side.generation == event.generation);
+        let is_present = self
+            .directory
+            .get(key)
+            .is_some_and(|side| side.generation == event.generation);
         if !is_present {
             return;
         }
@@ -323,10 +366,13 @@
             return self.refuse(id, problem.retry_after(1));
         }
         let Some((side, target)) = self.directory.choose(&place.request.kind, &[]) else {
-            let problem = ProblemReport::not_run(ProblemCode::NoTarget, "no target serves the request at present");
+            let problem =
+                ProblemReport::not_run(ProblemCode::NoTarget, "no target serves the request at present");
             return self.refuse(id, problem.retry_after(1));
         };
-        place.pipe.set_credit(context.address().recipient::<CreditGrant>());
+        place
+            .pipe
+            .set_credit(context.address().recipient::<CreditGrant>());
         let timeout = Duration::from_millis(u64::from(place.request.timeout_ms));
         let order = DispatchOrder {
             request: place.request,
@@ -395,4 +441,3 @@
         self.config = Some(push);
     }
 }
-
--- a/crates/ebony_entry/src/dispatch/call.rs
+++ b/crates/ebony_entry/src/dispatch/call.rs
@@ -58,7 +58,10 @@
             avoided: Vec::new(),
             may_have_run: false,
             assembly: AnswerAssembly::default(),
-            head: AnswerHead { status: 0, headers: Vec::new() },
+            head: AnswerHead {
+                status: 0,
+                headers: Vec::new(),
+            },
             body: BytesMut::new(),
             withheld: Bytes::new(),
             is_ending: false,
@@ -72,8 +75,8 @@
 
     /// Returns `true` if the call may run once more after an attempt with the given verdict.
     pub(super) fn may_retry(&self, verdict: RunVerdict) -> bool {
-        let is_idempotent =
-            self.order.request.idempotency_key.is_none() && matches!(self.order.request.kind, CallKind::Model { .. });
+        let is_idempotent = self.order.request.idempotency_key.is_none()
+            && matches!(self.order.request.kind, CallKind::Model { .. });
         let has_started = self.assembly.has_head();
         !has_started && (verdict.is_safe_to_retry() || is_idempotent)
     }
@@ -118,7 +121,11 @@
     fn accept_bytes(&mut self, bytes: Bytes) -> CallStep {
         if self.body.len() + bytes.len() > MAX_ANSWER_BYTES {
             let detail = "the answer is larger than the limit";
-            return CallStep::Failed(ProblemReport::new(ProblemCode::TargetFailed, RunVerdict::Ran, detail));
+            return CallStep::Failed(ProblemReport::new(
+                ProblemCode::TargetFailed,
+                RunVerdict::Ran,
+                detail,
+            ));
         }
         self.body.extend_from_slice(&bytes);
         let visible = self.withhold(bytes);
@@ -130,7 +137,13 @@
 
     /// Splits off the final marker, which the caller gets only when the outcome is durable.
     fn withhold(&mut self, bytes: Bytes) -> Bytes {
-        if !matches!(self.order.request.kind, CallKind::Model { is_streamed: true, .. }) {
+        if !matches!(
+            self.order.request.kind,
+            CallKind::Model {
+                is_streamed: true,
+                ..
+            }
+        ) {
             return bytes;
         }
         let bytes = join(&std::mem::take(&mut self.withheld), bytes);
@@ -145,7 +158,11 @@
     }
 
     fn push(&self, part: AnswerPart) -> CallStep {
-        if self.pipe.push(part) { CallStep::Continue } else { CallStep::Abandoned }
+        if self.pipe.push(part) {
+            CallStep::Continue
+        } else {
+            CallStep::Abandoned
+        }
     }
 }
 
--- a/crates/ebony_entry/src/dispatch/link.rs
+++ b/crates/ebony_entry/src/dispatch/link.rs
@@ -37,8 +37,22 @@
     unfold(Some(receiver), move |receiver| async move {
         let mut receiver = receiver?;
         match receiver.next().await {
-            Ok(frame) => Some((SideEvent { key, generation, frame: Some(frame) }, Some(receiver))),
-            Err(_) => Some((SideEvent { key, generation, frame: None }, None)),
+            Ok(frame) => Some((
+                SideEvent {
+                    key,
+                    generation,
+                    frame: Some(frame),
+                },
+                Some(receiver),
+            )),
+            Err(_) => Some((
+                SideEvent {
+                    key,
+                    generation,
+                    frame: None,
+                },
+                None,
+            )),
         }
     })
 }
--- a/crates/ebony_entry/src/owner/actor.rs
+++ b/crates/ebony_entry/src/owner/actor.rs
@@ -11,7 +11,9 @@
 use ebony_owner::{OwnerAction, OwnerCore, OwnerEvent, OwnerSettings, WallTime};
 use ebony_platform::table::{create_resolved, replace_resolved};
 use ebony_platform::{RowKey, RowVersion, TableService, WriteNonce};
-use ebony_types::{CallId, CallUsage, ClockTime, DomainName, ProblemCode, ProblemReport, RunVerdict, SessionId};
+use ebony_types::{
+    CallId, CallUsage, ClockTime, DomainName, ProblemCode, ProblemReport, RunVerdict, SessionId,
+};
 use ebony_wire::{ProgramView, ShardClaim};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -139,12 +141,25 @@
 
     fn carry_out(&mut self, action: OwnerAction, context: &mut Context<Self>) {
         match action {
-            OwnerAction::Dispatch { call, program, token, rank } => {
+            OwnerAction::Dispatch {
+                call,
+                program,
+                token,
+                rank,
+            } => {
                 let Some(open) = self.calls.get(&call) else { return };
                 let mut request = open.request.clone();
                 request.program = Some(program);
                 let (pipe, session) = (open.pipe(), self.core.session());
-                self.to_dispatch(|dispatch| dispatch.do_send(PlaceCall { request, token, session, rank, pipe }));
+                self.to_dispatch(|dispatch| {
+                    dispatch.do_send(PlaceCall {
+                        request,
+                        token,
+                        session,
+                        rank,
+                        pipe,
+                    })
+                });
             }
             OwnerAction::Refuse { call, problem } => {
                 if let Some(open) = self.calls.remove(&call) {
@@ -187,7 +202,9 @@
     }
 
     fn finish(&mut self, call: CallId) {
-        let Some(open) = self.calls.remove(&call) else { return };
+        let Some(open) = self.calls.remove(&call) else {
+            return;
+        };
         if let Some(side) = open.side {
             self.to_dispatch(|dispatch| dispatch.do_send(SettleCall { call, side }));
         }
@@ -195,7 +212,9 @@
     }
 
     fn replay(&mut self, call: CallId, place: BodyPlace) {
-        let Some(open) = self.calls.remove(&call) else { return };
+        let Some(open) = self.calls.remove(&call) else {
+            return;
+        };
         let storage = self.options.storage.clone();
         actix::spawn(async move {
             match storage.read_turn(place).await {
@@ -207,7 +226,8 @@
                 }
                 Err(_) => {
                     let detail = "the stored answer can't be read at present";
-                    let problem = ProblemReport::new(ProblemCode::PlatformUnavailable, RunVerdict::Ran, detail);
+                    let problem =
+                        ProblemReport::new(ProblemCode::PlatformUnavailable, RunVerdict::Ran, detail);
                     open.refuse(problem.retry_after(2));
                 }
             }
@@ -222,7 +242,9 @@
     }
 
     fn read_history(&mut self, request: u64, mut view: Box<ProgramView>, plan: HistoryPlan) {
-        let Some(reply) = self.operations.remove(&request) else { return };
+        let Some(reply) = self.operations.remove(&request) else {
+            return;
+        };
         let storage = self.options.storage.clone();
         actix::spawn(async move {
             let result = match storage.read_history(&plan).await {
@@ -260,7 +282,10 @@
         let presence = PresenceChanged {
             session: Some(self.core.session()),
             is_draining: self.is_draining,
-            shards: shards.into_iter().map(|(shard, epoch)| ShardClaim { shard, epoch }).collect(),
+            shards: shards
+                .into_iter()
+                .map(|(shard, epoch)| ShardClaim { shard, epoch })
+                .collect(),
         };
         if let Some(links) = &self.links {
             links.presence.do_send(presence);
@@ -272,7 +297,12 @@
             process: self.options.process.clone(),
             domain: self.options.domain.clone(),
             is_draining: self.is_draining,
-            shards: self.core.serving_shards().into_iter().map(|(shard, _)| shard).collect(),
+            shards: self
+                .core
+                .serving_shards()
+                .into_iter()
+                .map(|(shard, _)| shard)
+                .collect(),
         };
         serde_json::to_vec(&row).ok().map(Bytes::from)
     }
@@ -292,21 +322,27 @@
             let listed = table.list("sessions/", None, MAX_SESSIONS).await;
             (written, listed)
         };
-        let renew = renew.into_actor(self).map(move |(written, listed), actor, context| {
-            if session != actor.core.session() {
-                return;
-            }
-            let pause = if written.is_ok() { actor.options.heartbeat } else { SESSION_RETRY };
-            actor.session_version = written.ok().or(actor.session_version);
-            if let Ok(rows) = listed {
-                context.notify(SessionsListed(rows));
-            }
-            context.run_later(pause, move |actor, context| {
-                if session == actor.core.session() {
-                    actor.write_session(context);
+        let renew = renew
+            .into_actor(self)
+            .map(move |(written, listed), actor, context| {
+                if session != actor.core.session() {
+                    return;
                 }
+                let pause = if written.is_ok() {
+                    actor.options.heartbeat
+                } else {
+                    SESSION_RETRY
+                };
+                actor.session_version = written.ok().or(actor.session_version);
+                if let Ok(rows) = listed {
+                    context.notify(SessionsListed(rows));
+                }
+                context.run_later(pause, move |actor, context| {
+                    if session == actor.core.session() {
+                        actor.write_session(context);
+                    }
+                });
             });
-        });
         context.spawn(renew);
     }
 
@@ -316,7 +352,12 @@
         let own = self.core.session();
         if let Some(session) = sessions.iter_mut().find(|session| session.session == own) {
             session.is_draining = self.is_draining;
-            session.shards = self.core.serving_shards().into_iter().map(|(shard, _)| shard).collect();
+            session.shards = self
+                .core
+                .serving_shards()
+                .into_iter()
+                .map(|(shard, _)| shard)
+                .collect();
         }
         self.handle_event(OwnerEvent::SessionsChanged { sessions }, context);
     }
@@ -352,7 +393,11 @@
             let reply = storage.carry_out(request).await;
             Some(OwnerEvent::StorageDone { ticket, reply })
         }
-        OwnerAction::Truncate { first, last, checkpoint } => {
+        OwnerAction::Truncate {
+            first,
+            last,
+            checkpoint,
+        } => {
             storage.truncate(session, first, last, checkpoint).await;
             None
         }
--- a/crates/ebony_entry/src/owner/handlers.rs
+++ b/crates/ebony_entry/src/owner/handlers.rs
@@ -90,8 +90,15 @@
             }
         };
         pipe.set_cancel(context.address().recipient::<CancelCall>());
-        self.calls.insert(request.call, OpenCall::new(request.clone(), pipe));
-        self.handle_event(OwnerEvent::CallArrived { request: Box::new(request), messages }, context);
+        self.calls
+            .insert(request.call, OpenCall::new(request.clone(), pipe));
+        self.handle_event(
+            OwnerEvent::CallArrived {
+                request: Box::new(request),
+                messages,
+            },
+            context,
+        );
     }
 }
 
@@ -121,7 +128,12 @@
                 if let Some(open) = self.calls.get_mut(&call) {
                     open.keep_end(&answer);
                 }
-                OwnerEvent::CallFinished { call, head: answer.head, answer: answer.body, usage: answer.usage }
+                OwnerEvent::CallFinished {
+                    call,
+                    head: answer.head,
+                    answer: answer.body,
+                    usage: answer.usage,
+                }
             }
             Ok(_) => {
                 let detail = "the answer is larger than the limit";
@@ -138,7 +150,11 @@
 impl Handler<OperateProgram> for OwnerActor {
     type Result = ResponseFuture<OperationResult>;
 
-    fn handle(&mut self, OperateProgram(operation): OperateProgram, context: &mut Context<Self>) -> Self::Result {
+    fn handle(
+        &mut self,
+        OperateProgram(operation): OperateProgram,
+        context: &mut Context<Self>,
+    ) -> Self::Result {
         let (reply, result) = oneshot::channel();
         self.next_operation += 1;
         let request = self.next_operation;
@@ -167,6 +183,9 @@
     type Result = OwnerStatus;
 
     fn handle(&mut self, _: ReadStatus, _: &mut Context<Self>) -> OwnerStatus {
-        OwnerStatus { shards: self.core.serving_shards().len(), calls: self.calls.len() }
+        OwnerStatus {
+            shards: self.core.serving_shards().len(),
+            calls: self.calls.len(),
+        }
     }
 }
--- a/crates/ebony_entry/src/owner/members.rs
+++ b/crates/ebony_entry/src/owner/members.rs
@@ -41,13 +41,21 @@
 impl MemberBook {
     /// Takes over a listing of all session rows.
     pub(super) fn list(&mut self, rows: Vec<(SessionId, u64, SessionRow)>, now: ClockTime) {
-        self.rows.retain(|session, _| rows.iter().any(|(listed, _, _)| listed == session));
+        self.rows
+            .retain(|session, _| rows.iter().any(|(listed, _, _)| listed == session));
         for (session, version, row) in rows {
             let renewed = match self.rows.get(&session) {
                 Some(seen) if seen.version == version => seen.renewed,
                 _ => now,
             };
-            self.rows.insert(session, SeenRow { row, version, renewed });
+            self.rows.insert(
+                session,
+                SeenRow {
+                    row,
+                    version,
+                    renewed,
+                },
+            );
         }
     }
 
@@ -61,21 +69,32 @@
 
     /// Returns the live sessions: those whose row was renewed within `lease`.
     pub(super) fn live(&self, lease: Duration, now: ClockTime) -> Vec<LiveSession> {
-        let live = self.rows.iter().filter(|(_, seen)| now.since(seen.renewed) < lease);
-        let mut sessions: Vec<LiveSession> = live.map(|(session, seen)| self.describe(*session, &seen.row)).collect();
+        let live = self
+            .rows
+            .iter()
+            .filter(|(_, seen)| now.since(seen.renewed) < lease);
+        let mut sessions: Vec<LiveSession> = live
+            .map(|(session, seen)| self.describe(*session, &seen.row))
+            .collect();
         sessions.sort_by_key(|session| session.session);
         sessions
     }
 
     /// Returns the sessions whose row was not renewed for ten times the lease.
     pub(super) fn abandoned(&self, lease: Duration, now: ClockTime) -> Vec<SessionId> {
-        let abandoned = self.rows.iter().filter(|(_, seen)| now.since(seen.renewed) > lease * 10);
+        let abandoned = self
+            .rows
+            .iter()
+            .filter(|(_, seen)| now.since(seen.renewed) > lease * 10);
         abandoned.map(|(session, _)| *session).collect()
     }
 
     /// A link's news is fresher than the row.
     fn describe(&self, session: SessionId, row: &SessionRow) -> LiveSession {
-        let presence = self.presence.values().find(|presence| presence.session == Some(session));
+        let presence = self
+            .presence
+            .values()
+            .find(|presence| presence.session == Some(session));
         LiveSession {
             session,
             domain: row.domain.clone(),
--- a/crates/ebony_entry/src/owner/open_call.rs
+++ b/crates/ebony_entry/src/owner/open_call.rs
@@ -19,7 +19,13 @@
 
 impl OpenCall {
     pub(super) fn new(request: CallRequest, pipe: Arc<AnswerPipe>) -> Self {
-        Self { request, side: None, pipe, usage: CallUsage::default(), withheld: Bytes::new() }
+        Self {
+            request,
+            side: None,
+            pipe,
+            usage: CallUsage::default(),
+            withheld: Bytes::new(),
+        }
     }
 
     pub(super) fn pipe(&self) -> Arc<AnswerPipe> {
--- a/crates/ebony_entry/src/owner/storage.rs
+++ b/crates/ebony_entry/src/owner/storage.rs
@@ -43,7 +43,10 @@
 
 fn stored_row(record: RowRecord) -> Option<StoredRow> {
     let sequence = record.key.0.rsplit('/').next()?.parse().ok()?;
-    Some(StoredRow { sequence, row: record.value })
+    Some(StoredRow {
+        sequence,
+        row: record.value,
+    })
 }
 
 impl StorageClient {
@@ -55,7 +58,11 @@
     /// Stores a row of a journal, its bodies first.
     pub async fn append(&self, session: SessionId, append: AppendRow) -> AppendOutcome {
         if let Some(bodies) = append.bodies
-            && self.objects.put(&bodies_key(session, append.sequence), bodies).await.is_err()
+            && self
+                .objects
+                .put(&bodies_key(session, append.sequence), bodies)
+                .await
+                .is_err()
         {
             return AppendOutcome::Unavailable;
         }
@@ -69,14 +76,19 @@
 
     /// Stores a checkpoint; returns whether it is stored.
     pub async fn store_checkpoint(&self, session: SessionId, sequence: u64, bytes: Bytes) -> bool {
-        self.objects.put(&checkpoint_key(session, sequence), bytes).await.is_ok()
+        self.objects
+            .put(&checkpoint_key(session, sequence), bytes)
+            .await
+            .is_ok()
     }
 
     /// Deletes rows that a checkpoint includes. Failures do no harm.
     pub async fn truncate(&self, session: SessionId, first: u64, last: u64, checkpoint: Option<u64>) {
         for sequence in first..=last {
             let key = journal_key(session, sequence);
-            let Ok(Some(row)) = self.table.read(&key).await else { continue };
+            let Ok(Some(row)) = self.table.read(&key).await else {
+                continue;
+            };
             // A row that stays takes space only.
             let _ = self.table.delete(&key, row.version).await;
         }
@@ -98,8 +110,12 @@
     ///
     /// Returns [`PlatformError`] if it can't be read or is malformed.
     pub async fn read_turn(&self, place: BodyPlace) -> Result<TurnBody> {
-        let object = self.objects.get(&bodies_key(place.session, place.sequence)).await?;
-        let object = object.ok_or_else(|| PlatformError::Malformed("the stored answer is missing".to_owned()))?;
+        let object = self
+            .objects
+            .get(&bodies_key(place.session, place.sequence))
+            .await?;
+        let object =
+            object.ok_or_else(|| PlatformError::Malformed("the stored answer is missing".to_owned()))?;
         TurnBody::from_object(&object, place).map_err(|error| PlatformError::Malformed(error.to_string()))
     }
 
@@ -111,10 +127,17 @@
     pub async fn read_history(&self, plan: &HistoryPlan) -> Result<Bytes> {
         let mut bodies = Vec::with_capacity(plan.places.len());
         for place in &plan.places {
-            let object = self.objects.get(&bodies_key(place.session, place.sequence)).await?;
+            let object = self
+                .objects
+                .get(&bodies_key(place.session, place.sequence))
+                .await?;
             let start = place.span.offset as usize;
             let end = start + place.span.length as usize;
-            bodies.push(object.filter(|object| end <= object.len()).map(|object| object.slice(start..end)));
+            bodies.push(
+                object
+                    .filter(|object| end <= object.len())
+                    .map(|object| object.slice(start..end)),
+            );
         }
         assemble_history(plan, &bodies).map_err(|error| PlatformError::Malformed(error.to_string()))
     }
@@ -123,22 +146,38 @@
     pub async fn carry_out(&self, request: StorageRequest) -> StorageReply {
         let reply = match request {
             StorageRequest::ReadShardRow { shard } => self.read_shard(shard).await,
-            StorageRequest::ReplaceShardRow { shard, version, row, nonce } => {
-                self.replace_shard(shard, version, row, nonce).await
-            }
-            StorageRequest::ReadJournal { session, after, limit } => {
-                self.read_journal(session, after, limit).await
-            }
-            StorageRequest::SealJournal { session, sequence, row, nonce } => {
+            StorageRequest::ReplaceShardRow {
+                shard,
+                version,
+                row,
+                nonce,
+            } => self.replace_shard(shard, version, row, nonce).await,
+            StorageRequest::ReadJournal {
+                session,
+                after,
+                limit,
+            } => self.read_journal(session, after, limit).await,
+            StorageRequest::SealJournal {
+                session,
+                sequence,
+                row,
+                nonce,
+            } => {
                 let key = journal_key(session, sequence);
-                create_resolved(&*self.table, &key, row, WriteNonce(nonce)).await.map(|_| StorageReply::Sealed)
-            }
-            StorageRequest::ReadCheckpoint { session, sequence } => {
-                self.objects.get(&checkpoint_key(session, sequence)).await.map(StorageReply::Object)
-            }
-            StorageRequest::ReadBodies { session, sequence } => {
-                self.objects.get(&bodies_key(session, sequence)).await.map(StorageReply::Object)
+                create_resolved(&*self.table, &key, row, WriteNonce(nonce))
+                    .await
+                    .map(|_| StorageReply::Sealed)
             }
+            StorageRequest::ReadCheckpoint { session, sequence } => self
+                .objects
+                .get(&checkpoint_key(session, sequence))
+                .await
+                .map(StorageReply::Object),
+            StorageRequest::ReadBodies { session, sequence } => self
+                .objects
+                .get(&bodies_key(session, sequence))
+                .await
+                .map(StorageReply::Object),
         };
         reply.unwrap_or_else(|error| match error {
             PlatformError::Conflict => StorageReply::Conflict,
@@ -148,7 +187,10 @@
 
     async fn read_shard(&self, shard: ShardKey) -> Result<StorageReply> {
         let row = self.table.read(&shard_key(shard)).await?;
-        let row = row.map(|record| StoredShardRow { version: record.version.0, row: record.value });
+        let row = row.map(|record| StoredShardRow {
+            version: record.version.0,
+            row: record.value,
+        });
         Ok(StorageReply::ShardRow(row))
     }
 
@@ -169,7 +211,12 @@
 
     async fn read_journal(&self, session: SessionId, after: u64, limit: u32) -> Result<StorageReply> {
         let after = (after > 0).then(|| journal_key(session, after));
-        let rows = self.table.list(&journal_prefix(session), after.as_ref(), limit).await?;
-        Ok(StorageReply::JournalRows(rows.into_iter().filter_map(stored_row).collect()))
+        let rows = self
+            .table
+            .list(&journal_prefix(session), after.as_ref(), limit)
+            .await?;
+        Ok(StorageReply::JournalRows(
+            rows.into_iter().filter_map(stored_row).collect(),
+        ))
     }
 }
--- a/crates/ebony_entry/src/peers/actor.rs
+++ b/crates/ebony_entry/src/peers/actor.rs
@@ -4,7 +4,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use actix::{Actor, ActorFutureExt, Addr, AsyncContext, Context, Handler, Recipient, ResponseFuture, WrapFuture};
+use actix::{
+    Actor, ActorFutureExt, Addr, AsyncContext, Context, Handler, Recipient, ResponseFuture, WrapFuture,
+};
 use ebony_link::{LinkIdentity, LinkListener, LinkOptions, LinkReceiver, dial};
 use ebony_types::{CallRequest, ProblemCode, ProblemReport};
 use ebony_wire::{ConfigPush, ConfigStatus, PeerFrame};
@@ -16,8 +18,8 @@
 
 use super::incoming::IncomingLink;
 use super::messages::{
-    ForwardCall, ForwardOperation, IncomingEvent, IncomingKey, OperateProgram, OperationResult, OutgoingEvent,
-    PeerLinkUp, PeerPresence, PeersListed, PresenceChanged, StartCall,
+    ForwardCall, ForwardOperation, IncomingEvent, IncomingKey, OperateProgram, OperationResult,
+    OutgoingEvent, PeerLinkUp, PeerPresence, PeersListed, PresenceChanged, StartCall,
 };
 use super::outgoing::{ForwardedWork, PeerRecord};
 use super::router::{PeerKey, ShardRoute, ShardRouter};
@@ -108,7 +110,9 @@
     }
 
     fn dial(&self, peer: PeerKey, address: Addr<Self>) {
-        let Some(record) = self.peers.get(peer) else { return };
+        let Some(record) = self.peers.get(peer) else {
+            return;
+        };
         let target = record.address;
         let (identity, options) = (self.options.identity.clone(), self.options.link.clone());
         actix::spawn(async move {
@@ -121,7 +125,9 @@
     }
 
     fn accept_next(&mut self, context: &mut Context<Self>) {
-        let Some(mut listener) = self.listener.take() else { return };
+        let Some(mut listener) = self.listener.take() else {
+            return;
+        };
         let next = async move {
             let link = listener.next().await;
             (listener, link)
@@ -137,18 +143,25 @@
     }
 
     fn start_forwarded(&mut self, key: IncomingKey, request: CallRequest) {
-        let Some(link) = self.incoming.get_mut(key) else { return };
+        let Some(link) = self.incoming.get_mut(key) else {
+            return;
+        };
         let pipe = Arc::new(AnswerPipe::new(request.call));
         link.return_answer(Arc::clone(&pipe));
         self.options.start.do_send(StartCall { request, pipe });
     }
 
     fn operate_forwarded(&self, key: IncomingKey, request: u64, operation: ebony_wire::ProgramOperation) {
-        let Some(link) = self.incoming.get(key) else { return };
+        let Some(link) = self.incoming.get(key) else {
+            return;
+        };
         let (operate, sender) = (self.options.operate.clone(), link.sender.clone());
         actix::spawn(async move {
             let unavailable = || ProblemReport::not_run(ProblemCode::Overloaded, "the owner is too busy");
-            let result = operate.send(OperateProgram(operation)).await.unwrap_or_else(|_| Err(unavailable()));
+            let result = operate
+                .send(OperateProgram(operation))
+                .await
+                .unwrap_or_else(|_| Err(unavailable()));
             // The requester learns of a lost link by itself.
             let _ = sender.send(&PeerFrame::Operated { request, result });
         });
@@ -156,9 +169,17 @@
 
     fn accept_outgoing(&mut self, peer: PeerKey, frame: PeerFrame) {
         match frame {
-            PeerFrame::Presence { session, is_draining, shards } => {
+            PeerFrame::Presence {
+                session,
+                is_draining,
+                shards,
+            } => {
                 self.options.router.set_claims(ShardRoute::Peer(peer), &shards);
-                let presence = Some(PresenceChanged { session, is_draining, shards });
+                let presence = Some(PresenceChanged {
+                    session,
+                    is_draining,
+                    shards,
+                });
                 self.options.presence.do_send(PeerPresence { peer, presence });
             }
             PeerFrame::Answer(frame) => {
@@ -211,7 +232,9 @@
 
     fn started(&mut self, context: &mut Self::Context) {
         self.accept_next(context);
-        context.run_interval(HEARTBEAT, |actor, _| actor.broadcast_outgoing(&PeerFrame::Ping { nonce: 0 }));
+        context.run_interval(HEARTBEAT, |actor, _| {
+            actor.broadcast_outgoing(&PeerFrame::Ping { nonce: 0 })
+        });
     }
 }
 
@@ -223,8 +246,22 @@
     unfold(Some(receiver), move |receiver| async move {
         let mut receiver = receiver?;
         match receiver.next().await {
-            Ok(frame) => Some((OutgoingEvent { peer, generation, frame: Some(frame) }, Some(receiver))),
-            Err(_) => Some((OutgoingEvent { peer, generation, frame: None }, None)),
+            Ok(frame) => Some((
+                OutgoingEvent {
+                    peer,
+                    generation,
+                    frame: Some(frame),
+                },
+                Some(receiver),
+            )),
+            Err(_) => Some((
+                OutgoingEvent {
+                    peer,
+                    generation,
+                    frame: None,
+                },
+                None,
+            )),
         }
     })
 }
@@ -233,7 +270,13 @@
     unfold(Some(receiver), move |receiver| async move {
         let mut receiver = receiver?;
         match receiver.next().await {
-            Ok(frame) => Some((IncomingEvent { key, frame: Some(frame) }, Some(receiver))),
+            Ok(frame) => Some((
+                IncomingEvent {
+                    key,
+                    frame: Some(frame),
+                },
+                Some(receiver),
+            )),
             Err(_) => Some((IncomingEvent { key, frame: None }, None)),
         }
     })
@@ -247,13 +290,19 @@
             record.is_listed = addresses.contains(&record.address);
         }
         // A peer that is neither listed nor linked is gone.
-        self.peers.retain(|_, record| record.is_listed || record.sender.is_some());
+        self.peers
+            .retain(|_, record| record.is_listed || record.sender.is_some());
         for address in addresses {
             let is_known = self.peers.values().any(|record| record.address == address);
             if is_known || address == self.own_address {
                 continue;
             }
-            let record = PeerRecord { address, sender: None, generation: 0, is_listed: true };
+            let record = PeerRecord {
+                address,
+                sender: None,
+                generation: 0,
+                is_listed: true,
+            };
             let peer = self.peers.insert(record);
             self.dial(peer, context.address());
         }
@@ -277,7 +326,9 @@
             PeerLinkUp::Dialed(peer, link) => {
                 self.next_generation += 1;
                 let generation = self.next_generation;
-                let Some(record) = self.peers.get_mut(peer) else { return };
+                let Some(record) = self.peers.get_mut(peer) else {
+                    return;
+                };
                 info!(self.options.logger, "link to entry opened"; "peer" => &link.peer().process);
                 let (sender, receiver) = link.split();
                 record.sender = Some(sender);
@@ -288,7 +339,9 @@
                 }
             }
             PeerLinkUp::DialFailed(peer) => {
-                context.run_later(HEARTBEAT, move |actor, context| actor.dial(peer, context.address()));
+                context.run_later(HEARTBEAT, move |actor, context| {
+                    actor.dial(peer, context.address())
+                });
             }
         }
     }
@@ -299,7 +352,11 @@
 
     fn handle(&mut self, event: OutgoingEvent, context: &mut Context<Self>) {
         let peer = event.peer;
-        if self.peers.get(peer).is_none_or(|record| record.generation != event.generation) {
+        if self
+            .peers
+            .get(peer)
+            .is_none_or(|record| record.generation != event.generation)
+        {
             return;
         }
         match event.frame {
@@ -311,7 +368,9 @@
                 }
                 self.options.router.set_claims(ShardRoute::Peer(peer), &[]);
                 self.work.lose(peer);
-                self.options.presence.do_send(PeerPresence { peer, presence: None });
+                self.options
+                    .presence
+                    .do_send(PeerPresence { peer, presence: None });
                 self.dial(peer, context.address());
             }
         }
@@ -359,14 +418,26 @@
 
     fn handle(&mut self, message: ForwardOperation, _: &mut Context<Self>) -> Self::Result {
         let (reply, result) = oneshot::channel();
-        let not_run = |detail| Err(ProblemReport::not_run(ProblemCode::OwnerUnavailable, detail).retry_after(1));
+        let not_run =
+            |detail| Err(ProblemReport::not_run(ProblemCode::OwnerUnavailable, detail).retry_after(1));
         let Some(request) = self.work.add_operation(message.peer, reply) else {
             return Box::pin(async move { not_run("too many operations are under way") });
         };
-        if !self.send(message.peer, &PeerFrame::Operate { request, operation: message.operation }) {
-            self.work.end_operation(request, not_run("the owner is not reachable"));
+        if !self.send(
+            message.peer,
+            &PeerFrame::Operate {
+                request,
+                operation: message.operation,
+            },
+        ) {
+            self.work
+                .end_operation(request, not_run("the owner is not reachable"));
         }
-        Box::pin(async move { result.await.unwrap_or_else(|_| not_run("the owner is not reachable")) })
+        Box::pin(async move {
+            result
+                .await
+                .unwrap_or_else(|_| not_run("the owner is not reachable"))
+        })
     }
 }
 
@@ -396,7 +467,9 @@
     type Result = ();
 
     fn handle(&mut self, presence: PresenceChanged, _: &mut Context<Self>) {
-        self.options.router.set_claims(ShardRoute::Local, &presence.shards);
+        self.options
+            .router
+            .set_claims(ShardRoute::Local, &presence.shards);
         self.presence = presence;
         self.broadcast_incoming(&self.presence_frame());
     }
@@ -419,4 +492,3 @@
         self.status = status;
     }
 }
-
--- a/crates/ebony_entry/src/peers/incoming.rs
+++ b/crates/ebony_entry/src/peers/incoming.rs
@@ -26,14 +26,20 @@
 
 impl IncomingLink {
     pub(super) fn new(sender: LinkSender<PeerFrame>) -> Self {
-        Self { sender, calls: HashMap::new() }
+        Self {
+            sender,
+            calls: HashMap::new(),
+        }
     }
 
     /// Sends an answer back as it arrives in the pipe. Must be called within a local task set.
     pub(super) fn return_answer(&mut self, pipe: Arc<AnswerPipe>) {
         self.calls.retain(|_, answer| !answer.credit.is_closed());
         let credit = Arc::new(Semaphore::new(ANSWER_WINDOW_BYTES as usize));
-        let answer = ReturnedAnswer { pipe: Arc::clone(&pipe), credit: Arc::clone(&credit) };
+        let answer = ReturnedAnswer {
+            pipe: Arc::clone(&pipe),
+            credit: Arc::clone(&credit),
+        };
         self.calls.insert(pipe.call(), answer);
         actix::spawn(send_answer(self.sender.clone(), pipe, credit));
     }
@@ -71,13 +77,19 @@
             AnswerPart::Head(head) => AnswerFrame::Head { call, head },
             AnswerPart::Bytes(bytes) => {
                 let length = u32::try_from(bytes.len()).unwrap_or(u32::MAX);
-                let Ok(permits) = credit.acquire_many(length).await else { return };
+                let Ok(permits) = credit.acquire_many(length).await else {
+                    return;
+                };
                 permits.forget();
                 let frame = AnswerFrame::Chunk { call, offset, bytes };
                 offset += u64::from(length);
                 frame
             }
-            AnswerPart::End(usage) => AnswerFrame::End { call, length: offset, usage },
+            AnswerPart::End(usage) => AnswerFrame::End {
+                call,
+                length: offset,
+                usage,
+            },
             AnswerPart::Failed(problem) => AnswerFrame::Failed { call, problem },
         };
         if sender.send(&PeerFrame::Answer(frame)).is_err() {
--- a/crates/ebony_entry/src/peers/mod.rs
+++ b/crates/ebony_entry/src/peers/mod.rs
@@ -8,6 +8,7 @@
 
 pub use actor::{PeerActor, PeerOptions};
 pub use messages::{
-    ForwardCall, ForwardOperation, OperateProgram, OperationResult, PeerPresence, PeersListed, PresenceChanged, StartCall,
+    ForwardCall, ForwardOperation, OperateProgram, OperationResult, PeerPresence, PeersListed,
+    PresenceChanged, StartCall,
 };
 pub use router::{PeerKey, RouteState, ShardRoute, ShardRouter};
--- a/crates/ebony_entry/src/peers/outgoing.rs
+++ b/crates/ebony_entry/src/peers/outgoing.rs
@@ -52,7 +52,11 @@
         if self.calls.len() >= MAX_FORWARDED_CALLS {
             return false;
         }
-        let call = ForwardedCall { peer, pipe: Arc::clone(&pipe), assembly: AnswerAssembly::default() };
+        let call = ForwardedCall {
+            peer,
+            pipe: Arc::clone(&pipe),
+            assembly: AnswerAssembly::default(),
+        };
         self.calls.insert(pipe.call(), call);
         true
     }
@@ -77,7 +81,8 @@
             return None;
         }
         self.next_request += 1;
-        self.operations.insert(self.next_request, PendingOperation { peer, reply });
+        self.operations
+            .insert(self.next_request, PendingOperation { peer, reply });
         Some(self.next_request)
     }
 
@@ -92,7 +97,9 @@
     /// Adds a part of an answer. Returns `true` if the caller is gone and the owner should hear of it.
     pub(super) fn accept(&mut self, frame: AnswerFrame) -> bool {
         let id = frame.call();
-        let Some(call) = self.calls.get_mut(&id) else { return false };
+        let Some(call) = self.calls.get_mut(&id) else {
+            return false;
+        };
         let part = match call.assembly.accept(frame) {
             AssemblyStep::Accepted | AssemblyStep::Nothing => return false,
             AssemblyStep::Head(head) => AnswerPart::Head(head),
@@ -110,15 +117,20 @@
 
     /// Ends everything that was forwarded to a peer whose link is lost.
     pub(super) fn lose(&mut self, peer: PeerKey) {
-        let problem = || ProblemReport::may_have_run(ProblemCode::OwnerUnavailable, "the link to the owner was lost");
+        let problem =
+            || ProblemReport::may_have_run(ProblemCode::OwnerUnavailable, "the link to the owner was lost");
         self.calls.retain(|_, call| {
             if call.peer == peer {
                 call.pipe.push(AnswerPart::Failed(problem().retry_after(1)));
             }
             call.peer != peer
         });
-        let lost: Vec<u64> =
-            self.operations.iter().filter(|(_, pending)| pending.peer == peer).map(|(id, _)| *id).collect();
+        let lost: Vec<u64> = self
+            .operations
+            .iter()
+            .filter(|(_, pending)| pending.peer == peer)
+            .map(|(id, _)| *id)
+            .collect();
         for request in lost {
             self.end_operation(request, Err(problem()));
         }
--- a/crates/ebony_entry/src/peers/router.rs
+++ b/crates/ebony_entry/src/peers/router.rs
@@ -45,7 +45,11 @@
 impl ShardRouter {
     /// Creates a router without routes for a fixed number of shards.
     pub fn new(shards: u16) -> Self {
-        Self { routes: Arc::default(), version: Arc::new(watch::Sender::new(0)), shards }
+        Self {
+            routes: Arc::default(),
+            version: Arc::new(watch::Sender::new(0)),
+            shards,
+        }
     }
 
     /// Returns the number of shards.
@@ -61,7 +65,9 @@
     /// Returns the shards that this process serves.
     pub fn local_shards(&self) -> Vec<ShardKey> {
         let routes = self.lock();
-        let local = routes.iter().filter(|(_, state)| state.route == ShardRoute::Local);
+        let local = routes
+            .iter()
+            .filter(|(_, state)| state.route == ShardRoute::Local);
         local.map(|(shard, _)| *shard).collect()
     }
 
@@ -84,9 +90,13 @@
     /// Replaces the claims of one process.
     pub(super) fn set_claims(&self, route: ShardRoute, claims: &[ShardClaim]) {
         let mut routes = self.lock();
-        routes.retain(|shard, state| state.route != route || claims.iter().any(|claim| claim.shard == *shard));
+        routes
+            .retain(|shard, state| state.route != route || claims.iter().any(|claim| claim.shard == *shard));
         for claim in claims.iter().filter(|claim| claim.shard.0 < self.shards) {
-            let state = RouteState { route, epoch: claim.epoch };
+            let state = RouteState {
+                route,
+                epoch: claim.epoch,
+            };
             let present = routes.entry(claim.shard).or_insert(state);
             if present.epoch <= claim.epoch {
                 *present = state;
--- a/crates/ebony_entry/src/platform.rs
+++ b/crates/ebony_entry/src/platform.rs
@@ -4,7 +4,8 @@
 
 use anyhow::Context;
 use ebony_platform::{
-    HostList, HttpHosts, HttpObjects, HttpTable, HttpWeights, ObjectStore, RequestLimits, TableService, WeightStore,
+    HostList, HttpHosts, HttpObjects, HttpTable, HttpWeights, ObjectStore, RequestLimits, TableService,
+    WeightStore,
 };
 use ebony_settings::PlatformSettings;
 
@@ -25,9 +26,15 @@
     pub(crate) fn open(settings: &PlatformSettings) -> Result<Self> {
         let limits = |timeout| RequestLimits::for_platform().with_answer_timeout(timeout);
         let table = HttpTable::open(&settings.table.url.to_string(), limits(settings.table.timeout));
-        let objects = HttpObjects::open(&settings.objects.url.to_string(), limits(settings.objects.timeout));
+        let objects = HttpObjects::open(
+            &settings.objects.url.to_string(),
+            limits(settings.objects.timeout),
+        );
         let hosts = HttpHosts::open(&settings.hosts.url.to_string(), limits(settings.hosts.timeout));
-        let weights = HttpWeights::open(&settings.weights.url.to_string(), limits(settings.weights.timeout));
+        let weights = HttpWeights::open(
+            &settings.weights.url.to_string(),
+            limits(settings.weights.timeout),
+        );
         Ok(Self {
             table: Rc::new(table.context("cannot open the table service")?),
             objects: Rc::new(objects.context("cannot open the object store")?),
--- a/crates/ebony_entry/src/process.rs
+++ b/crates/ebony_entry/src/process.rs
@@ -115,11 +115,19 @@
 }
 
 /// Reads the host list for other entries.
-fn spawn_peer_list(hosts: Rc<dyn HostList>, seeds: Vec<SocketAddr>, interval: Duration, peers: Addr<PeerActor>) {
+fn spawn_peer_list(
+    hosts: Rc<dyn HostList>,
+    seeds: Vec<SocketAddr>,
+    interval: Duration,
+    peers: Addr<PeerActor>,
+) {
     actix::spawn(async move {
         while peers.connected() {
             let listed = hosts.fetch().await.unwrap_or_default();
-            let entries = listed.iter().filter(|entry| entry.role == HostRole::Entry).map(|entry| entry.address);
+            let entries = listed
+                .iter()
+                .filter(|entry| entry.role == HostRole::Entry)
+                .map(|entry| entry.address);
             let mut addresses: Vec<SocketAddr> = entries.chain(seeds.iter().copied()).collect();
             addresses.sort_unstable();
             addresses.dedup();
@@ -143,7 +151,11 @@
         };
         let platform = PlatformAccess::open(&settings.platform)?;
         let identity = LinkIdentity {
-            key: settings.links.cluster_key.load().context("cannot load the cluster key")?,
+            key: settings
+                .links
+                .cluster_key
+                .load()
+                .context("cannot load the cluster key")?,
             process: settings.process.clone(),
             role: LinkRole::Entry,
             incarnation: ProcessIncarnation::random(&mut StdRng::from_os_rng()),
@@ -161,7 +173,9 @@
         let owner_context = mailbox::<OwnerActor>();
         let (dispatch_context, peer_context) = (mailbox::<DispatchActor>(), mailbox::<PeerActor>());
         let config_context = mailbox::<ConfigActor>();
-        let owner = owner_context.run(OwnerActor::new(owner_options(&settings, entry, &platform, &logger)));
+        let owner = owner_context.run(OwnerActor::new(owner_options(
+            &settings, entry, &platform, &logger,
+        )));
         let config = config_context.run(ConfigActor::new(ConfigOptions {
             process: settings.process.clone(),
             table: Rc::clone(&platform.table),
@@ -194,7 +208,10 @@
             publish: vec![dispatch.clone().recipient(), peers.clone().recipient()],
             status: peers.clone().recipient(),
         });
-        owner.do_send(LinkOwner { dispatch, presence: peers.clone().recipient() });
+        owner.do_send(LinkOwner {
+            dispatch,
+            presence: peers.clone().recipient(),
+        });
         spawn_peer_list(
             Rc::clone(&platform.hosts),
             entry.peers.clone(),
@@ -213,13 +230,31 @@
             BurnCell::open(&settings.region)?,
         );
         let tls = entry.callers.tls.as_ref().map(caller_tls).transpose()?;
-        let options = ServerOptions { address: entry.callers.listen, tls };
+        let options = ServerOptions {
+            address: entry.callers.listen,
+            tls,
+        };
         let callers = CallerServer::bind(options, Data::new(state))?;
         let metrics = HealthServer::bind(settings.metrics.listen, registry, health.clone())?;
-        let addresses = EntryAddresses { callers: callers.address(), links, metrics: metrics.address() };
+        let addresses = EntryAddresses {
+            callers: callers.address(),
+            links,
+            metrics: metrics.address(),
+        };
         let drain_time = settings.drain_time;
-        let parts = ProcessParts { addresses, health, view, owner, callers, metrics, drain_time };
-        Ok(Self { parts, state: PhantomData })
+        let parts = ProcessParts {
+            addresses,
+            health,
+            view,
+            owner,
+            callers,
+            metrics,
+            drain_time,
+        };
+        Ok(Self {
+            parts,
+            state: PhantomData,
+        })
     }
 
     /// Returns the bound addresses.
@@ -233,14 +268,21 @@
     ///
     /// Does not fail at present.
     pub async fn serve(self) -> Result<EntryProcess<ServingState>> {
-        let (view, owner, health) = (self.parts.view.clone(), self.parts.owner.clone(), self.parts.health.clone());
+        let (view, owner, health) = (
+            self.parts.view.clone(),
+            self.parts.owner.clone(),
+            self.parts.health.clone(),
+        );
         actix::spawn(async move {
             while view.version() == 0 || !serves_shards(&owner).await {
                 tokio::time::sleep(DRAIN_POLL).await;
             }
             health.set_ready(true);
         });
-        Ok(EntryProcess { parts: self.parts, state: PhantomData })
+        Ok(EntryProcess {
+            parts: self.parts,
+            state: PhantomData,
+        })
     }
 }
 
@@ -269,5 +311,8 @@
 }
 
 async fn is_busy(owner: &Addr<OwnerActor>) -> bool {
-    owner.send(ReadStatus).await.is_ok_and(|status| status.shards > 0 || status.calls > 0)
+    owner
+        .send(ReadStatus)
+        .await
+        .is_ok_and(|status| status.shards > 0 || status.calls > 0)
 }
--- a/crates/ebony_entry/src/tls.rs
+++ b/crates/ebony_entry/src/tls.rs
@@ -15,7 +15,10 @@
 
 fn read_certificates(path: &Path) -> Result<Vec<CertificateDer<'static>>> {
     let context = || format!("cannot read the certificates in {}", path.display());
-    CertificateDer::pem_file_iter(path).with_context(context)?.collect::<Result<_, _>>().with_context(context)
+    CertificateDer::pem_file_iter(path)
+        .with_context(context)?
+        .collect::<Result<_, _>>()
+        .with_context(context)
 }
 
 fn read_roots(path: &Path) -> Result<RootCertStore> {
--- a/crates/ebony_side/src/links.rs
+++ b/crates/ebony_side/src/links.rs
@@ -38,11 +38,20 @@
         logger: Logger,
     ) -> Self {
         let links = SlotMap::with_key();
-        Self { listener: Some(listener), domain, targets: Rc::new(targets), links, is_draining: false, logger }
+        Self {
+            listener: Some(listener),
+            domain,
+            targets: Rc::new(targets),
+            links,
+            is_draining: false,
+            logger,
+        }
     }
 
     fn accept_next(&mut self, context: &mut Context<Self>) {
-        let Some(mut listener) = self.listener.take() else { return };
+        let Some(mut listener) = self.listener.take() else {
+            return;
+        };
         let next = async move {
             let link = listener.next().await;
             (listener, link)
@@ -62,7 +71,11 @@
         let (sender, receiver) = link.split();
         let welcome = SideFrame::Welcome {
             domain: self.domain.clone(),
-            targets: self.targets.values().map(|target| target.report.clone()).collect(),
+            targets: self
+                .targets
+                .values()
+                .map(|target| target.report.clone())
+                .collect(),
             is_draining: self.is_draining,
         };
         // A new link's queue has room for its first frame.
@@ -104,7 +117,13 @@
     unfold(Some(receiver), move |receiver| async move {
         let mut receiver = receiver?;
         match receiver.next().await {
-            Ok(frame) => Some((LinkEvent { key, frame: Some(frame) }, Some(receiver))),
+            Ok(frame) => Some((
+                LinkEvent {
+                    key,
+                    frame: Some(frame),
+                },
+                Some(receiver),
+            )),
             Err(_) => Some((LinkEvent { key, frame: None }, None)),
         }
     })
--- a/crates/ebony_side/src/process.rs
+++ b/crates/ebony_side/src/process.rs
@@ -8,7 +8,7 @@
 use ebony_settings::{ProcessSettings, RoleSettings};
 use ebony_telemetry::{HealthServer, HealthState, MetricsRegistry};
 use ebony_types::ProcessIncarnation;
-use ebony_wire::{ClusterKey, LinkRole};
+use ebony_wire::LinkRole;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use serde_json::json;
@@ -53,22 +53,44 @@
         let RoleSettings::Side(side) = &settings.role else {
             anyhow::bail!("these are not the settings of a side process");
         };
-        let key = settings.links.cluster_key.read().context("cannot read the cluster key")?;
+        let key = settings
+            .links
+            .cluster_key
+            .load()
+            .context("cannot load the cluster key")?;
         let identity = LinkIdentity {
-            key: ClusterKey::from_bytes(&key)?,
+            key,
             process: settings.process.clone(),
             role: LinkRole::Side,
             incarnation: ProcessIncarnation::random(&mut StdRng::from_os_rng()),
         };
         let listener = LinkListener::bind(settings.links.listen, identity, LinkOptions::default()).await?;
-        let targets = side.targets.iter().map(OpenTarget::open).collect::<Result<Vec<_>>>()?;
-        let targets = targets.into_iter().map(|target| (target.report.target.clone(), target)).collect();
+        let targets = side
+            .targets
+            .iter()
+            .map(OpenTarget::open)
+            .collect::<Result<Vec<_>>>()?;
+        let targets = targets
+            .into_iter()
+            .map(|target| (target.report.target.clone(), target))
+            .collect();
         let health = HealthState::default();
-        let server = HealthServer::bind(settings.metrics.listen, MetricsRegistry::default(), health.clone())?;
-        let addresses = SideAddresses { links: listener.address(), metrics: server.address() };
+        let server = HealthServer::bind(
+            settings.metrics.listen,
+            MetricsRegistry::default(),
+            health.clone(),
+        )?;
+        let addresses = SideAddresses {
+            links: listener.address(),
+            metrics: server.address(),
+        };
         SideActor::new(listener, settings.failure_domain, targets, logger).start();
         health.set_ready(true);
-        Ok(Self { addresses, health, server })
+        Ok(Self {
+            addresses,
+            health,
+            server,
+        })
     }
 
     /// Returns the bound addresses.
--- a/crates/ebony_side/src/run.rs
+++ b/crates/ebony_side/src/run.rs
@@ -36,8 +36,13 @@
     send: &impl Fn(AnswerFrame),
 ) -> Result<()> {
     let call = order.request.call;
-    let answer = start(adapter, &order.request).await.map_err(|error| target_problem(&error))?;
-    let head = AnswerHead { status: answer.status, headers: answer.headers };
+    let answer = start(adapter, &order.request)
+        .await
+        .map_err(|error| target_problem(&error))?;
+    let head = AnswerHead {
+        status: answer.status,
+        headers: answer.headers,
+    };
     send(AnswerFrame::Head { call, head });
     let mut body = answer.body;
     let mut sent = SentBody::new(call);
@@ -45,27 +50,50 @@
         let bytes = part.map_err(|error| target_problem(&error))?;
         sent.send(&bytes, send);
     }
-    send(AnswerFrame::End { call, length: sent.length, usage: sent.usage() });
+    send(AnswerFrame::End {
+        call,
+        length: sent.length,
+        usage: sent.usage(),
+    });
     Ok(())
 }
 
 async fn start(adapter: &TargetAdapter, request: &CallRequest) -> Result<ServiceAnswer, PlatformError> {
     match (adapter, &request.kind) {
         (TargetAdapter::Engine(engine), CallKind::Model { .. }) => {
-            let program = request.program.ok_or_else(|| PlatformError::Refused("no program".to_owned()))?;
+            let program = request
+                .program
+                .ok_or_else(|| PlatformError::Refused("no program".to_owned()))?;
             let body = request.body.clone();
-            engine.complete(EngineCall { call: request.call, program, priority: 0, body }).await
+            engine
+                .complete(EngineCall {
+                    call: request.call,
+                    program,
+                    priority: 0,
+                    body,
+                })
+                .await
         }
         (TargetAdapter::Service(service), CallKind::Service { method, path, .. }) => {
             let mut headers = request.headers.clone();
             if let Some(key) = &request.idempotency_key {
                 let name = "idempotency-key".to_owned();
-                headers.push(ebony_types::HeaderField { name, value: key.to_string() });
+                headers.push(ebony_types::HeaderField {
+                    name,
+                    value: key.to_string(),
+                });
             }
-            let call = ServiceCall { method: method.clone(), path: path.clone(), headers, body: request.body.clone() };
+            let call = ServiceCall {
+                method: method.clone(),
+                path: path.clone(),
+                headers,
+                body: request.body.clone(),
+            };
             service.send(call).await
         }
-        _ => Err(PlatformError::Refused("the target does not serve this kind of call".to_owned())),
+        _ => Err(PlatformError::Refused(
+            "the target does not serve this kind of call".to_owned(),
+        )),
     }
 }
 
@@ -82,7 +110,11 @@
 
 impl SentBody {
     fn new(call: CallId) -> Self {
-        Self { call, length: 0, tail: Vec::new() }
+        Self {
+            call,
+            length: 0,
+            tail: Vec::new(),
+        }
     }
 
     fn send(&mut self, bytes: &Bytes, send: &impl Fn(AnswerFrame)) {
@@ -90,7 +122,11 @@
             let part = bytes.slice(start..bytes.len().min(start + MAX_CHUNK_BYTES));
             let offset = self.length;
             self.length += part.len() as u64;
-            send(AnswerFrame::Chunk { call: self.call, offset, bytes: part });
+            send(AnswerFrame::Chunk {
+                call: self.call,
+                offset,
+                bytes: part,
+            });
         }
         self.tail.extend_from_slice(bytes);
         let excess = self.tail.len().saturating_sub(USAGE_TAIL_BYTES);
@@ -100,10 +136,14 @@
     /// Returns the usage that the end of a chat completion states.
     fn usage(&self) -> CallUsage {
         let text = String::from_utf8_lossy(&self.tail);
-        let Some(position) = text.rfind("\"usage\":") else { return CallUsage::default() };
+        let Some(position) = text.rfind("\"usage\":") else {
+            return CallUsage::default();
+        };
         let value = &text[position + "\"usage\":".len()..];
         let mut values = serde_json::Deserializer::from_str(value).into_iter::<Value>();
-        let Some(Ok(usage)) = values.next() else { return CallUsage::default() };
+        let Some(Ok(usage)) = values.next() else {
+            return CallUsage::default();
+        };
         let number = |value: &Value| u32::try_from(value.as_u64().unwrap_or(0)).unwrap_or(u32::MAX);
         CallUsage {
             prompt_tokens: number(&usage["prompt_tokens"]),
--- a/crates/ebony_wire/src/peer_frame.rs
+++ b/crates/ebony_wire/src/peer_frame.rs
@@ -2,7 +2,8 @@
 
 use bytes::Bytes;
 use ebony_types::{
-    BudgetUse, CallId, CallRequest, CallerName, FencingToken, ProblemReport, ProgramBudget, ProgramId, SessionId, ShardKey,
+    BudgetUse, CallId, CallRequest, CallerName, FencingToken, ProblemReport, ProgramBudget, ProgramId,
+    SessionId, ShardKey,
 };
 use serde::{Deserialize, Serialize};
 
--- a/src/command.rs
+++ b/src/command.rs
@@ -9,8 +9,10 @@
 #[derive(Debug)]
 #[derive(Parser)]
 #[command(name = "ebonyswitch", version, about, long_about = None)]
-#[command(after_help = "Exit codes: 0 stopped as planned, 1 failed, 2 settings or arguments are wrong.\n\
-    A first SIGTERM or SIGINT stops gracefully; a second one stops at once.")]
+#[command(
+    after_help = "Exit codes: 0 stopped as planned, 1 failed, 2 settings or arguments are wrong.\n\
+    A first SIGTERM or SIGINT stops gracefully; a second one stops at once."
+)]
 pub(crate) struct DaemonCommand {
     /// What to run.
     #[command(subcommand)]
--- a/src/run.rs
+++ b/src/run.rs
@@ -89,10 +89,19 @@
         }
     };
     if settings.role.role() != role {
-        eprintln!("{}: these are the settings of a {}, not of a {role}", file.display(), settings.role.role());
+        eprintln!(
+            "{}: these are the settings of a {}, not of a {role}",
+            file.display(),
+            settings.role.role()
+        );
         return ExitCode::from(EXIT_SETTINGS);
     }
-    let (logger, guard) = open_logger(&settings.process, role.as_str(), settings.log.format, settings.log.level);
+    let (logger, guard) = open_logger(
+        &settings.process,
+        role.as_str(),
+        settings.log.format,
+        settings.log.level,
+    );
     let result = actix_rt::System::new().block_on(async {
         let mut signals = StopSignals::open().context("cannot take over signals")?;
         body(settings, logger.clone(), &mut signals).await
--- a/src/stop.rs
+++ b/src/stop.rs
@@ -16,7 +16,10 @@
 impl StopSignals {
     /// Takes over the signals.
     pub(crate) fn open() -> Result<Self> {
-        Ok(Self { terminate: signal(SignalKind::terminate())?, interrupt: signal(SignalKind::interrupt())? })
+        Ok(Self {
+            terminate: signal(SignalKind::terminate())?,
+            interrupt: signal(SignalKind::interrupt())?,
+        })
     }
 
     /// Waits for the next signal.
