Add the configuration document and its holder

The document has fleet defaults, exceptions with scope, reason and author, callers, operators and objectives, and is validated as a whole. A holder keeps the version in force in one process: it only rises, and a process that has not learned the newest version cannot be turned into a serving one.

--- a/crates/ebony_config/src/lib.rs
+++ b/crates/ebony_config/src/lib.rs
@@ -1,1 +1,47 @@
-//! The configuration document: fleet defaults, exceptions with reasons, and versions that only rise.
+//! The fleet-wide configuration: one document with defaults and exceptions, whose version only rises.
+//!
+//! - [`ConfigDocument`] holds the values, callers, operators and objectives, and is validated as a whole.
+//! - [`ConfigPatch`] is a change to it, and [`ConfigUpdate`] is what travels over links.
+//! - [`ConfigHolder`] is the version in force in one process; it accepts higher versions only.
+//!
+//! The crate does no I/O and has no clock: it takes events and times, and returns decisions.
+
+pub mod caller;
+pub mod cell;
+pub mod document;
+pub mod exception;
+mod hex_text;
+pub mod holder;
+pub mod issue;
+pub mod key_digest;
+pub mod name;
+pub mod objective;
+pub mod patch;
+pub mod resolve;
+pub mod update;
+pub mod validate;
+pub mod values;
+pub mod wall_time;
+
+/// Re-exports the types that most users need.
+pub mod prelude {
+    pub use crate::caller::{CallerRecord, CallerTable, CallerView};
+    pub use crate::cell::ConfigCell;
+    pub use crate::document::{ConfigDocument, MAX_DOCUMENT_BYTES, OperatorRecord};
+    pub use crate::exception::{ConfigException, ExceptionScope, ExceptionTable};
+    pub use crate::holder::{
+        BlockedHolder, ConfigAudience, ConfigHolder, ConfigLag, LearningState, OfferOutcome,
+        PROPAGATION_DEADLINE, ServeBlock, ServingState, VersionSource,
+    };
+    pub use crate::issue::{ConfigIssue, ConfigReport, IssueKind};
+    pub use crate::key_digest::KeyDigest;
+    pub use crate::name::{ExceptionName, GroupName, OperatorName};
+    pub use crate::objective::{GroupObjective, LatencyObjective};
+    pub use crate::patch::{ConfigPatch, MapPatch};
+    pub use crate::resolve::ResolveScope;
+    pub use crate::update::{ConfigDelta, ConfigUpdate};
+    pub use crate::values::{FleetValues, ValueChanges};
+    pub use crate::wall_time::WallTime;
+}
+
+pub use prelude::*;
