--- a/crates/ebony_entry/src/caller_api/auth.rs
+++ b/crates/ebony_entry/src/caller_api/auth.rs
@@ -8,7 +8,7 @@
 use crate::config::ConfigView;
 
 /// The result of authentication.
-pub type Result<T, E = ProblemReport> = std::result::Result<T, E>;
+pub(super) type Result<T, E = ProblemReport> = std::result::Result<T, E>;
 
 /// Returns the SHA-256 digest of a request's bearer key.
 ///
--- a/crates/ebony_entry/src/caller_api/body.rs
+++ b/crates/ebony_entry/src/caller_api/body.rs
@@ -8,7 +8,7 @@
 use futures_util::StreamExt;
 
 /// The result of reading a body.
-pub type Result<T, E = ProblemReport> = std::result::Result<T, E>;
+pub(super) type Result<T, E = ProblemReport> = std::result::Result<T, E>;
 
 /// Reads a body of at most `limit` bytes within `timeout`.
 ///
--- a/crates/ebony_entry/src/caller_api/chat.rs
+++ b/crates/ebony_entry/src/caller_api/chat.rs
@@ -4,7 +4,6 @@
 
 use actix_web::web::{Data, Payload};
 use actix_web::{HttpRequest, HttpResponse};
-use bytes::Bytes;
 use ebony_types::{CallKind, HeaderField, ModelName, ProblemCode, ProblemReport};
 use serde_json::Value;
 
@@ -27,7 +26,7 @@
 pub(super) const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// The result of checking a request.
-pub type Result<T, E = ProblemReport> = std::result::Result<T, E>;
+pub(super) type Result<T, E = ProblemReport> = std::result::Result<T, E>;
 
 /// Handles `POST /v1/chat/completions`.
 pub(super) async fn complete(
@@ -143,14 +142,3 @@
         },
     }
 }
-
-/// Returns the messages of a checked body, for the history.
-pub(crate) fn messages_of(body: &Bytes) -> Vec<Value> {
-    let Ok(Value::Object(mut body)) = serde_json::from_slice(body) else {
-        return Vec::new();
-    };
-    match body.remove("messages") {
-        Some(Value::Array(messages)) => messages,
-        _ => Vec::new(),
-    }
-}
--- a/crates/ebony_entry/src/caller_api/server.rs
+++ b/crates/ebony_entry/src/caller_api/server.rs
@@ -24,7 +24,7 @@
 const SHUTDOWN_SECONDS: u64 = 60;
 
 /// The result of starting the server.
-pub type Result<T, E = anyhow::Error> = std::result::Result<T, E>;
+pub(super) type Result<T, E = anyhow::Error> = std::result::Result<T, E>;
 
 /// What the server needs besides its state.
 pub struct ServerOptions {
--- a/crates/ebony_entry/src/caller_api/service.rs
+++ b/crates/ebony_entry/src/caller_api/service.rs
@@ -36,7 +36,7 @@
 ];
 
 /// The result of checking a request.
-pub type Result<T, E = ProblemReport> = std::result::Result<T, E>;
+pub(super) type Result<T, E = ProblemReport> = std::result::Result<T, E>;
 
 /// Handles any method on `/v1/services/{service}/{path}`.
 pub(super) async fn call(request: HttpRequest, payload: Payload, state: Data<CallerState>) -> HttpResponse {
--- a/crates/ebony_entry/src/caller_api/start.rs
+++ b/crates/ebony_entry/src/caller_api/start.rs
@@ -27,7 +27,7 @@
 const DEADLINE_GRACE: Duration = Duration::from_millis(500);
 
 /// The result of checking a request's header fields.
-pub type Result<T, E = ProblemReport> = std::result::Result<T, E>;
+pub(super) type Result<T, E = ProblemReport> = std::result::Result<T, E>;
 
 /// The header fields that this system reads.
 pub(super) struct CallHeaders {
--- a/crates/ebony_entry/src/config/view.rs
+++ b/crates/ebony_entry/src/config/view.rs
@@ -14,7 +14,7 @@
 
 fn wall_now() -> WallTime {
     let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    WallTime::from_millis(u64::try_from(since.as_millis()).unwrap_or(u64::MAX))
+    WallTime(since.as_secs())
 }
 
 impl ConfigView {
--- a/crates/ebony_entry/src/owner/actor.rs
+++ b/crates/ebony_entry/src/owner/actor.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use actix::{Actor, ActorFutureExt, Addr, AsyncContext, Context, Recipient, SpawnHandle, WrapFuture};
+use actix::{ActorFutureExt, Addr, AsyncContext, Context, Recipient, SpawnHandle, WrapFuture};
 use bytes::Bytes;
 use ebony_owner::journal::BodyPlace;
 use ebony_owner::program::HistoryPlan;
--- a/crates/ebony_entry/src/owner/storage.rs
+++ b/crates/ebony_entry/src/owner/storage.rs
@@ -11,7 +11,7 @@
 use ebony_types::{SessionId, ShardKey};
 
 /// The result of reading stored bodies.
-pub type Result<T, E = PlatformError> = std::result::Result<T, E>;
+pub(super) type Result<T, E = PlatformError> = std::result::Result<T, E>;
 
 /// Access to what the owners of programs keep.
 #[derive(Clone)]
--- /dev/null
+++ b/crates/ebony_fleet/src/child.rs
@@ -0,0 +1,132 @@
+//! A real process of the system.
+
+use std::fs::File;
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::time::{Duration, Instant};
+
+use anyhow::{Context, bail};
+use rustix::process::{Pid, Signal, kill_process};
+use serde_json::Value;
+
+/// The pause between two looks at a process that should end.
+const EXIT_POLL: Duration = Duration::from_millis(10);
+
+/// The result of an operation on a process.
+pub type Result<T, E = anyhow::Error> = std::result::Result<T, E>;
+
+/// A signal to a process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StopSignal {
+    /// SIGTERM: a planned stop.
+    Terminate,
+    /// SIGKILL: the process dies.
+    Kill,
+    /// SIGSTOP: the process is paused.
+    Pause,
+    /// SIGCONT: the process goes on.
+    Resume,
+}
+
+impl StopSignal {
+    fn to_signal(self) -> Signal {
+        match self {
+            Self::Terminate => Signal::TERM,
+            Self::Kill => Signal::KILL,
+            Self::Pause => Signal::STOP,
+            Self::Resume => Signal::CONT,
+        }
+    }
+}
+
+/// A real process of the system. Dropping it kills the process.
+pub struct ChildProcess {
+    child: Child,
+    addresses: Value,
+    log: PathBuf,
+}
+
+impl ChildProcess {
+    /// Starts `program` in a role and waits until it prints its addresses.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the process ends before that.
+    pub fn spawn(program: &Path, role: &str, settings: &Path) -> Result<Self> {
+        let log = settings.with_extension("log");
+        let mut child = Command::new(program)
+            .arg(role)
+            .arg(settings)
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .stderr(File::create(&log)?)
+            .spawn()
+            .with_context(|| format!("cannot start {}", program.display()))?;
+        let output = child.stdout.take().context("the process has no output")?;
+        let mut line = String::new();
+        BufReader::new(output).read_line(&mut line)?;
+        let Ok(addresses) = serde_json::from_str(&line) else {
+            let text = std::fs::read_to_string(&log).unwrap_or_default();
+            bail!("the {role} process ended at its start: {text}");
+        };
+        Ok(Self { child, addresses, log })
+    }
+
+    /// Returns an address by its name, such as `callers`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the process has no such address.
+    pub fn address(&self, name: &str) -> Result<SocketAddr> {
+        let text = self.addresses[name].as_str().with_context(|| format!("no address {name}"))?;
+        Ok(text.parse()?)
+    }
+
+    /// Returns the process's number.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Returns what the process has logged.
+    pub fn log(&self) -> String {
+        std::fs::read_to_string(&self.log).unwrap_or_default()
+    }
+
+    /// Sends a signal.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the process is gone.
+    pub fn signal(&self, signal: StopSignal) -> Result<()> {
+        let pid = i32::try_from(self.child.id()).ok().and_then(Pid::from_raw).context("no such process")?;
+        Ok(kill_process(pid, signal.to_signal())?)
+    }
+
+    /// Waits until the process has ended.
+    ///
+    /// # Errors
+    ///
+    /// Fails if it has not ended after `limit`.
+    pub async fn wait(&mut self, limit: Duration) -> Result<ExitStatus> {
+        let give_up = Instant::now() + limit;
+        loop {
+            if let Some(status) = self.child.try_wait()? {
+                return Ok(status);
+            }
+            if Instant::now() > give_up {
+                bail!("the process has not ended after {limit:?}: {}", self.log());
+            }
+            tokio::time::sleep(EXIT_POLL).await;
+        }
+    }
+}
+
+impl Drop for ChildProcess {
+    fn drop(&mut self) {
+        // The process may have ended already.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
--- /dev/null
+++ b/crates/ebony_fleet/src/lib.rs
@@ -0,0 +1,21 @@
+//! Starts whole deployments of real processes and stand-ins on loopback, for tests and examples.
+//!
+//! A [`RunningFleet`] has a table service, an object store, a host list, a weight store, engines and plain services as
+//! stand-ins, and real entry and side processes that it can stop, kill, freeze and replace. A [`CallerClient`] speaks
+//! to an entry as a caller does.
+
+pub mod caller;
+pub mod child;
+pub mod document;
+pub mod fleet;
+pub mod settings;
+
+/// Re-exports the fleet, its options and the client.
+pub mod prelude {
+    pub use crate::caller::{CallReply, CallerClient};
+    pub use crate::child::{ChildProcess, StopSignal};
+    pub use crate::document::{CALLER_KEY, OPERATOR_KEY, OTHER_CALLER_KEY};
+    pub use crate::fleet::{FleetOptions, RunningFleet};
+}
+
+pub use prelude::*;
--- a/crates/ebony_telemetry/src/logger.rs
+++ b/crates/ebony_telemetry/src/logger.rs
@@ -1,7 +1,6 @@
 //! The process's logger.
 
 use std::io;
-use std::str::FromStr;
 
 use slog::{Drain, Level, LevelFilter, Logger, o};
 use slog_async::{Async, AsyncGuard, OverflowStrategy};
@@ -20,20 +19,33 @@
 }
 
 /// The least severe level that is written.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct LogLevel(Level);
-
-impl FromStr for LogLevel {
-    type Err = ();
-
-    fn from_str(text: &str) -> Result<Self, ()> {
-        Level::from_str(text).map(Self)
-    }
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum LogLevel {
+    /// The process cannot go on.
+    Critical,
+    /// An operation failed.
+    Error,
+    /// Something needs attention.
+    Warning,
+    /// Ordinary events.
+    #[default]
+    Info,
+    /// Details for finding faults.
+    Debug,
+    /// Every step.
+    Trace,
 }
 
-impl Default for LogLevel {
-    fn default() -> Self {
-        Self(Level::Info)
+impl LogLevel {
+    fn to_slog(self) -> Level {
+        match self {
+            Self::Critical => Level::Critical,
+            Self::Error => Level::Error,
+            Self::Warning => Level::Warning,
+            Self::Info => Level::Info,
+            Self::Debug => Level::Debug,
+            Self::Trace => Level::Trace,
+        }
     }
 }
 
@@ -59,12 +71,12 @@
     let (drain, guard) = match format {
         LogFormat::Json => {
             let drain = slog_json::Json::new(io::stderr()).add_default_keys().build();
-            open_async(LevelFilter::new(drain, level.0).fuse())
+            open_async(LevelFilter::new(drain, level.to_slog()).fuse())
         }
         LogFormat::Terminal => {
             let decorator = slog_term::PlainSyncDecorator::new(io::stderr());
             let drain = slog_term::FullFormat::new(decorator).build();
-            open_async(LevelFilter::new(drain, level.0).fuse())
+            open_async(LevelFilter::new(drain, level.to_slog()).fuse())
         }
     };
     let logger = Logger::root(drain.fuse(), o!("process" => process.to_owned(), "role" => role));
--- a/src/command.rs
+++ b/src/command.rs
@@ -13,16 +13,16 @@
     after_help = "Exit codes: 0 stopped as planned, 1 failed, 2 settings or arguments are wrong.\n\
     A first SIGTERM or SIGINT stops gracefully; a second one stops at once."
 )]
-pub(crate) struct DaemonCommand {
+pub struct DaemonCommand {
     /// What to run.
     #[command(subcommand)]
-    pub(crate) role: RoleCommand,
+    pub role: RoleCommand,
 }
 
 /// What the daemon runs as.
 #[derive(Debug)]
 #[derive(Subcommand)]
-pub(crate) enum RoleCommand {
+pub enum RoleCommand {
     /// Runs an entry process: receives calls, owns programs and sends calls to targets.
     Entry {
         /// The settings file, JSON with comments. docs/settings.md describes every key.
@@ -49,7 +49,7 @@
 }
 
 /// Prints a completion script to standard output.
-pub(crate) fn print_completions(shell: Shell) {
+pub fn print_completions(shell: Shell) {
     let mut command = DaemonCommand::command();
     clap_complete::generate(shell, &mut command, "ebonyswitch", &mut std::io::stdout());
 }
--- a/src/run.rs
+++ b/src/run.rs
@@ -6,9 +6,9 @@
 
 use anyhow::Context;
 use ebony_entry::EntryProcess;
-use ebony_settings::{ProcessRole, ProcessSettings};
+use ebony_settings::{LogSettings, ProcessRole, ProcessSettings};
 use ebony_side::SideProcess;
-use ebony_telemetry::open_logger;
+use ebony_telemetry::{LogFormat, LogLevel, open_logger};
 use slog::{Logger, error, info, warn};
 
 use crate::stop::StopSignals;
@@ -20,7 +20,7 @@
 type Result<T, E = anyhow::Error> = std::result::Result<T, E>;
 
 /// Checks settings files and prints what is wrong with them.
-pub(crate) fn check(files: &[PathBuf]) -> ExitCode {
+pub fn check(files: &[PathBuf]) -> ExitCode {
     let mut code = ExitCode::SUCCESS;
     for file in files {
         match ProcessSettings::open(file) {
@@ -35,7 +35,7 @@
 }
 
 /// Runs an entry process until it is stopped.
-pub(crate) fn entry(file: &Path) -> ExitCode {
+pub fn entry(file: &Path) -> ExitCode {
     run(file, ProcessRole::Entry, async |settings, logger, signals| {
         let process = EntryProcess::spawn(settings, logger.clone()).await?;
         let process = process.serve().await?;
@@ -47,7 +47,7 @@
 }
 
 /// Runs a side process until it is stopped.
-pub(crate) fn side(file: &Path) -> ExitCode {
+pub fn side(file: &Path) -> ExitCode {
     run(file, ProcessRole::Side, async |settings, logger, signals| {
         let process = SideProcess::spawn(settings, logger.clone()).await?;
         announce(&logger, &process.addresses().to_json());
@@ -76,6 +76,22 @@
     Ok(())
 }
 
+fn log_options(settings: LogSettings) -> (LogFormat, LogLevel) {
+    let format = match settings.format {
+        ebony_settings::LogFormat::Json => LogFormat::Json,
+        ebony_settings::LogFormat::Terminal => LogFormat::Terminal,
+    };
+    let level = match settings.level {
+        ebony_settings::LogLevel::Critical => LogLevel::Critical,
+        ebony_settings::LogLevel::Error => LogLevel::Error,
+        ebony_settings::LogLevel::Warning => LogLevel::Warning,
+        ebony_settings::LogLevel::Info => LogLevel::Info,
+        ebony_settings::LogLevel::Debug => LogLevel::Debug,
+        ebony_settings::LogLevel::Trace => LogLevel::Trace,
+    };
+    (format, level)
+}
+
 fn run(
     file: &Path,
     role: ProcessRole,
@@ -96,12 +112,8 @@
         );
         return ExitCode::from(EXIT_SETTINGS);
     }
-    let (logger, guard) = open_logger(
-        &settings.process,
-        role.as_str(),
-        settings.log.format,
-        settings.log.level,
-    );
+    let (format, level) = log_options(settings.log);
+    let (logger, guard) = open_logger(&settings.process, role.as_str(), format, level);
     let result = actix_rt::System::new().block_on(async {
         let mut signals = StopSignals::open().context("cannot take over signals")?;
         body(settings, logger.clone(), &mut signals).await
