--- /dev/null
+++ b/crates/ebony_owner/src/budget.rs
@@ -0,0 +1,249 @@
+//! Budgets of programs and their ancestors.
+//!
+//! A call reserves its prompt and its longest answer before it starts, in its own program and in every ancestor, and
+//! settles with what it used. So that this survives the owner without a write for each call, a program reserves a block
+//! ahead: its *ceiling* is a durable upper bound of what its calls may spend. A successor counts the whole ceiling as
+//! spent. Ceilings count as used against the ancestors' limits, and are lowered again where another program of the tree
+//! needs the amount.
+
+use ebony_types::{BudgetUse, ProblemCode, ProblemReport, ProgramBudget};
+
+use crate::program::table::{ProgramEntry, ProgramKey, ProgramTable};
+
+/// The result of reserving budget.
+pub type Result<T, E = ProblemReport> = std::result::Result<T, E>;
+
+/// A program reserves this part of its limits ahead.
+const BLOCK_DIVISOR: u32 = 16;
+
+/// Amounts of one program that no record holds, and sums over the program and its descendants.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct BudgetAccount {
+    /// Reserved by calls that have not ended.
+    pub reserved: BudgetUse,
+    /// The ceiling that is known to be durable.
+    pub durable_ceiling: BudgetUse,
+    /// Spent by the program and its descendants.
+    pub subtree_spent: BudgetUse,
+    /// Spent or set aside by the program and its descendants. It never exceeds the limits, unless a call used more than
+    /// it reserved.
+    pub subtree_committed: BudgetUse,
+}
+
+/// Amounts for one call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Reservation {
+    /// The ceiling that must become durable before the call starts, if the present one is too low.
+    pub raised_ceiling: Option<BudgetUse>,
+}
+
+/// Returns the smaller amount of each kind.
+pub(crate) fn lesser(left: BudgetUse, right: BudgetUse) -> BudgetUse {
+    BudgetUse {
+        tokens: left.tokens.min(right.tokens),
+        calls: left.calls.min(right.calls),
+    }
+}
+
+/// Returns the larger amount of each kind.
+pub(crate) fn greater(left: BudgetUse, right: BudgetUse) -> BudgetUse {
+    BudgetUse {
+        tokens: left.tokens.max(right.tokens),
+        calls: left.calls.max(right.calls),
+    }
+}
+
+/// Returns `true` if `amount` is within `limit` in both kinds.
+pub(crate) fn is_within(amount: BudgetUse, limit: BudgetUse) -> bool {
+    amount.tokens <= limit.tokens && amount.calls <= limit.calls
+}
+
+fn limit_of(budget: ProgramBudget) -> BudgetUse {
+    BudgetUse {
+        tokens: budget.tokens,
+        calls: budget.calls,
+    }
+}
+
+/// Returns the amount that a program reserves ahead: a sixteenth of its limits and at least one call.
+pub(crate) fn block_of(budget: ProgramBudget) -> BudgetUse {
+    BudgetUse {
+        tokens: budget.tokens / u64::from(BLOCK_DIVISOR),
+        calls: (budget.calls / BLOCK_DIVISOR).max(1),
+    }
+}
+
+impl ProgramEntry {
+    fn own_spent(&self) -> BudgetUse {
+        self.image.spent.plus(self.image.absorbed)
+    }
+
+    fn own_committed(&self) -> BudgetUse {
+        greater(self.image.ceiling, self.taken()).plus(self.image.absorbed)
+    }
+
+    /// Returns what the program's own calls have spent and reserved.
+    pub(crate) fn taken(&self) -> BudgetUse {
+        self.image.spent.plus(self.account.reserved)
+    }
+
+    /// Returns `true` if the durable ceiling covers everything that the program's calls have spent and reserved.
+    pub(crate) fn is_covered(&self) -> bool {
+        is_within(self.taken(), self.account.durable_ceiling)
+    }
+
+    /// Sets the sums of a program that has no child yet.
+    pub(crate) fn open_account(&mut self) {
+        self.account.subtree_spent = self.own_spent();
+        self.account.subtree_committed = self.own_committed();
+    }
+
+    /// Returns `true` if what was spent leaves no room for any call.
+    fn is_spent(&self) -> bool {
+        let (spent, budget) = (self.account.subtree_spent, self.image.budget);
+        spent.tokens >= budget.tokens || spent.calls >= budget.calls
+    }
+}
+
+impl ProgramTable {
+    /// Changes a program and carries the change of its amounts to its ancestors.
+    pub(crate) fn update_account(&mut self, key: ProgramKey, change: impl FnOnce(&mut ProgramEntry)) {
+        let Some(entry) = self.get_mut(key) else {
+            return;
+        };
+        let (old_spent, old_committed) = (entry.own_spent(), entry.own_committed());
+        change(entry);
+        let (new_spent, new_committed) = (entry.own_spent(), entry.own_committed());
+        if (old_spent, old_committed) == (new_spent, new_committed) {
+            return;
+        }
+        self.update_lineage(key, |account| {
+            account.subtree_spent = account.subtree_spent.minus(old_spent).plus(new_spent);
+            account.subtree_committed = account.subtree_committed.minus(old_committed).plus(new_committed);
+        });
+    }
+
+    fn update_lineage(&mut self, key: ProgramKey, change: impl Fn(&mut BudgetAccount)) {
+        let mut next = Some(key);
+        while let Some(entry) = next.and_then(|key| self.get_mut(key)) {
+            change(&mut entry.account);
+            next = entry.parent;
+        }
+    }
+
+    /// Adds the amounts of a new child to its parent and the parent's ancestors.
+    pub(crate) fn join_lineage(&mut self, parent: ProgramKey, child: BudgetAccount) {
+        self.update_lineage(parent, |account| {
+            account.subtree_spent = account.subtree_spent.plus(child.subtree_spent);
+            account.subtree_committed = account.subtree_committed.plus(child.subtree_committed);
+        });
+    }
+
+    /// Takes the amounts of a child that is evicted from its parent and the parent's ancestors.
+    pub(crate) fn leave_lineage(&mut self, parent: ProgramKey, child: BudgetAccount) {
+        self.update_lineage(parent, |account| {
+            account.subtree_spent = account.subtree_spent.minus(child.subtree_spent);
+            account.subtree_committed = account.subtree_committed.minus(child.subtree_committed);
+        });
+    }
+
+    /// Returns how far a program's own amounts may rise without a limit of its lineage being exceeded.
+    fn own_cap(&self, key: ProgramKey) -> BudgetUse {
+        let Some(committed) = self.get(key).map(ProgramEntry::own_committed) else {
+            return BudgetUse::default();
+        };
+        let absorbed = self
+            .get(key)
+            .map(|entry| entry.image.absorbed)
+            .unwrap_or_default();
+        let unlimited = BudgetUse {
+            tokens: u64::MAX,
+            calls: u32::MAX,
+        };
+        self.lineage(key).fold(unlimited, |cap, (_, entry)| {
+            let others = entry.account.subtree_committed.minus(committed).plus(absorbed);
+            lesser(cap, limit_of(entry.image.budget).minus(others))
+        })
+    }
+
+    /// Reserves `need` for a call. Returns the ceiling to record if the present one does not cover it.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ProblemCode::BudgetExhausted`], not run, if the program or an ancestor has too little left.
+    pub(crate) fn reserve(&mut self, key: ProgramKey, need: BudgetUse) -> Result<Reservation> {
+        let Some(entry) = self.get(key) else {
+            return Err(exhausted());
+        };
+        let (wanted, ceiling) = (entry.taken().plus(need), entry.image.ceiling);
+        let block = block_of(entry.image.budget);
+        let cap = self.own_cap(key);
+        if !is_within(wanted, cap) {
+            return Err(exhausted());
+        }
+        self.update_account(key, |entry| {
+            entry.account.reserved = entry.account.reserved.plus(need);
+        });
+        let is_raised = !is_within(wanted, ceiling);
+        Ok(Reservation {
+            raised_ceiling: is_raised.then(|| greater(ceiling, lesser(wanted.plus(block), cap))),
+        })
+    }
+
+    /// Ends a reservation. The caller records what was spent.
+    pub(crate) fn unreserve(&mut self, key: ProgramKey, need: BudgetUse) {
+        self.update_account(key, |entry| {
+            entry.account.reserved = entry.account.reserved.minus(need);
+        });
+    }
+
+    /// Returns the ceiling to record with a settled call, so that the next call of `next_need` can start without a
+    /// write: the present ceiling if it is enough, and never more than the lineage has left.
+    pub(crate) fn ceiling_ahead(&self, key: ProgramKey, spent: BudgetUse, next_need: BudgetUse) -> BudgetUse {
+        let Some(entry) = self.get(key) else {
+            return spent;
+        };
+        let taken = spent.plus(entry.account.reserved);
+        let present = greater(entry.image.ceiling, taken);
+        if is_within(taken.plus(next_need), present) {
+            return present;
+        }
+        let wanted = taken.plus(next_need).plus(block_of(entry.image.budget));
+        greater(taken, lesser(greater(wanted, present), self.own_cap(key)))
+    }
+
+    /// Returns the part of a first block that the lineage of a new child's parent has left.
+    pub(crate) fn child_block(&self, parent: ProgramKey, block: BudgetUse) -> BudgetUse {
+        self.lineage(parent).fold(block, |block, (_, entry)| {
+            lesser(
+                block,
+                limit_of(entry.image.budget).minus(entry.account.subtree_committed),
+            )
+        })
+    }
+
+    /// Finds the other programs of the tree that reserve more than they use, so that their blocks can be returned.
+    pub(crate) fn slack_holders(&self, key: ProgramKey) -> Vec<ProgramKey> {
+        let Some((root, _)) = self.lineage(key).last() else {
+            return Vec::new();
+        };
+        let mut holders = self.descendants(root);
+        holders.retain(|&holder| holder != key && self.has_slack(holder));
+        holders
+    }
+
+    fn has_slack(&self, key: ProgramKey) -> bool {
+        self.get(key)
+            .is_some_and(|entry| !is_within(entry.image.ceiling, entry.taken()))
+    }
+
+    /// Returns `true` if the program or an ancestor has nothing left for any further call.
+    pub(crate) fn is_spent(&self, key: ProgramKey) -> bool {
+        self.lineage(key).any(|(_, entry)| entry.is_spent())
+    }
+}
+
+/// The problem of a call that does not fit the budget.
+pub(crate) fn exhausted() -> ProblemReport {
+    ProblemReport::not_run(ProblemCode::BudgetExhausted, "the program's budget is spent")
+}
--- /dev/null
+++ b/crates/ebony_owner/src/call.rs
@@ -0,0 +1,131 @@
+//! Calls in memory.
+
+use std::collections::BTreeMap;
+
+use bytes::Bytes;
+use ebony_types::{BudgetUse, CallId, CallKind, CallRequest, ClockTime, IdempotencyKey, RequestDigest};
+use slotmap::{SlotMap, new_key_type};
+
+use crate::program::history::MessageList;
+use crate::program::table::ProgramKey;
+use crate::timer::TimerHandle;
+
+new_key_type! {
+    /// Names a call within an owner.
+    pub struct CallKey;
+}
+
+/// How far a call is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum CallPhase {
+    /// It waits for its program's earlier calls.
+    Waiting,
+    /// It waits until its intent or budget is durable.
+    Securing,
+    /// The shell has the order to run it.
+    Dispatched,
+    /// It has ended with an answer that waits for the journal.
+    Recording,
+}
+
+/// What the history keeps of a request.
+#[derive(Clone, Debug)]
+pub(crate) struct CallContent {
+    pub(crate) kind: CallKind,
+    pub(crate) body: Bytes,
+    pub(crate) messages: MessageList,
+}
+
+/// A key and the digest of the request that it stands for.
+#[derive(Clone, Debug)]
+pub(crate) struct CallIntent {
+    pub(crate) key: IdempotencyKey,
+    pub(crate) digest: RequestDigest,
+}
+
+/// A call. It leaves memory when its program's budget is settled and its record, if it has one, is durable; at the
+/// latest [`crate::settings::CANCEL_GRACE`] after its deadline.
+#[derive(Clone, Debug)]
+pub(crate) struct CallEntry {
+    pub(crate) call: CallId,
+    pub(crate) program: ProgramKey,
+    pub(crate) content: CallContent,
+    pub(crate) need: BudgetUse,
+    pub(crate) intent: Option<CallIntent>,
+    pub(crate) phase: CallPhase,
+    /// Whether the caller has its final answer already, because the call was given up.
+    pub(crate) is_answered: bool,
+    pub(crate) timer: Option<TimerHandle>,
+}
+
+impl CallEntry {
+    /// Returns `true` if a target may have the call.
+    pub(crate) fn is_dispatched(&self) -> bool {
+        self.phase == CallPhase::Dispatched
+    }
+}
+
+/// Returns the most that a call can use: its prompt, its longest answer, and one call.
+pub(crate) fn need_of(kind: &CallKind) -> BudgetUse {
+    let tokens = match kind {
+        CallKind::Model {
+            prompt_tokens,
+            max_output_tokens,
+            ..
+        } => u64::from(*prompt_tokens) + u64::from(*max_output_tokens),
+        CallKind::Service { .. } => 0,
+    };
+    BudgetUse { tokens, calls: 1 }
+}
+
+/// Returns the deadline of a call that arrives now.
+pub(crate) fn deadline_of(request: &CallRequest, now: ClockTime) -> ClockTime {
+    now + std::time::Duration::from_millis(u64::from(request.timeout_ms))
+}
+
+/// Calls by key and by identifier.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct CallTable {
+    arena: SlotMap<CallKey, CallEntry>,
+    index: BTreeMap<CallId, CallKey>,
+}
+
+impl CallTable {
+    pub(crate) fn insert(&mut self, entry: CallEntry) -> CallKey {
+        let call = entry.call;
+        let key = self.arena.insert(entry);
+        self.index.insert(call, key);
+        key
+    }
+
+    pub(crate) fn get(&self, key: CallKey) -> Option<&CallEntry> {
+        self.arena.get(key)
+    }
+
+    pub(crate) fn get_mut(&mut self, key: CallKey) -> Option<&mut CallEntry> {
+        self.arena.get_mut(key)
+    }
+
+    pub(crate) fn find(&self, call: CallId) -> Option<CallKey> {
+        self.index.get(&call).copied()
+    }
+
+    pub(crate) fn remove(&mut self, key: CallKey) -> Option<CallEntry> {
+        let entry = self.arena.remove(key)?;
+        self.index.remove(&entry.call);
+        Some(entry)
+    }
+
+    pub(crate) fn len(&self) -> usize {
+        self.arena.len()
+    }
+
+    /// Returns all calls in the order of their identifiers.
+    pub(crate) fn keys(&self) -> Vec<CallKey> {
+        self.index.values().copied().collect()
+    }
+
+    pub(crate) fn count(&self, phase: CallPhase) -> usize {
+        self.arena.values().filter(|entry| entry.phase == phase).count()
+    }
+}
--- /dev/null
+++ b/crates/ebony_owner/src/journal/record.rs
@@ -0,0 +1,251 @@
+//! The records of the journal.
+//!
+//! Amounts are absolute and turns are numbered, so that applying a record twice gives the same state as applying it
+//! once.
+
+use ebony_types::{
+    BudgetUse, CallId, CallUsage, CallerName, FencingToken, IdempotencyKey, ProgramBudget, ProgramId,
+    RequestDigest, SessionId, ShardKey, TargetName,
+};
+use serde::{Deserialize, Serialize};
+
+use crate::program::history::HistoryMark;
+use crate::program::image::ProgramState;
+use crate::wall_time::WallTime;
+
+/// Encodes a [`RequestDigest`] as one byte string, half the size of its sequence of numbers.
+pub(crate) mod digest_bytes {
+    use ebony_types::RequestDigest;
+    use serde::{Deserializer, Serializer};
+
+    pub(crate) fn serialize<S: Serializer>(digest: &RequestDigest, serializer: S) -> Result<S::Ok, S::Error> {
+        serde_bytes::serialize(&digest.0, serializer)
+    }
+
+    pub(crate) fn deserialize<'de, D: Deserializer<'de>>(deserializer: D) -> Result<RequestDigest, D::Error> {
+        serde_bytes::deserialize(deserializer).map(RequestDigest)
+    }
+}
+
+/// A part of the bodies that belong to one journal row.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct BodySpan {
+    /// Position of the first byte.
+    pub offset: u32,
+    /// Length in bytes; zero if the record has no body.
+    pub length: u32,
+}
+
+/// Where a body is stored: a part of the object `bodies/{session}/{sequence}`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct BodyPlace {
+    /// The session that wrote the object.
+    pub session: SessionId,
+    /// The row that the object belongs to.
+    pub sequence: u64,
+    /// The part of the object.
+    pub span: BodySpan,
+}
+
+/// A program was opened.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct OpenedRecord {
+    /// The program.
+    pub program: ProgramId,
+    /// The parent.
+    pub parent: Option<ProgramId>,
+    /// The caller.
+    pub caller: CallerName,
+    /// The limits.
+    pub budget: ProgramBudget,
+    /// Whether the program was made for one call that named none.
+    pub is_one_call: bool,
+    /// When it was opened.
+    pub opened: WallTime,
+    /// Amounts that the program may spend without a further record.
+    pub ceiling: BudgetUse,
+}
+
+/// A block of budget was reserved, or returned if the ceiling falls.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct ReservedRecord {
+    /// The program.
+    pub program: ProgramId,
+    /// Amounts that its own calls have spent so far.
+    pub spent: BudgetUse,
+    /// Amounts that its own calls may spend without a further record.
+    pub ceiling: BudgetUse,
+}
+
+/// A call with an idempotency key is about to be dispatched, or was placed on a target.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct IntendedRecord {
+    /// The program.
+    pub program: ProgramId,
+    /// The key.
+    pub key: IdempotencyKey,
+    /// The digest of the request.
+    #[serde(with = "digest_bytes")]
+    pub digest: RequestDigest,
+    /// The call.
+    pub call: CallId,
+    /// The target, once it is known.
+    pub target: Option<TargetName>,
+}
+
+/// How a call with an idempotency key ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub enum KeyOutcome {
+    /// The call ran; its answer is stored with this turn.
+    Turn(u32),
+    /// The call may have run. It is never dispatched again.
+    MayHaveRun,
+    /// The call did not run. It may be dispatched again.
+    NotRun,
+}
+
+/// A call with an idempotency key ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct AnsweredRecord {
+    /// The program.
+    pub program: ProgramId,
+    /// The key.
+    pub key: IdempotencyKey,
+    /// The end.
+    pub outcome: KeyOutcome,
+}
+
+/// A call ended with an answer. Field names are short in the encoding because this is the most frequent record.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct TurnRecord {
+    /// The program.
+    #[serde(rename = "p")]
+    pub program: ProgramId,
+    /// The turn's number, from 1.
+    #[serde(rename = "n")]
+    pub turn: u32,
+    /// The call.
+    #[serde(rename = "c")]
+    pub call: CallId,
+    /// Messages of the history that this turn keeps; its body holds those behind them.
+    #[serde(rename = "k")]
+    pub kept: u32,
+    /// Count and digest of all messages after the turn.
+    #[serde(rename = "m")]
+    pub mark: HistoryMark,
+    /// Digest over the bodies of all turns.
+    #[serde(rename = "h", with = "serde_bytes")]
+    pub chain: [u8; 32],
+    /// Where the body lies among the bodies of the row.
+    #[serde(rename = "b")]
+    pub body: BodySpan,
+    /// What the call used.
+    #[serde(rename = "u")]
+    pub usage: CallUsage,
+    /// Amounts that the program's own calls have spent, this one included.
+    #[serde(rename = "s")]
+    pub spent: BudgetUse,
+    /// Amounts that the program's own calls may spend without a further record.
+    #[serde(rename = "l")]
+    pub ceiling: BudgetUse,
+}
+
+/// A program ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct EndedRecord {
+    /// The program.
+    pub program: ProgramId,
+    /// How it ended.
+    pub state: ProgramState,
+    /// When it ended.
+    pub ended: WallTime,
+    /// Amounts that its own calls have spent.
+    pub spent: BudgetUse,
+    /// Amounts that its own calls may have spent when every call that was cancelled has ended.
+    pub ceiling: BudgetUse,
+}
+
+/// A session took over a shard. Its state follows as a body of the same row.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct AdoptedRecord {
+    /// The shard.
+    pub shard: ShardKey,
+    /// The epoch at which the session owns the shard.
+    pub epoch: FencingToken,
+    /// The shard's state, a [`super::ShardImage`].
+    pub state: BodySpan,
+}
+
+/// A session gave up a shard in a planned way. Its state follows as a body of the same row.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct ReleasedRecord {
+    /// The shard.
+    pub shard: ShardKey,
+    /// The epoch at which the session owned the shard.
+    pub epoch: FencingToken,
+    /// The shard's state, a [`super::ShardImage`].
+    pub state: BodySpan,
+}
+
+/// One entry of the journal.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub enum JournalRecord {
+    /// A program was opened.
+    Opened(Box<OpenedRecord>),
+    /// A block of budget was reserved.
+    Reserved(ReservedRecord),
+    /// A call with a key is about to run.
+    Intended(Box<IntendedRecord>),
+    /// A call with a key ended.
+    Answered(AnsweredRecord),
+    /// A call ended with an answer.
+    Turn(Box<TurnRecord>),
+    /// A program ended.
+    Ended(EndedRecord),
+    /// A shard was taken over.
+    Adopted(AdoptedRecord),
+    /// A shard was given up.
+    Released(ReleasedRecord),
+    /// The journal ends here; the writer of this record is a successor.
+    Sealed {
+        /// The session that sealed the journal.
+        by: SessionId,
+    },
+}
+
+impl JournalRecord {
+    /// Returns the program that the record changes.
+    pub fn program(&self) -> Option<ProgramId> {
+        match self {
+            Self::Opened(record) => Some(record.program),
+            Self::Reserved(record) => Some(record.program),
+            Self::Intended(record) => Some(record.program),
+            Self::Answered(record) => Some(record.program),
+            Self::Turn(record) => Some(record.program),
+            Self::Ended(record) => Some(record.program),
+            Self::Adopted(_) | Self::Released(_) | Self::Sealed { .. } => None,
+        }
+    }
+
+    /// Sets the place of the record's body, if it has one.
+    pub(crate) fn set_body(&mut self, span: BodySpan) {
+        match self {
+            Self::Turn(record) => record.body = span,
+            Self::Adopted(record) => record.state = span,
+            Self::Released(record) => record.state = span,
+            _ => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/ebony_owner/src/journal/writer.rs
@@ -0,0 +1,334 @@
+//! Group commit: at most one append in flight, and everything that arrives meanwhile in the next one.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use bytes::Bytes;
+use ebony_types::{ClockTime, SessionId};
+use rand::RngCore;
+
+use super::batch::RowBatch;
+use super::record::{BodyPlace, JournalRecord};
+use super::row::RowHeader;
+use crate::codec::Result;
+use crate::retry::retry_pause;
+use crate::wall_time::WallTime;
+
+/// Failed attempts of one append after which the platform counts as down. One lost reply is ordinary and resolved by the
+/// next attempt.
+pub const OUTAGE_FAILURES: u32 = 2;
+
+/// Records that become durable together, and the body that one of them refers to.
+#[derive(Clone, Debug, Default)]
+pub struct RecordGroup {
+    /// The records in the order in which they take effect.
+    pub records: Vec<JournalRecord>,
+    /// The body, stored before the row.
+    pub body: Option<Bytes>,
+}
+
+/// A row to create if it is absent. A repeated attempt is equal to the first one in every field.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct AppendRow {
+    /// The row's number.
+    pub sequence: u64,
+    /// The row's value.
+    pub row: Bytes,
+    /// The object `bodies/{session}/{sequence}`, to be stored before the row.
+    pub bodies: Option<Bytes>,
+    /// Marks the write, so that a read tells whether it took effect.
+    pub nonce: u128,
+}
+
+/// How an append ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AppendOutcome {
+    /// The row exists with the append's nonce.
+    Durable,
+    /// The row exists with another nonce: a successor sealed the journal.
+    Sealed,
+    /// The row may or may not exist, or the platform is down.
+    Unavailable,
+}
+
+/// What an outcome means for the journal.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AppendProgress {
+    /// Rows up to this one are durable.
+    Durable(u64),
+    /// The append will be repeated; the number of failed attempts follows.
+    Retrying(u32),
+    /// The journal is sealed.
+    Sealed,
+    /// The outcome belongs to no append in flight.
+    Stale,
+}
+
+#[derive(Debug)]
+struct PendingAppend {
+    row: AppendRow,
+    turns: usize,
+    bytes: usize,
+    failures: u32,
+    retry_at: Option<ClockTime>,
+}
+
+/// The state of a journal that takes records.
+#[derive(Debug)]
+pub struct OpenJournal {
+    queue: VecDeque<RowBatch>,
+    append: Option<PendingAppend>,
+    next_sequence: u64,
+    durable: u64,
+    last_start: Option<ClockTime>,
+    floor: Duration,
+    checkpoint: Option<u64>,
+    turns: usize,
+    bytes: usize,
+}
+
+/// The state of a journal that another session has ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SealedJournal {
+    /// The last row that is known to be durable.
+    pub durable: u64,
+}
+
+/// Appends to the journal of one session. `S` is [`OpenJournal`] or [`SealedJournal`]; only an open journal takes
+/// records.
+///
+/// ```
+/// use std::time::Duration;
+/// use ebony_owner::journal::{AppendOutcome, AppendProgress, JournalRecord, JournalWriter, RecordGroup};
+/// use ebony_owner::wall_time::WallTime;
+/// use ebony_types::{BudgetUse, ClockTime, ProgramId, SessionId, ShardKey};
+/// use rand_chacha::ChaCha8Rng;
+/// use rand_chacha::rand_core::SeedableRng;
+///
+/// let mut source = ChaCha8Rng::seed_from_u64(1);
+/// let session = SessionId::from_bytes([1; 16]);
+/// let mut writer = JournalWriter::open(session, Duration::from_millis(10));
+/// let record = JournalRecord::Sealed { by: session };
+/// let place = writer.locate(0);
+/// writer.push(RecordGroup { records: vec![record], body: None })?;
+///
+/// let now = ClockTime::from_millis(5);
+/// let append = writer.flush(now, WallTime::default(), &mut source)?.expect("an idle writer flushes at once");
+/// assert_eq!(append.sequence, place.sequence);
+/// let progress = writer.append_done(1, AppendOutcome::Durable, now, &mut source);
+/// assert_eq!(progress, AppendProgress::Durable(1));
+/// # Ok::<(), ebony_owner::journal::CodecError>(())
+/// ```
+#[derive(Debug)]
+pub struct JournalWriter<S> {
+    session: SessionId,
+    state: S,
+}
+
+impl<S> JournalWriter<S> {
+    /// Returns the session that the journal belongs to.
+    pub fn session(&self) -> SessionId {
+        self.session
+    }
+}
+
+impl JournalWriter<SealedJournal> {
+    /// Returns the last row that is known to be durable.
+    pub fn durable(&self) -> u64 {
+        self.state.durable
+    }
+}
+
+impl JournalWriter<OpenJournal> {
+    /// Opens the empty journal of a new session. Rows start at least `floor` apart.
+    pub fn open(session: SessionId, floor: Duration) -> Self {
+        Self {
+            session,
+            state: OpenJournal {
+                queue: VecDeque::new(),
+                append: None,
+                next_sequence: 1,
+                durable: 0,
+                last_start: None,
+                floor,
+                checkpoint: None,
+                turns: 0,
+                bytes: 0,
+            },
+        }
+    }
+
+    /// Sets the shortest time between the starts of two rows.
+    pub fn set_floor(&mut self, floor: Duration) {
+        self.state.floor = floor;
+    }
+
+    /// Names a stored checkpoint in the rows that are cut from now on.
+    pub fn set_checkpoint(&mut self, sequence: u64) {
+        self.state.checkpoint = Some(sequence);
+    }
+
+    /// Returns the place that the next group has if its body has `body_bytes` bytes.
+    pub fn locate(&mut self, body_bytes: usize) -> BodyPlace {
+        let has_room = self
+            .state
+            .queue
+            .back()
+            .is_some_and(|batch| batch.has_room(body_bytes));
+        if !has_room {
+            self.state
+                .queue
+                .push_back(RowBatch::new(self.state.next_sequence));
+            self.state.next_sequence += 1;
+        }
+        let batch = self.state.queue.back();
+        BodyPlace {
+            session: self.session,
+            sequence: batch.map_or(0, |batch| batch.sequence),
+            span: batch.map(|batch| batch.next_span(body_bytes)).unwrap_or_default(),
+        }
+    }
+
+    /// Adds a group at the place that [`JournalWriter::locate`] returned and returns its row.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`crate::codec::CodecError`] if a record cannot be encoded. The journal must not be used further.
+    pub fn push(&mut self, group: RecordGroup) -> Result<u64> {
+        let place = self.locate(group.body.as_ref().map_or(0, Bytes::len));
+        let Some(batch) = self.state.queue.back_mut() else {
+            return Ok(place.sequence);
+        };
+        let (turns, bytes) = (batch.turns, batch.byte_count());
+        batch.push(&group.records, group.body)?;
+        self.state.turns += batch.turns - turns;
+        self.state.bytes += batch.byte_count() - bytes;
+        Ok(place.sequence)
+    }
+
+    /// Returns the append to start now, if there is one: the next batch, or a repeated attempt.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`crate::codec::CodecError`] if the row cannot be encoded. The journal must not be used further.
+    pub fn flush(
+        &mut self,
+        now: ClockTime,
+        written: WallTime,
+        source: &mut impl RngCore,
+    ) -> Result<Option<AppendRow>> {
+        if self.next_flush().is_none_or(|due| due > now) {
+            return Ok(None);
+        }
+        if let Some(append) = &mut self.state.append {
+            append.retry_at = None;
+            return Ok(Some(append.row.clone()));
+        }
+        let Some(batch) = self.state.queue.pop_front() else {
+            return Ok(None);
+        };
+        let header = RowHeader {
+            session: self.session,
+            sequence: batch.sequence,
+            written,
+            checkpoint: self.state.checkpoint,
+            records: 0,
+        };
+        let (row, bodies) = batch.encode(header)?;
+        let row = AppendRow {
+            sequence: batch.sequence,
+            row,
+            bodies,
+            nonce: (u128::from(source.next_u64()) << 64) | u128::from(source.next_u64()),
+        };
+        self.state.last_start = Some(now);
+        self.state.append = Some(PendingAppend {
+            row: row.clone(),
+            turns: batch.turns,
+            bytes: batch.byte_count(),
+            failures: 0,
+            retry_at: None,
+        });
+        Ok(Some(row))
+    }
+
+    /// Returns the time from which [`JournalWriter::flush`] has an append; `None` while it waits for an outcome or has
+    /// no record.
+    pub fn next_flush(&self) -> Option<ClockTime> {
+        if let Some(append) = &self.state.append {
+            return append.retry_at;
+        }
+        self.state.queue.front().filter(|batch| !batch.is_empty())?;
+        let start = self.state.last_start.map(|start| start + self.state.floor);
+        Some(start.unwrap_or_default())
+    }
+
+    /// Takes the outcome of the append in flight.
+    pub fn append_done(
+        &mut self,
+        sequence: u64,
+        outcome: AppendOutcome,
+        now: ClockTime,
+        source: &mut impl RngCore,
+    ) -> AppendProgress {
+        let Some(append) = &mut self.state.append else {
+            return AppendProgress::Stale;
+        };
+        if append.row.sequence != sequence || append.retry_at.is_some() {
+            return AppendProgress::Stale;
+        }
+        match outcome {
+            AppendOutcome::Durable => {
+                self.state.turns -= append.turns;
+                self.state.bytes -= append.bytes;
+                self.state.durable = sequence;
+                self.state.append = None;
+                AppendProgress::Durable(sequence)
+            }
+            AppendOutcome::Unavailable => {
+                append.failures += 1;
+                append.retry_at = Some(now + retry_pause(append.failures, source));
+                AppendProgress::Retrying(append.failures)
+            }
+            AppendOutcome::Sealed => AppendProgress::Sealed,
+        }
+    }
+
+    /// Ends the journal after another session has sealed it. Records that are not durable are dropped.
+    pub fn seal(self) -> JournalWriter<SealedJournal> {
+        JournalWriter {
+            session: self.session,
+            state: SealedJournal {
+                durable: self.state.durable,
+            },
+        }
+    }
+
+    /// Returns the last durable row; zero before the first.
+    pub fn durable(&self) -> u64 {
+        self.state.durable
+    }
+
+    /// Returns `true` if no record waits behind the append in flight.
+    pub fn is_queue_empty(&self) -> bool {
+        self.state.queue.iter().all(RowBatch::is_empty)
+    }
+
+    /// Returns `true` if the append in flight has failed at least once: the platform does not take writes at present.
+    pub fn is_unavailable(&self) -> bool {
+        self.state
+            .append
+            .as_ref()
+            .is_some_and(|append| append.failures > 0)
+    }
+
+    /// Returns the number of turns that are not durable.
+    pub fn undurable_turns(&self) -> usize {
+        self.state.turns
+    }
+
+    /// Returns the bytes of records and bodies that are not durable.
+    pub fn undurable_bytes(&self) -> usize {
+        self.state.bytes
+    }
+}
--- /dev/null
+++ b/crates/ebony_owner/src/owner_core/checkpoint_cycle.rs
@@ -0,0 +1,94 @@
+//! When checkpoints are taken, and when the rows behind them may go.
+//!
+//! A checkpoint passes four steps: it is *taken* when a row is cut that leaves no record behind, so that memory equals
+//! the state after that row; *stored* once the row is durable; *named* in the headers of later rows; and *effective*
+//! when the first of these is durable. Only then do older rows go, so that a successor always finds either the rows or
+//! the name of the checkpoint that replaces them.
+
+use bytes::Bytes;
+
+/// What becomes possible when a row is durable.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub(super) struct CheckpointProgress {
+    /// A checkpoint to store.
+    pub(super) store: Option<(u64, Bytes)>,
+    /// Rows that a checkpoint has replaced.
+    pub(super) truncate: Option<TruncateRange>,
+}
+
+/// Rows that may be removed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct TruncateRange {
+    pub(super) first: u64,
+    pub(super) last: u64,
+    /// The checkpoint before.
+    pub(super) checkpoint: Option<u64>,
+}
+
+#[derive(Clone, Debug)]
+pub(super) struct CheckpointCycle {
+    interval: u64,
+    rows: u64,
+    taken: Option<(u64, Bytes)>,
+    storing: Option<u64>,
+    /// A stored checkpoint, and the first row that names it.
+    named: Option<(u64, u64)>,
+    effective: Option<u64>,
+}
+
+impl CheckpointCycle {
+    pub(super) fn new(interval: u64) -> Self {
+        Self {
+            interval: interval.max(1),
+            rows: 0,
+            taken: None,
+            storing: None,
+            named: None,
+            effective: None,
+        }
+    }
+
+    /// Counts a row that was cut. Returns `true` if a checkpoint should be taken as soon as a row leaves no record
+    /// behind.
+    pub(super) fn count_row(&mut self) -> bool {
+        self.rows += 1;
+        let is_idle = self.taken.is_none() && self.storing.is_none() && self.named.is_none();
+        is_idle && self.rows >= self.interval
+    }
+
+    /// Keeps the state after row `sequence` until that row is durable.
+    pub(super) fn take(&mut self, sequence: u64, bytes: Bytes) {
+        self.rows = 0;
+        self.taken = Some((sequence, bytes));
+    }
+
+    pub(super) fn row_durable(&mut self, sequence: u64) -> CheckpointProgress {
+        let store = self.taken.take_if(|(taken, _)| *taken <= sequence);
+        if let Some((taken, _)) = &store {
+            self.storing = Some(*taken);
+        }
+        let named = self.named.take_if(|(_, row)| *row <= sequence);
+        let truncate = named.map(|(checkpoint, _)| {
+            let before = self.effective.replace(checkpoint);
+            TruncateRange {
+                first: before.unwrap_or(0) + 1,
+                last: checkpoint,
+                checkpoint: before,
+            }
+        });
+        CheckpointProgress { store, truncate }
+    }
+
+    /// Takes the outcome of storing. Returns `true` if rows from `next_row` on must name the checkpoint.
+    pub(super) fn store_done(&mut self, sequence: u64, is_stored: bool, next_row: u64) -> bool {
+        if self.storing.take_if(|storing| *storing == sequence).is_none() {
+            return false;
+        }
+        if is_stored {
+            self.named = Some((sequence, next_row));
+        } else {
+            self.rows = self.interval;
+        }
+        is_stored
+    }
+}
--- /dev/null
+++ b/crates/ebony_owner/src/owner_core/durability.rs
@@ -0,0 +1,166 @@
+//! What follows from the outcome of appends, and when checkpoints are taken.
+
+use super::arrival::platform_unavailable;
+use super::checkpoint_cycle::TruncateRange;
+use super::effect::DurableEffect;
+use super::state::ServingState;
+use crate::action::OwnerAction;
+use crate::budget::lesser;
+use crate::call::{CallKey, CallPhase};
+use crate::journal::checkpoint::CheckpointImage;
+use crate::journal::writer::{AppendOutcome, AppendProgress, OUTAGE_FAILURES};
+use crate::program::table::ProgramKey;
+
+impl ServingState {
+    pub(super) fn on_append_done(&mut self, sequence: u64, outcome: AppendOutcome) {
+        match self
+            .writer
+            .append_done(sequence, outcome, self.now, &mut self.source)
+        {
+            AppendProgress::Durable(sequence) => {
+                self.run_effects();
+                self.advance_checkpoint(sequence);
+            }
+            AppendProgress::Retrying(OUTAGE_FAILURES) => self.refuse_waiting_for_journal(),
+            AppendProgress::Retrying(_) | AppendProgress::Stale => {}
+            AppendProgress::Sealed => self.is_lost = true,
+        }
+    }
+
+    fn run_effects(&mut self) {
+        while let Some(effect) = self.effects.pop(self.writer.durable()) {
+            self.run_effect(effect);
+        }
+    }
+
+    pub(super) fn run_effect(&mut self, effect: DurableEffect) {
+        match effect {
+            DurableEffect::FinishCall(call) => self.finish_call(call),
+            DurableEffect::DispatchCall(call) => self.dispatch(call),
+            DurableEffect::RaiseCeiling { program, ceiling } => self.raise_ceiling(program, ceiling),
+            DurableEffect::Reply { request, view, plan } => self.reply(request, view, plan),
+            DurableEffect::ReleaseProgram { program, token } => {
+                self.act(OwnerAction::ReleaseProgram { program, token });
+            }
+            DurableEffect::ServeShard(shard) => self.serve_shard(shard),
+            DurableEffect::AnnounceRelease(shard) => self.act(OwnerAction::ShardReleased { shard }),
+        }
+    }
+
+    fn finish_call(&mut self, key: CallKey) {
+        let Some(call) = self.calls.get(key).map(|call| call.call) else {
+            return;
+        };
+        self.act(OwnerAction::Finish { call });
+        self.forget_call(key);
+    }
+
+    /// Notes a durable ceiling. The ceiling may have been lowered since, and then the lower one holds.
+    fn raise_ceiling(&mut self, program: ProgramKey, ceiling: ebony_types::BudgetUse) {
+        let Some(entry) = self.programs.get_mut(program) else {
+            return;
+        };
+        entry.account.durable_ceiling = lesser(ceiling, entry.image.ceiling);
+        let is_covered = entry.is_covered();
+        let waiting = entry.line.running().filter(|_| is_covered);
+        let has_key = |call| self.calls.get(call).is_some_and(|call| call.intent.is_some());
+        if let Some(call) = waiting.filter(|&call| !has_key(call)) {
+            self.dispatch(call);
+        }
+    }
+
+    /// Answers everything that waits for a record that the platform does not take at present. Turns stay in the buffer.
+    fn refuse_waiting_for_journal(&mut self) {
+        for request in self.effects.take_replies() {
+            let result = Err(platform_unavailable());
+            self.act(OwnerAction::Reply { request, result });
+        }
+        for key in self.calls.keys() {
+            let is_securing = self
+                .calls
+                .get(key)
+                .is_some_and(|call| call.phase == CallPhase::Securing);
+            if is_securing {
+                self.refuse_unrun(key, platform_unavailable());
+            }
+        }
+    }
+
+    /// Starts the next append if one is due, and takes a checkpoint where memory equals the state after its row.
+    pub(super) fn flush(&mut self) {
+        let written = self.wall_now();
+        match self.writer.flush(self.now, written, &mut self.source) {
+            Err(_) => self.is_lost = true,
+            Ok(None) => {}
+            Ok(Some(append)) => {
+                let sequence = append.sequence;
+                self.act(OwnerAction::Append(append));
+                if sequence > self.last_cut {
+                    self.last_cut = sequence;
+                    self.take_checkpoint(sequence);
+                }
+            }
+        }
+    }
+
+    fn take_checkpoint(&mut self, sequence: u64) {
+        let is_due = self.checkpoints.count_row();
+        if !is_due || !self.writer.is_queue_empty() {
+            return;
+        }
+        if let Ok(bytes) = self.checkpoint_image(sequence).encode() {
+            self.checkpoints.take(sequence, bytes);
+        }
+    }
+
+    fn checkpoint_image(&self, sequence: u64) -> CheckpointImage {
+        let owned = self.board.owned();
+        CheckpointImage {
+            session: self.writer.session(),
+            sequence,
+            written: self.wall_now(),
+            shards: owned
+                .into_iter()
+                .map(|(shard, epoch)| self.programs.shard_image(shard, epoch))
+                .collect(),
+            released: self.board.released(),
+        }
+    }
+
+    fn advance_checkpoint(&mut self, sequence: u64) {
+        let progress = self.checkpoints.row_durable(sequence);
+        if let Some((sequence, bytes)) = progress.store {
+            self.act(OwnerAction::Checkpoint { sequence, bytes });
+        }
+        if let Some(range) = progress.truncate {
+            self.truncate(range);
+        }
+    }
+
+    fn truncate(&mut self, range: TruncateRange) {
+        self.act(OwnerAction::Truncate {
+            first: range.first,
+            last: range.last,
+            checkpoint: range.checkpoint,
+        });
+        let is_replaced = |place: &crate::journal::BodyPlace| place.sequence <= range.last;
+        let replaced: Vec<_> = self
+            .adopted_bodies
+            .extract_if(.., |place| is_replaced(place))
+            .collect();
+        for place in replaced {
+            if let Some(sequence) = self.bodies.release(place) {
+                self.act(OwnerAction::DeleteBodies { sequence });
+            }
+        }
+    }
+
+    pub(super) fn on_checkpoint_done(&mut self, sequence: u64, is_stored: bool) {
+        if self
+            .checkpoints
+            .store_done(sequence, is_stored, self.last_cut + 1)
+        {
+            self.writer.set_checkpoint(sequence);
+        }
+    }
+}
--- /dev/null
+++ b/crates/ebony_owner/src/owner_core/mod.rs
@@ -0,0 +1,138 @@
+//! The owner of one session: events and time in, actions out.
+
+mod arrival;
+mod body_count;
+mod checkpoint_cycle;
+mod durability;
+mod effect;
+mod ending;
+mod operation;
+mod record;
+mod release;
+mod report;
+mod running;
+mod shard_board;
+mod starting;
+mod state;
+mod takeover;
+
+use ebony_types::{ClockTime, FencingToken, ProgramId, SessionId, ShardKey};
+
+use crate::action::OwnerAction;
+use crate::event::OwnerEvent;
+use crate::journal::writer::{JournalWriter, SealedJournal};
+use crate::settings::OwnerSettings;
+pub use report::OwnerReport;
+use state::ServingState;
+
+#[derive(Debug)]
+enum OwnerPhase {
+    Serving(Box<ServingState>),
+    Lost(JournalWriter<SealedJournal>),
+}
+
+/// Owns the programs of the shards of one session.
+///
+/// The core has no clock and does no I/O. The shell passes events in the order in which they happen, carries the
+/// returned actions out in order, and reports the outcomes of storage actions as events. After
+/// [`OwnerAction::SessionLost`] the core refuses everything, and the shell opens a new one for a new session.
+///
+/// ```
+/// use ebony_owner::{OwnerAction, OwnerCore, OwnerEvent, OwnerSettings, LiveSession};
+/// use ebony_types::{ClockTime, DomainName, SessionId};
+///
+/// let session = SessionId::from_bytes([1; 16]);
+/// let settings = OwnerSettings { shard_count: 2, ..OwnerSettings::default() };
+/// let mut core = OwnerCore::open(session, settings, [7; 32]);
+/// let sessions = vec![LiveSession {
+///     session,
+///     domain: DomainName::parse("catania-1")?,
+///     is_draining: false,
+///     shards: Vec::new(),
+/// }];
+/// let actions = core.handle(OwnerEvent::SessionsChanged { sessions }, ClockTime::from_millis(1));
+/// assert_eq!(actions.len(), 2, "the shard rows are read first");
+/// assert!(actions.iter().all(|action| matches!(action, OwnerAction::Storage { .. })));
+/// # Ok::<(), ebony_types::name::NameError>(())
+/// ```
+#[derive(Debug)]
+pub struct OwnerCore {
+    phase: OwnerPhase,
+}
+
+impl OwnerCore {
+    /// Opens the owner of a new session, which owns nothing yet. `seed` determines nonces, identifiers of programs of
+    /// one call, and pauses between attempts.
+    pub fn open(session: SessionId, settings: OwnerSettings, seed: [u8; 32]) -> Self {
+        Self {
+            phase: OwnerPhase::Serving(Box::new(ServingState::new(session, settings, seed))),
+        }
+    }
+
+    /// Takes an event and returns what to do.
+    pub fn handle(&mut self, event: OwnerEvent, now: ClockTime) -> Vec<OwnerAction> {
+        match &mut self.phase {
+            OwnerPhase::Serving(state) => {
+                let mut actions = state.handle(event, now);
+                self.lose_if_sealed(&mut actions);
+                actions
+            }
+            OwnerPhase::Lost(_) => report::refuse_lost(event),
+        }
+    }
+
+    fn lose_if_sealed(&mut self, actions: &mut Vec<OwnerAction>) {
+        let OwnerPhase::Serving(state) = &mut self.phase else {
+            return;
+        };
+        if let Some(writer) = state.take_lost_writer() {
+            actions.extend(state.lose());
+            self.phase = OwnerPhase::Lost(writer.seal());
+        }
+    }
+
+    /// Returns the session.
+    pub fn session(&self) -> SessionId {
+        match &self.phase {
+            OwnerPhase::Serving(state) => state.writer.session(),
+            OwnerPhase::Lost(writer) => writer.session(),
+        }
+    }
+
+    /// Returns `true` after [`OwnerAction::SessionLost`].
+    pub fn is_lost(&self) -> bool {
+        matches!(self.phase, OwnerPhase::Lost(_))
+    }
+
+    /// Returns when the shell should send the next [`OwnerEvent::Tick`]; `None` if nothing is due without another event.
+    pub fn next_wakeup(&self) -> Option<ClockTime> {
+        match &self.phase {
+            OwnerPhase::Serving(state) => state.next_wakeup(),
+            OwnerPhase::Lost(_) => None,
+        }
+    }
+
+    /// Returns the shards that are served and their epochs, for routing.
+    pub fn serving_shards(&self) -> Vec<(ShardKey, FencingToken)> {
+        match &self.phase {
+            OwnerPhase::Serving(state) => state.board.serving(),
+            OwnerPhase::Lost(_) => Vec::new(),
+        }
+    }
+
+    /// Returns the open programs whose engine memory the shell confirms to the side processes.
+    pub fn vouched_programs(&self) -> Vec<ProgramId> {
+        match &self.phase {
+            OwnerPhase::Serving(state) => state.vouched_programs(),
+            OwnerPhase::Lost(_) => Vec::new(),
+        }
+    }
+
+    /// Returns counts for metrics.
+    pub fn report(&self) -> OwnerReport {
+        match &self.phase {
+            OwnerPhase::Serving(state) => state.report(),
+            OwnerPhase::Lost(_) => OwnerReport::default(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/ebony_owner/src/owner_core/record.rs
@@ -0,0 +1,63 @@
+//! Recording: every durable change goes through [`ServingState::commit`], which applies it to memory and queues it for
+//! the journal.
+
+use bytes::Bytes;
+
+use super::effect::DurableEffect;
+use super::state::ServingState;
+use crate::journal::record::{BodyPlace, JournalRecord, ReservedRecord};
+use crate::journal::writer::RecordGroup;
+use crate::program::table::ProgramKey;
+
+impl ServingState {
+    /// Applies records that belong together and queues them. Returns their row.
+    pub(super) fn commit(&mut self, mut records: Vec<JournalRecord>, body: Option<Bytes>) -> u64 {
+        let place = self.writer.locate(body.as_ref().map_or(0, Bytes::len));
+        for record in &mut records {
+            record.set_body(place.span);
+            self.apply(record, place);
+        }
+        if body.is_some() {
+            self.bodies.add(place.sequence);
+        }
+        let group = RecordGroup { records, body };
+        if self.writer.push(group).is_err() {
+            // Memory is ahead of what can ever be durable, so the session must not go on.
+            self.is_lost = true;
+        }
+        place.sequence
+    }
+
+    fn apply(&mut self, record: &JournalRecord, place: BodyPlace) {
+        let key = self
+            .programs
+            .apply(record, place.session, place.sequence, self.now);
+        let Some((key, entry)) = key.and_then(|key| Some((key, self.programs.get(key)?))) else {
+            return;
+        };
+        let ceiling = entry.image.ceiling;
+        if ceiling != entry.account.durable_ceiling {
+            let effect = DurableEffect::RaiseCeiling {
+                program: key,
+                ceiling,
+            };
+            self.effects.push(place.sequence, effect);
+        }
+    }
+
+    /// Records the amounts of a program after a call that has no turn, or lowers its ceiling.
+    pub(super) fn commit_amounts(&mut self, key: ProgramKey, record: ReservedRecord) {
+        if self.programs.get(key).is_some_and(|entry| entry.is_journaled) {
+            self.commit(vec![JournalRecord::Reserved(record)], None);
+        }
+    }
+
+    /// Adds an effect for a row, or carries it out if the row is durable already.
+    pub(super) fn after_row(&mut self, sequence: u64, effect: DurableEffect) {
+        if sequence <= self.writer.durable() {
+            self.run_effect(effect);
+        } else {
+            self.effects.push(sequence, effect);
+        }
+    }
+}
--- /dev/null
+++ b/crates/ebony_owner/src/owner_core/release.rs
@@ -0,0 +1,198 @@
+//! Giving shards up: planned releases, and the loss of the session.
+
+use std::time::Duration;
+
+use ebony_types::{FencingToken, ProblemCode, ProblemReport, RunVerdict, SessionId, ShardKey};
+
+use super::arrival::not_owned;
+use super::effect::DurableEffect;
+use super::shard_board::ShardPhase;
+use super::state::{ServingState, TimerTask};
+use crate::action::OwnerAction;
+use crate::call::CallPhase;
+use crate::journal::checkpoint::{ReleasedShard, ShardImage};
+use crate::journal::record::{BodyPlace, BodySpan, JournalRecord, ReleasedRecord};
+use crate::journal::writer::{JournalWriter, OpenJournal};
+use crate::program::table::ProgramKey;
+use crate::settings::{REBALANCE_DRAIN, REBALANCE_PAUSE};
+
+/// Pause before a busy shard is looked at again.
+const BUSY_PAUSE: Duration = Duration::from_secs(1);
+
+impl ServingState {
+    /// Decides whether to release a shard that is served. A leaving process releases all its shards and waits for their
+    /// calls; a move that only spreads load waits for a moment without calls, or refuses calls for a short while.
+    pub(super) fn evaluate_release(&mut self, shard: ShardKey, preferred: Option<SessionId>) {
+        let session = self.writer.session();
+        let is_forced = self.board.is_draining(session);
+        let should_move = is_forced || preferred.is_some_and(|preferred| preferred != session);
+        let Some(slot) = self.board.slot(shard) else {
+            return;
+        };
+        match slot.phase {
+            ShardPhase::Serving { epoch } if should_move => {
+                let pause = slot.last_drain.map(|start| self.now.since(start));
+                let may_drain = pause.is_none_or(|pause| pause >= REBALANCE_PAUSE);
+                if is_forced || slot.calls == 0 || may_drain {
+                    self.begin_release(shard, epoch, is_forced);
+                } else {
+                    self.schedule_shard(shard, self.now + BUSY_PAUSE);
+                }
+            }
+            ShardPhase::Releasing { epoch, .. } if is_forced => {
+                self.set_phase(shard, ShardPhase::Releasing { epoch, is_forced });
+            }
+            ShardPhase::Releasing { epoch, .. } if !should_move => {
+                self.set_phase(shard, ShardPhase::Serving { epoch });
+            }
+            _ => {}
+        }
+    }
+
+    fn set_phase(&mut self, shard: ShardKey, phase: ShardPhase) {
+        if let Some(slot) = self.board.slot_mut(shard) {
+            slot.phase = phase;
+        }
+    }
+
+    fn begin_release(&mut self, shard: ShardKey, epoch: FencingToken, is_forced: bool) {
+        self.set_phase(shard, ShardPhase::Releasing { epoch, is_forced });
+        for program in self.programs.shard_keys(shard) {
+            self.refuse_queued(program, &not_owned());
+        }
+        if let Some(slot) = self.board.slot_mut(shard) {
+            slot.last_drain = Some(self.now);
+        }
+        if !is_forced {
+            let due = self.now + REBALANCE_DRAIN;
+            self.timers.schedule(due, TimerTask::ReleaseTimeout(shard));
+        }
+    }
+
+    /// Refuses the calls of a program that were not dispatched.
+    pub(super) fn refuse_queued(&mut self, program: ProgramKey, problem: &ProblemReport) {
+        let Some(entry) = self.programs.get_mut(program) else {
+            return;
+        };
+        let mut queued = entry.line.drain_waiting();
+        let running = entry.line.running();
+        queued.extend(running.filter(|&call| self.calls.get(call).is_some_and(|call| !call.is_dispatched())));
+        for call in queued {
+            self.refuse_unrun(call, problem.clone());
+        }
+    }
+
+    pub(super) fn on_release_timeout(&mut self, shard: ShardKey) {
+        let phase = self.board.slot(shard).map(|slot| &slot.phase);
+        if let Some(&ShardPhase::Releasing {
+            epoch,
+            is_forced: false,
+        }) = phase
+        {
+            self.set_phase(shard, ShardPhase::Serving { epoch });
+            self.schedule_shard(shard, self.now + BUSY_PAUSE);
+        }
+    }
+
+    /// Releases the shards whose last call has ended.
+    pub(super) fn release_idle_shards(&mut self) {
+        let idle = self.board.shards().filter_map(|(shard, slot)| match slot.phase {
+            ShardPhase::Releasing { epoch, .. } if slot.calls == 0 => Some((shard, epoch)),
+            _ => None,
+        });
+        for (shard, epoch) in idle.collect::<Vec<_>>() {
+            self.release(shard, epoch);
+        }
+    }
+
+    fn release(&mut self, shard: ShardKey, epoch: FencingToken) {
+        let mut image = self.programs.shard_image(shard, epoch);
+        for program in &mut image.programs {
+            // No call is under way, so nothing of the reserved block can have been spent.
+            program.ceiling = program.spent;
+        }
+        let body = match image.is_empty() {
+            true => None,
+            false => match image.encode() {
+                Ok(body) => Some(body),
+                // A shard too large to be written as one object stays here; its rows and checkpoints are intact.
+                Err(_) => return,
+            },
+        };
+        let length = body
+            .as_ref()
+            .map_or(0, |body| u32::try_from(body.len()).unwrap_or(u32::MAX));
+        let record = JournalRecord::Released(ReleasedRecord {
+            shard,
+            epoch,
+            state: BodySpan::default(),
+        });
+        let place = self.writer.locate(length as usize);
+        let sequence = self.commit(vec![record], body);
+        if let Some(slot) = self.board.slot_mut(shard) {
+            slot.phase = ShardPhase::Away;
+            slot.released = Some(ReleasedShard {
+                shard,
+                epoch,
+                state: (length > 0).then_some(place),
+            });
+        }
+        self.forget_shard(&image, place);
+        self.after_row(sequence, DurableEffect::AnnounceRelease(shard));
+    }
+
+    /// Drops the programs of a released shard. Their bodies now belong to the successor.
+    fn forget_shard(&mut self, image: &ShardImage, state: BodyPlace) {
+        self.bodies.export(state);
+        for entry in self.programs.remove_shard(image.shard) {
+            if let Some(timer) = entry.timer {
+                self.timers.cancel(timer);
+            }
+            for place in entry.image.history.places() {
+                self.bodies.export(place);
+            }
+        }
+        for place in image.retired.iter().filter_map(|key| key.answer) {
+            self.bodies.export(place);
+        }
+    }
+
+    /// Returns the writer if the journal was sealed or failed.
+    pub(super) fn take_lost_writer(&mut self) -> Option<JournalWriter<OpenJournal>> {
+        let unused = JournalWriter::open(self.writer.session(), Duration::ZERO);
+        self.is_lost.then(|| std::mem::replace(&mut self.writer, unused))
+    }
+
+    /// Answers everything that is under way and not durable. The state is of no further use.
+    pub(super) fn lose(&mut self) -> Vec<OwnerAction> {
+        for key in self.calls.keys() {
+            let Some(call) = self.calls.get(key) else {
+                continue;
+            };
+            let (id, phase, is_answered) = (call.call, call.phase, call.is_answered);
+            let is_cancelled = phase == CallPhase::Dispatched && call.intent.is_none();
+            if !is_answered {
+                self.refuse(id, lost_problem(phase));
+            }
+            if is_cancelled {
+                self.act(OwnerAction::CancelCall { call: id });
+            }
+        }
+        for request in self.effects.take_replies() {
+            let result = Err(not_owned());
+            self.act(OwnerAction::Reply { request, result });
+        }
+        self.act(OwnerAction::SessionLost);
+        std::mem::take(&mut self.actions)
+    }
+}
+
+fn lost_problem(phase: CallPhase) -> ProblemReport {
+    let run = match phase {
+        CallPhase::Waiting | CallPhase::Securing => RunVerdict::NotRun,
+        CallPhase::Dispatched => RunVerdict::MayHaveRun,
+        CallPhase::Recording => RunVerdict::Ran,
+    };
+    let detail = "this entry lost its session; another entry takes the program over";
+    ProblemReport::new(ProblemCode::OwnerUnavailable, run, detail).retry_after(1)
+}
--- /dev/null
+++ b/crates/ebony_owner/src/owner_core/starting.rs
@@ -0,0 +1,183 @@
+//! Calls from the head of their line to their dispatch.
+
+use ebony_types::{BudgetUse, CallId, FencingToken, ProblemCode, TargetName};
+use ebony_wire::QueueRank;
+
+use super::arrival::{overloaded, platform_unavailable};
+use super::effect::DurableEffect;
+use super::state::{Result, ServingState};
+use crate::action::OwnerAction;
+use crate::budget::exhausted;
+use crate::call::{CallIntent, CallKey, CallPhase};
+use crate::journal::record::{IntendedRecord, JournalRecord, ReservedRecord};
+use crate::program::image::ProgramImage;
+use crate::program::table::{ProgramEntry, ProgramKey};
+
+impl ServingState {
+    /// Starts the first call of a line. A call that may not run is refused, and the next one starts.
+    pub(super) fn start_call(&mut self, key: CallKey) {
+        let Some(program) = self.calls.get(key).map(|call| call.program) else {
+            return;
+        };
+        if let Err(problem) = self.try_start(key, program) {
+            let is_budget = problem.code == ProblemCode::BudgetExhausted;
+            self.refuse_unrun(key, problem);
+            if is_budget {
+                self.end_if_spent(program);
+            }
+        }
+    }
+
+    fn try_start(&mut self, key: CallKey, program: ProgramKey) -> Result<()> {
+        let (Some(call), Some(entry)) = (self.calls.get(key), self.programs.get(program)) else {
+            return Ok(());
+        };
+        if entry.image.history.turn_count() >= self.settings.max_turns {
+            return Err(exhausted());
+        }
+        let is_new_key = call
+            .intent
+            .as_ref()
+            .is_some_and(|intent| !entry.image.intents.contains(&intent.key));
+        if is_new_key && self.programs.intent_count() >= self.settings.max_keys {
+            return Err(overloaded("too many idempotency keys are kept"));
+        }
+        let (need, intent, call_id) = (call.need, call.intent.clone(), call.call);
+        let raised_ceiling = self.reserve(program, need)?;
+        if let Some(call) = self.calls.get_mut(key) {
+            call.phase = CallPhase::Securing;
+        }
+        let records = self.start_records(program, raised_ceiling, intent.as_ref(), call_id);
+        self.secure(key, program, intent.is_some(), records);
+        Ok(())
+    }
+
+    /// Reserves budget; if it does not fit, blocks that other programs of the tree set aside are returned first.
+    fn reserve(&mut self, program: ProgramKey, need: BudgetUse) -> Result<Option<BudgetUse>> {
+        if let Ok(reservation) = self.programs.reserve(program, need) {
+            return Ok(reservation.raised_ceiling);
+        }
+        for holder in self.programs.slack_holders(program) {
+            self.return_slack(holder);
+        }
+        let reservation = self.programs.reserve(program, need)?;
+        Ok(reservation.raised_ceiling)
+    }
+
+    fn return_slack(&mut self, holder: ProgramKey) {
+        let Some(entry) = self.programs.get(holder) else {
+            return;
+        };
+        let record = ReservedRecord {
+            program: entry.image.program,
+            spent: entry.image.spent,
+            ceiling: entry.taken(),
+        };
+        self.commit_amounts(holder, record);
+    }
+
+    fn start_records(
+        &self,
+        program: ProgramKey,
+        raised_ceiling: Option<BudgetUse>,
+        intent: Option<&CallIntent>,
+        call: CallId,
+    ) -> Vec<JournalRecord> {
+        let Some(entry) = self.programs.get(program) else {
+            return Vec::new();
+        };
+        let image = &entry.image;
+        let mut records = Vec::new();
+        match raised_ceiling {
+            Some(ceiling) if entry.is_journaled => records.push(JournalRecord::Reserved(ReservedRecord {
+                program: image.program,
+                spent: image.spent,
+                ceiling,
+            })),
+            Some(ceiling) if intent.is_some() => records.push(image.opened_record(ceiling)),
+            _ => {}
+        }
+        if let Some(intent) = intent {
+            records.push(intended(image, intent, call, None));
+        }
+        records
+    }
+
+    /// Dispatches a call as soon as everything that it needs is durable.
+    fn secure(&mut self, key: CallKey, program: ProgramKey, has_key: bool, records: Vec<JournalRecord>) {
+        if !records.is_empty() {
+            let sequence = self.commit(records, None);
+            if has_key {
+                self.after_row(sequence, DurableEffect::DispatchCall(key));
+                return;
+            }
+        }
+        let is_ready = self
+            .programs
+            .get(program)
+            .is_some_and(|entry| !entry.is_journaled || entry.is_covered());
+        if is_ready {
+            self.dispatch(key);
+        } else if self.writer.is_unavailable() {
+            self.refuse_unrun(key, platform_unavailable());
+        }
+    }
+
+    /// Sends a call that waits for a durable record on its way.
+    pub(super) fn dispatch(&mut self, key: CallKey) {
+        let Some(call) = self
+            .calls
+            .get_mut(key)
+            .filter(|call| call.phase == CallPhase::Securing)
+        else {
+            return;
+        };
+        call.phase = CallPhase::Dispatched;
+        let (call, program) = (call.call, call.program);
+        let Some(entry) = self.programs.get(program) else {
+            return;
+        };
+        let action = OwnerAction::Dispatch {
+            call,
+            program: entry.image.program,
+            token: self.token_of(entry),
+            rank: self.rank_of(program),
+        };
+        self.act(action);
+    }
+
+    pub(super) fn token_of(&self, entry: &ProgramEntry) -> FencingToken {
+        self.board.epoch(entry.image.program.shard())
+    }
+
+    /// The whole tree of programs is one unit of work for the queue, so its root's amounts count.
+    fn rank_of(&self, program: ProgramKey) -> QueueRank {
+        let Some((_, root)) = self.programs.lineage(program).last() else {
+            return QueueRank::default();
+        };
+        let age = self.now.since(root.opened).as_millis();
+        QueueRank {
+            attained_tokens: root.account.subtree_spent.tokens,
+            blocks_parent: self
+                .programs
+                .get(program)
+                .is_some_and(|entry| entry.parent.is_some()),
+            program_age_ms: u64::try_from(age).unwrap_or(u64::MAX),
+        }
+    }
+}
+
+pub(super) fn intended(
+    image: &ProgramImage,
+    intent: &CallIntent,
+    call: CallId,
+    target: Option<TargetName>,
+) -> JournalRecord {
+    JournalRecord::Intended(Box::new(IntendedRecord {
+        program: image.program,
+        key: intent.key.clone(),
+        digest: intent.digest,
+        call,
+        target,
+    }))
+}
--- /dev/null
+++ b/crates/ebony_owner/src/owner_core/state.rs
@@ -0,0 +1,160 @@
+//! State of an owner whose journal is open, and the order in which an event is handled.
+
+use ebony_types::{CallId, ClockTime, ProblemReport, ProgramId, SessionId, ShardKey};
+use rand_chacha::ChaCha8Rng;
+use rand_chacha::rand_core::SeedableRng;
+
+use super::body_count::BodyCounts;
+use super::checkpoint_cycle::CheckpointCycle;
+use super::effect::EffectQueue;
+use super::shard_board::ShardBoard;
+use super::takeover::TakeoverBoard;
+use crate::action::OwnerAction;
+use crate::call::{CallKey, CallTable};
+use crate::event::OwnerEvent;
+use crate::journal::record::BodyPlace;
+use crate::journal::writer::{JournalWriter, OpenJournal};
+use crate::program::table::{ProgramKey, ProgramTable};
+use crate::settings::OwnerSettings;
+use crate::timer::TimerQueue;
+use crate::wall_time::WallTime;
+
+/// The result of admitting a call or an operation.
+pub(super) type Result<T, E = ProblemReport> = std::result::Result<T, E>;
+
+/// Something that is due at a time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum TimerTask {
+    /// The deadline of a call.
+    CallDeadline(CallKey),
+    /// The end of the wait for the target's answer to a cancelled call.
+    CancelGrace(CallKey),
+    /// The end of a program's time budget.
+    ProgramExpiry(ProgramKey),
+    /// The end of a program's retention.
+    ProgramEviction(ProgramKey),
+    /// The end of a key's retention.
+    KeyExpiry(ProgramId),
+    /// A shard's takeover is tried again.
+    ShardRetry(ShardKey),
+    /// A busy shard that moves only to spread load stays after all.
+    ReleaseTimeout(ShardKey),
+    /// A storage request is repeated.
+    RequestRetry(super::takeover::RequestOwner),
+}
+
+/// An owner whose journal is open.
+#[derive(Debug)]
+pub(super) struct ServingState {
+    pub(super) settings: OwnerSettings,
+    pub(super) source: ChaCha8Rng,
+    pub(super) writer: JournalWriter<OpenJournal>,
+    pub(super) programs: ProgramTable,
+    pub(super) calls: CallTable,
+    pub(super) board: ShardBoard,
+    pub(super) takeovers: TakeoverBoard,
+    pub(super) effects: EffectQueue,
+    pub(super) timers: TimerQueue<TimerTask>,
+    pub(super) bodies: BodyCounts,
+    pub(super) adopted_bodies: Vec<BodyPlace>,
+    pub(super) checkpoints: CheckpointCycle,
+    pub(super) last_cut: u64,
+    pub(super) actions: Vec<OwnerAction>,
+    pub(super) now: ClockTime,
+    pub(super) is_lost: bool,
+}
+
+impl ServingState {
+    pub(super) fn new(session: SessionId, settings: OwnerSettings, seed: [u8; 32]) -> Self {
+        Self {
+            source: ChaCha8Rng::from_seed(seed),
+            writer: JournalWriter::open(session, settings.flush_floor(1)),
+            programs: ProgramTable::default(),
+            calls: CallTable::default(),
+            board: ShardBoard::new(settings.shard_count),
+            takeovers: TakeoverBoard::default(),
+            effects: EffectQueue::default(),
+            timers: TimerQueue::default(),
+            bodies: BodyCounts::new(session),
+            adopted_bodies: Vec::new(),
+            checkpoints: CheckpointCycle::new(settings.checkpoint_rows),
+            last_cut: 0,
+            actions: Vec::new(),
+            now: ClockTime::default(),
+            is_lost: false,
+            settings,
+        }
+    }
+
+    pub(super) fn handle(&mut self, event: OwnerEvent, now: ClockTime) -> Vec<OwnerAction> {
+        self.now = self.now.max(now);
+        self.handle_event(event);
+        self.run_timers();
+        self.release_idle_shards();
+        self.flush();
+        std::mem::take(&mut self.actions)
+    }
+
+    fn handle_event(&mut self, event: OwnerEvent) {
+        match event {
+            OwnerEvent::CallArrived { request, messages } => self.on_call_arrived(*request, messages),
+            OwnerEvent::CallPlaced { call, target } => self.on_call_placed(call, target),
+            OwnerEvent::CallNotPlaced { call, problem } => self.on_call_not_placed(call, problem),
+            OwnerEvent::CallFinished {
+                call,
+                head,
+                answer,
+                usage,
+            } => self.on_call_finished(call, head, answer, usage),
+            OwnerEvent::CallFailed { call, problem } => self.on_call_failed(call, problem),
+            OwnerEvent::CallCancelled { call } => self.on_call_cancelled(call),
+            OwnerEvent::Operation { request, operation } => self.on_operation(request, operation),
+            OwnerEvent::AppendDone { sequence, outcome } => self.on_append_done(sequence, outcome),
+            OwnerEvent::CheckpointDone { sequence, is_stored } => {
+                self.on_checkpoint_done(sequence, is_stored);
+            }
+            OwnerEvent::StorageDone { ticket, reply } => self.on_storage_done(ticket, reply),
+            OwnerEvent::SessionsChanged { sessions } => self.on_sessions_changed(sessions),
+            OwnerEvent::Tick => {}
+        }
+    }
+
+    fn run_timers(&mut self) {
+        while let Some(task) = self.timers.pop_due(self.now) {
+            match task {
+                TimerTask::CallDeadline(call) => self.on_call_deadline(call),
+                TimerTask::CancelGrace(call) => self.on_cancel_grace(call),
+                TimerTask::ProgramExpiry(program) => self.on_program_expiry(program),
+                TimerTask::ProgramEviction(program) => self.on_program_eviction(program),
+                TimerTask::KeyExpiry(program) => self.on_key_expiry(program),
+                TimerTask::ShardRetry(shard) => self.on_shard_retry(shard),
+                TimerTask::ReleaseTimeout(shard) => self.on_release_timeout(shard),
+                TimerTask::RequestRetry(owner) => self.issue_request(owner),
+            }
+        }
+    }
+
+    pub(super) fn next_wakeup(&self) -> Option<ClockTime> {
+        let flush = self.writer.next_flush();
+        let due = self.timers.next_due();
+        [flush, due].into_iter().flatten().min()
+    }
+
+    /// Returns the time on the host's wall clock.
+    pub(super) fn wall_now(&self) -> WallTime {
+        self.settings.wall_start + self.now.since(ClockTime::default())
+    }
+
+    /// Maps a wall-clock time onto the process's clock; a time before its start becomes the start.
+    pub(super) fn clock_of(&self, time: WallTime) -> ClockTime {
+        ClockTime::default() + time.since(self.settings.wall_start)
+    }
+
+    pub(super) fn act(&mut self, action: OwnerAction) {
+        self.actions.push(action);
+    }
+
+    pub(super) fn refuse(&mut self, call: CallId, problem: ProblemReport) {
+        self.act(OwnerAction::Refuse { call, problem });
+    }
+}
--- /dev/null
+++ b/crates/ebony_owner/src/program/mod.rs
@@ -0,0 +1,15 @@
+//! Programs: their durable image, the arena of live programs, the waiting line, and history.
+//!
+//! The calls of a program run one at a time in the order of their arrival.
+
+pub mod history;
+pub mod image;
+pub mod line;
+pub mod table;
+pub mod turn_body;
+
+pub use history::{HistoryDelta, HistoryError, HistoryMark, MessageList, ProgramHistory, Result};
+pub use image::{ProgramImage, ProgramState};
+pub use line::CallLine;
+pub use table::{ProgramEntry, ProgramKey, ProgramTable};
+pub use turn_body::{HistoryPlan, TurnBody, assemble_history};
--- /dev/null
+++ b/crates/ebony_owner/tests/owner/harness/bench.rs
@@ -0,0 +1,179 @@
+//! One owner on a platform that answers at once.
+
+use std::time::Duration;
+
+use ebony_owner::{OwnerAction, OwnerCore, OwnerEvent, OwnerSettings};
+use ebony_types::{CallId, CallerName, ClockTime, ProblemReport, ProgramBudget, ProgramId, SessionId};
+use ebony_wire::{ProgramOperation, ProgramView};
+
+use super::platform::{FakePlatform, Fault};
+use super::{caller, live};
+
+pub(crate) struct SoloBench {
+    pub(crate) core: OwnerCore,
+    pub(crate) platform: FakePlatform,
+    pub(crate) now: ClockTime,
+    waiting: Vec<OwnerAction>,
+}
+
+impl SoloBench {
+    /// Opens an owner that serves all shards.
+    pub(crate) fn open(session: SessionId, settings: OwnerSettings) -> Self {
+        Self::on_platform(session, settings, FakePlatform::default())
+    }
+
+    pub(crate) fn on_platform(session: SessionId, settings: OwnerSettings, platform: FakePlatform) -> Self {
+        let mut bench = Self {
+            core: OwnerCore::open(session, settings, [1; 32]),
+            platform,
+            now: ClockTime::from_millis(1_000),
+            waiting: Vec::new(),
+        };
+        let sessions = vec![live(session, "catania-1")];
+        bench.send(OwnerEvent::SessionsChanged { sessions });
+        bench.pass(Duration::from_secs(1));
+        bench
+    }
+
+    /// Sends an event and returns the actions that are not for the platform. Storage actions are carried out, but wait
+    /// while the platform is down.
+    pub(crate) fn send(&mut self, event: OwnerEvent) -> Vec<OwnerAction> {
+        let mut visible = Vec::new();
+        let mut events = vec![event];
+        while let Some(event) = events.pop() {
+            for action in self.core.handle(event, self.now) {
+                if is_storage(&action) {
+                    self.waiting.push(action);
+                } else {
+                    visible.push(action);
+                }
+            }
+            if !self.platform.is_down {
+                events.extend(self.perform_waiting(Fault::None));
+            }
+        }
+        visible
+    }
+
+    fn perform_waiting(&mut self, fault: Fault) -> Vec<OwnerEvent> {
+        let session = self.core.session();
+        let waiting = std::mem::take(&mut self.waiting);
+        let mut events: Vec<OwnerEvent> = waiting
+            .iter()
+            .filter_map(|action| self.platform.perform(session, action, fault))
+            .collect();
+        events.reverse();
+        events
+    }
+
+    /// Ends everything that waits for the platform with a fault.
+    pub(crate) fn fail_waiting(&mut self, fault: Fault) -> Vec<OwnerAction> {
+        let events = self.perform_waiting(fault);
+        events.into_iter().flat_map(|event| self.send(event)).collect()
+    }
+
+    /// Lets time pass in the steps that the owner asks for.
+    pub(crate) fn pass(&mut self, time: Duration) -> Vec<OwnerAction> {
+        let end = self.now + time;
+        let mut visible = Vec::new();
+        while let Some(due) = self.core.next_wakeup().filter(|&due| due <= end) {
+            self.now = self.now.max(due);
+            visible.extend(self.send(OwnerEvent::Tick));
+        }
+        self.now = end;
+        visible.extend(self.send(OwnerEvent::Tick));
+        visible
+    }
+
+    pub(crate) fn operate(&mut self, operation: ProgramOperation) -> Vec<OwnerAction> {
+        let mut actions = self.send(OwnerEvent::Operation {
+            request: 1,
+            operation,
+        });
+        actions.extend(self.pass(Duration::from_millis(50)));
+        actions
+    }
+
+    pub(crate) fn open_program(
+        &mut self,
+        program: ProgramId,
+        parent: Option<ProgramId>,
+        budget: ProgramBudget,
+    ) -> Result<Box<ProgramView>, ProblemReport> {
+        let actions = self.operate(ProgramOperation::Open {
+            program,
+            parent,
+            caller: caller("shop-fiji"),
+            budget,
+        });
+        reply_of(actions)
+    }
+
+    pub(crate) fn show(&mut self, program: ProgramId) -> Box<ProgramView> {
+        let actions = self.operate(ProgramOperation::Show {
+            program,
+            caller: None,
+            with_history: false,
+        });
+        reply_of(actions).expect("the program is known")
+    }
+
+    pub(crate) fn history(&mut self, program: ProgramId) -> serde_json::Value {
+        let actions = self.operate(ProgramOperation::Show {
+            program,
+            caller: None,
+            with_history: true,
+        });
+        let plan = actions.iter().find_map(|action| match action {
+            OwnerAction::ReadHistory { plan, .. } => Some(plan),
+            _ => None,
+        });
+        self.platform.history(plan.expect("a plan of the history"))
+    }
+
+    pub(crate) fn finish(&mut self, program: ProgramId, caller: CallerName) -> Vec<OwnerAction> {
+        self.operate(ProgramOperation::Finish { program, caller })
+    }
+}
+
+pub(crate) fn is_storage(action: &OwnerAction) -> bool {
+    matches!(
+        action,
+        OwnerAction::Append(_)
+            | OwnerAction::Checkpoint { .. }
+            | OwnerAction::Truncate { .. }
+            | OwnerAction::DeleteBodies { .. }
+            | OwnerAction::Storage { .. }
+    )
+}
+
+fn reply_of(actions: Vec<OwnerAction>) -> Result<Box<ProgramView>, ProblemReport> {
+    let replies = actions.into_iter().filter_map(|action| match action {
+        OwnerAction::Reply { result, .. } => Some(result),
+        _ => None,
+    });
+    replies.last().expect("a reply")
+}
+
+/// Returns the calls that were ordered to run.
+pub(crate) fn dispatched(actions: &[OwnerAction]) -> Vec<CallId> {
+    let calls = actions.iter().filter_map(|action| match action {
+        OwnerAction::Dispatch { call, .. } => Some(*call),
+        _ => None,
+    });
+    calls.collect()
+}
+
+/// Returns one line for each final answer to a call.
+pub(crate) fn answers(actions: &[OwnerAction]) -> Vec<String> {
+    let lines = actions.iter().filter_map(|action| match action {
+        OwnerAction::Finish { call } => Some(format!("{call} finish")),
+        OwnerAction::Replay { call, .. } => Some(format!("{call} replay")),
+        OwnerAction::Refuse { call, problem } => {
+            let (code, run) = (problem.code.as_str(), problem.run.as_str());
+            Some(format!("{call} {code} {run}"))
+        }
+        _ => None,
+    });
+    lines.collect()
+}
--- /dev/null
+++ b/crates/ebony_owner/tests/owner/main.rs
@@ -0,0 +1,6 @@
+//! Tests of programs, budgets, intents, the journal and takeovers.
+
+mod harness;
+mod intents;
+mod journal;
+mod programs;
