Serve calls end to end across processes

Cause: an entry reported itself as ready before it had links to side processes, so that the first calls were refused with no_target. Change: readiness waits for the host list and for each listed side process to be tried once.

--- a/crates/ebony_entry/src/dispatch/actor.rs
+++ b/crates/ebony_entry/src/dispatch/actor.rs
@@ -16,8 +16,8 @@
 use super::directory::{SideDirectory, SideKey};
 use super::link;
 use super::messages::{
-    CallEnded, CallPlaced, ConfigPublished, PlaceCall, ReleaseProgram, SettleCall, SideDialFailed, SideEvent,
-    SideLinkUp, VouchPrograms,
+    CallEnded, CallPlaced, ConfigPublished, PlaceCall, ReadReadiness, ReleaseProgram, SettleCall,
+    SideDialFailed, SideEvent, SideLinkUp, VouchPrograms,
 };
 use crate::answer::{CancelCall, CreditGrant};
 
@@ -53,6 +53,8 @@
     calls: HashMap<CallId, DispatchedCall>,
     config: Option<ConfigPush>,
     next_generation: u64,
+    /// Whether the host list was read.
+    has_hosts: bool,
 }
 
 impl DispatchActor {
@@ -64,6 +66,7 @@
             calls: HashMap::new(),
             config: None,
             next_generation: 0,
+            has_hosts: false,
         }
     }
 
@@ -227,6 +230,7 @@
             } => {
                 if let Some(record) = self.directory.get_mut(key) {
                     record.domain = Some(domain);
+                    record.was_dialed = true;
                     record.targets = targets;
                     record.is_draining = is_draining;
                 }
@@ -276,6 +280,7 @@
     type Result = ();
 
     fn handle(&mut self, HostsListed(listed): HostsListed, context: &mut Context<Self>) {
+        self.has_hosts = true;
         for (address, state) in listed {
             if let Some(key) = self.directory.add(address) {
                 self.dial(key, context);
@@ -326,6 +331,9 @@
     type Result = ();
 
     fn handle(&mut self, SideDialFailed { key }: SideDialFailed, context: &mut Context<Self>) {
+        if let Some(record) = self.directory.get_mut(key) {
+            record.was_dialed = true;
+        }
         self.lose_calls(key);
         context.run_later(HEARTBEAT, move |actor, context| actor.dial(key, context));
     }
@@ -441,3 +449,12 @@
         self.config = Some(push);
     }
 }
+
+impl Handler<ReadReadiness> for DispatchActor {
+    type Result = bool;
+
+    /// Returns `true` once the host list was read and each side process in it has been tried.
+    fn handle(&mut self, _: ReadReadiness, _: &mut Context<Self>) -> bool {
+        self.has_hosts && self.directory.iter_mut().all(|(_, side)| side.was_dialed)
+    }
+}
--- a/crates/ebony_entry/src/dispatch/directory.rs
+++ b/crates/ebony_entry/src/dispatch/directory.rs
@@ -23,6 +23,8 @@
     pub(super) outstanding: u32,
     pub(super) is_draining: bool,
     pub(super) is_listed: bool,
+    /// Whether a link was tried, with or without success.
+    pub(super) was_dialed: bool,
 }
 
 /// The side processes that this entry knows.
@@ -48,6 +50,7 @@
             outstanding: 0,
             is_draining: false,
             is_listed: true,
+            was_dialed: false,
         };
         Some(self.sides.insert(record))
     }
--- a/crates/ebony_entry/src/dispatch/messages.rs
+++ b/crates/ebony_entry/src/dispatch/messages.rs
@@ -103,6 +103,12 @@
 #[rtype(result = "()")]
 pub struct ConfigPublished(pub ConfigPush);
 
+/// Asks whether the dispatcher knows the side processes.
+#[derive(Clone, Copy, Debug)]
+#[derive(Message)]
+#[rtype(result = "bool")]
+pub struct ReadReadiness;
+
 /// A link to a side process is open.
 #[derive(Message)]
 #[rtype(result = "()")]
--- a/crates/ebony_entry/src/dispatch/mod.rs
+++ b/crates/ebony_entry/src/dispatch/mod.rs
@@ -9,6 +9,6 @@
 pub use actor::{DispatchActor, DispatchOptions};
 pub use directory::{SideDirectory, SideKey};
 pub use messages::{
-    CallEnded, CallPlaced, ConfigPublished, FinishedAnswer, PlaceCall, ReleaseProgram, SettleCall,
-    VouchPrograms,
+    CallEnded, CallPlaced, ConfigPublished, FinishedAnswer, PlaceCall, ReadReadiness, ReleaseProgram,
+    SettleCall, VouchPrograms,
 };
--- a/crates/ebony_entry/src/peers/router.rs
+++ b/crates/ebony_entry/src/peers/router.rs
@@ -62,6 +62,11 @@
         self.lock().get(&shard).map(|state| state.route)
     }
 
+    /// Returns `true` if any shard has a route.
+    pub fn has_routes(&self) -> bool {
+        !self.lock().is_empty()
+    }
+
     /// Returns the shards that this process serves.
     pub fn local_shards(&self) -> Vec<ShardKey> {
         let routes = self.lock();
--- a/crates/ebony_entry/src/process.rs
+++ b/crates/ebony_entry/src/process.rs
@@ -23,14 +23,14 @@
 use crate::burn::BurnCell;
 use crate::caller_api::{CallerMetrics, CallerServer, CallerState, ServerOptions};
 use crate::config::{ConfigActor, ConfigOptions, ConfigView, LinkConfig};
-use crate::dispatch::{DispatchActor, DispatchOptions};
+use crate::dispatch::{DispatchActor, DispatchOptions, ReadReadiness};
 use crate::owner::{LinkOwner, OwnerActor, OwnerOptions, ReadStatus, StartDrain, StorageClient, wall_now};
 use crate::peers::{PeerActor, PeerOptions, PeersListed, ShardRouter};
 use crate::platform::PlatformAccess;
 use crate::tls::caller_tls;
 
-/// The time between two looks at the owner while the process stops.
-const DRAIN_POLL: Duration = Duration::from_millis(20);
+/// The time between two looks at the state of an actor while the process starts or stops.
+const STATE_POLL: Duration = Duration::from_millis(20);
 
 /// Messages that wait for an actor. A full mailbox refuses calls as not run.
 const MAILBOX_MESSAGES: usize = 8_192;
@@ -79,7 +79,9 @@
     addresses: EntryAddresses,
     health: HealthState,
     view: ConfigView,
+    router: ShardRouter,
     owner: Addr<OwnerActor>,
+    dispatch: Addr<DispatchActor>,
     callers: CallerServer,
     metrics: HealthServer,
     drain_time: Duration,
@@ -209,7 +211,7 @@
             status: peers.clone().recipient(),
         });
         owner.do_send(LinkOwner {
-            dispatch,
+            dispatch: dispatch.clone(),
             presence: peers.clone().recipient(),
         });
         spawn_peer_list(
@@ -223,7 +225,7 @@
             owner.clone().recipient(),
             peers.clone().recipient(),
             peers.recipient(),
-            router,
+            router.clone(),
             view.clone(),
             settings.limits,
             CallerMetrics::register(&registry)?,
@@ -246,7 +248,9 @@
             addresses,
             health,
             view,
+            router,
             owner,
+            dispatch,
             callers,
             metrics,
             drain_time,
@@ -262,32 +266,30 @@
         self.parts.addresses
     }
 
-    /// Marks the process as ready as soon as a configuration is in force and it serves shards.
-    ///
-    /// # Errors
-    ///
-    /// Does not fail at present.
-    pub async fn serve(self) -> Result<EntryProcess<ServingState>> {
-        let (view, owner, health) = (
+    /// Takes calls; the process reports itself as ready once a configuration is in force, some shard has an owner, and
+    /// the side processes are known.
+    pub fn serve(self) -> EntryProcess<ServingState> {
+        let (view, router, health) = (
             self.parts.view.clone(),
-            self.parts.owner.clone(),
+            self.parts.router.clone(),
             self.parts.health.clone(),
         );
+        let dispatch = self.parts.dispatch.clone();
         actix::spawn(async move {
-            while view.version() == 0 || !serves_shards(&owner).await {
-                tokio::time::sleep(DRAIN_POLL).await;
+            while view.version() == 0 || !router.has_routes() || !is_linked(&dispatch).await {
+                tokio::time::sleep(STATE_POLL).await;
             }
             health.set_ready(true);
         });
-        Ok(EntryProcess {
+        EntryProcess {
             parts: self.parts,
             state: PhantomData,
-        })
+        }
     }
 }
 
-async fn serves_shards(owner: &Addr<OwnerActor>) -> bool {
-    owner.send(ReadStatus).await.is_ok_and(|status| status.shards > 0)
+async fn is_linked(dispatch: &Addr<DispatchActor>) -> bool {
+    dispatch.send(ReadReadiness).await.unwrap_or(false)
 }
 
 impl EntryProcess<ServingState> {
@@ -303,7 +305,7 @@
         parts.owner.do_send(StartDrain);
         let give_up = Instant::now() + parts.drain_time;
         while Instant::now() < give_up && is_busy(&parts.owner).await {
-            tokio::time::sleep(DRAIN_POLL).await;
+            tokio::time::sleep(STATE_POLL).await;
         }
         parts.callers.stop(true).await;
         parts.metrics.stop().await;
--- a/crates/ebony_fleet/src/caller.rs
+++ b/crates/ebony_fleet/src/caller.rs
@@ -54,7 +54,12 @@
         let body = String::from_utf8_lossy(&self.body);
         let events = body.lines().filter_map(|line| line.strip_prefix("data: "));
         let parts = events.filter_map(|data| serde_json::from_str::<Value>(data).ok());
-        let deltas = parts.map(|part| part["choices"][0]["delta"]["content"].as_str().unwrap_or("").to_owned());
+        let deltas = parts.map(|part| {
+            part["choices"][0]["delta"]["content"]
+                .as_str()
+                .unwrap_or("")
+                .to_owned()
+        });
         deltas.collect()
     }
 
@@ -77,7 +82,12 @@
     /// Opens a client with a bearer key.
     pub fn open(address: SocketAddr, key: &str) -> Self {
         let client = Client::builder().timeout(CLIENT_TIMEOUT).finish();
-        Self { client, base: format!("http://{address}"), key: key.to_owned(), timeout_ms: None }
+        Self {
+            client,
+            base: format!("http://{address}"),
+            key: key.to_owned(),
+            timeout_ms: None,
+        }
     }
 
     /// Sets the deadline that the client asks for with each call.
@@ -93,7 +103,14 @@
     ///
     /// Fails if no answer arrives.
     pub async fn chat(&self, program: Option<ProgramId>, body: &Value) -> Result<CallReply> {
-        self.send("POST", "/v1/chat/completions", program, None, Bytes::from(body.to_string())).await
+        self.send(
+            "POST",
+            "/v1/chat/completions",
+            program,
+            None,
+            Bytes::from(body.to_string()),
+        )
+        .await
     }
 
     /// Calls a plain service; `path` starts with the service's name.
@@ -110,7 +127,8 @@
         body: &str,
     ) -> Result<CallReply> {
         let path = format!("/v1/services/{path}");
-        self.send(method, &path, program, key, Bytes::from(body.to_owned())).await
+        self.send(method, &path, program, key, Bytes::from(body.to_owned()))
+            .await
     }
 
     /// Opens a program.
@@ -120,7 +138,9 @@
     /// Fails if it is refused.
     pub async fn open_program(&self, parent: Option<ProgramId>, budget: Value) -> Result<ProgramId> {
         let body = json!({"parent": parent, "budget": budget});
-        let reply = self.send("POST", "/v1/programs", None, None, Bytes::from(body.to_string())).await?;
+        let reply = self
+            .send("POST", "/v1/programs", None, None, Bytes::from(body.to_string()))
+            .await?;
         let id = reply.json()["id"].as_str().map(str::to_owned);
         let id = id.with_context(|| format!("not opened: {}", String::from_utf8_lossy(&reply.body)))?;
         Ok(id.parse()?)
@@ -132,7 +152,14 @@
     ///
     /// Fails if no answer arrives.
     pub async fn show_program(&self, program: ProgramId) -> Result<CallReply> {
-        self.send("GET", &format!("/v1/programs/{program}"), None, None, Bytes::new()).await
+        self.send(
+            "GET",
+            &format!("/v1/programs/{program}"),
+            None,
+            None,
+            Bytes::new(),
+        )
+        .await
     }
 
     /// Ends a program.
@@ -141,7 +168,14 @@
     ///
     /// Fails if no answer arrives.
     pub async fn finish_program(&self, program: ProgramId) -> Result<CallReply> {
-        self.send("POST", &format!("/v1/programs/{program}/finish"), None, None, Bytes::new()).await
+        self.send(
+            "POST",
+            &format!("/v1/programs/{program}/finish"),
+            None,
+            None,
+            Bytes::new(),
+        )
+        .await
     }
 
     /// Cancels a program.
@@ -150,7 +184,14 @@
     ///
     /// Fails if no answer arrives.
     pub async fn cancel_program(&self, program: ProgramId) -> Result<CallReply> {
-        self.send("DELETE", &format!("/v1/programs/{program}"), None, None, Bytes::new()).await
+        self.send(
+            "DELETE",
+            &format!("/v1/programs/{program}"),
+            None,
+            None,
+            Bytes::new(),
+        )
+        .await
     }
 
     /// Sends any request.
@@ -166,7 +207,10 @@
         key: Option<&str>,
         body: Bytes,
     ) -> Result<CallReply> {
-        let method = method.parse::<awc::http::Method>().ok().context("no such method")?;
+        let method = method
+            .parse::<awc::http::Method>()
+            .ok()
+            .context("no such method")?;
         let mut request = self
             .client
             .request(method, format!("{}{path}", self.base))
@@ -181,19 +225,28 @@
         if let Some(timeout) = self.timeout_ms {
             request = request.insert_header(("ebony-timeout-ms", timeout.to_string()));
         }
-        let mut response = request.send_body(body).await.map_err(|error| anyhow::anyhow!("{error}"))?;
+        let mut response = request
+            .send_body(body)
+            .await
+            .map_err(|error| anyhow::anyhow!("{error}"))?;
         let mut received = BytesMut::new();
         let mut is_whole = true;
         while let Some(chunk) = response.next().await {
             match chunk {
-                Ok(chunk) if received.len() + chunk.len() <= MAX_REPLY_BYTES => received.extend_from_slice(&chunk),
+                Ok(chunk) if received.len() + chunk.len() <= MAX_REPLY_BYTES => {
+                    received.extend_from_slice(&chunk)
+                }
                 _ => {
                     is_whole = false;
                     break;
                 }
             }
         }
-        Ok(CallReply { status: response.status().as_u16(), body: received.freeze(), is_whole })
+        Ok(CallReply {
+            status: response.status().as_u16(),
+            body: received.freeze(),
+            is_whole,
+        })
     }
 }
 
--- a/crates/ebony_fleet/src/child.rs
+++ b/crates/ebony_fleet/src/child.rs
@@ -71,7 +71,11 @@
             let text = std::fs::read_to_string(&log).unwrap_or_default();
             bail!("the {role} process ended at its start: {text}");
         };
-        Ok(Self { child, addresses, log })
+        Ok(Self {
+            child,
+            addresses,
+            log,
+        })
     }
 
     /// Returns an address by its name, such as `callers`.
@@ -80,7 +84,9 @@
     ///
     /// Fails if the process has no such address.
     pub fn address(&self, name: &str) -> Result<SocketAddr> {
-        let text = self.addresses[name].as_str().with_context(|| format!("no address {name}"))?;
+        let text = self.addresses[name]
+            .as_str()
+            .with_context(|| format!("no address {name}"))?;
         Ok(text.parse()?)
     }
 
@@ -100,7 +106,10 @@
     ///
     /// Fails if the process is gone.
     pub fn signal(&self, signal: StopSignal) -> Result<()> {
-        let pid = i32::try_from(self.child.id()).ok().and_then(Pid::from_raw).context("no such process")?;
+        let pid = i32::try_from(self.child.id())
+            .ok()
+            .and_then(Pid::from_raw)
+            .context("no such process")?;
         Ok(kill_process(pid, signal.to_signal())?)
     }
 
--- a/crates/ebony_fleet/src/fleet.rs
+++ b/crates/ebony_fleet/src/fleet.rs
@@ -93,10 +93,18 @@
 
 fn standin_urls(standins: &mut StandinSet) -> Result<PlatformUrls> {
     Ok(PlatformUrls {
-        table: standins.add("table", StandinOptions::Table(TableOptions::default()))?.url(),
-        objects: standins.add("objects", StandinOptions::Objects(ObjectsOptions::default()))?.url(),
-        hosts: standins.add("hosts", StandinOptions::Hosts(HostsOptions::default()))?.url(),
-        weights: standins.add("weights", StandinOptions::Weights(WeightsOptions::default()))?.url(),
+        table: standins
+            .add("table", StandinOptions::Table(TableOptions::default()))?
+            .url(),
+        objects: standins
+            .add("objects", StandinOptions::Objects(ObjectsOptions::default()))?
+            .url(),
+        hosts: standins
+            .add("hosts", StandinOptions::Hosts(HostsOptions::default()))?
+            .url(),
+        weights: standins
+            .add("weights", StandinOptions::Weights(WeightsOptions::default()))?
+            .url(),
     })
 }
 
@@ -111,7 +119,14 @@
         let urls = standin_urls(&mut standins)?;
         let folder = tempfile::tempdir()?;
         let (entries, sides) = (Vec::new(), Vec::new());
-        let mut fleet = Self { options, folder, standins, urls, entries, sides };
+        let mut fleet = Self {
+            options,
+            folder,
+            standins,
+            urls,
+            entries,
+            sides,
+        };
         fleet.write_document().await?;
         for index in 0..fleet.options.engines {
             fleet.add_engine(index)?;
@@ -119,6 +134,7 @@
         for index in 0..fleet.options.services {
             fleet.add_service(index)?;
         }
+        fleet.publish_hosts().await?;
         for index in 0..fleet.options.entries {
             fleet.add_entry(&format!("entry-{index}"), index)?;
         }
@@ -131,7 +147,9 @@
         let document = fleet_document(&self.options.models, &[SERVICE.to_owned()])?;
         let table = HttpTable::open(&self.urls.table, RequestLimits::for_platform())?;
         let key = RowKey("config/current".to_owned());
-        table.create(&key, document.encode().into(), WriteNonce(1)).await?;
+        table
+            .create(&key, document.encode().into(), WriteNonce(1))
+            .await?;
         Ok(())
     }
 
@@ -146,7 +164,10 @@
             settings: self.options.engine.clone(),
             ..EngineOptions::default()
         };
-        let address = self.standins.add(&format!("engine-{index}"), StandinOptions::Engine(engine))?.data;
+        let address = self
+            .standins
+            .add(&format!("engine-{index}"), StandinOptions::Engine(engine))?
+            .data;
         let target = TargetPlan::Engine {
             address,
             models: self.options.models.clone(),
@@ -157,9 +178,18 @@
     }
 
     fn add_service(&mut self, index: usize) -> Result<()> {
-        let options = ServiceOptions { service: SERVICE.to_owned(), ..ServiceOptions::default() };
-        let address = self.standins.add(&format!("service-{index}"), StandinOptions::Service(options))?.data;
-        let target = TargetPlan::Service { address, service: SERVICE.to_owned() };
+        let options = ServiceOptions {
+            service: SERVICE.to_owned(),
+            ..ServiceOptions::default()
+        };
+        let address = self
+            .standins
+            .add(&format!("service-{index}"), StandinOptions::Service(options))?
+            .data;
+        let target = TargetPlan::Service {
+            address,
+            service: SERVICE.to_owned(),
+        };
         self.add_side(&format!("side-service-{index}"), index, &target)
     }
 
@@ -191,12 +221,21 @@
         let child = ChildProcess::spawn(&self.options.program, role, &path)?;
         let host = HostEntry {
             host: HostName::parse(process)?,
-            role: if role == "entry" { HostRole::Entry } else { HostRole::Side },
+            role: if role == "entry" {
+                HostRole::Entry
+            } else {
+                HostRole::Side
+            },
             address: child.address("links")?,
             domain: DomainName::parse(domain)?,
             state: HostState::Live,
         };
-        Ok(FleetMember { child, role, settings: path, host })
+        Ok(FleetMember {
+            child,
+            role,
+            settings: path,
+            host,
+        })
     }
 
     /// Publishes the present hosts in the host list.
@@ -252,7 +291,10 @@
     ///
     /// Fails if the entry has no address.
     pub fn caller_with(&self, entry: usize, key: &str) -> Result<CallerClient> {
-        Ok(CallerClient::open(self.entries[entry].child.address("callers")?, key))
+        Ok(CallerClient::open(
+            self.entries[entry].child.address("callers")?,
+            key,
+        ))
     }
 
     /// Kills an entry and starts another process in its place, which has no memory of it. Does not wait until it is
@@ -298,7 +340,9 @@
     }
 
     fn standin(&self, name: &str) -> Result<StandinAddress> {
-        self.standins.address(name).with_context(|| format!("no stand-in {name}"))
+        self.standins
+            .address(name)
+            .with_context(|| format!("no stand-in {name}"))
     }
 
     /// Controls the table service.
@@ -334,7 +378,9 @@
     ///
     /// Fails if there is none.
     pub fn engine(&self, index: usize) -> Result<EngineControl> {
-        Ok(EngineControl::open(self.standin(&format!("engine-{index}"))?.control))
+        Ok(EngineControl::open(
+            self.standin(&format!("engine-{index}"))?.control,
+        ))
     }
 
     /// Controls a plain service.
@@ -343,7 +389,9 @@
     ///
     /// Fails if there is none.
     pub fn service(&self, index: usize) -> Result<ServiceControl> {
-        Ok(ServiceControl::open(self.standin(&format!("service-{index}"))?.control))
+        Ok(ServiceControl::open(
+            self.standin(&format!("service-{index}"))?.control,
+        ))
     }
 
     /// Returns the address of a stand-in's data port, for direct calls.
@@ -378,7 +426,12 @@
     let client = awc::Client::default();
     let give_up = Instant::now() + READY_LIMIT;
     while Instant::now() < give_up {
-        if client.get(&url).send().await.is_ok_and(|response| response.status().is_success()) {
+        if client
+            .get(&url)
+            .send()
+            .await
+            .is_ok_and(|response| response.status().is_success())
+        {
             return Ok(());
         }
         tokio::time::sleep(READY_POLL).await;
--- a/crates/ebony_fleet/src/settings.rs
+++ b/crates/ebony_fleet/src/settings.rs
@@ -142,7 +142,12 @@
     let mut settings = common(process, "side", domain, platform, times);
     let name = format!("target-{process}");
     let target = match target {
-        TargetPlan::Engine { address, models, slots, checks_fencing } => json!({
+        TargetPlan::Engine {
+            address,
+            models,
+            slots,
+            checks_fencing,
+        } => json!({
             "name": name, "kind": "engine", "address": address.to_string(), "models": models,
             "slots": slots, "checks_fencing": checks_fencing,
         }),
--- a/src/run.rs
+++ b/src/run.rs
@@ -38,7 +38,7 @@
 pub fn entry(file: &Path) -> ExitCode {
     run(file, ProcessRole::Entry, async |settings, logger, signals| {
         let process = EntryProcess::spawn(settings, logger.clone()).await?;
-        let process = process.serve().await?;
+        let process = process.serve();
         announce(&logger, &process.addresses().to_json());
         signals.next().await;
         let stopped = process.drain();
