--- a/crates/ebony_entry/src/platform.rs
+++ b/crates/ebony_entry/src/platform.rs
@@ -3,10 +3,7 @@
 use std::rc::Rc;
 
 use anyhow::Context;
-use ebony_platform::{
-    HostList, HttpHosts, HttpObjects, HttpTable, HttpWeights, ObjectStore, RequestLimits, TableService,
-    WeightStore,
-};
+use ebony_platform::{HostList, HttpHosts, HttpObjects, HttpTable, ObjectStore, RequestLimits, TableService};
 use ebony_settings::PlatformSettings;
 
 /// The result of opening the platform's services.
@@ -18,7 +15,6 @@
     pub(crate) table: Rc<dyn TableService>,
     pub(crate) objects: Rc<dyn ObjectStore>,
     pub(crate) hosts: Rc<dyn HostList>,
-    pub(crate) weights: Rc<dyn WeightStore>,
 }
 
 impl PlatformAccess {
@@ -31,15 +27,10 @@
             limits(settings.objects.timeout),
         );
         let hosts = HttpHosts::open(&settings.hosts.url.to_string(), limits(settings.hosts.timeout));
-        let weights = HttpWeights::open(
-            &settings.weights.url.to_string(),
-            limits(settings.weights.timeout),
-        );
         Ok(Self {
             table: Rc::new(table.context("cannot open the table service")?),
             objects: Rc::new(objects.context("cannot open the object store")?),
             hosts: Rc::new(hosts.context("cannot open the host list")?),
-            weights: Rc::new(weights.context("cannot open the weight store")?),
         })
     }
 }
--- a/crates/ebony_entry/src/process.rs
+++ b/crates/ebony_entry/src/process.rs
@@ -51,7 +51,7 @@
 
 impl EntryAddresses {
     /// Returns the addresses as one line of JSON.
-    pub fn to_json(&self) -> String {
+    pub fn to_json(self) -> String {
         let addresses = json!({
             "callers": self.callers.to_string(),
             "links": self.links.to_string(),
--- a/crates/ebony_link/src/lib.rs
+++ b/crates/ebony_link/src/lib.rs
@@ -1,7 +1,7 @@
 //! Links between the system's processes.
 //!
 //! A link is a WebSocket connection, over TLS if the settings ask for it, whose ends have proved to each other that
-//! they hold the cluster key. It carries one CBOR value a frame. [`dial`] opens a link from an entry, and
+//! they hold the cluster key. It carries one CBOR value a frame. [`dial()`] opens a link from an entry, and
 //! [`LinkListener`] accepts links. Both yield an [`OpenLink`], which splits into a [`LinkSender`] with a bounded queue
 //! and a [`LinkReceiver`].
 
--- a/crates/ebony_side/src/process.rs
+++ b/crates/ebony_side/src/process.rs
@@ -31,7 +31,7 @@
 
 impl SideAddresses {
     /// Returns the addresses as one line of JSON.
-    pub fn to_json(&self) -> String {
+    pub fn to_json(self) -> String {
         json!({"links": self.links.to_string(), "metrics": self.metrics.to_string()}).to_string()
     }
 }
