--- a/crates/ebony_ledger/src/ledger/decision.rs
+++ b/crates/ebony_ledger/src/ledger/decision.rs
@@ -47,7 +47,7 @@
 pub enum CancelDecision {
     /// The call leaves the queue; this attempt has not run.
     Dequeue(ProblemReport),
-    /// The target has to be told. The call occupies its target until [`CallLedger::stopped`](super::CallLedger).
+    /// The target has to be told. The call occupies its target until [`CallLedger::stopped`](super::CallLedger::stopped).
     Interrupt {
         /// The target.
         target: TargetName,
