Add configuration edits, history and acknowledgements

An edit is a compare-and-swap of the small row of the newest version. A lost reply is resolved by the nonce, and an outcome that cannot be known is told as unresolved. Each writer first copies the record before its own to history, so that history has no gaps.

--- a/crates/ebony_config/src/lib.rs
+++ b/crates/ebony_config/src/lib.rs
@@ -3,14 +3,18 @@
 //! - [`ConfigDocument`] holds the values, callers, operators and objectives, and is validated as a whole.
 //! - [`ConfigPatch`] is a change to it, and [`ConfigUpdate`] is what travels over links.
 //! - [`ConfigHolder`] is the version in force in one process; it accepts higher versions only.
+//! - [`ConfigEdit`] is an operator's change by compare-and-swap, and [`history`] is how versions are kept.
+//! - [`ConfigTracker`] knows which version is in force in which process.
 //!
 //! The crate does no I/O and has no clock: it takes events and times, and returns decisions.
 
 pub mod caller;
 pub mod cell;
 pub mod document;
+pub mod edit;
 pub mod exception;
 mod hex_text;
+pub mod history;
 pub mod holder;
 pub mod issue;
 pub mod key_digest;
@@ -18,6 +22,7 @@
 pub mod objective;
 pub mod patch;
 pub mod resolve;
+pub mod tracker;
 pub mod update;
 pub mod validate;
 pub mod values;
@@ -28,7 +33,15 @@
     pub use crate::caller::{CallerRecord, CallerTable, CallerView};
     pub use crate::cell::ConfigCell;
     pub use crate::document::{ConfigDocument, MAX_DOCUMENT_BYTES, OperatorRecord};
+    pub use crate::edit::{
+        ConfigEdit, CurrentRow, EditAction, EditNote, EditOutcome, EditReply, EditRequest, RevertParts,
+        RowStamp,
+    };
     pub use crate::exception::{ConfigException, ExceptionScope, ExceptionTable};
+    pub use crate::history::{
+        CatchUp, ChangeRecord, CheckpointRef, EditNonce, HistoryError, PruneAction, plan_catch_up,
+        plan_pruning, rebuild,
+    };
     pub use crate::holder::{
         BlockedHolder, ConfigAudience, ConfigHolder, ConfigLag, LearningState, OfferOutcome,
         PROPAGATION_DEADLINE, ServeBlock, ServingState, VersionSource,
@@ -39,6 +52,7 @@
     pub use crate::objective::{GroupObjective, LatencyObjective};
     pub use crate::patch::{ConfigPatch, MapPatch};
     pub use crate::resolve::ResolveScope;
+    pub use crate::tracker::{ConfigTracker, ProcessDelay, StatusChange, TrackerReport};
     pub use crate::update::{ConfigDelta, ConfigUpdate};
     pub use crate::values::{FleetValues, ValueChanges};
     pub use crate::wall_time::WallTime;
--- a/crates/ebony_config/src/patch.rs
+++ b/crates/ebony_config/src/patch.rs
@@ -13,6 +13,7 @@
 use crate::name::{ExceptionName, GroupName, OperatorName};
 use crate::objective::GroupObjective;
 use crate::values::{ValueChanges, is_default};
+use crate::wall_time::WallTime;
 
 /// A change to records by name.
 #[derive(Clone, Debug, PartialEq)]
@@ -142,6 +143,14 @@
         Ok(next)
     }
 
+    /// Fills in who made the exceptions of this change, and when.
+    pub(crate) fn stamp_exceptions(&mut self, author: &OperatorName, time: WallTime) {
+        for exception in self.exceptions.set.values_mut() {
+            author.as_str().clone_into(&mut exception.author);
+            exception.created = time;
+        }
+    }
+
     fn next_exceptions(&self, base: &ConfigDocument) -> ExceptionTable {
         if is_default(&self.exceptions) {
             return base.exceptions.clone();
--- a/crates/ebony_config/tests/holder.rs
+++ b/crates/ebony_config/tests/holder.rs
@@ -6,8 +6,8 @@
 
 use common::sample;
 use ebony_config::{
-    ConfigAudience, ConfigDelta, ConfigDocument, ConfigHolder, ConfigPatch, ConfigUpdate, OfferOutcome,
-    PROPAGATION_DEADLINE, ServeBlock, VersionSource,
+    ChangeRecord, ConfigAudience, ConfigDelta, ConfigDocument, ConfigHolder, ConfigPatch, ConfigUpdate,
+    OfferOutcome, PROPAGATION_DEADLINE, ServeBlock, VersionSource, rebuild,
 };
 use ebony_testkit::check_seeds;
 use ebony_types::ClockTime;
@@ -141,7 +141,10 @@
 
 #[test]
 fn arbitrary_bytes_never_panic() {
-    let seeds = [full(2).encode(), delta(2).encode()];
+    let record = r#"{ "version": 2, "nonce": "00000000000000000000000000000009", "author": "sela", "time": 5,
+        "checkpoint": { "version": 1, "nonce": "00000000000000000000000000000008" }, "patch": { "models": ["kalo"] } }"#;
+    assert!(ChangeRecord::decode(record.as_bytes()).is_ok());
+    let seeds = [full(2).encode(), delta(2).encode(), record.as_bytes().to_vec()];
     let mut holder = ConfigHolder::open(ConfigAudience::Entry, START);
     holder.offer(full(1)).unwrap();
     check_seeds(10_000, 64, |input| {
@@ -159,6 +162,9 @@
         if let Ok(update) = ConfigUpdate::decode(&bytes) {
             let _ = holder.offer(update);
         }
+        if let Ok(record) = ChangeRecord::decode(&bytes) {
+            let _ = rebuild(version(1), &[record], 3);
+        }
         let _ = ConfigUpdate::decode(input.bytes(input.len())?);
         Ok(())
     });
