--- a/crates/ebony_burn/src/render/html.rs
+++ b/crates/ebony_burn/src/render/html.rs
@@ -48,16 +48,21 @@
 }
 
 fn alert_list(report: &BurnReport) -> Markup {
-    let urgent = |group: &&GroupReport| group.alert() > AlertLevel::Fine;
+    let alerts: Vec<(&GroupReport, &ObjectiveReport)> = report
+        .groups
+        .iter()
+        .flat_map(|group| group.objectives.iter().map(move |objective| (group, objective)))
+        .filter(|(_, objective)| objective.alert > AlertLevel::Fine)
+        .collect();
     html! {
-        ul { @for group in report.groups.iter().filter(urgent) {
-            @for row in group.objectives.iter().filter(|row| row.alert > AlertLevel::Fine) {
+        @if alerts.is_empty() { p { "No alert." } } @else {
+            ul { @for (group, objective) in &alerts {
                 li {
-                    span class=(alert_class(row.alert)) { (row.alert.title()) }
-                    ": " (group_name(group)) ", " (row.objective)
+                    span class=(alert_class(objective.alert)) { (objective.alert.title()) }
+                    ": " (group_name(group)) ", " (objective.objective)
                 }
-            }
-        } }
+            } }
+        }
     }
 }
 
