Add traces of programs, their generator and the replay report

Cause: policies need to be compared on the same programs, for each deployment, with stated outcomes that a replay either reaches or not.

Change: a strict JSON-lines format with line numbers in errors; a seeded generator whose draws are integer arithmetic; 14 committed traces (seven scenarios for two deployments); ReplayPlan, which tells a driver what to send when and takes completions; ReplaySummary and ReplayReport with latency, slowdown, wasted cache, refusals, fairness, violations and breaches, as text, JSON and one page that compares runs.

The page and text tables come from ebony_burn::page.

--- /dev/null
+++ b/crates/ebony_trace/src/summary/distribution.rs
@@ -0,0 +1,93 @@
+//! Distributions in fixed memory.
+
+use hdrhistogram::{CreationError, Histogram};
+use serde::{Deserialize, Serialize};
+
+/// Significant decimal digits of recorded values.
+const DIGITS: u8 = 3;
+
+/// The highest recorded value; higher ones are recorded as it. In milliseconds it is 11 days.
+const HIGHEST_VALUE: u64 = 1_000_000_000;
+
+/// Quantiles of a curve in per mille: every percent, and the tail.
+const CURVE_STEP: u16 = 10;
+const CURVE_TAIL: [u16; 3] = [995, 999, 1_000];
+
+/// Steps of rounded figures. Short decimals survive JSON exactly.
+const FIGURE_STEPS: f64 = 1_000.0;
+
+/// The result of creating a recorder.
+type Result<T, E = CreationError> = std::result::Result<T, E>;
+
+/// Rounds a figure of a report to thousandths.
+pub(super) fn round_figure(figure: f64) -> f64 {
+    (figure * FIGURE_STEPS).round() / FIGURE_STEPS
+}
+
+/// A value and the share of values that are not higher.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct CurvePoint {
+    /// The share in per mille.
+    pub share: u16,
+    /// The value.
+    pub value: u64,
+}
+
+/// The figures of a distribution.
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub struct DistributionSummary {
+    /// The number of values.
+    pub count: u64,
+    /// The mean.
+    pub mean: f64,
+    /// The median.
+    pub p50: u64,
+    /// The 95th percentile.
+    pub p95: u64,
+    /// The 99th percentile.
+    pub p99: u64,
+    /// The highest value.
+    pub max: u64,
+    /// The cumulative distribution, ascending; empty without values.
+    pub curve: Vec<CurvePoint>,
+}
+
+/// Records values.
+#[derive(Clone, Debug)]
+pub(super) struct ValueRecorder {
+    histogram: Histogram<u64>,
+}
+
+impl ValueRecorder {
+    /// Creates an empty recorder.
+    pub(super) fn open() -> Result<Self> {
+        let histogram = Histogram::new_with_bounds(1, HIGHEST_VALUE, DIGITS)?;
+        Ok(Self { histogram })
+    }
+
+    pub(super) fn record(&mut self, value: u64) {
+        self.histogram.saturating_record(value.min(HIGHEST_VALUE));
+    }
+
+    pub(super) fn summary(&self) -> DistributionSummary {
+        if self.histogram.is_empty() {
+            return DistributionSummary::default();
+        }
+        let shares = (0..1_000).step_by(usize::from(CURVE_STEP)).chain(CURVE_TAIL);
+        let point = |share: u16| CurvePoint {
+            share,
+            value: self.histogram.value_at_quantile(f64::from(share) / 1_000.0),
+        };
+        DistributionSummary {
+            count: self.histogram.len(),
+            mean: round_figure(self.histogram.mean()),
+            p50: self.histogram.value_at_quantile(0.5),
+            p95: self.histogram.value_at_quantile(0.95),
+            p99: self.histogram.value_at_quantile(0.99),
+            max: self.histogram.max(),
+            curve: shares.map(point).collect(),
+        }
+    }
+}
