Guard the place of a replaced caller group

A trial change that left the old name in the index survived the tests: events of the old group would have counted for the new one. The test now brings replaced groups back.

--- a/crates/ebony_burn/tests/windows.rs
+++ b/crates/ebony_burn/tests/windows.rs
@@ -117,4 +117,13 @@
     assert_eq!(counted(&ledger, "late", WindowSpan::Days3, later), 1);
     assert_eq!(counted(&ledger, "group-1", WindowSpan::Days3, later), 1);
     assert_eq!(ledger.snapshot(later).groups().count(), 2);
+
+    // A replaced group that comes back must not count in the place that it lost.
+    for number in 0..MAX_GROUPS {
+        ledger.record(&label(&format!("group-{number}")), FIRST_TOKEN, later);
+    }
+    assert_eq!(ledger.groups(), MAX_GROUPS);
+    assert_eq!(counted(&ledger, "late", WindowSpan::Days3, later), 1);
+    assert_eq!(counted(&ledger, "group-1", WindowSpan::Days3, later), 2);
+    assert_eq!(counted(&ledger, "other", WindowSpan::Days3, later), 1);
 }
