Add frames for crash reports and missing configuration

A request that crashes its targets has to be counted across processes, and a replaced process has to catch up on the configuration from its peers while the table service is down; no frame carried either.

--- a/crates/ebony_entry/src/dispatch/actor.rs
+++ b/crates/ebony_entry/src/dispatch/actor.rs
@@ -242,6 +242,8 @@
                 }
             }
             SideFrame::Fenced { .. }
+            | SideFrame::ConfigWanted { .. }
+            | SideFrame::Crashes(_)
             | SideFrame::Load(_)
             | SideFrame::Cache(_)
             | SideFrame::ConfigInForce(_)
--- a/crates/ebony_ledger/src/crash_tracker.rs
+++ b/crates/ebony_ledger/src/crash_tracker.rs
@@ -9,8 +9,8 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use ebony_types::{ClockTime, ProcessIncarnation, RequestDigest, TargetName};
-use serde::{Deserialize, Serialize};
+use ebony_types::{ClockTime, RequestDigest};
+pub use ebony_wire::{CrashReport, CrashSite, SiteReport};
 
 /// The time for which a crash counts.
 pub const CRASH_LIFETIME: Duration = Duration::from_secs(24 * 3_600);
@@ -28,16 +28,6 @@
 /// different times could keep passing it back and forth.
 const MIN_REPORTED: Duration = Duration::from_secs(60);
 
-/// One crash: a target, and the life of it that ended.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-#[derive(Serialize, Deserialize)]
-pub struct CrashSite {
-    /// The target.
-    pub target: TargetName,
-    /// The life of the target, as its side process counts them.
-    pub incarnation: ProcessIncarnation,
-}
-
 /// How a request is to be treated.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CrashStanding {
@@ -49,28 +39,6 @@
     Refused,
 }
 
-/// A crash site in a [`CrashReport`].
-#[derive(Clone, Debug, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
-pub struct SiteReport {
-    /// The crash.
-    pub site: CrashSite,
-    /// Microseconds until the crash no longer counts. Clocks of processes are not comparable, durations are.
-    pub remaining_micros: u64,
-    /// Whether the request has completed since.
-    pub is_cleared: bool,
-}
-
-/// The crashes of one request, as processes exchange them.
-#[derive(Clone, Debug, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
-pub struct CrashReport {
-    /// The request.
-    pub digest: RequestDigest,
-    /// The crashes.
-    pub sites: Vec<SiteReport>,
-}
-
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct SiteMark {
     expires_at: ClockTime,
@@ -83,7 +51,7 @@
 ///
 /// ```
 /// use ebony_ledger::{CrashSite, CrashStanding, CrashTracker};
-/// use ebony_types::{ClockTime, ProcessIncarnation, RequestDigest, TargetName};
+/// use ebony_types::{ClockTime, RequestDigest};
 ///
 /// let mut tracker = CrashTracker::open(16);
 /// let digest = RequestDigest([1; 32]);
--- a/crates/ebony_wire/src/config_push.rs
+++ b/crates/ebony_wire/src/config_push.rs
@@ -9,7 +9,7 @@
 pub struct ConfigPush {
     /// The version; receivers ignore one that is not above theirs.
     pub version: u64,
-    /// The document as JSON.
+    /// A whole document, or the change from the version before, as JSON.
     pub document: Bytes,
 }
 
--- a/crates/ebony_wire/src/entry_frame.rs
+++ b/crates/ebony_wire/src/entry_frame.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::config_push::ConfigPush;
+use crate::crash_report::CrashReport;
 
 /// What the side process's queue needs to order a call.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -104,6 +105,8 @@
     Load(LoadOrder),
     /// Distributes the configuration.
     Config(ConfigPush),
+    /// Spreads crashes of targets by request.
+    Crashes(Vec<CrashReport>),
     /// Changes the share of one caller's calls in the queue.
     Share {
         /// The caller.
--- a/crates/ebony_wire/src/lib.rs
+++ b/crates/ebony_wire/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod answer;
 pub mod codec;
 pub mod config_push;
+pub mod crash_report;
 pub mod entry_frame;
 pub mod handshake;
 pub mod peer_frame;
@@ -17,6 +18,7 @@
     pub use crate::answer::{AnswerFrame, AnswerHead};
     pub use crate::codec::{WireError, decode, encode};
     pub use crate::config_push::{ConfigPush, ConfigStatus};
+    pub use crate::crash_report::{CrashReport, CrashSite, SiteReport};
     pub use crate::entry_frame::{DispatchOrder, EntryFrame, LoadOrder, QueueRank};
     pub use crate::handshake::{ClusterKey, HandshakeFrame, HandshakeState, LinkRole, PeerIdentity};
     pub use crate::peer_frame::{PeerFrame, ProgramOperation, ProgramView, ShardClaim};
--- a/crates/ebony_wire/src/peer_frame.rs
+++ b/crates/ebony_wire/src/peer_frame.rs
@@ -9,6 +9,7 @@
 
 use crate::answer::AnswerFrame;
 use crate::config_push::{ConfigPush, ConfigStatus};
+use crate::crash_report::CrashReport;
 
 /// An operation on a program, for its owner.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -139,6 +140,13 @@
     },
     /// Distributes the configuration.
     Config(ConfigPush),
+    /// Asks for the changes behind a version, or for a whole document.
+    ConfigWanted {
+        /// The version that is known; 0 if there is none.
+        known: u64,
+    },
+    /// Spreads crashes of targets by request.
+    Crashes(Vec<CrashReport>),
     /// The configuration in force at the sender and the side processes that it is linked to.
     ConfigInForce(Vec<ConfigStatus>),
     /// Asks for a [`PeerFrame::Pong`].
--- a/crates/ebony_wire/src/side_frame.rs
+++ b/crates/ebony_wire/src/side_frame.rs
@@ -5,6 +5,7 @@
 
 use crate::answer::AnswerFrame;
 use crate::config_push::ConfigStatus;
+use crate::crash_report::CrashReport;
 use crate::report::{CacheEvent, LoadReport, TargetReport};
 
 /// A message from a side process to an entry.
@@ -22,7 +23,7 @@
     },
     /// A part of an answer.
     Answer(AnswerFrame),
-    /// An order was refused because its token is too low.
+    /// An order was refused because its token is too low. A call's answer ends with a failure as well.
     Fenced {
         /// The shard of the order's program.
         shard: ShardKey,
@@ -37,6 +38,13 @@
     Draining,
     /// The configuration in force.
     ConfigInForce(ConfigStatus),
+    /// Asks for the changes behind a version, or for a whole document.
+    ConfigWanted {
+        /// The version that is known; 0 if there is none.
+        known: u64,
+    },
+    /// Spreads crashes of targets by request.
+    Crashes(Vec<CrashReport>),
     /// Answers a ping.
     Pong {
         /// The ping's nonce.
