Add failure tests with real processes

Twelve tests with a workload and an auditor that compares what callers were told with what the stand-ins ran and what the histories hold.

--- a/crates/ebony_fleet/src/fleet.rs
+++ b/crates/ebony_fleet/src/fleet.rs
@@ -1,5 +1,6 @@
 //! A deployment on loopback.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::time::{Duration, Instant};
@@ -15,14 +16,17 @@
 use ebony_standins::table::{TableControl, TableOptions};
 use ebony_standins::weights::WeightsOptions;
 use ebony_standins::{StandinAddress, StandinOptions, StandinSet};
-use ebony_types::{DomainName, HostName, ModelName};
+use ebony_types::{DomainName, HostName, ModelName, ProgramId};
 use serde_json::Value;
 use tempfile::TempDir;
 
+use crate::audit::AuditReport;
 use crate::caller::CallerClient;
 use crate::child::{ChildProcess, StopSignal};
+use crate::directory::EntryDirectory;
 use crate::document::{CALLER_KEY, fleet_document};
 use crate::settings::{FleetTimes, PlatformUrls, TargetPlan, entry_settings, side_settings};
+use crate::workload::ProgramLog;
 
 /// The pause between two looks at a process that should become ready.
 const READY_POLL: Duration = Duration::from_millis(10);
@@ -89,6 +93,7 @@
     urls: PlatformUrls,
     entries: Vec<FleetMember>,
     sides: Vec<FleetMember>,
+    directory: EntryDirectory,
 }
 
 fn standin_urls(standins: &mut StandinSet) -> Result<PlatformUrls> {
@@ -126,6 +131,7 @@
             urls,
             entries,
             sides,
+            directory: EntryDirectory::default(),
         };
         fleet.write_document().await?;
         for index in 0..fleet.options.engines {
@@ -140,6 +146,7 @@
         }
         fleet.publish_hosts().await?;
         fleet.wait_ready().await?;
+        fleet.route_to_all()?;
         Ok(fleet)
     }
 
@@ -261,6 +268,60 @@
         Ok(())
     }
 
+    /// Returns the directory by which callers find entries.
+    pub fn directory(&self) -> EntryDirectory {
+        self.directory.clone()
+    }
+
+    /// Sends callers to all entries, as the load balancer does when they are ready.
+    ///
+    /// # Errors
+    ///
+    /// Fails if an entry has no address.
+    pub fn route_to_all(&self) -> Result<()> {
+        self.route_without(&[])
+    }
+
+    /// Sends callers to all entries but some, as the load balancer does when these are not ready.
+    ///
+    /// # Errors
+    ///
+    /// Fails if an entry has no address.
+    pub fn route_without(&self, left_out: &[usize]) -> Result<()> {
+        let members = self.entries.iter().enumerate();
+        let routed = members.filter(|(index, _)| !left_out.contains(index));
+        let addresses: Result<Vec<SocketAddr>> = routed
+            .map(|(_, member)| member.child.address("callers"))
+            .collect();
+        self.directory.set(addresses?);
+        Ok(())
+    }
+
+    /// Compares what callers were told with the histories and with what the services ran.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a stand-in does not answer or a history can't be read.
+    pub async fn audit(&self, logs: &[ProgramLog]) -> Result<AuditReport> {
+        let mut report = AuditReport::default();
+        let mut runs = BTreeMap::new();
+        for index in 0..self.options.services {
+            for (key, count) in self.service(index)?.runs(1).await?.keys {
+                *runs.entry(key).or_insert(0) += count;
+            }
+        }
+        for log in logs {
+            report.audit_orders(log, &runs);
+            if let Some(program) = log.program {
+                let client = self.caller_with(0, &log.plan.caller_key)?;
+                report.audit_history(log, &read_view(&client, program).await?);
+            }
+        }
+        let programs: Vec<ProgramId> = logs.iter().filter_map(|log| log.program).collect();
+        report.audit_programs(&programs);
+        Ok(report)
+    }
+
     /// Returns the number of entries.
     pub fn entry_count(&self) -> usize {
         self.entries.len()
@@ -404,6 +465,24 @@
     }
 }
 
+/// Reads a program with its history; tries again while its owner moves.
+async fn read_view(client: &CallerClient, program: ProgramId) -> Result<Value> {
+    let give_up = Instant::now() + READY_LIMIT;
+    loop {
+        let reply = client.show_program(program).await?;
+        if reply.status == 200 {
+            return Ok(reply.json());
+        }
+        if Instant::now() > give_up {
+            bail!(
+                "{program} can't be read: {}",
+                String::from_utf8_lossy(&reply.body)
+            );
+        }
+        tokio::time::sleep(READY_POLL).await;
+    }
+}
+
 fn replace(program: &std::path::Path, member: &mut FleetMember) -> Result<()> {
     // The process may have ended already.
     let _ = member.child.signal(StopSignal::Kill);
--- a/crates/ebony_fleet/src/lib.rs
+++ b/crates/ebony_fleet/src/lib.rs
@@ -4,18 +4,24 @@
 //! stand-ins, and real entry and side processes that it can stop, kill, freeze and replace. A [`CallerClient`] speaks
 //! to an entry as a caller does.
 
+pub mod audit;
 pub mod caller;
 pub mod child;
+pub mod directory;
 pub mod document;
 pub mod fleet;
 pub mod settings;
+pub mod workload;
 
 /// Re-exports the fleet, its options and the client.
 pub mod prelude {
+    pub use crate::audit::AuditReport;
     pub use crate::caller::{CallReply, CallerClient};
     pub use crate::child::{ChildProcess, StopSignal};
+    pub use crate::directory::EntryDirectory;
     pub use crate::document::{CALLER_KEY, OPERATOR_KEY, OTHER_CALLER_KEY};
     pub use crate::fleet::{FleetOptions, RunningFleet};
+    pub use crate::workload::{CallerNews, ProgramLog, ProgramPlan, ProgramRunner};
 }
 
 pub use prelude::*;
--- /dev/null
+++ b/tests/failures/ownership.rs
@@ -0,0 +1,59 @@
+//! Guards order, histories and budgets of programs whose owner dies, is paused, or moves.
+
+use crate::common::{assert_sound, plans, run_beside, slow_fleet, wait_for_runs};
+use ebony_fleet::{RunningFleet, StopSignal};
+
+/// A history or a turn is lost when its owner dies with calls under way and without notice.
+#[actix_web::test]
+async fn programs_survive_the_death_of_their_owner() {
+    let mut fleet = RunningFleet::start(slow_fleet()).await.expect("the fleet starts");
+    let logs = run_beside(&mut fleet, plans("death", 9, 5), async |fleet| {
+        wait_for_runs(fleet, 2, 12).await;
+        fleet.entry(0).signal(StopSignal::Kill).expect("the entry runs");
+        fleet.route_without(&[0]).expect("addresses");
+    })
+    .await;
+    fleet.replace_entry(0).await.expect("a new entry starts");
+    fleet.wait_ready().await.expect("the new entry is ready");
+    assert_sound(&fleet, &logs).await;
+}
+
+/// A paused owner wakes after its lease, answers calls from its buffers and appends to a history that has moved.
+#[actix_web::test]
+async fn a_paused_owner_does_no_harm_when_it_wakes() {
+    let mut fleet = RunningFleet::start(slow_fleet()).await.expect("the fleet starts");
+    let logs = run_beside(&mut fleet, plans("pause", 9, 5), async |fleet| {
+        wait_for_runs(fleet, 2, 12).await;
+        fleet.entry(0).signal(StopSignal::Pause).expect("the entry runs");
+        fleet.route_without(&[0]).expect("addresses");
+        wait_for_runs(fleet, 2, 40).await;
+        fleet
+            .entry(0)
+            .signal(StopSignal::Resume)
+            .expect("the entry is paused");
+    })
+    .await;
+    fleet.route_to_all().expect("addresses");
+    assert_sound(&fleet, &logs).await;
+    let after = run_beside(&mut fleet, plans("after-pause", 3, 2), async |_| {}).await;
+    assert_sound(&fleet, &after).await;
+}
+
+/// Programs are lost when the successor dies while it takes them over.
+#[actix_web::test]
+async fn programs_survive_two_owners_in_a_row() {
+    let mut fleet = RunningFleet::start(slow_fleet()).await.expect("the fleet starts");
+    let logs = run_beside(&mut fleet, plans("twice", 9, 6), async |fleet| {
+        wait_for_runs(fleet, 2, 12).await;
+        fleet.entry(0).signal(StopSignal::Kill).expect("the entry runs");
+        fleet.route_without(&[0]).expect("addresses");
+        fleet.replace_entry(0).await.expect("a new entry starts");
+        fleet.entry(1).signal(StopSignal::Kill).expect("the entry runs");
+        fleet.route_without(&[1]).expect("addresses");
+        fleet.replace_entry(1).await.expect("a new entry starts");
+        fleet.wait_ready().await.expect("the new entries are ready");
+        fleet.route_to_all().expect("addresses");
+    })
+    .await;
+    assert_sound(&fleet, &logs).await;
+}
--- /dev/null
+++ b/tests/failures/planned_stops.rs
@@ -0,0 +1,43 @@
+//! Guards calls against planned stops: a rolling replacement of every process under load.
+
+use crate::common::{assert_sound, plans, run_beside, slow_fleet};
+use ebony_fleet::{CallerNews, ProgramLog, RunningFleet};
+
+fn failures(logs: &[ProgramLog]) -> Vec<String> {
+    let turns = logs
+        .iter()
+        .flat_map(|log| log.turns.iter().map(|turn| &turn.news));
+    let orders = logs
+        .iter()
+        .flat_map(|log| log.orders.iter().flat_map(|order| &order.attempts));
+    let failed = turns
+        .chain(orders)
+        .filter(|news| !matches!(news, CallerNews::Whole | CallerNews::NotSent));
+    failed.map(|news| format!("{news:?}")).collect()
+}
+
+/// A planned stop cuts a stream, loses a call, or refuses work that another process could do.
+#[actix_web::test]
+async fn rolling_replacement_of_all_processes_fails_no_call() {
+    let mut options = slow_fleet();
+    options.engines = 3;
+    options.services = 2;
+    let mut fleet = RunningFleet::start(options).await.expect("the fleet starts");
+    let mut load = plans("rolling", 8, 40);
+    for plan in &mut load {
+        plan.order_every = 3;
+    }
+    let logs = run_beside(&mut fleet, load, async |fleet| {
+        for entry in 0..3 {
+            fleet.route_without(&[entry]).expect("addresses");
+            fleet.roll_entry(entry).await.expect("the entry is replaced");
+            fleet.route_to_all().expect("addresses");
+        }
+        for side in 0..5 {
+            fleet.roll_side(side).await.expect("the side process is replaced");
+        }
+    })
+    .await;
+    assert_sound(&fleet, &logs).await;
+    assert_eq!(failures(&logs), Vec::<String>::new());
+}
--- /dev/null
+++ b/tests/failures/platform_outage.rs
@@ -0,0 +1,118 @@
+//! Guards promises while the platform's table service is down, slow, or loses replies.
+
+use crate::common::{assert_sound, fast_fleet, plans, run_beside, wait_for_runs};
+use ebony_fleet::RunningFleet;
+use ebony_fleet::caller::chat_body;
+use ebony_standins::{FaultSettings, OutageMode};
+
+async fn set_faults(fleet: &RunningFleet, faults: FaultSettings) {
+    fleet
+        .table()
+        .expect("a table")
+        .set_faults(faults)
+        .await
+        .expect("faults are set");
+    fleet
+        .objects()
+        .expect("objects")
+        .set_faults(faults)
+        .await
+        .expect("faults are set");
+}
+
+/// During an outage, idempotent calls stop, or a non-idempotent call runs without a durable intent.
+#[actix_web::test]
+async fn an_outage_stops_only_what_needs_the_platform() {
+    let mut fleet = RunningFleet::start(fast_fleet()).await.expect("the fleet starts");
+    let caller = fleet.caller(0).expect("an entry");
+    let program = caller
+        .open_program(None, serde_json::json!({}))
+        .await
+        .expect("a program");
+    let first = caller
+        .chat(Some(program), &chat_body("kalo", "before", 10, false))
+        .await
+        .expect("an answer");
+    assert_eq!(first.status, 200, "{first:?}");
+
+    let down = FaultSettings {
+        outage: OutageMode::Refuse,
+        ..FaultSettings::default()
+    };
+    set_faults(&fleet, down).await;
+    let during = caller
+        .chat(Some(program), &chat_body("kalo", "during", 10, true))
+        .await
+        .expect("an answer");
+    assert!(during.is_done(), "an idempotent call goes on: {during:?}");
+    let order = caller
+        .service("POST", "orders/commit", Some(program), Some("outage"), "x")
+        .await;
+    let order = order.expect("an answer");
+    assert_eq!(order.code().as_deref(), Some("platform_unavailable"), "{order:?}");
+    assert_eq!(order.verdict().as_deref(), Some("not_run"));
+    assert_eq!(
+        fleet
+            .service(0)
+            .expect("a service")
+            .runs_of("outage")
+            .await
+            .expect("counts"),
+        0
+    );
+
+    set_faults(&fleet, FaultSettings::default()).await;
+    let logs = run_beside(&mut fleet, plans("after", 3, 3), async |_| {}).await;
+    assert_sound(&fleet, &logs).await;
+    let view = caller.show_program(program).await.expect("a view").json();
+    assert_eq!(
+        view["turns"], 2,
+        "the turn of the outage is in the history: {view}"
+    );
+    let order = caller
+        .service("POST", "orders/commit", Some(program), Some("outage"), "x")
+        .await;
+    assert_eq!(order.expect("an answer").status, 200, "the key may run now");
+}
+
+/// Replies are lost after writes took effect, so that a writer takes its own row for a successor's.
+#[actix_web::test]
+async fn lost_replies_of_the_platform_lose_and_repeat_nothing() {
+    let mut fleet = RunningFleet::start(fast_fleet()).await.expect("the fleet starts");
+    let logs = run_beside(&mut fleet, plans("lost-replies", 6, 6), async |fleet| {
+        for round in 1..=6 {
+            wait_for_runs(fleet, 2, 5 * round).await;
+            set_faults(
+                fleet,
+                FaultSettings {
+                    lose_replies: 2,
+                    ..FaultSettings::default()
+                },
+            )
+            .await;
+        }
+    })
+    .await;
+    assert_sound(&fleet, &logs).await;
+}
+
+/// The platform is slow for a while; calls wait or are refused, and nothing is lost.
+#[actix_web::test]
+async fn a_slow_platform_loses_nothing() {
+    let mut fleet = RunningFleet::start(fast_fleet()).await.expect("the fleet starts");
+    let logs = run_beside(&mut fleet, plans("slow", 6, 4), async |fleet| {
+        wait_for_runs(fleet, 2, 4).await;
+        set_faults(
+            fleet,
+            FaultSettings {
+                latency_ms: 300,
+                ..FaultSettings::default()
+            },
+        )
+        .await;
+        wait_for_runs(fleet, 2, 14).await;
+        set_faults(fleet, FaultSettings::default()).await;
+    })
+    .await;
+    assert_sound(&fleet, &logs).await;
+}
