--- a/crates/ebony_platform/src/http/engine.rs
+++ b/crates/ebony_platform/src/http/engine.rs
@@ -41,8 +41,8 @@
 }
 
 impl HttpEngine {
-    /// Opens an adapter; connections are established as requests need them. Load reports, notices and orders have
-    /// the times of [`RequestLimits::for_platform`] and connections of their own.
+    /// Opens an adapter; connections are established as requests need them. Load reports, notices, cancellations and
+    /// orders have connections of their own, and no more time than [`RequestLimits::for_platform`] gives.
     ///
     /// # Errors
     ///
@@ -57,9 +57,12 @@
     ///
     /// Returns [`PlatformError::Refused`] if the base URL is malformed or needs TLS and no configuration is given.
     pub fn open_tls(base_url: &str, limits: RequestLimits, tls: Option<Arc<ClientConfig>>) -> Result<Self> {
+        let platform_limits = RequestLimits::for_platform();
         let control_limits = RequestLimits {
             max_connections: CONTROL_CONNECTIONS,
-            ..RequestLimits::for_platform()
+            connect_timeout: limits.connect_timeout,
+            answer_timeout: limits.answer_timeout.min(platform_limits.answer_timeout),
+            ..platform_limits
         };
         Ok(Self {
             calls: HttpClient::open(base_url, limits, tls.clone())?,
@@ -155,8 +158,8 @@
     }
 
     async fn export_kv(&self, program: ProgramId) -> Result<Bytes> {
-        let reply = self.exchange(bare_call("GET", kv_path(program))).await?;
-        Ok(reply.body)
+        let reply = self.calls.exchange(bare_call("GET", kv_path(program))).await?;
+        Ok(failure::check(reply)?.body)
     }
 
     async fn import_kv(&self, program: ProgramId, bytes: Bytes) -> Result<()> {
@@ -164,7 +167,7 @@
             body: bytes,
             ..bare_call("PUT", kv_path(program))
         };
-        self.exchange(call).await?;
+        failure::check(self.calls.exchange(call).await?)?;
         Ok(())
     }
 }
--- a/crates/ebony_standins/src/control_client.rs
+++ b/crates/ebony_standins/src/control_client.rs
@@ -10,7 +10,7 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
-use crate::server::control::StandinKind;
+use crate::server::control::{HttpKind, StandinKind};
 use crate::server::crash::{CrashReply, CrashRequest};
 use crate::server::faults::{FaultSettings, FaultsSeen};
 
@@ -63,6 +63,28 @@
         Ok(())
     }
 
+    /// Returns the summary of what the stand-in has seen.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the stand-in does not answer.
+    pub async fn seen(&self) -> Result<K::Seen> {
+        self.get("/_seen/summary").await
+    }
+
+    pub(crate) async fn get<T: DeserializeOwned>(&self, path: &str) -> Result<T> {
+        let sent = self.client.get(format!("{}{path}", self.base)).send().await;
+        read_reply(path, sent).await
+    }
+
+    pub(crate) async fn post<T: DeserializeOwned>(&self, path: &str, message: &impl Serialize) -> Result<T> {
+        let request = self.client.post(format!("{}{path}", self.base));
+        let sent = request.send_json(message).await;
+        read_reply(path, sent).await
+    }
+}
+
+impl<K: HttpKind> StandinControl<K> {
     /// Returns the faults in force.
     ///
     /// # Errors
@@ -114,26 +136,6 @@
     pub async fn faults_seen(&self) -> Result<FaultsSeen> {
         self.get("/_seen/faults").await
     }
-
-    /// Returns the summary of what the stand-in has seen.
-    ///
-    /// # Errors
-    ///
-    /// Fails if the stand-in does not answer.
-    pub async fn seen(&self) -> Result<K::Seen> {
-        self.get("/_seen/summary").await
-    }
-
-    pub(crate) async fn get<T: DeserializeOwned>(&self, path: &str) -> Result<T> {
-        let sent = self.client.get(format!("{}{path}", self.base)).send().await;
-        read_reply(path, sent).await
-    }
-
-    pub(crate) async fn post<T: DeserializeOwned>(&self, path: &str, message: &impl Serialize) -> Result<T> {
-        let request = self.client.post(format!("{}{path}", self.base));
-        let sent = request.send_json(message).await;
-        read_reply(path, sent).await
-    }
 }
 
 async fn read_reply<T: DeserializeOwned>(
--- a/crates/ebony_standins/src/engine/answer.rs
+++ b/crates/ebony_standins/src/engine/answer.rs
@@ -2,12 +2,12 @@
 
 use ebony_types::CallUsage;
 use serde::Serialize;
-use serde_json::json;
+use serde_json::{Value, json};
 
-use super::echo::EchoAnswer;
+use super::echo::{EchoAnswer, EchoError, Result};
 
 /// The end of a stream of server-sent events.
-const STREAM_END: &str = "data: [DONE]\n\n";
+pub(crate) const STREAM_END: &str = "data: [DONE]\n\n";
 
 #[derive(Serialize)]
 struct UsageDetails {
@@ -150,3 +150,38 @@
         format!("data: {body}\n\n")
     }
 }
+
+/// Reads the text of an answer from its body.
+///
+/// ```
+/// use ebony_standins::engine::answer_text;
+///
+/// let event = r#"data: {"choices":[{"delta":{"content":"hi"}}]}"#;
+/// assert_eq!(answer_text(format!("{event}\n\ndata: [DONE]\n\n").as_bytes(), true)?, "hi");
+/// assert!(answer_text(format!("{event}\n\n").as_bytes(), true).is_err());
+/// # Ok::<(), ebony_standins::engine::EchoError>(())
+/// ```
+///
+/// # Errors
+///
+/// Returns [`EchoError::MalformedAnswer`] if the body is not a chat completion, or a stream without its end.
+pub fn answer_text(body: &[u8], is_streamed: bool) -> Result<String> {
+    let body = std::str::from_utf8(body).map_err(|_| EchoError::MalformedAnswer)?;
+    if !is_streamed {
+        return text_at(body, "/choices/0/message/content");
+    }
+    let events = body.strip_suffix(STREAM_END).ok_or(EchoError::MalformedAnswer)?;
+    let mut text = String::new();
+    for event in events.split_terminator("\n\n") {
+        let json = event.strip_prefix("data: ").ok_or(EchoError::MalformedAnswer)?;
+        text.push_str(&text_at(json, "/choices/0/delta/content")?);
+    }
+    Ok(text)
+}
+
+/// Reads a text within JSON; an absent one is empty.
+fn text_at(json: &str, pointer: &str) -> Result<String> {
+    let value: Value = serde_json::from_str(json).map_err(|_| EchoError::MalformedAnswer)?;
+    let text = value.pointer(pointer).and_then(Value::as_str);
+    Ok(text.unwrap_or_default().to_owned())
+}
--- a/crates/ebony_standins/src/engine/cache.rs
+++ b/crates/ebony_standins/src/engine/cache.rs
@@ -19,7 +19,8 @@
     pub imported: u64,
     /// Tokens for which there was no room, because all others were pinned or in use.
     pub not_stored: u64,
-    /// Tokens that were evicted, or dropped because a call's messages departed from the stored ones.
+    /// Tokens that were evicted, or dropped because a call's messages departed from the stored ones or an import
+    /// replaced them.
     pub evicted: u64,
     /// Of the evicted tokens, those that no call had reused.
     pub evicted_unused: u64,
@@ -124,7 +125,8 @@
         std::mem::take(&mut self.changes)
     }
 
-    /// Begins a call: reuses the stored start of its prompt and stores the rest. Returns the reused tokens. The
+    /// Begins a call: reuses the stored start of its prompt, drops what departs from it and stores the rest. Returns
+    /// the reused tokens. The
     /// program cannot be evicted until [`PrefixCache::end`].
     pub(crate) fn begin(&mut self, program: ProgramId, prompt: &[PromptSegment], capacity: u64) -> u64 {
         let entry = self.entries.entry(program).or_default();
@@ -141,11 +143,9 @@
             reused += stored.segment.tokens;
         }
         self.counters.reused += reused;
-        if common < prompt.len() {
-            self.cut(program, common);
-        }
+        self.cut(program, common);
         self.touch(program);
-        self.append(program, &prompt[common.min(prompt.len())..], capacity);
+        self.append(program, &prompt[common..], capacity);
         reused
     }
 
@@ -189,7 +189,7 @@
 
     /// Takes what another engine held. Returns whether there was room.
     pub(crate) fn import(&mut self, program: ProgramId, segments: &[PromptSegment], capacity: u64) -> bool {
-        self.remove(program);
+        self.evict(program);
         self.entries.entry(program).or_default();
         self.touch(program);
         let filled = self.counters.filled;
@@ -241,14 +241,18 @@
             let Some(oldest) = oldest.copied() else {
                 return false;
             };
-            if let Some(entry) = self.remove(oldest) {
-                self.counters.evicted += entry.tokens();
-                self.counters.evicted_unused += entry.unused_tokens();
-            }
+            self.evict(oldest);
         }
         true
     }
 
+    fn evict(&mut self, program: ProgramId) {
+        if let Some(entry) = self.remove(program) {
+            self.counters.evicted += entry.tokens();
+            self.counters.evicted_unused += entry.unused_tokens();
+        }
+    }
+
     /// Drops the end of what a program holds.
     fn cut(&mut self, program: ProgramId, kept: usize) {
         let Some(entry) = self.entries.get_mut(&program) else {
--- a/crates/ebony_standins/src/engine/mod.rs
+++ b/crates/ebony_standins/src/engine/mod.rs
@@ -18,6 +18,8 @@
 mod slots;
 mod state;
 
+pub(crate) use answer::STREAM_END;
+pub use answer::answer_text;
 pub use cache::CacheCounters;
 pub use control::EngineControl;
 pub use echo::{ChatMessage, ChatRequest, DEFAULT_ANSWER_WORDS, EchoAnswer, EchoError};
@@ -26,7 +28,7 @@
 
 use actix_web::web;
 
-use crate::server::control::StandinKind;
+use crate::server::control::{HttpKind, StandinKind};
 use crate::server::{BoundStandin, Result, StandinHandle};
 use state::EngineState;
 
@@ -38,6 +40,8 @@
     type Seen = EngineSeen;
 }
 
+impl HttpKind for EngineKind {}
+
 /// Starts an engine in the running actix system.
 ///
 /// # Errors
--- a/crates/ebony_standins/src/engine/state.rs
+++ b/crates/ebony_standins/src/engine/state.rs
@@ -206,7 +206,7 @@
         &self.settings
     }
 
-    fn on_settings(&self) {
+    async fn on_settings(&self) {
         self.slots
             .set_slots(self.settings.read(|settings| settings.slots));
     }
--- a/crates/ebony_standins/src/hosts.rs
+++ b/crates/ebony_standins/src/hosts.rs
@@ -10,7 +10,7 @@
 
 use crate::control_client::{self, StandinControl};
 use crate::lagged::LaggedValue;
-use crate::server::control::{StandinKind, StandinState};
+use crate::server::control::{HttpKind, StandinKind, StandinState};
 use crate::server::faults::FaultSettings;
 use crate::server::{BoundStandin, PortOptions, Result, StandinHandle};
 use crate::settings_cell::SettingsCell;
@@ -60,6 +60,8 @@
     type Seen = HostsSeen;
 }
 
+impl HttpKind for HostsKind {}
+
 /// Controls a host list.
 pub type HostsControl = StandinControl<HostsKind>;
 
--- a/crates/ebony_standins/src/lib.rs
+++ b/crates/ebony_standins/src/lib.rs
@@ -9,7 +9,9 @@
 pub mod engine;
 pub mod hosts;
 mod lagged;
+pub mod load;
 pub mod objects;
+pub mod proxy;
 mod rate_limit;
 mod server;
 pub mod service;
@@ -19,7 +21,7 @@
 pub mod weights;
 
 pub use control_client::StandinControl;
-pub use server::control::StandinKind;
+pub use server::control::{HttpKind, StandinKind};
 pub use server::faults::{FaultSettings, FaultsSeen, OutageMode};
 pub use server::{PortOptions, StandinAddress, StandinHandle};
 pub use standin_set::{StandinOptions, StandinSet};
--- /dev/null
+++ b/crates/ebony_standins/src/load/report.rs
@@ -0,0 +1,147 @@
+//! What a load run measured.
+
+use std::collections::BTreeMap;
+use std::fmt;
+use std::time::Duration;
+
+use ebony_types::RunVerdict;
+use hdrhistogram::Histogram;
+
+use crate::server::Result;
+
+/// The longest time that a histogram tells apart, in microseconds: one hour.
+const MAX_MICROS: u64 = 3_600_000_000;
+
+/// Significant digits of a histogram.
+const HISTOGRAM_DIGITS: u8 = 3;
+
+/// Why calls failed: the code and the verdict of the problem.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct FailureKind {
+    /// The code of the problem; `status_<status>` without one, `connection` without an answer, `timeout` without one
+    /// in time, and `no_end` for a stream without its end marker.
+    pub code: String,
+    /// Whether the call may have run: `not_run`, `may_have_run` or `ran`.
+    pub run: String,
+}
+
+impl FailureKind {
+    pub(crate) fn open(code: &str, verdict: RunVerdict) -> Self {
+        Self {
+            code: code.to_owned(),
+            run: verdict.as_str().to_owned(),
+        }
+    }
+}
+
+/// What a load run measured. Times are in microseconds.
+pub struct LoadReport {
+    /// Calls that began.
+    pub calls: u64,
+    /// Calls with their own and whole answer.
+    pub succeeded: u64,
+    /// Calls whose answer looked whole, but was not, or was not their own. Always a fault of the system.
+    pub wrong_answers: u64,
+    /// What was wrong with the first wrong answer.
+    pub first_wrong: Option<String>,
+    /// Failed calls by code and verdict. The codes are few.
+    pub failures: BTreeMap<FailureKind, u64>,
+    /// Time of each successful call.
+    pub latency: Histogram<u64>,
+    /// Time from each successful call to the first byte of its body.
+    pub first_byte: Histogram<u64>,
+    /// Time of each program that had all of its turns, from its first call to the end of its last.
+    pub program_latency: Histogram<u64>,
+    /// Time of the whole run.
+    pub elapsed: Duration,
+}
+
+impl LoadReport {
+    pub(crate) fn open() -> Result<Self> {
+        let histogram = Histogram::new_with_bounds(1, MAX_MICROS, HISTOGRAM_DIGITS)?;
+        Ok(Self {
+            calls: 0,
+            succeeded: 0,
+            wrong_answers: 0,
+            first_wrong: None,
+            failures: BTreeMap::new(),
+            latency: histogram.clone(),
+            first_byte: histogram.clone(),
+            program_latency: histogram,
+            elapsed: Duration::ZERO,
+        })
+    }
+
+    /// Returns the successful calls per second.
+    pub fn calls_per_second(&self) -> f64 {
+        self.succeeded as f64 / self.elapsed.as_secs_f64().max(f64::MIN_POSITIVE)
+    }
+
+    /// Returns the number of failed calls.
+    pub fn failed(&self) -> u64 {
+        self.failures.values().sum()
+    }
+
+    pub(crate) fn note_failure(&mut self, kind: FailureKind) {
+        *self.failures.entry(kind).or_default() += 1;
+    }
+
+    pub(crate) fn note_wrong(&mut self, detail: String) {
+        self.wrong_answers += 1;
+        self.first_wrong.get_or_insert(detail);
+    }
+
+    /// Adds the report of another caller.
+    pub(crate) fn add(&mut self, other: Self) {
+        self.calls += other.calls;
+        self.succeeded += other.succeeded;
+        self.wrong_answers += other.wrong_answers;
+        self.first_wrong = self.first_wrong.take().or(other.first_wrong);
+        for (kind, count) in other.failures {
+            *self.failures.entry(kind).or_default() += count;
+        }
+        // All histograms have the same bounds, so that adding them cannot fail.
+        self.latency.add(other.latency).ok();
+        self.first_byte.add(other.first_byte).ok();
+        self.program_latency.add(other.program_latency).ok();
+    }
+}
+
+/// Records a time; times over the bound count as the bound.
+pub(crate) fn record(histogram: &mut Histogram<u64>, time: Duration) {
+    let micros = u64::try_from(time.as_micros()).unwrap_or(u64::MAX);
+    histogram.saturating_record(micros);
+}
+
+impl fmt::Display for LoadReport {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(
+            formatter,
+            "calls {}, succeeded {}, failed {}, wrong answers {}, {:.1} calls/s",
+            self.calls,
+            self.succeeded,
+            self.failed(),
+            self.wrong_answers,
+            self.calls_per_second()
+        )?;
+        let histograms = [
+            ("call", &self.latency),
+            ("first byte", &self.first_byte),
+            ("program", &self.program_latency),
+        ];
+        for (name, histogram) in histograms {
+            writeln!(
+                formatter,
+                "{name}: p50 {} us, p95 {} us, p99 {} us, max {} us",
+                histogram.value_at_quantile(0.5),
+                histogram.value_at_quantile(0.95),
+                histogram.value_at_quantile(0.99),
+                histogram.max()
+            )?;
+        }
+        for (kind, count) in &self.failures {
+            writeln!(formatter, "failed {} ({}): {count}", kind.code, kind.run)?;
+        }
+        Ok(())
+    }
+}
--- a/crates/ebony_standins/src/objects/mod.rs
+++ b/crates/ebony_standins/src/objects.rs
@@ -12,7 +12,7 @@
 
 use crate::control_client::StandinControl;
 use crate::rate_limit::RateLimit;
-use crate::server::control::{StandinKind, StandinState};
+use crate::server::control::{HttpKind, StandinKind, StandinState};
 use crate::server::faults::FaultSettings;
 use crate::server::{BoundStandin, PortOptions, Result, StandinHandle};
 use crate::settings_cell::SettingsCell;
@@ -79,6 +79,8 @@
     type Seen = ObjectsSeen;
 }
 
+impl HttpKind for ObjectsKind {}
+
 /// Controls an object store.
 pub type ObjectsControl = StandinControl<ObjectsKind>;
 
--- a/crates/ebony_standins/src/server/connections.rs
+++ b/crates/ebony_standins/src/server/connections.rs
@@ -7,7 +7,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use tokio::task::AbortHandle;
+use tokio::task::{AbortHandle, yield_now};
 
 /// The most connections of one port. Further ones are closed at once.
 pub(crate) const MAX_CONNECTIONS: usize = 4_096;
@@ -35,6 +35,21 @@
         }
     }
 
+    pub(crate) fn len(&self) -> usize {
+        self.handles.borrow().len()
+    }
+
+    /// Closes all connections and returns when they are gone.
+    pub(crate) async fn close_all(&self) {
+        let handles: Vec<AbortHandle> = self.handles.borrow().values().cloned().collect();
+        for handle in &handles {
+            handle.abort();
+        }
+        while handles.iter().any(|handle| !handle.is_finished()) {
+            yield_now().await;
+        }
+    }
+
     /// Closes the connection that the current request came on. Never returns, because the request's handler is part
     /// of the connection.
     pub(crate) async fn close_own(&self, peer: Option<SocketAddr>) -> ! {
--- a/crates/ebony_standins/src/server/control.rs
+++ b/crates/ebony_standins/src/server/control.rs
@@ -17,6 +17,9 @@
     type Seen: Serialize + DeserializeOwned;
 }
 
+/// A kind of stand-in that speaks HTTP, so that it can be given [`FaultSettings`] and crash.
+pub trait HttpKind: StandinKind {}
+
 /// The state of a running stand-in, as the common routes use it.
 pub(crate) trait StandinState: 'static {
     type Kind: StandinKind;
@@ -26,7 +29,7 @@
     fn seen(&self) -> <Self::Kind as StandinKind>::Seen;
 
     /// Follows changed settings.
-    fn on_settings(&self) {}
+    async fn on_settings(&self) {}
 
     /// Loses what a crash loses.
     fn on_crash(&self) {}
@@ -38,17 +41,22 @@
 type SettingsOf<S> = <<S as StandinState>::Kind as StandinKind>::Settings;
 type SeenOf<S> = <<S as StandinState>::Kind as StandinKind>::Seen;
 
-/// Adds the routes for settings, faults and the summary.
-pub(crate) fn common_routes<S: StandinState>(config: &mut web::ServiceConfig) {
+/// Adds the routes for settings and the summary.
+pub(crate) fn settings_routes<S: StandinState>(config: &mut web::ServiceConfig) {
     config
         .route("/_control/settings", web::get().to(get_settings::<S>))
         .route("/_control/settings", web::post().to(set_settings::<S>))
+        .route("/_seen/summary", web::get().to(get_seen::<S>));
+}
+
+/// Adds the routes for faults and crashes.
+pub(crate) fn fault_routes<S: StandinState>(config: &mut web::ServiceConfig) {
+    config
         .route("/_control/faults", web::get().to(get_faults))
         .route("/_control/faults", web::post().to(set_faults))
         .route("/_control/crash", web::post().to(crash::post_crash::<S>))
         .route("/_control/restart", web::post().to(crash::post_restart))
-        .route("/_seen/faults", web::get().to(get_faults_seen))
-        .route("/_seen/summary", web::get().to(get_seen::<S>));
+        .route("/_seen/faults", web::get().to(get_faults_seen));
 }
 
 async fn get_settings<S: StandinState>(state: web::Data<S>) -> web::Json<SettingsOf<S>> {
@@ -59,7 +67,7 @@
     match merge(&state.settings().get(), patch.into_inner()) {
         Ok(settings) => {
             state.settings().set(settings.clone());
-            state.on_settings();
+            state.on_settings().await;
             HttpResponse::Ok().json(settings)
         }
         Err(error) => HttpResponse::BadRequest().body(error.to_string()),
--- a/crates/ebony_standins/src/server/gate.rs
+++ b/crates/ebony_standins/src/server/gate.rs
@@ -5,19 +5,23 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::watch;
 use tokio::time::sleep;
 
 /// The result of binding a port.
 pub(crate) type Result<T, E = std::io::Error> = std::result::Result<T, E>;
 
-/// How often a port is bound again before it is given up. An outgoing connection of any process can hold the address
-/// for as long as it lives.
-const REBIND_ATTEMPTS: u32 = 500;
+/// How often a port is opened again before it is given up. Another process can take the address in the moment when
+/// the listener is gone and the address is not yet held.
+const REOPEN_ATTEMPTS: u32 = 500;
 
-/// The pause between two attempts to bind a port again.
-const REBIND_PAUSE: Duration = Duration::from_millis(10);
+/// The pause between two attempts to open a port again, or to accept after an error.
+const RETRY_PAUSE: Duration = Duration::from_millis(10);
+
+/// Connections that wait to be accepted. With the shorter default of the runtime, 200 callers that started at once
+/// overran the queue, and three of them timed out.
+const BACKLOG: u32 = 4_096;
 
 /// Why a port is closed.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -73,19 +77,24 @@
 pub(crate) struct GatedPort {
     address: SocketAddr,
     listener: Option<TcpListener>,
+    // Holds the address of a closed port, so that no other process gets it. A bound socket that does not listen
+    // refuses connections.
+    held: Option<TcpSocket>,
     wanted: watch::Receiver<ClosedReasons>,
     is_listening: watch::Sender<bool>,
 }
 
 impl GatedPort {
     /// Binds a port of the loopback address; port 0 takes a free one.
-    pub(crate) async fn bind(port: u16) -> Result<(Self, PortGate)> {
-        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, port)).await?;
+    pub(crate) fn bind(port: u16) -> Result<(Self, PortGate)> {
+        let address = SocketAddr::from((Ipv4Addr::LOCALHOST, port));
+        let listener = bind_socket(address)?.listen(BACKLOG)?;
         let (wanted, wanted_receiver) = watch::channel(ClosedReasons::default());
         let (is_listening, is_listening_receiver) = watch::channel(true);
         let port = Self {
             address: listener.local_addr()?,
             listener: Some(listener),
+            held: None,
             wanted: wanted_receiver,
             is_listening,
         };
@@ -107,19 +116,21 @@
             match &self.listener {
                 Some(_) if !is_open => {
                     self.listener = None;
+                    self.held = bind_socket(self.address).ok();
                     return PortEvent::Closed;
                 }
                 Some(listener) => tokio::select! {
                     () = changed(&mut self.wanted) => {}
                     accepted = listener.accept() => {
-                        // Errors of single connections, such as one that was reset early, end only that connection.
-                        if let Ok((stream, peer)) = accepted {
-                            return PortEvent::Accepted(stream, peer);
+                        match accepted {
+                            Ok((stream, peer)) => return PortEvent::Accepted(stream, peer),
+                            // Keeps a lack of file descriptors from taking the whole thread.
+                            Err(_) => sleep(RETRY_PAUSE).await,
                         }
                     }
                 },
                 None if is_open => {
-                    self.listener = Some(rebind(self.address).await);
+                    self.listener = Some(self.reopen().await);
                     self.is_listening.send_replace(true);
                 }
                 None => changed(&mut self.wanted).await,
@@ -127,6 +138,21 @@
         }
     }
 
+    async fn reopen(&mut self) -> TcpListener {
+        for _ in 0..REOPEN_ATTEMPTS {
+            let socket = match self.held.take() {
+                Some(socket) => Ok(socket),
+                None => bind_socket(self.address),
+            };
+            if let Ok(listener) = socket.and_then(|socket| socket.listen(BACKLOG)) {
+                return listener;
+            }
+            sleep(RETRY_PAUSE).await;
+        }
+        // Clients see the port refuse for good, which their own limits on time report.
+        pending().await
+    }
+
     /// States that all connections of the closed port have ended.
     pub(crate) fn confirm_closed(&self) {
         self.is_listening.send_replace(false);
@@ -140,13 +166,10 @@
     }
 }
 
-async fn rebind(address: SocketAddr) -> TcpListener {
-    for _ in 0..REBIND_ATTEMPTS {
-        if let Ok(listener) = TcpListener::bind(address).await {
-            return listener;
-        }
-        sleep(REBIND_PAUSE).await;
-    }
-    // Callers see the port refuse for good, which their own limits on time report.
-    pending().await
+fn bind_socket(address: SocketAddr) -> Result<TcpSocket> {
+    let socket = TcpSocket::new_v4()?;
+    // Connections of the closed listener may still be ending.
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    Ok(socket)
 }
--- a/crates/ebony_standins/src/server/mod.rs
+++ b/crates/ebony_standins/src/server/mod.rs
@@ -23,7 +23,7 @@
 use tokio::task::{JoinHandle, JoinSet};
 
 use connections::ConnectionTable;
-use control::{StandinState, common_routes};
+use control::{StandinState, fault_routes, settings_routes};
 use faults::{FaultGate, FaultSettings, HasEffect};
 use gate::{GatedPort, PortEvent};
 
@@ -116,8 +116,8 @@
         faults: FaultSettings,
         has_effect: HasEffect,
     ) -> Result<Self> {
-        let (data, gate) = GatedPort::bind(ports.data).await?;
-        let (control, _) = GatedPort::bind(ports.control).await?;
+        let (data, gate) = GatedPort::bind(ports.data)?;
+        let (control, _) = GatedPort::bind(ports.control)?;
         let faults_gate = FaultGate::open(faults, gate, has_effect);
         Ok(Self {
             data,
@@ -133,41 +133,49 @@
         data_routes: fn(&mut web::ServiceConfig),
         control_routes: fn(&mut web::ServiceConfig),
     ) -> Result<StandinHandle> {
-        state.on_settings();
+        state.on_settings().await;
         let address = StandinAddress {
             data: self.data.address(),
             control: self.control.address(),
         };
         let data_app = App::new()
             .app_data(web::PayloadConfig::new(MAX_REQUEST_BYTES))
+            .app_data(json_config())
             .app_data(self.faults.clone())
             .app_data(state.clone())
             .configure(data_routes)
             .wrap(middleware::from_fn(faults::apply));
         let control_app = App::new()
+            .app_data(json_config())
             .app_data(self.faults.clone())
             .app_data(state)
-            .configure(common_routes::<S>)
+            .configure(settings_routes::<S>)
+            .configure(fault_routes::<S>)
             .configure(control_routes);
         let connections = self.faults.connections.clone();
         let initial_faults = self.faults.settings.get();
         let data_service = http_service(data_app).await?;
         let control_service = http_service(control_app).await?;
+        let control = accept_http(self.control, control_service, ConnectionTable::default());
         let tasks = vec![
-            tokio::task::spawn_local(accept_connections(self.data, data_service, connections)),
-            tokio::task::spawn_local(accept_connections(
-                self.control,
-                control_service,
-                ConnectionTable::default(),
-            )),
+            tokio::task::spawn_local(accept_http(self.data, data_service, connections)),
+            tokio::task::spawn_local(control),
         ];
         self.faults.set(initial_faults).await;
         Ok(StandinHandle::open(address, tasks))
     }
 }
 
+/// Takes JSON whatever its media type, so that a request by hand needs no header field.
+pub(crate) fn json_config() -> web::JsonConfig {
+    web::JsonConfig::default()
+        .limit(MAX_REQUEST_BYTES)
+        .content_type_required(false)
+        .content_type(|_| true)
+}
+
 /// Creates the HTTP/1 service of an application.
-async fn http_service<F, I, B>(app: F) -> Result<impl Service<TcpStream> + 'static>
+pub(crate) async fn http_service<F, I, B>(app: F) -> Result<impl Service<TcpStream> + 'static>
 where
     F: IntoServiceFactory<I, actix_http::Request>,
     I: ServiceFactory<
@@ -193,11 +201,25 @@
         .map_err(|()| anyhow!("the HTTP service does not start"))
 }
 
-async fn accept_connections<S>(mut port: GatedPort, service: S, connections: ConnectionTable)
-where
-    S: Service<TcpStream> + 'static,
+/// What becomes of open connections when their port closes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum CloseMode {
+    /// They end.
+    EndConnections,
+    /// They stay.
+    KeepConnections,
+}
+
+/// Serves each connection of a port in a task of its own.
+pub(crate) async fn accept_connections<F, T>(
+    mut port: GatedPort,
+    connections: ConnectionTable,
+    mode: CloseMode,
+    serve: F,
+) where
+    F: Fn(TcpStream) -> T,
+    T: Future<Output = ()> + 'static,
 {
-    let service = Rc::new(service);
     let mut tasks = JoinSet::new();
     loop {
         tokio::select! {
@@ -205,20 +227,37 @@
             event = port.next() => match event {
                 PortEvent::Accepted(stream, peer) if !connections.is_full() => {
                     let guard = connections.guard(peer);
-                    let service = Rc::clone(&service);
+                    let serving = serve(stream);
                     let handle = tasks.spawn_local(async move {
                         let _guard = guard;
-                        // A broken connection concerns its client only.
-                        service.call(stream).await.ok();
+                        serving.await;
                     });
                     connections.insert(peer, handle);
                 }
                 PortEvent::Accepted(..) => {}
                 PortEvent::Closed => {
-                    tasks.shutdown().await;
+                    if mode == CloseMode::EndConnections {
+                        tasks.shutdown().await;
+                    }
                     port.confirm_closed();
                 }
             }
         }
     }
 }
+
+/// Serves each connection of a port with an HTTP service.
+pub(crate) async fn accept_http<S>(port: GatedPort, service: S, connections: ConnectionTable)
+where
+    S: Service<TcpStream> + 'static,
+{
+    let service = Rc::new(service);
+    let serve = |stream| {
+        let service = Rc::clone(&service);
+        async move {
+            // A broken connection concerns its client only.
+            service.call(stream).await.ok();
+        }
+    };
+    accept_connections(port, connections, CloseMode::EndConnections, serve).await;
+}
--- a/crates/ebony_standins/src/service/mod.rs
+++ b/crates/ebony_standins/src/service/mod.rs
@@ -18,7 +18,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::counters::CountTable;
-use crate::server::control::{StandinKind, StandinState};
+use crate::server::control::{HttpKind, StandinKind, StandinState};
 use crate::server::faults::{FaultGate, FaultSettings};
 use crate::server::{BoundStandin, PortOptions, Result, StandinHandle};
 use crate::settings_cell::SettingsCell;
@@ -145,6 +145,8 @@
     type Seen = ServiceSeen;
 }
 
+impl HttpKind for ServiceKind {}
+
 #[derive(Default)]
 struct ServiceLog {
     runs: u64,
--- a/crates/ebony_standins/src/standin_set.rs
+++ b/crates/ebony_standins/src/standin_set.rs
@@ -11,6 +11,7 @@
 use crate::engine::{self, EngineOptions};
 use crate::hosts::{self, HostsOptions};
 use crate::objects::{self, ObjectsOptions};
+use crate::proxy::{self, ProxyOptions};
 use crate::server::{Result, StandinAddress, StandinHandle};
 use crate::service::{self, ServiceOptions};
 use crate::table::{self, TableOptions};
@@ -36,6 +37,8 @@
     Hosts(HostsOptions),
     /// A weight store.
     Weights(WeightsOptions),
+    /// A TCP proxy.
+    Proxy(ProxyOptions),
 }
 
 impl StandinOptions {
@@ -73,6 +76,7 @@
             Self::Objects(options) => objects::spawn(options).await,
             Self::Hosts(options) => hosts::spawn(options).await,
             Self::Weights(options) => weights::spawn(options).await,
+            Self::Proxy(options) => proxy::spawn(options).await,
         }
     }
 }
--- a/crates/ebony_standins/src/table/mod.rs
+++ b/crates/ebony_standins/src/table/mod.rs
@@ -13,7 +13,7 @@
 
 use crate::control_client::StandinControl;
 use crate::rate_limit::RateLimit;
-use crate::server::control::{StandinKind, StandinState};
+use crate::server::control::{HttpKind, StandinKind, StandinState};
 use crate::server::faults::FaultSettings;
 use crate::server::{BoundStandin, PortOptions, Result, StandinHandle};
 use crate::settings_cell::SettingsCell;
@@ -75,6 +75,8 @@
     type Seen = TableSeen;
 }
 
+impl HttpKind for TableKind {}
+
 /// Controls a table service.
 pub type TableControl = StandinControl<TableKind>;
 
@@ -125,7 +127,7 @@
     }
 
     /// Keeps the rows that stale reads are answered from.
-    fn on_settings(&self) {
+    async fn on_settings(&self) {
         let prefix = self.settings.read(|settings| settings.stale_prefix.clone());
         self.rows.borrow_mut().set_stale_prefix(prefix);
     }
--- a/crates/ebony_standins/src/weights.rs
+++ b/crates/ebony_standins/src/weights.rs
@@ -9,7 +9,7 @@
 
 use crate::control_client::{self, StandinControl};
 use crate::rate_limit::RateLimit;
-use crate::server::control::{StandinKind, StandinState};
+use crate::server::control::{HttpKind, StandinKind, StandinState};
 use crate::server::faults::FaultSettings;
 use crate::server::{BoundStandin, PortOptions, Result, StandinHandle};
 use crate::settings_cell::SettingsCell;
@@ -58,6 +58,8 @@
     type Seen = WeightsSeen;
 }
 
+impl HttpKind for WeightsKind {}
+
 /// Controls a weight store.
 pub type WeightsControl = StandinControl<WeightsKind>;
 
--- a/crates/ebony_standins/tests/engine.rs
+++ b/crates/ebony_standins/tests/engine.rs
@@ -1,102 +1,34 @@
 //! The model engine behind its adapter.
 
+mod support;
+
 use std::time::Duration;
 
-use anyhow::{Context, Result, bail, ensure};
+use anyhow::{Result, bail};
 use bytes::{Bytes, BytesMut};
 use ebony_platform::{
     EngineAnswer, EngineCall, EngineOrder, EngineTarget, HttpEngine, PlatformError, RequestLimits,
 };
+use ebony_standins::FaultSettings;
 use ebony_standins::engine::{
-    self, ChatMessage, ChatRequest, EchoAnswer, EngineControl, EngineOptions, EngineSeen, EngineSettings,
+    self, EchoAnswer, EngineControl, EngineOptions, EngineSeen, EngineSettings, answer_text,
 };
-use ebony_standins::{FaultSettings, StandinHandle};
-use ebony_types::{CallId, FencingToken, ModelName, ProgramId, ShardKey};
+use ebony_types::{CallId, FencingToken, ModelName};
 use futures_util::StreamExt;
+use support::{EngineFixture, MODEL, call, call_id, program, prompt, read, request};
 
 /// How often a condition is looked at before a test gives up.
 const MAX_LOOKS: u32 = 2_000;
 
-const MODEL: &str = "kalo-70b";
-
-struct EngineFixture {
-    handle: StandinHandle,
-    control: EngineControl,
-    engine: HttpEngine,
-}
-
-impl EngineFixture {
-    async fn spawn(settings: EngineSettings) -> Result<Self> {
-        let options = EngineOptions {
-            models: vec![ModelName::parse(MODEL)?],
-            settings,
-            ..EngineOptions::default()
-        };
-        let handle = engine::spawn(options).await?;
-        Ok(Self {
-            control: EngineControl::open(handle.address().control),
-            engine: HttpEngine::open(&handle.url(), RequestLimits::for_targets())?,
-            handle,
-        })
-    }
-
-    async fn wait_for(&self, condition: impl Fn(&EngineSeen) -> bool) -> Result<EngineSeen> {
-        for _ in 0..MAX_LOOKS {
-            let seen = self.control.seen().await?;
-            if condition(&seen) {
-                return Ok(seen);
-            }
+/// Waits until what the engine has seen meets a condition.
+async fn wait_for(fixture: &EngineFixture, condition: impl Fn(&EngineSeen) -> bool) -> Result<EngineSeen> {
+    for _ in 0..MAX_LOOKS {
+        let seen = fixture.control.seen().await?;
+        if condition(&seen) {
+            return Ok(seen);
         }
-        bail!("the engine never met the condition")
-    }
-
-    /// Runs a call to its end and returns the checked text of its answer.
-    async fn run(&self, number: u8, request: &ChatRequest) -> Result<String> {
-        let answer = self.engine.complete(call(number, request)?).await?;
-        let text = read_text(&read(answer).await?, request.stream)?;
-        let echo = EchoAnswer::check(&text, request)?;
-        ensure!(echo.call == call_id(number) && echo.program == Some(program(1)));
-        Ok(text)
-    }
-}
-
-fn call_id(number: u8) -> CallId {
-    CallId::from_bytes([number; 16])
-}
-
-fn program(number: u8) -> ProgramId {
-    ProgramId::from_parts(ShardKey(7), [number; 14])
-}
-
-fn request(messages: &[ChatMessage], words: u32, stream: bool) -> ChatRequest {
-    ChatRequest {
-        model: MODEL.to_owned(),
-        messages: messages.to_vec(),
-        max_tokens: Some(words),
-        stream,
-    }
-}
-
-fn prompt(text: &str) -> Vec<ChatMessage> {
-    vec![ChatMessage::text("user", text)]
-}
-
-fn call(number: u8, request: &ChatRequest) -> Result<EngineCall> {
-    Ok(EngineCall {
-        call: call_id(number),
-        program: program(1),
-        priority: 0,
-        body: Bytes::from(serde_json::to_vec(request)?),
-    })
-}
-
-async fn read(mut answer: EngineAnswer) -> Result<Bytes> {
-    ensure!(answer.status == 200, "status {}", answer.status);
-    let mut body = BytesMut::new();
-    while let Some(part) = answer.body.next().await {
-        body.extend_from_slice(&part?);
     }
-    Ok(body.freeze())
+    bail!("the engine never met the condition")
 }
 
 /// Reads a body until it breaks.
@@ -111,27 +43,6 @@
     bail!("the body ended as if it were whole")
 }
 
-fn read_text(body: &[u8], is_streamed: bool) -> Result<String> {
-    let body = std::str::from_utf8(body)?;
-    let content = |json: &str, pointer: &str| -> Result<String> {
-        let value: serde_json::Value = serde_json::from_str(json)?;
-        let text = value.pointer(pointer).and_then(|text| text.as_str());
-        Ok(text.unwrap_or_default().to_owned())
-    };
-    if !is_streamed {
-        return content(body, "/choices/0/message/content");
-    }
-    let events = body
-        .strip_suffix("data: [DONE]\n\n")
-        .context("no end of the stream")?;
-    let mut text = String::new();
-    for event in events.split_terminator("\n\n") {
-        let json = event.strip_prefix("data: ").context("no event")?;
-        text.push_str(&content(json, "/choices/0/delta/content")?);
-    }
-    Ok(text)
-}
-
 /// Guards against answers that are not whole or belong to another call, and against changes of their form.
 #[actix_rt::test]
 async fn answers_are_whole_and_have_a_stable_form() -> Result<()> {
@@ -194,9 +105,7 @@
         };
         answers.push(fixture.engine.complete(call).await?);
         // Calls queue in the order in which they arrive.
-        fixture
-            .wait_for(|seen| seen.running + seen.waiting == u32::from(number))
-            .await?;
+        wait_for(&fixture, |seen| seen.running + seen.waiting == u32::from(number)).await?;
     }
     let full = fixture
         .engine
@@ -247,7 +156,7 @@
     whole.extend_from_slice(&second);
     let rest = read(fixture.engine.resume(call_id(1), whole.len() as u64).await?).await?;
     whole.extend_from_slice(&rest);
-    EchoAnswer::check(&read_text(&whole, true)?, &request)?;
+    EchoAnswer::check(&answer_text(&whole, true)?, &request)?;
 
     let again = read(fixture.engine.resume(call_id(1), 0).await?).await?;
     assert_eq!(again, whole);
@@ -285,7 +194,7 @@
         .map(|answer| answer.status);
     assert!(matches!(lost, Err(PlatformError::Unknown(_))), "{lost:?}");
     let body = read(fixture.engine.resume(call_id(1), 0).await?).await?;
-    EchoAnswer::check(&read_text(&body, true)?, &request)?;
+    EchoAnswer::check(&answer_text(&body, true)?, &request)?;
     assert_eq!(fixture.control.runs_of(call_id(1)).await?, 1);
     Ok(())
 }
@@ -302,9 +211,7 @@
     let request = request(&prompt("hello"), 8, true);
     let running = fixture.engine.complete(call(1, &request)?).await?;
     let waiting = fixture.engine.complete(call(2, &request)?).await?;
-    fixture
-        .wait_for(|seen| seen.running == 1 && seen.waiting == 1)
-        .await?;
+    wait_for(&fixture, |seen| seen.running == 1 && seen.waiting == 1).await?;
     fixture.engine.cancel(call_id(2)).await?;
     fixture.engine.cancel(call_id(1)).await?;
     fixture.engine.cancel(call_id(9)).await?;
@@ -315,7 +222,7 @@
         .change(|settings| settings.is_hung = false)
         .await?;
     fixture.run(3, &request).await?;
-    let seen = fixture.wait_for(|seen| seen.running == 0).await?;
+    let seen = wait_for(&fixture, |seen| seen.running == 0).await?;
     assert_eq!(
         (seen.waiting, seen.counts.cancelled, seen.counts.ended),
         (0, 2, 1)
@@ -405,130 +312,25 @@
     Ok(())
 }
 
-/// Guards against wrong counts of filled, reused and wasted tokens, which the second metric rests on.
-#[actix_rt::test]
-async fn the_prefix_cache_counts_reuse_and_waste() -> Result<()> {
-    let settings = EngineSettings {
-        cache_tokens: 100,
-        ..EngineSettings::default()
-    };
-    let fixture = EngineFixture::spawn(settings).await?;
-    let mut messages = prompt("a first message of this conversation");
-    let answer = fixture.run(1, &request(&messages, 2, false)).await?;
-    let filled = fixture.control.seen().await?.cache.filled;
-    messages.push(ChatMessage::text("assistant", &answer));
-    messages.push(ChatMessage::text("user", "next"));
-    fixture.run(2, &request(&messages, 2, false)).await?;
-    let runs = fixture.control.recent_runs().await?;
-    assert_eq!((runs[0].cached_tokens, runs[1].cached_tokens), (0, filled));
-
-    let other = EngineCall {
-        program: program(2),
-        ..call(3, &request(&prompt(&"x".repeat(200)), 1, false))?
-    };
-    read(fixture.engine.complete(other).await?).await?;
-    let seen = fixture.control.seen().await?;
-    insta::assert_json_snapshot!("cache_counters", seen.cache);
-    assert_eq!(seen.cache.filled, seen.cache.evicted + seen.held_tokens);
-    let held = fixture.engine.held().await?;
-    assert_eq!(held.len(), 1);
-    assert_eq!(
-        (held[0].program, held[0].bytes),
-        (program(2), seen.held_tokens * 1_024)
-    );
-    let notices = fixture.engine.cache_notices(0).await?;
-    let evicted = notices.iter().find(|notice| notice.held_tokens == 0);
-    assert_eq!(evicted.map(|notice| notice.program), Some(program(1)));
-    Ok(())
-}
-
-/// Guards against pinned programs that are evicted, and programs that stay held after a release or a move.
-#[actix_rt::test]
-async fn kv_cache_is_pinned_moved_and_released() -> Result<()> {
-    let settings = EngineSettings {
-        cache_tokens: 60,
-        ..EngineSettings::default()
-    };
-    let fixture = EngineFixture::spawn(settings.clone()).await?;
-    let other = EngineFixture::spawn(settings).await?;
-    let request = request(&prompt("hello"), 1, false);
-    fixture.run(1, &request).await?;
-    fixture
-        .engine
-        .order(EngineOrder::Pin(program(1)), FencingToken(1))
-        .await?;
-    let large = EngineCall {
-        program: program(2),
-        ..call(2, &self::request(&prompt(&"x".repeat(200)), 1, false))?
-    };
-    read(fixture.engine.complete(large).await?).await?;
-    let seen = fixture.control.seen().await?;
-    assert!(seen.cache.not_stored >= 50, "{seen:?}");
-    let held = fixture.engine.held().await?;
-    assert!(held.iter().any(|held| held.program == program(1)));
-
-    let kv = fixture.engine.export_kv(program(1)).await?;
-    other.engine.import_kv(program(1), kv).await?;
-    fixture
-        .engine
-        .order(EngineOrder::Release(program(1)), FencingToken(1))
-        .await?;
-    assert!(
-        fixture
-            .engine
-            .held()
-            .await?
-            .iter()
-            .all(|held| held.program != program(1))
-    );
-    let absent = fixture.engine.export_kv(program(1)).await;
-    assert!(matches!(absent, Err(PlatformError::Refused(_))), "{absent:?}");
-    other.run(3, &request).await?;
-    assert!(other.control.recent_runs().await?[0].cached_tokens > 0);
-    Ok(())
-}
-
-/// Guards against load reports and notices that are fresher or fuller than an engine's are.
-#[actix_rt::test]
-async fn reports_lag_and_notices_have_gaps() -> Result<()> {
-    let settings = EngineSettings {
-        load_lag_ms: 3_600_000,
-        notice_gap_every: 2,
-        notice_delay_ms: 3_600_000,
-        ..EngineSettings::default()
-    };
-    let fixture = EngineFixture::spawn(settings).await?;
-    fixture.run(1, &request(&prompt("hello"), 4, false)).await?;
-    assert_eq!(fixture.engine.load().await?.kv_bytes_held, 0);
-    assert_eq!(fixture.engine.cache_notices(0).await?, []);
-    let now = |settings: &mut EngineSettings| {
-        settings.load_lag_ms = 0;
-        settings.notice_delay_ms = 0;
-    };
-    fixture.control.change(now).await?;
-    assert!(fixture.engine.load().await?.kv_bytes_held > 0);
-    let notices = fixture.engine.cache_notices(0).await?;
-    assert_eq!(
-        notices.iter().map(|notice| notice.sequence).collect::<Vec<_>>(),
-        [1]
-    );
-    Ok(())
-}
-
 /// Guards against a control connection that waits behind calls that fill all connections.
 #[actix_rt::test]
 async fn calls_are_bounded_and_do_not_hold_up_control() -> Result<()> {
-    let settings = EngineSettings {
-        is_hung: true,
-        ..EngineSettings::default()
+    let options = EngineOptions {
+        models: vec![ModelName::parse(MODEL)?],
+        settings: EngineSettings {
+            is_hung: true,
+            ..EngineSettings::default()
+        },
+        ..EngineOptions::default()
     };
-    let fixture = EngineFixture::spawn(settings).await?;
+    let handle = engine::spawn(options).await?;
+    let control = EngineControl::open(handle.address().control);
     let limits = RequestLimits {
         max_connections: 1,
         connect_timeout: Duration::from_millis(20),
         ..RequestLimits::for_targets()
     };
-    let engine = HttpEngine::open(&fixture.handle.url(), limits)?;
+    let engine = HttpEngine::open(&handle.url(), limits)?;
     let request = request(&prompt("hello"), 4, true);
     let held = engine.complete(call(1, &request)?).await?;
     let refused = engine
@@ -539,7 +341,7 @@
     assert_eq!(engine.load().await?.running, 1);
     engine.cancel(call_id(1)).await?;
     read_broken(held).await?;
-    assert_eq!(fixture.control.runs_of(call_id(2)).await?, 0);
+    assert_eq!(control.runs_of(call_id(2)).await?, 0);
     engine.complete(call(3, &request)?).await?;
     Ok(())
 }
--- /dev/null
+++ b/crates/ebony_standins/tests/proxy.rs
@@ -0,0 +1,218 @@
+//! The proxy, the set of stand-ins on a thread of its own, and the load tool.
+
+use std::time::Duration;
+
+use anyhow::{Result, bail};
+use bytes::Bytes;
+use ebony_platform::{HttpTable, PlatformError, RequestLimits, RowKey, TableService, WriteNonce};
+use ebony_standins::engine::{EngineControl, EngineOptions, EngineSettings};
+use ebony_standins::load::{FailureKind, LoadDriver, LoadPlan, ProgramMode};
+use ebony_standins::proxy::{self, DirectionMode, ProxyControl, ProxyOptions, ProxySettings};
+use ebony_standins::table::{self, TableControl, TableOptions};
+use ebony_standins::{FaultSettings, OutageMode, StandinHandle, StandinOptions, StandinSet};
+use ebony_types::ModelName;
+
+/// How often a condition is looked at before a test gives up.
+const MAX_LOOKS: u32 = 2_000;
+
+struct ProxyFixture {
+    proxy: ProxyControl,
+    upstream: TableControl,
+    table: HttpTable,
+    _handles: [StandinHandle; 2],
+}
+
+impl ProxyFixture {
+    async fn spawn(limits: RequestLimits) -> Result<Self> {
+        let upstream = table::spawn(TableOptions::default()).await?;
+        let proxy = proxy::spawn(ProxyOptions::to(upstream.address().data)).await?;
+        Ok(Self {
+            proxy: ProxyControl::open(proxy.address().control),
+            upstream: TableControl::open(upstream.address().control),
+            table: HttpTable::open(&proxy.url(), limits)?,
+            _handles: [proxy, upstream],
+        })
+    }
+
+    async fn create(&self, key: &str) -> Result<(), PlatformError> {
+        let key = RowKey(key.to_owned());
+        self.table
+            .create(&key, Bytes::from_static(b"x"), WriteNonce(1))
+            .await?;
+        Ok(())
+    }
+
+    async fn wait_for_writes(&self, writes: u64) -> Result<()> {
+        for _ in 0..MAX_LOOKS {
+            if self.upstream.seen().await?.writes == writes {
+                return Ok(());
+            }
+        }
+        bail!("the table never had {writes} writes")
+    }
+}
+
+/// Guards against a proxy that changes what it forwards, or keeps a fault after it was unset.
+#[actix_rt::test]
+async fn faults_of_the_proxy_come_and_go() -> Result<()> {
+    let fixture = ProxyFixture::spawn(RequestLimits::for_platform()).await?;
+    fixture.create("plain").await?;
+    let slow = |settings: &mut ProxySettings| {
+        settings.to_upstream.delay_ms = 1;
+        settings.to_client.delay_ms = 1;
+    };
+    fixture.proxy.change(slow).await?;
+    fixture.create("delayed").await?;
+
+    fixture
+        .proxy
+        .change(|settings| settings.is_refusing = true)
+        .await?;
+    fixture.create("on the open connection").await?;
+    fixture.proxy.close_connections().await?;
+    let refused = fixture.create("refused").await;
+    assert!(matches!(refused, Err(PlatformError::Refused(_))), "{refused:?}");
+    fixture
+        .proxy
+        .change(|settings| settings.is_refusing = false)
+        .await?;
+
+    fixture
+        .proxy
+        .change(|settings| settings.to_client.cut_after_bytes = Some(20))
+        .await?;
+    let cut = fixture.create("cut").await;
+    assert!(matches!(cut, Err(PlatformError::Unknown(_))), "{cut:?}");
+    fixture
+        .proxy
+        .change(|settings| settings.to_client.cut_after_bytes = None)
+        .await?;
+
+    fixture
+        .proxy
+        .change(|settings| settings.to_client.mode = DirectionMode::Cut)
+        .await?;
+    let cut = fixture.create("cut at once").await;
+    assert!(matches!(cut, Err(PlatformError::Unknown(_))), "{cut:?}");
+    fixture
+        .proxy
+        .change(|settings| settings.to_client.mode = DirectionMode::Forward)
+        .await?;
+    fixture.create("whole").await?;
+    assert_eq!(fixture.proxy.seen().await?.cut, 1);
+    Ok(())
+}
+
+/// Guards against a frozen direction that loses bytes or lets them through.
+#[actix_rt::test]
+async fn a_frozen_direction_holds_bytes_until_it_thaws() -> Result<()> {
+    let fixture = ProxyFixture::spawn(RequestLimits::for_platform()).await?;
+    fixture
+        .proxy
+        .change(|settings| settings.to_client.mode = DirectionMode::Frozen)
+        .await?;
+    let mut reply = std::pin::pin!(fixture.create("frozen"));
+    tokio::select! {
+        result = &mut reply => bail!("a reply came through: {result:?}"),
+        written = fixture.wait_for_writes(1) => written?,
+    }
+    fixture
+        .proxy
+        .change(|settings| settings.to_client.mode = DirectionMode::Forward)
+        .await?;
+    reply.await?;
+
+    let short = RequestLimits::for_platform().with_answer_timeout(Duration::from_millis(50));
+    let fixture = ProxyFixture::spawn(short).await?;
+    fixture
+        .proxy
+        .change(|settings| settings.to_upstream.mode = DirectionMode::Frozen)
+        .await?;
+    let frozen = fixture.create("never sent").await;
+    assert!(matches!(frozen, Err(PlatformError::Unknown(_))), "{frozen:?}");
+    assert_eq!(fixture.upstream.seen().await?.writes, 0);
+    Ok(())
+}
+
+fn engine_options(settings: EngineSettings) -> Result<StandinOptions> {
+    Ok(StandinOptions::Engine(EngineOptions {
+        models: vec![ModelName::parse("kalo-70b")?],
+        settings,
+        ..EngineOptions::default()
+    }))
+}
+
+fn run_load(plan: LoadPlan) -> Result<ebony_standins::load::LoadReport> {
+    actix_rt::System::new().block_on(async { LoadDriver::open(plan)?.run().await })
+}
+
+/// Guards against stand-ins that need a test's own runtime, and a load run that exceeds or misses its calls.
+#[test]
+fn load_runs_against_a_set_on_another_thread() -> Result<()> {
+    let mut set = StandinSet::start()?;
+    let engine = set.add("engine", engine_options(EngineSettings::default())?)?;
+    let proxy = set.add("proxy", StandinOptions::Proxy(ProxyOptions::to(engine.data)))?;
+    let plan = LoadPlan {
+        base_url: proxy.url(),
+        callers: 6,
+        calls: 100,
+        turns: 3,
+        programs: ProgramMode::Random,
+        ..LoadPlan::default()
+    };
+    for is_streamed in [true, false] {
+        let report = run_load(LoadPlan {
+            is_streamed,
+            ..plan.clone()
+        })?;
+        assert_eq!(
+            (report.calls, report.succeeded, report.wrong_answers),
+            (100, 100, 0)
+        );
+        assert_eq!(report.latency.len(), 100);
+        assert!(report.failures.is_empty() && report.program_latency.len() >= 28);
+    }
+    let control = EngineControl::open(engine.control);
+    let seen = actix_rt::System::new().block_on(control.seen())?;
+    assert_eq!(seen.counts.ended, 200);
+    assert!(seen.cache.reused > 0);
+    set.stop()
+}
+
+/// Guards against failed calls that are counted as successes, or lose their code and verdict.
+#[test]
+fn load_counts_failures_by_code_and_verdict() -> Result<()> {
+    let mut set = StandinSet::start()?;
+    let settings = EngineSettings {
+        cut_answers: 1,
+        ..EngineSettings::default()
+    };
+    let engine = set.add("engine", engine_options(settings)?)?;
+    let plan = LoadPlan {
+        base_url: engine.url(),
+        callers: 1,
+        calls: 5,
+        turns: 1,
+        answer_words: 50,
+        ..LoadPlan::default()
+    };
+    let report = run_load(plan.clone())?;
+    let cut = FailureKind {
+        code: "connection".to_owned(),
+        run: "may_have_run".to_owned(),
+    };
+    assert_eq!((report.succeeded, report.failures.get(&cut)), (4, Some(&1)));
+    let outage = FaultSettings {
+        outage: OutageMode::Refuse,
+        ..FaultSettings::default()
+    };
+    let control = EngineControl::open(engine.control);
+    actix_rt::System::new().block_on(control.set_faults(outage))?;
+    let report = run_load(plan)?;
+    let refused = FailureKind {
+        code: "connection".to_owned(),
+        run: "not_run".to_owned(),
+    };
+    assert_eq!((report.calls, report.failures.get(&refused)), (5, Some(&5)));
+    set.stop()
+}
