Make the side process whole: queue, ledger, crashes, engine memory, drain

Cause: the side process ran calls on its targets without queue, ledger or drain. Change: calls pass fencing, ledger and queue; answers stream within credit and resume; crashes, engine memory, configuration, reports and the drain are handled. Links take TLS and their times from the settings. The ledger's credit window is the shared constant of 256 KiB, and a documentation example of the crash tracker compiles again.

--- a/crates/ebony_ledger/src/answer_buffer.rs
+++ b/crates/ebony_ledger/src/answer_buffer.rs
@@ -13,7 +13,7 @@
 const SEGMENT_BYTES: usize = 16 * 1024;
 
 /// Bytes that a target may run ahead of what its entry has confirmed: the credit and one chunk that waits for more.
-/// With 64 running calls, the worst case is 12 MiB.
+/// With 64 running calls, the worst case is 20 MiB.
 pub const MAX_UNCONFIRMED_BYTES: u64 = INITIAL_CREDIT_BYTES + MAX_CHUNK_BYTES as u64;
 
 /// Says why an operation on a buffer failed.
--- a/crates/ebony_ledger/src/caller_credit.rs
+++ b/crates/ebony_ledger/src/caller_credit.rs
@@ -2,8 +2,8 @@
 
 /// The credit that a call starts with, and that a resumed answer starts with again, in bytes.
 ///
-/// Two of the largest chunks keep an answer flowing while a grant is on its way.
-pub const INITIAL_CREDIT_BYTES: u64 = 2 * ebony_types::limits::MAX_CHUNK_BYTES as u64;
+/// Entries and side processes share the constant, because both ends count the window.
+pub const INITIAL_CREDIT_BYTES: u64 = ebony_types::limits::ANSWER_WINDOW_BYTES as u64;
 
 /// How far an answer may be sent.
 ///
--- a/crates/ebony_ledger/src/crash_tracker.rs
+++ b/crates/ebony_ledger/src/crash_tracker.rs
@@ -51,7 +51,7 @@
 ///
 /// ```
 /// use ebony_ledger::{CrashSite, CrashStanding, CrashTracker};
-/// use ebony_types::{ClockTime, RequestDigest};
+/// use ebony_types::{ClockTime, ProcessIncarnation, RequestDigest, TargetName};
 ///
 /// let mut tracker = CrashTracker::open(16);
 /// let digest = RequestDigest([1; 32]);
--- a/crates/ebony_ledger/src/fencing.rs
+++ b/crates/ebony_ledger/src/fencing.rs
@@ -67,6 +67,14 @@
         self.shards.get(&shard).copied().unwrap_or_default()
     }
 
+    /// Returns the highest token seen for a target.
+    pub fn highest_for(&self, target: &TargetName) -> FencingToken {
+        self.targets
+            .get(target)
+            .map(|fence| fence.highest)
+            .unwrap_or_default()
+    }
+
     /// Adds a target and whether it refuses stale tokens itself. A known target keeps its highest token.
     pub fn add_target(&mut self, target: &TargetName, checks_tokens: bool) {
         let fence = self.targets.entry(target.clone()).or_insert(TargetFence {
--- a/crates/ebony_ledger/src/ledger/mod.rs
+++ b/crates/ebony_ledger/src/ledger/mod.rs
@@ -13,7 +13,9 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use ebony_types::{CallId, ClockTime, FencingToken, ProcessIncarnation, ProgramId, TargetName};
+use ebony_types::{
+    CallId, ClockTime, FencingToken, ProcessIncarnation, ProgramId, RequestDigest, TargetName,
+};
 use slotmap::SlotMap;
 
 pub use self::decision::{
@@ -139,6 +141,21 @@
         self.record(call).map_or(&[], |record| &record.calls)
     }
 
+    /// Returns the call that was admitted first among those that receive the same answer. The target knows it.
+    pub fn first_call(&self, call: CallId) -> Option<CallId> {
+        self.record(call).map(|record| record.ticket.call)
+    }
+
+    /// Returns the target that a call waits for or runs on.
+    pub fn target(&self, call: CallId) -> Option<&TargetName> {
+        self.record(call).map(|record| &record.ticket.target)
+    }
+
+    /// Returns the digest of a call's request.
+    pub fn digest(&self, call: CallId) -> Option<RequestDigest> {
+        self.record(call).map(|record| record.ticket.digest)
+    }
+
     /// Returns the number of calls that wait or run.
     pub fn open_calls(&self) -> usize {
         self.open_calls
--- a/crates/ebony_ledger/src/ledger/run.rs
+++ b/crates/ebony_ledger/src/ledger/run.rs
@@ -198,6 +198,24 @@
         Some(outcome)
     }
 
+    /// Notes that an answer to `survivor` shows the target in its `next` life: the target crashed before it took the
+    /// call. The other calls fail as in [`CallLedger::target_crashed`], and the survivor goes on.
+    pub fn target_restarted(
+        &mut self,
+        target: &TargetName,
+        next: ProcessIncarnation,
+        survivor: CallId,
+        now: ClockTime,
+    ) -> Option<CrashOutcome> {
+        self.quarantine.stop(target, survivor);
+        let outcome = self.target_crashed(target, next, now);
+        if let Some(key) = self.run_key(survivor) {
+            // The target runs the call already, so that a refused permit changes nothing.
+            self.request_permit(key, now);
+        }
+        outcome
+    }
+
     /// Returns the record that a target runs under `call`.
     fn run_key(&self, call: CallId) -> Option<RecordKey> {
         let key = *self.calls.get(&call)?;
--- a/crates/ebony_link/src/lib.rs
+++ b/crates/ebony_link/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod open_link;
 pub mod options;
 pub mod stream;
+pub mod tls;
 
 /// Re-exports the ends of a link and the functions that open one.
 pub mod prelude {
--- a/crates/ebony_policy/src/queue/mod.rs
+++ b/crates/ebony_policy/src/queue/mod.rs
@@ -131,6 +131,11 @@
         }
     }
 
+    /// Changes the most waiting calls. Calls beyond a lower bound keep waiting; further ones are refused.
+    pub fn set_capacity(&mut self, capacity: usize) {
+        self.options.capacity = capacity;
+    }
+
     /// Returns the number of calls that wait.
     pub fn len(&self) -> usize {
         self.calls.len()
--- /dev/null
+++ b/crates/ebony_side/src/actor/delivery.rs
@@ -0,0 +1,201 @@
+//! Sends answers to entries within their credit.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use actix::{AsyncContext, Context};
+use ebony_ledger::{AnswerCursor, CallState, ResumeDecision};
+use ebony_link::LinkError;
+use ebony_types::{CallId, ProblemCode, ProblemReport, RunVerdict};
+use ebony_wire::SideFrame;
+
+use super::SideActor;
+use crate::links::LinkKey;
+
+/// The wait before an answer goes on whose link had a full send queue.
+const FULL_QUEUE_WAIT: Duration = Duration::from_millis(10);
+
+struct AnswerDelivery {
+    /// `None` while no link has asked for the answer.
+    link: Option<LinkKey>,
+    cursor: AnswerCursor,
+}
+
+/// Answers on their way, by call. A delivery leaves when the call is settled or the ledger forgets it.
+#[derive(Default)]
+pub(super) struct DeliveryTable {
+    deliveries: HashMap<CallId, AnswerDelivery>,
+    /// Whether a retry after a full send queue is due.
+    is_retrying: bool,
+}
+
+impl DeliveryTable {
+    /// Starts the delivery of an admitted call.
+    pub(super) fn open(&mut self, call: CallId, link: LinkKey) {
+        let cursor = AnswerCursor::open(call);
+        let link = Some(link);
+        self.deliveries.insert(call, AnswerDelivery { link, cursor });
+    }
+
+    /// Stops the deliveries on a link until they are resumed.
+    pub(super) fn lose_link(&mut self, link: LinkKey) {
+        for delivery in self.deliveries.values_mut() {
+            delivery.link = delivery.link.filter(|present| *present != link);
+        }
+    }
+
+    pub(super) fn remove(&mut self, call: CallId) -> Option<LinkKey> {
+        self.deliveries.remove(&call)?.link
+    }
+
+    /// Returns `true` if every answer was sent to its end.
+    pub(super) fn are_sent(&self) -> bool {
+        self.deliveries
+            .values()
+            .all(|delivery| delivery.cursor.is_ended())
+    }
+}
+
+/// What came of sending the next frame of an answer.
+enum PumpStep {
+    Sent,
+    Nothing,
+    QueueFull,
+}
+
+impl SideActor {
+    /// Sends what is new of a call's answer to every call that is attached to it.
+    pub(super) fn pump(&mut self, call: CallId, context: &mut Context<Self>) {
+        for attached in self.ledger.attached(call).to_vec() {
+            self.pump_one(attached, context);
+        }
+    }
+
+    fn pump_one(&mut self, call: CallId, context: &mut Context<Self>) {
+        loop {
+            match self.send_next(call) {
+                PumpStep::Sent => {}
+                PumpStep::Nothing => return,
+                PumpStep::QueueFull => return self.retry_later(context),
+            }
+        }
+    }
+
+    fn send_next(&mut self, call: CallId) -> PumpStep {
+        let Some(delivery) = self.deliveries.deliveries.get_mut(&call) else {
+            return PumpStep::Nothing;
+        };
+        let (Some(link), Some(buffer)) = (delivery.link, self.ledger.buffer(call)) else {
+            return PumpStep::Nothing;
+        };
+        let before = delivery.cursor.clone();
+        let frame = match delivery.cursor.next_frame(buffer) {
+            Ok(Some(frame)) => frame,
+            Ok(None) => return PumpStep::Nothing,
+            Err(error) => {
+                let run = match self.ledger.state(call) {
+                    Some(CallState::Answered) => RunVerdict::Ran,
+                    _ => RunVerdict::MayHaveRun,
+                };
+                let problem = ProblemReport::new(ProblemCode::TargetFailed, run, error.to_string());
+                self.deliveries.remove(call);
+                self.send_failure(link, call, problem);
+                return PumpStep::Nothing;
+            }
+        };
+        match self.links.send(link, &SideFrame::Answer(frame)) {
+            Ok(()) => PumpStep::Sent,
+            Err(LinkError::QueueFull) => {
+                delivery.cursor = before;
+                PumpStep::QueueFull
+            }
+            Err(_) => {
+                delivery.cursor = before;
+                delivery.link = None;
+                PumpStep::Nothing
+            }
+        }
+    }
+
+    fn retry_later(&mut self, context: &mut Context<Self>) {
+        if std::mem::replace(&mut self.deliveries.is_retrying, true) {
+            return;
+        }
+        context.run_later(FULL_QUEUE_WAIT, |actor, context| {
+            actor.deliveries.is_retrying = false;
+            let calls: Vec<CallId> = actor.deliveries.deliveries.keys().copied().collect();
+            for call in calls {
+                actor.pump_one(call, context);
+            }
+            actor.check_drained();
+        });
+    }
+
+    /// Takes credit for an answer.
+    pub(super) fn grant(&mut self, call: CallId, bytes: u32, context: &mut Context<Self>) {
+        let Some(delivery) = self.deliveries.deliveries.get_mut(&call) else {
+            return;
+        };
+        let confirmed = delivery.cursor.grant(bytes);
+        self.confirm(call, confirmed);
+        self.pump_one(call, context);
+        self.check_drained();
+    }
+
+    fn confirm(&mut self, call: CallId, offset: u64) {
+        if !self.ledger.confirm(call, offset) {
+            return;
+        }
+        let first = self.ledger.first_call(call).unwrap_or(call);
+        let running = self
+            .targets
+            .values()
+            .find_map(|target| target.running.get(&first));
+        if let Some(running) = running {
+            running.gate.notify_one();
+        }
+    }
+
+    /// Continues an answer over a new link.
+    pub(super) fn resume(&mut self, link: LinkKey, call: CallId, offset: u64, context: &mut Context<Self>) {
+        let now = self.now();
+        match self.ledger.resume(call, now) {
+            ResumeDecision::Continue => {
+                let delivery = AnswerDelivery {
+                    link: Some(link),
+                    cursor: AnswerCursor::resume(call, offset),
+                };
+                self.deliveries.deliveries.insert(call, delivery);
+                self.confirm(call, offset);
+                self.pump_one(call, context);
+            }
+            ResumeDecision::Fail(problem) => self.send_failure(link, call, problem),
+        }
+    }
+
+    /// Drops the stored answer of a call whose outcome is durable.
+    pub(super) fn settle(&mut self, call: CallId) {
+        self.ledger.settled(call);
+        if self.ledger.state(call).is_none_or(|state| !state.is_open()) {
+            self.deliveries.remove(call);
+        }
+        self.check_drained();
+    }
+
+    /// Drops deliveries of calls that the ledger has forgotten.
+    pub(super) fn forget_deliveries(&mut self) {
+        let ledger = &self.ledger;
+        self.deliveries
+            .deliveries
+            .retain(|call, _| ledger.state(*call).is_some());
+    }
+
+    /// Ends the delivery of a call that has left the ledger, or that its entry gave up, with a failure.
+    pub(super) fn fail_delivery(&mut self, call: CallId, fallback: Option<LinkKey>, problem: ProblemReport) {
+        let link = self.deliveries.remove(call).or(fallback);
+        match link {
+            Some(link) => self.send_failure(link, call, problem),
+            None => self.metrics.count_failed(problem.run),
+        }
+    }
+}
--- /dev/null
+++ b/crates/ebony_side/src/actor/drain.rs
@@ -0,0 +1,103 @@
+//! The planned stop: calls under way end, new ones are refused, and answers reach their entries.
+
+use actix::{ActorContext, AsyncContext, Context, Handler, Message};
+use ebony_wire::SideFrame;
+use slog::info;
+use tokio::sync::oneshot;
+
+use super::SideActor;
+
+/// Begins the drain. The sender is used when nothing is left to do and all links are closed.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub(crate) struct BeginDrain(pub(crate) oneshot::Sender<()>);
+
+/// Stops the actor.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub(crate) struct StopActor;
+
+/// How far the drain has come.
+#[derive(Default)]
+pub(super) struct DrainState {
+    done: Option<oneshot::Sender<()>>,
+    is_draining: bool,
+    is_closing: bool,
+    /// Links whose receiving end is open, replaced ones included.
+    streams: usize,
+}
+
+impl DrainState {
+    pub(super) fn is_draining(&self) -> bool {
+        self.is_draining
+    }
+
+    /// Returns `true` when no further link is taken.
+    pub(super) fn is_closing(&self) -> bool {
+        self.is_closing
+    }
+
+    pub(super) fn add_stream(&mut self) {
+        self.streams += 1;
+    }
+
+    pub(super) fn remove_stream(&mut self) {
+        self.streams = self.streams.saturating_sub(1);
+    }
+}
+
+impl SideActor {
+    /// Closes the links when every call has ended and its answer was sent.
+    pub(super) fn check_drained(&mut self) {
+        if !self.drain.is_draining {
+            return;
+        }
+        if !self.drain.is_closing && self.ledger.open_calls() == 0 && self.deliveries.are_sent() {
+            self.drain.is_closing = true;
+            // The links send what waits in their queues before they close.
+            self.links.clear();
+        }
+        if self.drain.is_closing
+            && self.drain.streams == 0
+            && let Some(done) = self.drain.done.take()
+        {
+            // Without a receiver, the time for the drain is over.
+            let _ = done.send(());
+        }
+    }
+}
+
+impl Handler<BeginDrain> for SideActor {
+    type Result = ();
+
+    fn handle(&mut self, BeginDrain(done): BeginDrain, context: &mut Context<Self>) {
+        info!(self.logger, "drain began"; "open_calls" => self.ledger.open_calls());
+        self.drain.is_draining = true;
+        self.drain.done = Some(done);
+        self.links.broadcast(&SideFrame::Draining);
+        // In a message of its own, so that entries see the announcement on a link that stays open for a moment.
+        context.notify(CheckDrain);
+    }
+}
+
+/// Looks whether the drain is complete.
+#[derive(Message)]
+#[rtype(result = "()")]
+struct CheckDrain;
+
+impl Handler<CheckDrain> for SideActor {
+    type Result = ();
+
+    fn handle(&mut self, _: CheckDrain, _: &mut Context<Self>) {
+        self.check_drained();
+    }
+}
+
+impl Handler<StopActor> for SideActor {
+    type Result = ();
+
+    fn handle(&mut self, _: StopActor, context: &mut Context<Self>) {
+        self.links.clear();
+        context.stop();
+    }
+}
--- /dev/null
+++ b/crates/ebony_side/src/actor/ending.rs
@@ -0,0 +1,136 @@
+//! Ends calls: cancellation, and what follows from every end.
+
+use std::time::Duration;
+
+use actix::{ActorFutureExt, AsyncContext, Context, WrapFuture};
+use ebony_ledger::{AnswerOutcome, CancelDecision};
+use ebony_types::{CallId, ProblemCode, TargetName};
+use slog::{info, warn};
+use tokio::time::sleep;
+
+use super::SideActor;
+use crate::links::LinkKey;
+use crate::target::TargetAdapter;
+
+/// Attempts to cancel a call on an engine.
+const MAX_CANCELS: u32 = 6;
+
+/// The wait before the second attempt; it doubles with each further one.
+const CANCEL_WAIT: Duration = Duration::from_millis(50);
+
+impl SideActor {
+    /// Ends a call because its entry asks for it.
+    pub(super) fn cancel(&mut self, link: LinkKey, call: CallId, context: &mut Context<Self>) {
+        self.end_early(Some(link), call, ProblemCode::Cancelled, context);
+    }
+
+    /// Ends a call before its answer is whole, and tells its target if it runs.
+    pub(super) fn end_early(
+        &mut self,
+        link: Option<LinkKey>,
+        call: CallId,
+        cause: ProblemCode,
+        context: &mut Context<Self>,
+    ) {
+        let now = self.now();
+        let target = self.ledger.target(call).cloned();
+        self.deadlines.remove(call);
+        match self.ledger.cancel(call, cause, now) {
+            CancelDecision::Dequeue(problem) => {
+                if let Some(target) = target {
+                    self.dequeue(&target, call, context);
+                }
+                self.fail_delivery(call, link, problem);
+            }
+            CancelDecision::Interrupt {
+                target, call: first, ..
+            } => {
+                self.finish(call, context);
+                self.stop_run(&target, first, context);
+            }
+            CancelDecision::Detach(problem) => self.fail_delivery(call, link, problem),
+            CancelDecision::Unknown(problem) => {
+                if let Some(link) = link {
+                    self.send_failure(link, call, problem);
+                }
+            }
+            CancelDecision::Ended => {}
+        }
+        self.check_drained();
+    }
+
+    fn dequeue(&mut self, name: &TargetName, call: CallId, context: &mut Context<Self>) {
+        let now = self.now();
+        if let Some(target) = self.targets.get_mut(name) {
+            // An attached call may wait under the call that was admitted first.
+            target.forget_waiting(call, now);
+        }
+        self.schedule(name, context);
+    }
+
+    /// Stops the run of a call. An engine is told until it confirms; a plain service's connection closes.
+    fn stop_run(&mut self, name: &TargetName, call: CallId, context: &mut Context<Self>) {
+        let Some(target) = self.targets.get_mut(name) else {
+            return;
+        };
+        let Some(running) = target.running.get_mut(&call) else {
+            return;
+        };
+        running.abort.abort();
+        running.is_stopping = true;
+        let TargetAdapter::Engine(engine) = target.open.adapter.clone() else {
+            return self.stopped(name, call, context);
+        };
+        let name = name.clone();
+        let logger = self.logger.clone();
+        let cancelling = async move {
+            for attempt in 0..MAX_CANCELS {
+                if engine.cancel(call).await.is_ok() {
+                    return;
+                }
+                sleep(CANCEL_WAIT * (1 << attempt)).await;
+            }
+            warn!(logger, "the engine did not confirm a cancellation"; "call" => %call);
+        };
+        let cancelling = cancelling.into_actor(self).map(move |(), actor, context| {
+            actor.stopped(&name, call, context);
+        });
+        context.spawn(cancelling);
+    }
+
+    fn stopped(&mut self, name: &TargetName, call: CallId, context: &mut Context<Self>) {
+        let is_running = self
+            .targets
+            .get(name)
+            .is_some_and(|target| target.running.contains_key(&call));
+        if !is_running {
+            // The target crashed meanwhile.
+            return;
+        }
+        self.ledger.stopped(name, call);
+        self.vacate(name, call, None, context);
+        self.schedule(name, context);
+        self.rearm(context);
+    }
+
+    /// Sends the end of a call's answer, and counts the outcome.
+    pub(super) fn finish(&mut self, call: CallId, context: &mut Context<Self>) {
+        match self.ledger.buffer(call).and_then(|buffer| buffer.outcome()) {
+            Some(AnswerOutcome::Whole(usage)) => {
+                self.metrics.count_answered();
+                info!(self.logger, "call answered"; "call" => %call, "output_tokens" => usage.output_tokens);
+            }
+            Some(AnswerOutcome::Failed(problem)) => {
+                self.metrics.count_failed(problem.run);
+                info!(self.logger, "call failed"; "call" => %call, "code" => problem.code.as_str(),
+                    "run" => problem.run.as_str());
+            }
+            None => {}
+        }
+        for attached in self.ledger.attached(call).to_vec() {
+            self.deadlines.remove(attached);
+        }
+        self.pump(call, context);
+        self.check_drained();
+    }
+}
--- /dev/null
+++ b/crates/ebony_side/src/actor/in_force.rs
@@ -0,0 +1,149 @@
+//! The configuration in force.
+
+use std::time::Duration;
+
+use ebony_config::values::AdmissionValues;
+use ebony_config::{
+    ConfigAudience, ConfigDocument, ConfigHolder, ConfigUpdate, LearningState, OfferOutcome, ResolveScope,
+    ServingState, VersionSource,
+};
+use ebony_policy::QueueOptions;
+use ebony_types::{CallKind, CallRequest, CallerName, ClockTime, ModelName, ServiceName, TargetName};
+use ebony_wire::{ConfigPush, ConfigStatus, SideFrame, TargetKind, TargetReport};
+use slog::{info, warn};
+
+use super::SideActor;
+use crate::clock::wall_time;
+use crate::links::LinkKey;
+
+/// The result of offering an update.
+type Result<T, E = ebony_config::ConfigReport> = std::result::Result<T, E>;
+
+/// The configuration, once it is known. Until then built-in defaults apply.
+pub(super) enum ConfigState {
+    Learning(ConfigHolder<LearningState>),
+    Serving(ConfigHolder<ServingState>),
+}
+
+impl ConfigState {
+    pub(super) fn open(now: ClockTime) -> Self {
+        Self::Learning(ConfigHolder::open(ConfigAudience::Side, now))
+    }
+
+    fn version(&self) -> u64 {
+        match self {
+            Self::Learning(_) => 0,
+            Self::Serving(holder) => holder.version(),
+        }
+    }
+
+    fn admission(
+        &self,
+        caller: Option<&CallerName>,
+        model: Option<&ModelName>,
+        service: Option<&ServiceName>,
+        target: &TargetName,
+    ) -> AdmissionValues {
+        let Self::Serving(holder) = self else {
+            return AdmissionValues::default();
+        };
+        let scope = ResolveScope {
+            caller,
+            model,
+            service,
+            target: Some(target),
+        };
+        let document: std::sync::Arc<ConfigDocument> = holder.document();
+        document.resolve(&scope, wall_time()).admission
+    }
+
+    /// Returns the options of a target's queue.
+    pub(super) fn queue_options(&self, report: &TargetReport) -> QueueOptions {
+        let (model, service) = match &report.kind {
+            // A queue serves all models of its engine; the first one's values bound it.
+            TargetKind::Engine { models } => (models.first(), None),
+            TargetKind::Service { service } => (None, Some(service)),
+        };
+        let values = self.admission(None, model, service, &report.target);
+        QueueOptions {
+            capacity: values.queue_calls as usize,
+            ..QueueOptions::default()
+        }
+    }
+
+    /// Returns how long a call may wait for its target.
+    pub(super) fn queue_time(&self, request: &CallRequest, target: &TargetName) -> Duration {
+        let (model, service) = match &request.kind {
+            CallKind::Model { model, .. } => (Some(model), None),
+            CallKind::Service { service, .. } => (None, Some(service)),
+        };
+        let values = self.admission(Some(&request.caller), model, service, target);
+        Duration::from_millis(u64::from(values.queue_ms))
+    }
+
+    fn offer(&mut self, update: ConfigUpdate, now: ClockTime) -> Result<OfferOutcome> {
+        match self {
+            Self::Serving(holder) => holder.offer(update, now),
+            Self::Learning(holder) => {
+                holder.hear(update.version(), VersionSource::Peer);
+                holder.offer(update)
+            }
+        }
+    }
+
+    /// Puts a learned document in force if it is the newest that is heard of.
+    fn serve(self, now: ClockTime) -> Self {
+        match self {
+            Self::Serving(_) => self,
+            Self::Learning(holder) => match holder.into_serving(now) {
+                Ok(holder) => Self::Serving(holder),
+                Err(blocked) => Self::Learning(blocked.holder),
+            },
+        }
+    }
+}
+
+impl SideActor {
+    pub(super) fn config_status(&self) -> SideFrame {
+        SideFrame::ConfigInForce(ConfigStatus {
+            process: self.identity.process.clone(),
+            version: self.config.version(),
+        })
+    }
+
+    pub(super) fn accept_config(&mut self, link: LinkKey, push: &ConfigPush) {
+        let now = self.now();
+        let outcome = ConfigUpdate::decode(&push.document).and_then(|update| self.config.offer(update, now));
+        match outcome {
+            Ok(OfferOutcome::Accepted(_)) => self.put_in_force(now),
+            Ok(OfferOutcome::Gap { known, .. }) => {
+                // The entry pushes again with its next version if this is lost.
+                let _ = self.links.send(link, &SideFrame::ConfigWanted { known });
+            }
+            Ok(OfferOutcome::Old { .. }) => {}
+            Err(report) => {
+                warn!(self.logger, "configuration refused"; "version" => push.version, "error" => %report);
+                let known = self.config.version();
+                if known < push.version {
+                    // A whole document may be sound where a change was not.
+                    let _ = self.links.send(link, &SideFrame::ConfigWanted { known });
+                }
+            }
+        }
+    }
+
+    fn put_in_force(&mut self, now: ClockTime) {
+        let config = std::mem::replace(&mut self.config, ConfigState::open(now));
+        self.config = config.serve(now);
+        let version = self.config.version();
+        info!(self.logger, "configuration in force"; "version" => version);
+        self.metrics
+            .config_version
+            .set(i64::try_from(version).unwrap_or(i64::MAX));
+        for target in self.targets.values_mut() {
+            let options = self.config.queue_options(&target.open.report);
+            target.queue.set_capacity(options.capacity);
+        }
+        self.links.broadcast(&self.config_status());
+    }
+}
--- /dev/null
+++ b/crates/ebony_side/src/actor/running.rs
@@ -0,0 +1,137 @@
+//! Follows calls on their targets.
+
+use actix::{Context, Handler};
+use ebony_ledger::{BufferError, CrashStanding, LedgerError};
+use ebony_types::{CallId, CallUsage, RequestDigest, TargetName};
+use ebony_wire::SideFrame;
+
+use super::SideActor;
+use crate::run::{RunChunk, RunDoubt, RunEnded, RunHead, RunOutcome, RunStep};
+
+impl Handler<RunHead> for SideActor {
+    type Result = bool;
+
+    fn handle(&mut self, message: RunHead, context: &mut Context<Self>) -> bool {
+        if let Some(life) = message.incarnation {
+            self.see_life(&message.target, message.call, life, context);
+        }
+        if let Some(head) = message.head
+            && self.ledger.record_head(message.call, head).is_err()
+        {
+            return false;
+        }
+        self.pump(message.call, context);
+        true
+    }
+}
+
+impl Handler<RunChunk> for SideActor {
+    type Result = RunStep;
+
+    fn handle(&mut self, message: RunChunk, context: &mut Context<Self>) -> RunStep {
+        match self.ledger.record_chunk(message.call, &message.bytes) {
+            Ok(_) => {
+                self.pump(message.call, context);
+                RunStep::Taken
+            }
+            Err(LedgerError::Buffer(BufferError::Full)) => RunStep::Full,
+            Err(_) => RunStep::Ended,
+        }
+    }
+}
+
+impl Handler<RunEnded> for SideActor {
+    type Result = ();
+
+    fn handle(&mut self, message: RunEnded, context: &mut Context<Self>) {
+        let RunEnded {
+            target: name,
+            call,
+            outcome,
+        } = message;
+        let is_stopping = self
+            .targets
+            .get(&name)
+            .and_then(|target| target.running.get(&call))
+            .is_none_or(|running| running.is_stopping);
+        if is_stopping {
+            // The call was cancelled or its target crashed; its entry has been told.
+            return;
+        }
+        match outcome {
+            RunOutcome::Whole(usage) => self.complete(&name, call, usage, context),
+            RunOutcome::Failed { problem, doubt } => {
+                let now = self.now();
+                // Fails only if the call has ended, which leaves nothing to record.
+                let _ = self.ledger.fail(call, problem, now);
+                self.vacate(&name, call, None, context);
+                match doubt {
+                    RunDoubt::Settled => self.ledger.stopped(&name, call),
+                    RunDoubt::Unresolved => self.watch_unresolved(&name, call, context),
+                    RunDoubt::TargetGone => self.target_gone(&name, context),
+                }
+                self.finish(call, context);
+            }
+        }
+        self.schedule(&name, context);
+        self.rearm(context);
+    }
+}
+
+impl SideActor {
+    fn complete(&mut self, name: &TargetName, call: CallId, usage: CallUsage, context: &mut Context<Self>) {
+        let now = self.now();
+        let suspects = self.suspects(call);
+        if self.ledger.complete(call, usage, now).is_err() {
+            self.ledger.stopped(name, call);
+        }
+        self.vacate(name, call, Some(usage), context);
+        if let Some(digest) = suspects {
+            // The completion clears the request everywhere.
+            let reports = self.ledger.crashes().reports(now);
+            let cleared = reports.into_iter().filter(|report| report.digest == digest);
+            self.links.broadcast(&SideFrame::Crashes(cleared.collect()));
+        }
+        self.finish(call, context);
+    }
+
+    /// Returns the digest of a running call that is a crash suspect.
+    fn suspects(&mut self, call: CallId) -> Option<RequestDigest> {
+        let now = self.now();
+        let digest = self.ledger.digest(call)?;
+        let standing = self.ledger.crashes().standing(digest, now);
+        (standing != CrashStanding::Clear).then_some(digest)
+    }
+
+    /// Frees the slot of a call that no longer runs.
+    pub(super) fn vacate(
+        &mut self,
+        name: &TargetName,
+        call: CallId,
+        usage: Option<CallUsage>,
+        context: &mut Context<Self>,
+    ) {
+        let now = self.now();
+        let Some(target) = self.targets.get_mut(name) else {
+            return;
+        };
+        let Some(running) = target.running.remove(&call) else {
+            return;
+        };
+        let tokens = usage.map_or(0, |usage| u64::from(usage.prompt_tokens + usage.output_tokens));
+        if let Some(usage) = usage.filter(|_| running.program.is_some()) {
+            let served = u64::from(usage.prompt_tokens.saturating_sub(usage.cached_tokens));
+            let actual = ebony_policy::EngineSpeed::default().service_tokens(
+                served,
+                usage.output_tokens.into(),
+                target.open.report.slots,
+            );
+            target.queue.settle(&running.caller, running.cost_tokens, actual);
+        }
+        let orders = match (&mut target.engine, running.program) {
+            (Some(engine), Some(program)) => engine.held.end_call(program, tokens, now),
+            _ => Vec::new(),
+        };
+        self.order_held(name, orders, context);
+    }
+}
--- /dev/null
+++ b/crates/ebony_side/src/actor/schedule.rs
@@ -0,0 +1,129 @@
+//! Starts calls on targets that have a free slot.
+
+use std::rc::Rc;
+
+use actix::{AsyncContext, Context};
+use ebony_ledger::StartDecision;
+use ebony_policy::QueuedCall;
+use ebony_types::{CallKind, TargetName};
+use tokio::sync::Notify;
+
+use super::SideActor;
+use crate::run::CallRun;
+use crate::target::{RunningCall, prompt_tokens};
+
+/// Calls that are offered to the ledger while it holds others back beside a crash suspect.
+const MAX_HELD_BACK: usize = 4;
+
+impl SideActor {
+    /// Gives calls to a target while it has free slots.
+    pub(super) fn schedule(&mut self, name: &TargetName, context: &mut Context<Self>) {
+        self.offer_held_back(name, context);
+        while let Some(queued) = self.next_queued(name) {
+            if !self.offer(name, queued, context)
+                && self
+                    .targets
+                    .get(name)
+                    .is_some_and(|target| target.held_back.len() >= MAX_HELD_BACK)
+            {
+                break;
+            }
+        }
+        self.take_expired(name, context);
+        self.note_load(name);
+    }
+
+    fn offer_held_back(&mut self, name: &TargetName, context: &mut Context<Self>) {
+        let Some(target) = self.targets.get_mut(name) else {
+            return;
+        };
+        for queued in std::mem::take(&mut target.held_back) {
+            let has_slot = self.targets.get(name).is_some_and(|target| target.has_slot());
+            if has_slot {
+                self.offer(name, queued, context);
+            } else if let Some(target) = self.targets.get_mut(name) {
+                target.held_back.push_back(queued);
+            }
+        }
+    }
+
+    fn next_queued(&mut self, name: &TargetName) -> Option<QueuedCall> {
+        let now = self.now();
+        let target = self.targets.get_mut(name)?;
+        if !target.has_slot() || target.held_back.len() >= MAX_HELD_BACK {
+            return None;
+        }
+        let queued = target.queue.pop(now)?;
+        if let Some(waiting) = target.waiting.get_mut(&queued.call) {
+            waiting.key = None;
+        }
+        Some(queued)
+    }
+
+    /// Starts a call if the ledger permits it now; `false` if it is held back.
+    fn offer(&mut self, name: &TargetName, queued: QueuedCall, context: &mut Context<Self>) -> bool {
+        let now = self.now();
+        let call = queued.call;
+        match self.ledger.start(call, now) {
+            Ok(StartDecision::Start) => self.start(name, queued, context),
+            Ok(StartDecision::Hold) => {
+                if let Some(target) = self.targets.get_mut(name) {
+                    target.held_back.push_back(queued);
+                }
+                return false;
+            }
+            Ok(StartDecision::Refuse(_)) => {
+                self.remove_waiting(name, call);
+                self.finish(call, context);
+            }
+            Err(_) => self.remove_waiting(name, call),
+        }
+        true
+    }
+
+    fn remove_waiting(&mut self, name: &TargetName, call: ebony_types::CallId) {
+        let now = self.now();
+        if let Some(target) = self.targets.get_mut(name) {
+            target.forget_waiting(call, now);
+        }
+    }
+
+    fn start(&mut self, name: &TargetName, queued: QueuedCall, context: &mut Context<Self>) {
+        let now = self.now();
+        let Some(target) = self.targets.get_mut(name) else {
+            return;
+        };
+        let Some(waiting) = target.waiting.remove(&queued.call) else {
+            return;
+        };
+        let request = waiting.request;
+        let is_model = matches!(request.kind, CallKind::Model { .. });
+        let program = request.program.filter(|_| is_model);
+        let gate = Rc::new(Notify::new());
+        let prompt_tokens = prompt_tokens(&request);
+        let run = CallRun {
+            actor: context.address(),
+            target: name.clone(),
+            address: target.open.address,
+            adapter: target.open.adapter.clone(),
+            request,
+            gate: Rc::clone(&gate),
+        };
+        let orders = match (&mut target.engine, program) {
+            (Some(engine), Some(program)) => engine.held.start_call(program, now),
+            _ => Vec::new(),
+        };
+        let task = actix::spawn(run.run());
+        let running = RunningCall {
+            abort: task.abort_handle(),
+            gate,
+            program,
+            caller: queued.caller,
+            cost_tokens: queued.cost_tokens,
+            prompt_tokens,
+            is_stopping: false,
+        };
+        target.running.insert(queued.call, running);
+        self.order_held(name, orders, context);
+    }
+}
--- a/crates/ebony_side/src/process.rs
+++ b/crates/ebony_side/src/process.rs
@@ -1,10 +1,11 @@
 //! The life of a side process.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
-use actix::Actor;
+use actix::{Actor, Addr};
 use anyhow::Context;
-use ebony_link::{LinkIdentity, LinkListener, LinkOptions};
+use ebony_link::{LinkIdentity, LinkListener};
 use ebony_settings::{ProcessSettings, RoleSettings};
 use ebony_telemetry::{HealthServer, HealthState, MetricsRegistry};
 use ebony_types::ProcessIncarnation;
@@ -12,9 +13,13 @@
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use serde_json::json;
-use slog::Logger;
+use slog::{Logger, warn};
+use tokio::sync::oneshot;
+use tokio::time::timeout;
 
-use crate::links::SideActor;
+use crate::actor::{BeginDrain, SideActor, SideIdentity, StopActor};
+use crate::metrics::SideMetrics;
+use crate::options::{SideOptions, link_options};
 use crate::target::OpenTarget;
 
 /// The result of starting or stopping the process.
@@ -41,6 +46,9 @@
     addresses: SideAddresses,
     health: HealthState,
     server: HealthServer,
+    actor: Addr<SideActor>,
+    drain_time: Duration,
+    logger: Logger,
 }
 
 impl SideProcess {
@@ -53,43 +61,34 @@
         let RoleSettings::Side(side) = &settings.role else {
             anyhow::bail!("these are not the settings of a side process");
         };
-        let key = settings
-            .links
-            .cluster_key
-            .load()
-            .context("cannot load the cluster key")?;
-        let identity = LinkIdentity {
-            key,
-            process: settings.process.clone(),
-            role: LinkRole::Side,
-            incarnation: ProcessIncarnation::random(&mut StdRng::from_os_rng()),
-        };
-        let listener = LinkListener::bind(settings.links.listen, identity, LinkOptions::default()).await?;
-        let targets = side
-            .targets
-            .iter()
-            .map(OpenTarget::open)
-            .collect::<Result<Vec<_>>>()?;
-        let targets = targets
-            .into_iter()
-            .map(|target| (target.report.target.clone(), target))
-            .collect();
+        let options = SideOptions::from_settings(&settings, side.ledger)?;
+        let identity = link_identity(&settings)?;
+        let listener =
+            LinkListener::bind(settings.links.listen, identity, link_options(&settings.links)?).await?;
+        let targets = side.targets.iter().map(OpenTarget::open);
+        let targets = targets.collect::<Result<Vec<_>>>()?;
+        let registry = MetricsRegistry::default();
+        let metrics = SideMetrics::register(&registry)?;
         let health = HealthState::default();
-        let server = HealthServer::bind(
-            settings.metrics.listen,
-            MetricsRegistry::default(),
-            health.clone(),
-        )?;
+        let server = HealthServer::bind(settings.metrics.listen, registry, health.clone())?;
         let addresses = SideAddresses {
             links: listener.address(),
             metrics: server.address(),
         };
-        SideActor::new(listener, settings.failure_domain, targets, logger).start();
+        let drain_time = options.drain_time;
+        let identity = SideIdentity {
+            process: settings.process,
+            domain: settings.failure_domain,
+        };
+        let actor = SideActor::new(identity, options, listener, targets, metrics, logger.clone());
         health.set_ready(true);
         Ok(Self {
             addresses,
             health,
             server,
+            actor: actor.start(),
+            drain_time,
+            logger,
         })
     }
 
@@ -98,9 +97,26 @@
         self.addresses
     }
 
-    /// Stops the process gracefully.
+    /// Stops the process gracefully: refuses new calls, lets those under way end and their answers be sent, and closes
+    /// the links. Takes at most the settings' drain time; what is unfinished by then is broken off.
     pub async fn drain(self) {
         self.health.set_ready(false);
+        let (done, drained) = oneshot::channel();
+        self.actor.do_send(BeginDrain(done));
+        if timeout(self.drain_time, drained).await.is_err() {
+            warn!(self.logger, "the time for the drain is over");
+        }
+        self.actor.do_send(StopActor);
         self.server.stop().await;
     }
 }
+
+fn link_identity(settings: &ProcessSettings) -> Result<LinkIdentity> {
+    let key = settings.links.cluster_key.load();
+    Ok(LinkIdentity {
+        key: key.context("cannot load the cluster key")?,
+        process: settings.process.clone(),
+        role: LinkRole::Side,
+        incarnation: ProcessIncarnation::random(&mut StdRng::from_os_rng()),
+    })
+}
--- /dev/null
+++ b/crates/ebony_side/src/run/messages.rs
@@ -0,0 +1,66 @@
+//! What a running call tells the actor.
+
+use actix::{Message, MessageResponse};
+use bytes::Bytes;
+use ebony_types::{CallId, CallUsage, ProblemReport, ProcessIncarnation, TargetName};
+use ebony_wire::AnswerHead;
+
+/// The target has begun to answer. The result says whether the call goes on.
+#[derive(Message)]
+#[rtype(result = "bool")]
+pub(crate) struct RunHead {
+    pub(crate) target: TargetName,
+    pub(crate) call: CallId,
+    /// `None` if the answer is a continued one, whose head is known.
+    pub(crate) head: Option<AnswerHead>,
+    pub(crate) incarnation: Option<ProcessIncarnation>,
+}
+
+/// A part of the answer's body.
+#[derive(Message)]
+#[rtype(result = "RunStep")]
+pub(crate) struct RunChunk {
+    pub(crate) call: CallId,
+    pub(crate) bytes: Bytes,
+}
+
+/// What became of a part.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(MessageResponse)]
+pub(crate) enum RunStep {
+    /// The part is stored.
+    Taken,
+    /// The part has to wait until the entry has read more.
+    Full,
+    /// The call has ended.
+    Ended,
+}
+
+/// Whether a failed call may be the first sign of a crash.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum RunDoubt {
+    /// The target is well.
+    Settled,
+    /// The connection broke and the target's port is open.
+    Unresolved,
+    /// The target's port is closed.
+    TargetGone,
+}
+
+/// How a call ended.
+#[derive(Debug)]
+pub(crate) enum RunOutcome {
+    /// The target sent the whole answer.
+    Whole(CallUsage),
+    /// The call failed.
+    Failed { problem: ProblemReport, doubt: RunDoubt },
+}
+
+/// A call has ended on its target.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub(crate) struct RunEnded {
+    pub(crate) target: TargetName,
+    pub(crate) call: CallId,
+    pub(crate) outcome: RunOutcome,
+}
--- a/crates/ebony_side/src/target.rs
+++ b/crates/ebony_side/src/target/mod.rs
@@ -1,5 +1,9 @@
 //! The targets beside the process.
 
+mod probe;
+mod state;
+
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 use anyhow::Context;
@@ -7,6 +11,9 @@
 use ebony_settings::TargetSettings;
 use ebony_wire::{TargetKind, TargetReport};
 
+pub(crate) use self::probe::{ProbeOutcome, probe};
+pub(crate) use self::state::{EngineJob, EngineState, RunningCall, TargetState, WaitingCall, prompt_tokens};
+
 /// The result of opening a target.
 pub type Result<T, E = anyhow::Error> = std::result::Result<T, E>;
 
@@ -26,6 +33,8 @@
     pub report: TargetReport,
     /// How it is reached.
     pub adapter: TargetAdapter,
+    /// Its HTTP address.
+    pub address: SocketAddr,
 }
 
 impl OpenTarget {
@@ -52,6 +61,10 @@
             slots: settings.slots,
             checks_fencing: settings.checks_fencing,
         };
-        Ok(Self { report, adapter })
+        Ok(Self {
+            report,
+            adapter,
+            address: settings.address,
+        })
     }
 }
