Keep the configuration as rows and checkpoints, and serve operators

The configuration shell polled config/current as a whole document and pushed whole documents. It now uses the state machines of ebony_config: change records, history, checkpoints, catch-up, pruning and edits by compare and swap. A starting entry waits until every listed entry has reported before it serves, so that a stale row is noticed.

The administration API reads and changes the configuration, shows its status, programs, targets and service levels. Fleets write their first document through it.

--- a/crates/ebony_config/src/lib.rs
+++ b/crates/ebony_config/src/lib.rs
@@ -52,7 +52,7 @@
     pub use crate::objective::{GroupObjective, LatencyObjective};
     pub use crate::patch::{ConfigPatch, MapPatch};
     pub use crate::resolve::ResolveScope;
-    pub use crate::tracker::{ConfigTracker, ProcessDelay, StatusChange, TrackerReport};
+    pub use crate::tracker::{ConfigTracker, ProcessDelay, ProcessState, StatusChange, TrackerReport};
     pub use crate::update::{ConfigDelta, ConfigUpdate};
     pub use crate::values::{FleetValues, ValueChanges};
     pub use crate::wall_time::WallTime;
--- a/crates/ebony_config/src/tracker.rs
+++ b/crates/ebony_config/src/tracker.rs
@@ -52,6 +52,19 @@
     pub duration: Duration,
 }
 
+/// What is known of one process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ProcessState<'t> {
+    /// The process.
+    pub process: &'t str,
+    /// The version that it reported last.
+    pub version: u64,
+    /// The time since its last report.
+    pub silence: Duration,
+    /// How long a newer version has existed; `None` if the process has the newest one.
+    pub behind: Option<Duration>,
+}
+
 /// What is in force where.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct TrackerReport {
@@ -162,7 +175,41 @@
         }
     }
 
-    fn newest(&self) -> u64 {
+    /// Returns what is known of each process, by name.
+    ///
+    /// ```
+    /// use ebony_config::ConfigTracker;
+    /// use ebony_types::ClockTime;
+    ///
+    /// let mut tracker = ConfigTracker::default();
+    /// tracker.record("entry-1", 7, ClockTime::default());
+    /// tracker.announce(8, ClockTime::from_millis(10));
+    /// let state = tracker.states(ClockTime::from_millis(30)).next().expect("one process reported");
+    /// assert_eq!(state.behind.map(|behind| behind.as_millis()), Some(20));
+    /// ```
+    pub fn states(&self, now: ClockTime) -> impl Iterator<Item = ProcessState<'_>> {
+        let newest = self.newest();
+        self.processes.iter().map(move |(process, status)| {
+            let since = || self.behind_since(status.version).unwrap_or(now);
+            ProcessState {
+                process,
+                version: status.version,
+                silence: now.since(status.reported),
+                behind: (status.version < newest).then(|| now.since(since())),
+            }
+        })
+    }
+
+    /// Returns the time since a version was announced; `None` if it was not, or too long ago.
+    pub fn since_announced(&self, version: u64, now: ClockTime) -> Option<Duration> {
+        let found = self
+            .announcements
+            .binary_search_by_key(&version, |announcement| announcement.version);
+        Some(now.since(self.announcements[found.ok()?].time))
+    }
+
+    /// Returns the newest version that was announced or reported; 0 if there is none.
+    pub fn newest(&self) -> u64 {
         self.announcements
             .back()
             .map_or(0, |announcement| announcement.version)
--- a/crates/ebony_entry/src/burn.rs
+++ b/crates/ebony_entry/src/burn.rs
@@ -3,7 +3,12 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Instant;
 
-use ebony_burn::{BurnEvent, BurnLedger, BurnReport, BurnSnapshot, LabelName, SloCatalog};
+use ebony_burn::objective::ALL_PPM;
+use ebony_burn::{
+    BurnEvent, BurnLedger, BurnReport, BurnSnapshot, GroupKey, GroupObjectives, LabelName, LatencyTarget,
+    ObjectiveException, SloCatalog,
+};
+use ebony_config::{ConfigDocument, GroupObjective, LatencyObjective};
 use ebony_types::ClockTime;
 
 /// The counters of this entry. Clones share them.
@@ -13,6 +18,7 @@
 }
 
 struct BurnState {
+    deployment: LabelName,
     ledger: BurnLedger,
     catalog: SloCatalog,
     started: Instant,
@@ -29,8 +35,10 @@
     /// Fails if the deployment's name can't be a label.
     pub fn open(deployment: &str) -> Result<Self> {
         let catalog = SloCatalog::default();
-        let ledger = BurnLedger::open(LabelName::parse(deployment)?, catalog.clone())?;
+        let deployment = LabelName::parse(deployment)?;
+        let ledger = BurnLedger::open(deployment.clone(), catalog.clone())?;
         let state = BurnState {
+            deployment,
             ledger,
             catalog,
             started: Instant::now(),
@@ -54,6 +62,34 @@
         state.ledger.snapshot(state.now())
     }
 
+    /// Measures the objectives of a configuration from now on. Objectives that it does not name keep their defaults.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there are too many objectives; those in force stay.
+    pub fn set_objectives(&self, document: &ConfigDocument) -> Result<()> {
+        let mut state = self.lock();
+        let mut catalog = SloCatalog::default();
+        for (group, objective) in &document.objectives {
+            let key = GroupKey {
+                deployment: state.deployment.clone(),
+                group: LabelName::parse(group.as_str())?,
+            };
+            let objectives = to_objectives(objective);
+            catalog.exceptions.push(ObjectiveException { key, objectives });
+        }
+        if catalog != state.catalog {
+            state.ledger.replace_catalog(catalog.clone())?;
+            state.catalog = catalog;
+        }
+        Ok(())
+    }
+
+    /// Returns the objectives in force.
+    pub fn catalog(&self) -> SloCatalog {
+        self.lock().catalog.clone()
+    }
+
     /// Returns the report on merged counts.
     pub fn report(&self, snapshot: &BurnSnapshot) -> BurnReport {
         BurnReport::of(snapshot, &self.lock().catalog)
@@ -65,6 +101,29 @@
     }
 }
 
+fn to_ppm(share: f64) -> u32 {
+    // A share so close to a bound that it rounds to it would leave no error budget, or promise nothing.
+    let ppm = (share * f64::from(ALL_PPM)).round() as u32;
+    ppm.clamp(1, ALL_PPM - 1)
+}
+
+fn to_target(objective: LatencyObjective) -> LatencyTarget {
+    LatencyTarget {
+        bound_ms: u32::try_from(objective.millis).unwrap_or(u32::MAX),
+        good_ppm: to_ppm(objective.share),
+    }
+}
+
+fn to_objectives(objective: &GroupObjective) -> GroupObjectives {
+    let default = GroupObjectives::default();
+    GroupObjectives {
+        program_latency: objective.program.map_or(default.program_latency, to_target),
+        first_token: objective.first_token.map_or(default.first_token, to_target),
+        token_interval: default.token_interval,
+        kept_promises_ppm: to_ppm(objective.availability),
+    }
+}
+
 impl BurnState {
     fn now(&self) -> ClockTime {
         ClockTime::from_micros(u64::try_from(self.started.elapsed().as_micros()).unwrap_or(u64::MAX))
--- a/crates/ebony_entry/src/caller_api/body.rs
+++ b/crates/ebony_entry/src/caller_api/body.rs
@@ -8,14 +8,14 @@
 use futures_util::StreamExt;
 
 /// The result of reading a body.
-pub(super) type Result<T, E = ProblemReport> = std::result::Result<T, E>;
+pub(crate) type Result<T, E = ProblemReport> = std::result::Result<T, E>;
 
 /// Reads a body of at most `limit` bytes within `timeout`.
 ///
 /// # Errors
 ///
 /// Returns `body_too_large`, `request_timeout` or `bad_request`, all of them not run.
-pub(super) async fn read_body(payload: Payload, limit: usize, timeout: Duration) -> Result<Bytes> {
+pub(crate) async fn read_body(payload: Payload, limit: usize, timeout: Duration) -> Result<Bytes> {
     let too_slow = || ProblemReport::not_run(ProblemCode::RequestTimeout, "the body did not arrive in time");
     tokio::time::timeout(timeout, collect(payload, limit))
         .await
--- a/crates/ebony_entry/src/caller_api/chat.rs
+++ b/crates/ebony_entry/src/caller_api/chat.rs
@@ -23,7 +23,7 @@
 const MAX_OUTPUT_TOKENS: u64 = 1_000_000;
 
 /// The longest time that a caller may take to send its body.
-pub(super) const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+pub(crate) const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// The result of checking a request.
 pub(super) type Result<T, E = ProblemReport> = std::result::Result<T, E>;
--- a/crates/ebony_entry/src/caller_api/mod.rs
+++ b/crates/ebony_entry/src/caller_api/mod.rs
@@ -12,7 +12,11 @@
 mod start;
 mod state;
 
+pub(crate) use auth::bearer_digest;
+pub(crate) use body::read_body;
+pub(crate) use chat::BODY_TIMEOUT;
 pub use chat::parse_chat;
 pub use problem::problem_response;
+pub(crate) use program::{operate, view_json};
 pub use server::{CallerServer, ServerOptions};
 pub use state::{CallerMetrics, CallerState};
--- a/crates/ebony_entry/src/caller_api/program.rs
+++ b/crates/ebony_entry/src/caller_api/program.rs
@@ -26,7 +26,7 @@
 const ROUTE_RETRY: Duration = Duration::from_millis(20);
 
 /// The result of an operation.
-pub(super) type Result<T, E = ProblemReport> = std::result::Result<T, E>;
+pub(crate) type Result<T, E = ProblemReport> = std::result::Result<T, E>;
 
 /// The body of a request to open a program. Limits that are left out come from the configuration.
 #[derive(Debug, Default)]
--- a/crates/ebony_entry/src/config/actor.rs
+++ b/crates/ebony_entry/src/config/actor.rs
@@ -4,26 +4,45 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use actix::{Actor, ActorFutureExt, AsyncContext, Context, Handler, MessageResult, Recipient, WrapFuture};
+use actix::{Actor, ActorFutureExt, AsyncContext, Context, WrapFuture};
 use bytes::Bytes;
 use ebony_config::{
-    ConfigAudience, ConfigDocument, ConfigHolder, ConfigUpdate, LearningState, OfferOutcome, ServingState,
-    VersionSource,
+    ConfigAudience, ConfigDocument, ConfigHolder, ConfigTracker, ConfigUpdate, EditOutcome, LearningState,
+    OfferOutcome, OperatorName, PROPAGATION_DEADLINE, ServingState, VersionSource, WallTime,
 };
-use ebony_platform::{RowKey, RowRecord, TableService};
+use ebony_platform::{ObjectStore, TableService};
 use ebony_types::ClockTime;
 use ebony_wire::{ConfigPush, ConfigStatus};
+use rand::SeedableRng;
+use rand::rngs::StdRng;
 use slog::{Logger, info, warn};
+use tokio::sync::broadcast;
 
-use super::messages::{ConfigOffered, LinkConfig, ReadFleetStatus, StatusHeard};
+use super::change_log::ChangeLog;
+use super::messages::{LinkConfig, SpreadStatus, WantConfig, WatchEvent};
+use super::store::{ConfigStore, Result};
 use super::view::ConfigView;
+use crate::burn::BurnCell;
 use crate::dispatch::ConfigPublished;
 
-/// The time between two reads of the table. A quarter of the time within which a version is in force everywhere.
+/// The time between two reads of the table. Five of them fit into the time within which a version is in force
+/// everywhere.
 const POLL_INTERVAL: Duration = Duration::from_secs(1);
 
-/// The most processes whose status is kept.
-const MAX_STATUSES: usize = 16_384;
+/// The time between two looks at whether versions are missing.
+const REVIEW_INTERVAL: Duration = Duration::from_millis(500);
+
+/// The time between two reports of the status. A process that has been silent for five of them is shown as silent.
+const STATUS_INTERVAL: Duration = Duration::from_secs(2);
+
+/// The most linked side processes whose status is kept.
+const MAX_SIDES: usize = 4_096;
+
+/// A side process that has not reported for this long is no longer reported to other entries.
+const FORGET_SIDE_AFTER: Duration = Duration::from_secs(60);
+
+/// Events that wait for a slow reader of the live view.
+const WATCH_EVENTS: usize = 256;
 
 /// What the actor needs to run.
 pub struct ConfigOptions {
@@ -31,83 +50,120 @@
     pub process: String,
     /// The table service.
     pub table: Rc<dyn TableService>,
+    /// The object store.
+    pub objects: Rc<dyn ObjectStore>,
     /// Shows the configuration to the handlers.
     pub view: ConfigView,
+    /// Measures the objectives of the configuration.
+    pub burn: BurnCell,
     /// The process's logger.
     pub logger: Logger,
 }
 
 enum HolderState {
-    Learning(ConfigHolder<LearningState>),
+    Learning {
+        holder: ConfigHolder<LearningState>,
+        known: u64,
+    },
     Serving(ConfigHolder<ServingState>),
     /// Only while the state changes.
     Changing,
 }
 
+struct SideStatus {
+    version: u64,
+    reported: Instant,
+}
+
 /// Learns, keeps and spreads the configuration.
 pub struct ConfigActor {
-    options: ConfigOptions,
+    pub(super) options: ConfigOptions,
+    pub(super) store: ConfigStore,
+    pub(super) tracker: ConfigTracker,
+    pub(super) events: broadcast::Sender<WatchEvent>,
+    pub(super) links: Option<LinkConfig>,
+    pub(super) is_settled: bool,
+    pub(super) source: StdRng,
     holder: HolderState,
+    /// The highest version that this process has heard of.
+    heard: u64,
+    log: ChangeLog,
     started: Instant,
-    publish: Vec<Recipient<ConfigPublished>>,
-    status: Option<Recipient<StatusHeard>>,
-    statuses: BTreeMap<String, u64>,
-}
-
-/// Returns the key of the row with the present document.
-pub(crate) fn current_key() -> RowKey {
-    RowKey("config/current".to_owned())
+    sides: BTreeMap<String, SideStatus>,
 }
 
 impl ConfigActor {
     /// Creates the actor.
     pub fn new(options: ConfigOptions) -> Self {
+        let holder = ConfigHolder::open(ConfigAudience::Entry, ClockTime::default());
+        let (events, _) = broadcast::channel(WATCH_EVENTS);
         Self {
+            store: ConfigStore::new(Rc::clone(&options.table), Rc::clone(&options.objects)),
             options,
-            holder: HolderState::Learning(ConfigHolder::open(ConfigAudience::Entry, ClockTime::default())),
+            tracker: ConfigTracker::default(),
+            events,
+            links: None,
+            is_settled: false,
+            source: StdRng::from_os_rng(),
+            holder: HolderState::Learning { holder, known: 0 },
+            heard: 0,
+            log: ChangeLog::default(),
             started: Instant::now(),
-            publish: Vec::new(),
-            status: None,
-            statuses: BTreeMap::new(),
+            sides: BTreeMap::new(),
         }
     }
 
-    fn now(&self) -> ClockTime {
+    pub(super) fn now(&self) -> ClockTime {
         ClockTime::from_micros(u64::try_from(self.started.elapsed().as_micros()).unwrap_or(u64::MAX))
     }
 
-    fn poll(&self, context: &mut Context<Self>) {
-        let table = Rc::clone(&self.options.table);
-        let read = async move { table.read(&current_key()).await };
-        let read = read.into_actor(self).map(|read, actor, context| {
-            if let Ok(Some(row)) = read {
-                actor.accept_row(&row);
-            }
-            context.run_later(POLL_INTERVAL, |actor, context| actor.poll(context));
-        });
-        context.spawn(read);
+    /// Returns the document in force.
+    pub(super) fn document(&self) -> Option<std::sync::Arc<ConfigDocument>> {
+        match &self.holder {
+            HolderState::Serving(holder) => Some(holder.document()),
+            _ => None,
+        }
     }
 
-    fn accept_row(&mut self, row: &RowRecord) {
-        match ConfigDocument::decode(&row.value) {
-            Ok(document) => self.offer(ConfigUpdate::Full(Box::new(document)), VersionSource::Table),
-            Err(report) => warn!(self.options.logger, "malformed configuration row"; "error" => %report),
+    /// Returns the highest version that is known, in force or not.
+    pub(super) fn known(&self) -> u64 {
+        match &self.holder {
+            HolderState::Learning { known, .. } => *known,
+            HolderState::Serving(holder) => holder.version(),
+            HolderState::Changing => 0,
         }
     }
 
-    fn offer(&mut self, update: ConfigUpdate, source: VersionSource) {
+    /// Notes the highest version of the table or of another process.
+    pub(super) fn hear(&mut self, version: u64, source: VersionSource) {
         let now = self.now();
-        let version = update.version();
+        self.heard = self.heard.max(version);
+        self.tracker.announce(version, now);
+        match &mut self.holder {
+            HolderState::Learning { holder, .. } => holder.hear(version, source),
+            HolderState::Serving(holder) => holder.hear(version, now),
+            HolderState::Changing => {}
+        }
+    }
+
+    /// Takes an update if it is newer than what is known.
+    pub(super) fn offer(&mut self, update: ConfigUpdate) {
+        let now = self.now();
+        self.heard = self.heard.max(update.version());
+        self.tracker.announce(update.version(), now);
         let offered = match &mut self.holder {
-            HolderState::Learning(holder) => {
-                holder.hear(version, source);
-                holder.offer(update)
+            HolderState::Learning { holder, known } => {
+                let offered = holder.offer(update.clone());
+                if let Ok(OfferOutcome::Accepted(version)) = offered {
+                    *known = version;
+                }
+                offered
             }
-            HolderState::Serving(holder) => holder.offer(update, now),
+            HolderState::Serving(holder) => holder.offer(update.clone(), now),
             HolderState::Changing => return,
         };
         match offered {
-            Ok(OfferOutcome::Accepted(version)) => self.accepted(version),
+            Ok(OfferOutcome::Accepted(_)) => self.accepted(&update),
             Ok(_) => {}
             Err(report) => warn!(self.options.logger, "invalid configuration"; "error" => %report),
         }
@@ -115,98 +171,202 @@
     }
 
     /// Puts the configuration in force if the process may serve with it.
-    fn try_serve(&mut self) {
+    pub(super) fn try_serve(&mut self) {
         let now = self.now();
-        self.holder = match std::mem::replace(&mut self.holder, HolderState::Changing) {
-            HolderState::Learning(holder) => match holder.into_serving(now) {
+        let has_waited = now.since(ClockTime::default()) >= PROPAGATION_DEADLINE;
+        if !self.is_settled && !has_waited {
+            return;
+        }
+        match std::mem::replace(&mut self.holder, HolderState::Changing) {
+            HolderState::Learning { holder, known } => match holder.into_serving(now) {
                 Ok(holder) => {
                     self.options.view.set(holder.cell());
-                    let version = holder.version();
+                    let document = holder.document();
                     self.holder = HolderState::Serving(holder);
-                    return self.accepted(version);
+                    self.accepted(&ConfigUpdate::Full(Box::new((*document).clone())));
+                }
+                Err(blocked) => {
+                    let holder = blocked.holder;
+                    self.holder = HolderState::Learning { holder, known };
                 }
-                Err(blocked) => HolderState::Learning(blocked.holder),
             },
-            state => state,
-        };
+            state => self.holder = state,
+        }
     }
 
-    fn accepted(&mut self, version: u64) {
-        let HolderState::Serving(holder) = &self.holder else {
+    /// Spreads what has come into force.
+    fn accepted(&mut self, update: &ConfigUpdate) {
+        let Some(document) = self.document() else {
             return;
         };
+        let version = document.version;
         info!(self.options.logger, "configuration in force"; "version" => version);
-        let document = Bytes::from(ConfigUpdate::Full(Box::new((*holder.document()).clone())).encode());
-        let push = ConfigPush { version, document };
-        for recipient in &self.publish {
-            recipient.do_send(ConfigPublished(push.clone()));
+        if let Err(error) = self.options.burn.set_objectives(&document) {
+            warn!(self.options.logger, "objectives are not measured"; "error" => %error);
+        }
+        self.log.add(update);
+        if let Some(links) = &self.links {
+            // Other entries that miss the versions before a whole document ask for it when they hear of it.
+            if matches!(update, ConfigUpdate::Delta(_)) {
+                links.peers.do_send(ConfigPublished(to_push(update)));
+            }
+            links
+                .sides
+                .do_send(ConfigPublished(to_push(&update.clone().for_side())));
         }
-        self.statuses.insert(self.options.process.clone(), version);
+        // Without readers there is nobody to tell.
+        let _ = self.events.send(WatchEvent::Version { version });
+        let process = self.options.process.clone();
+        self.record(&process, version);
         self.spread_status();
     }
 
-    fn spread_status(&self) {
-        if let Some(recipient) = &self.status {
-            recipient.do_send(StatusHeard(self.fleet_status()));
+    /// Notes the version in force in a process.
+    pub(super) fn record(&mut self, process: &str, version: u64) {
+        let now = self.now();
+        let Some(change) = self.tracker.record(process, version, now) else {
+            return;
+        };
+        let after = self.tracker.since_announced(change.to, now).unwrap_or_default();
+        let event = WatchEvent::Status {
+            process: change.process,
+            from: change.from,
+            to: change.to,
+            after_ms: u64::try_from(after.as_millis()).unwrap_or(u64::MAX),
+        };
+        // Without readers there is nobody to tell.
+        let _ = self.events.send(event);
+    }
+
+    /// Keeps the status of a linked side process, to report it to other entries.
+    pub(super) fn keep_side(&mut self, status: &ConfigStatus) {
+        if self.sides.len() >= MAX_SIDES && !self.sides.contains_key(&status.process) {
+            return;
         }
+        let (version, reported) = (status.version, Instant::now());
+        self.sides
+            .insert(status.process.clone(), SideStatus { version, reported });
     }
 
-    fn fleet_status(&self) -> Vec<ConfigStatus> {
-        let status = |(process, version): (&String, &u64)| ConfigStatus {
-            process: process.clone(),
-            version: *version,
+    /// Reports the version in force here and in the linked side processes.
+    pub(super) fn spread_status(&mut self) {
+        self.sides
+            .retain(|_, status| status.reported.elapsed() < FORGET_SIDE_AFTER);
+        let own = ConfigStatus {
+            process: self.options.process.clone(),
+            version: self.document().map_or(0, |document| document.version),
         };
-        self.statuses.iter().map(status).collect()
+        let (process, version) = (own.process.clone(), own.version);
+        let sides = self.sides.iter().map(|(process, status)| ConfigStatus {
+            process: process.clone(),
+            version: status.version,
+        });
+        let statuses = std::iter::once(own).chain(sides).collect();
+        if let Some(links) = &self.links {
+            links.status.do_send(SpreadStatus(statuses));
+        }
+        self.record(&process, version);
     }
-}
 
-impl Actor for ConfigActor {
-    type Context = Context<Self>;
+    /// Returns what leads a process from `known` to the version in force.
+    pub(super) fn missing(&self, known: u64, audience: ConfigAudience) -> Vec<ConfigPush> {
+        let Some(document) = self.document().filter(|document| document.version > known) else {
+            return Vec::new();
+        };
+        let whole = || vec![ConfigUpdate::Full(Box::new((*document).clone()))];
+        let updates = self.log.since(known, document.version).unwrap_or_else(whole);
+        let fit = |update: ConfigUpdate| match audience {
+            ConfigAudience::Entry => update,
+            ConfigAudience::Side => update.for_side(),
+        };
+        updates.into_iter().map(|update| to_push(&fit(update))).collect()
+    }
 
-    fn started(&mut self, context: &mut Self::Context) {
-        self.poll(context);
-        context.run_interval(POLL_INTERVAL, |actor, _| actor.try_serve());
+    fn poll(&self, context: &mut Context<Self>) {
+        let (store, known) = (self.store.clone(), self.known());
+        let read = async move { read_newer(&store, known).await };
+        let read = read.into_actor(self).map(|read, actor, context| {
+            match read {
+                Ok(newer) => actor.accept_newer(newer),
+                Err(error) => warn!(actor.options.logger, "configuration not read"; "error" => %error),
+            }
+            context.run_later(POLL_INTERVAL, |actor, context| actor.poll(context));
+        });
+        context.spawn(read);
     }
-}
 
-impl Handler<LinkConfig> for ConfigActor {
-    type Result = ();
+    /// Takes what the table has.
+    pub(super) fn accept_newer(&mut self, newer: Option<NewerVersions>) {
+        let Some(NewerVersions { newest, updates, .. }) = newer else {
+            return;
+        };
+        self.hear(newest, VersionSource::Table);
+        for update in updates {
+            self.offer(update);
+        }
+        self.try_serve();
+    }
 
-    fn handle(&mut self, message: LinkConfig, _: &mut Context<Self>) {
-        self.publish = message.publish;
-        self.status = Some(message.status);
+    /// Asks other entries for versions that exist and are not known.
+    fn review(&mut self) {
+        self.try_serve();
+        let known = self.known();
+        let is_learning = matches!(self.holder, HolderState::Learning { .. });
+        if (self.heard > known || is_learning)
+            && let Some(links) = &self.links
+        {
+            links.want.do_send(WantConfig { known });
+        }
     }
 }
 
-impl Handler<ConfigOffered> for ConfigActor {
-    type Result = ();
+/// What the table has above a known version.
+pub(super) struct NewerVersions {
+    newest: u64,
+    author: OperatorName,
+    time: WallTime,
+    updates: Vec<ConfigUpdate>,
+}
 
-    fn handle(&mut self, ConfigOffered(push): ConfigOffered, _: &mut Context<Self>) {
-        match ConfigUpdate::decode(&push.document) {
-            Ok(update) => self.offer(update, VersionSource::Peer),
-            Err(report) => warn!(self.options.logger, "malformed configuration push"; "error" => %report),
-        }
+impl NewerVersions {
+    /// Returns the newest version, and the outcome of an edit that lost to it.
+    pub(super) fn to_winner(&self) -> (u64, EditOutcome) {
+        let conflict = EditOutcome::Conflict {
+            winner: self.newest,
+            author: self.author.clone(),
+            time: self.time,
+        };
+        (self.newest, conflict)
     }
 }
 
-impl Handler<StatusHeard> for ConfigActor {
-    type Result = ();
+/// Reads what the table has above a known version; `None` if it has no configuration.
+pub(super) async fn read_newer(store: &ConfigStore, known: u64) -> Result<Option<NewerVersions>> {
+    let Some(current) = store.read_current().await? else {
+        return Ok(None);
+    };
+    let updates = store.catch_up(known, &current.record).await?;
+    Ok(Some(NewerVersions {
+        newest: current.record.version,
+        author: current.record.author,
+        time: current.record.time,
+        updates,
+    }))
+}
 
-    fn handle(&mut self, StatusHeard(statuses): StatusHeard, _: &mut Context<Self>) {
-        for status in statuses {
-            let known = self.statuses.get(&status.process).copied();
-            let has_room = known.is_some() || self.statuses.len() < MAX_STATUSES;
-            if has_room && known.is_none_or(|version| version < status.version) {
-                self.statuses.insert(status.process, status.version);
-            }
-        }
+fn to_push(update: &ConfigUpdate) -> ConfigPush {
+    ConfigPush {
+        version: update.version(),
+        document: Bytes::from(update.encode()),
     }
 }
 
-impl Handler<ReadFleetStatus> for ConfigActor {
-    type Result = MessageResult<ReadFleetStatus>;
+impl Actor for ConfigActor {
+    type Context = Context<Self>;
 
-    fn handle(&mut self, _: ReadFleetStatus, _: &mut Context<Self>) -> Self::Result {
-        MessageResult(self.fleet_status())
+    fn started(&mut self, context: &mut Self::Context) {
+        self.poll(context);
+        context.run_interval(REVIEW_INTERVAL, |actor, _| actor.review());
+        context.run_interval(STATUS_INTERVAL, |actor, _| actor.spread_status());
     }
 }
--- a/crates/ebony_entry/src/config/view.rs
+++ b/crates/ebony_entry/src/config/view.rs
@@ -3,7 +3,9 @@
 use std::sync::{Arc, OnceLock};
 use std::time::{SystemTime, UNIX_EPOCH};
 
-use ebony_config::{ConfigCell, ConfigDocument, FleetValues, KeyDigest, ResolveScope, WallTime};
+use ebony_config::{
+    ConfigCell, ConfigDocument, FleetValues, KeyDigest, OperatorName, ResolveScope, WallTime,
+};
 use ebony_types::{CallerName, ModelName, ProgramBudget, ServiceName};
 
 /// Reads the configuration in force. Clones share it; before the first one is in force, nothing is served.
@@ -12,7 +14,7 @@
     cell: Arc<OnceLock<ConfigCell>>,
 }
 
-fn wall_now() -> WallTime {
+pub(super) fn wall_now() -> WallTime {
     let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     WallTime(since.as_secs())
 }
@@ -34,6 +36,11 @@
         self.document().map_or(0, |document| document.version)
     }
 
+    /// Returns the operator that a bearer key's digest belongs to.
+    pub fn operator(&self, digest: &[u8; 32]) -> Option<OperatorName> {
+        self.document()?.find_operator(&KeyDigest(*digest)).cloned()
+    }
+
     /// Returns the caller that a bearer key's digest belongs to.
     pub fn caller(&self, digest: &[u8; 32]) -> Option<CallerName> {
         self.document()?.callers.find_key(&KeyDigest(*digest))?.to_name()
--- a/crates/ebony_entry/src/lib.rs
+++ b/crates/ebony_entry/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! [`EntryProcess`] is the whole process as a library, so that examples and tests can run it in their own process.
 
+pub mod admin;
 pub mod answer;
 pub mod burn;
 pub mod caller_api;
--- a/crates/ebony_entry/src/peers/actor.rs
+++ b/crates/ebony_entry/src/peers/actor.rs
@@ -9,13 +9,14 @@
 };
 use ebony_link::{LinkIdentity, LinkListener, LinkOptions, LinkReceiver, dial};
 use ebony_types::{CallRequest, ProblemCode, ProblemReport};
-use ebony_wire::{ConfigPush, ConfigStatus, PeerFrame};
+use ebony_wire::PeerFrame;
 use futures_util::Stream;
 use futures_util::stream::unfold;
 use slog::{Logger, info, warn};
 use slotmap::SlotMap;
 use tokio::sync::oneshot;
 
+use super::config_news::{ConfigNews, ConfigRecipients};
 use super::incoming::IncomingLink;
 use super::messages::{
     ForwardCall, ForwardOperation, IncomingEvent, IncomingKey, OperateProgram, OperationResult,
@@ -24,8 +25,6 @@
 use super::outgoing::{ForwardedWork, PeerRecord};
 use super::router::{PeerKey, ShardRoute, ShardRouter};
 use crate::answer::{AnswerPart, AnswerPipe, CancelCall, CreditGrant};
-use crate::config::{ConfigOffered, StatusHeard};
-use crate::dispatch::ConfigPublished;
 
 /// The time between two pings on a link, and the least time between two dials.
 const HEARTBEAT: Duration = Duration::from_millis(500);
@@ -44,10 +43,6 @@
     pub operate: Recipient<OperateProgram>,
     /// Receives what other entries say of themselves.
     pub presence: Recipient<PeerPresence>,
-    /// Receives configurations from other entries.
-    pub config: Recipient<ConfigOffered>,
-    /// Receives which configuration is in force elsewhere.
-    pub status: Recipient<StatusHeard>,
     /// The process's logger.
     pub logger: Logger,
 }
@@ -58,18 +53,18 @@
     own_address: SocketAddr,
     listener: Option<LinkListener>,
     peers: SlotMap<PeerKey, PeerRecord>,
-    incoming: SlotMap<IncomingKey, IncomingLink>,
+    pub(super) incoming: SlotMap<IncomingKey, IncomingLink>,
     work: ForwardedWork,
     presence: PresenceChanged,
-    config: Option<ConfigPush>,
-    status: Vec<ConfigStatus>,
+    pub(super) news: ConfigNews,
     next_generation: u64,
 }
 
 impl PeerActor {
     /// Creates the actor with a listener that is already bound.
-    pub fn new(options: PeerOptions, listener: LinkListener) -> Self {
+    pub fn new(options: PeerOptions, config: ConfigRecipients, listener: LinkListener) -> Self {
         Self {
+            news: ConfigNews::new(config),
             options,
             own_address: listener.address(),
             listener: Some(listener),
@@ -77,8 +72,6 @@
             incoming: SlotMap::with_key(),
             work: ForwardedWork::default(),
             presence: PresenceChanged::default(),
-            config: None,
-            status: Vec::new(),
             next_generation: 0,
         }
     }
@@ -91,12 +84,18 @@
         }
     }
 
-    fn send(&self, peer: PeerKey, frame: &PeerFrame) -> bool {
+    pub(super) fn send(&self, peer: PeerKey, frame: &PeerFrame) -> bool {
         let sender = self.peers.get(peer).and_then(|record| record.sender.as_ref());
         sender.is_some_and(|sender| sender.send(frame).is_ok())
     }
 
-    fn broadcast_outgoing(&self, frame: &PeerFrame) {
+    /// Returns the peers whose dialed link is open.
+    pub(super) fn linked_peers(&self) -> impl Iterator<Item = PeerKey> {
+        let linked = self.peers.iter().filter(|(_, record)| record.sender.is_some());
+        linked.map(|(peer, _)| peer)
+    }
+
+    pub(super) fn broadcast_outgoing(&self, frame: &PeerFrame) {
         for key in self.peers.keys() {
             self.send(key, frame);
         }
@@ -189,8 +188,14 @@
                 }
             }
             PeerFrame::Operated { request, result } => self.work.end_operation(request, result),
-            PeerFrame::Config(push) => self.options.config.do_send(ConfigOffered(push)),
-            PeerFrame::ConfigInForce(status) => self.options.status.do_send(StatusHeard(status)),
+            PeerFrame::Config(push) => self.news.offer(push),
+            PeerFrame::ConfigInForce(status) => self.news.accept_outgoing(peer, status),
+            PeerFrame::ConfigWanted { known } => {
+                let sender = self.peers.get(peer).and_then(|record| record.sender.clone());
+                if let Some(sender) = sender {
+                    self.news.answer(known, sender);
+                }
+            }
             _ => {}
         }
     }
@@ -201,8 +206,13 @@
             PeerFrame::Operate { request, operation } => self.operate_forwarded(key, request, operation),
             PeerFrame::Cancel { call } => self.with_incoming(key, |link| link.cancel(call)),
             PeerFrame::Credit { call, bytes } => self.with_incoming(key, |link| link.grant(call, bytes)),
-            PeerFrame::Config(push) => self.options.config.do_send(ConfigOffered(push)),
-            PeerFrame::ConfigInForce(status) => self.options.status.do_send(StatusHeard(status)),
+            PeerFrame::Config(push) => self.news.offer(push),
+            PeerFrame::ConfigInForce(status) => self.news.accept_incoming(key, status),
+            PeerFrame::ConfigWanted { known } => {
+                if let Some(link) = self.incoming.get(key) {
+                    self.news.answer(known, link.sender.clone());
+                }
+            }
             PeerFrame::Ping { nonce } => self.with_incoming(key, |link| {
                 // A full queue means that the link is busy, which is a sign of life as well.
                 let _ = link.sender.send(&PeerFrame::Pong { nonce });
@@ -218,12 +228,7 @@
     }
 
     fn greet(&self) -> Vec<PeerFrame> {
-        let mut frames = vec![self.presence_frame()];
-        frames.extend(self.config.clone().map(PeerFrame::Config));
-        if !self.status.is_empty() {
-            frames.push(PeerFrame::ConfigInForce(self.status.clone()));
-        }
-        frames
+        vec![self.presence_frame(), self.news.greeting()]
     }
 }
 
@@ -306,6 +311,7 @@
             let peer = self.peers.insert(record);
             self.dial(peer, context.address());
         }
+        self.news.list(self.peers.keys());
     }
 }
 
@@ -339,6 +345,7 @@
                 }
             }
             PeerLinkUp::DialFailed(peer) => {
+                self.news.note_heard(peer);
                 context.run_later(HEARTBEAT, move |actor, context| {
                     actor.dial(peer, context.address())
                 });
@@ -363,6 +370,7 @@
             Some(frame) => self.accept_outgoing(peer, frame),
             None => {
                 warn!(self.options.logger, "link to entry lost");
+                self.news.note_heard(peer);
                 if let Some(record) = self.peers.get_mut(peer) {
                     record.sender = None;
                 }
@@ -384,6 +392,7 @@
         match event.frame {
             Some(frame) => self.accept_incoming(event.key, frame),
             None => {
+                self.news.forget(event.key);
                 if let Some(mut link) = self.incoming.remove(event.key) {
                     link.cancel_all();
                 }
@@ -474,21 +483,3 @@
         self.broadcast_incoming(&self.presence_frame());
     }
 }
-
-impl Handler<ConfigPublished> for PeerActor {
-    type Result = ();
-
-    fn handle(&mut self, ConfigPublished(push): ConfigPublished, _: &mut Context<Self>) {
-        self.broadcast_outgoing(&PeerFrame::Config(push.clone()));
-        self.config = Some(push);
-    }
-}
-
-impl Handler<StatusHeard> for PeerActor {
-    type Result = ();
-
-    fn handle(&mut self, StatusHeard(status): StatusHeard, _: &mut Context<Self>) {
-        self.broadcast_outgoing(&PeerFrame::ConfigInForce(status.clone()));
-        self.status = status;
-    }
-}
--- a/crates/ebony_entry/src/peers/mod.rs
+++ b/crates/ebony_entry/src/peers/mod.rs
@@ -1,12 +1,14 @@
 //! Links to other entries: forwarding calls and operations to the owner of a program, and spreading news.
 
 mod actor;
+mod config_news;
 mod incoming;
 mod messages;
 mod outgoing;
 mod router;
 
 pub use actor::{PeerActor, PeerOptions};
+pub use config_news::ConfigRecipients;
 pub use messages::{
     ForwardCall, ForwardOperation, OperateProgram, OperationResult, PeerPresence, PeersListed,
     PresenceChanged, StartCall,
--- a/crates/ebony_entry/src/process.rs
+++ b/crates/ebony_entry/src/process.rs
@@ -8,6 +8,7 @@
 use actix::{Actor, Addr, Context};
 use actix_web::web::Data;
 use anyhow::Context as _;
+use ebony_config::KeyDigest;
 use ebony_link::{LinkIdentity, LinkListener, LinkOptions};
 use ebony_owner::OwnerSettings;
 use ebony_platform::{HostList, HostRole};
@@ -20,12 +21,13 @@
 use serde_json::json;
 use slog::Logger;
 
+use crate::admin::{AdminOptions, AdminServer, AdminState};
 use crate::burn::BurnCell;
 use crate::caller_api::{CallerMetrics, CallerServer, CallerState, ServerOptions};
 use crate::config::{ConfigActor, ConfigOptions, ConfigView, LinkConfig};
 use crate::dispatch::{DispatchActor, DispatchOptions, ReadReadiness};
 use crate::owner::{LinkOwner, OwnerActor, OwnerOptions, ReadStatus, StartDrain, StorageClient, wall_now};
-use crate::peers::{PeerActor, PeerOptions, PeersListed, ShardRouter};
+use crate::peers::{ConfigRecipients, PeerActor, PeerOptions, PeersListed, ShardRouter};
 use crate::platform::PlatformAccess;
 use crate::tls::caller_tls;
 
@@ -45,6 +47,8 @@
     pub callers: SocketAddr,
     /// For links.
     pub links: SocketAddr,
+    /// For operators.
+    pub administration: SocketAddr,
     /// For metrics and health.
     pub metrics: SocketAddr,
 }
@@ -55,6 +59,7 @@
         let addresses = json!({
             "callers": self.callers.to_string(),
             "links": self.links.to_string(),
+            "administration": self.administration.to_string(),
             "metrics": self.metrics.to_string(),
         });
         addresses.to_string()
@@ -83,6 +88,7 @@
     owner: Addr<OwnerActor>,
     dispatch: Addr<DispatchActor>,
     callers: CallerServer,
+    administration: AdminServer,
     metrics: HealthServer,
     drain_time: Duration,
 }
@@ -172,6 +178,7 @@
         let (registry, health) = (MetricsRegistry::default(), HealthState::default());
         let (view, router) = (ConfigView::default(), ShardRouter::new(entry.ownership.shards));
 
+        let burn = BurnCell::open(&settings.region)?;
         let owner_context = mailbox::<OwnerActor>();
         let (dispatch_context, peer_context) = (mailbox::<DispatchActor>(), mailbox::<PeerActor>());
         let config_context = mailbox::<ConfigActor>();
@@ -181,7 +188,9 @@
         let config = config_context.run(ConfigActor::new(ConfigOptions {
             process: settings.process.clone(),
             table: Rc::clone(&platform.table),
+            objects: Rc::clone(&platform.objects),
             view: view.clone(),
+            burn: burn.clone(),
             logger: logger.clone(),
         }));
         let dispatch = dispatch_context.run(DispatchActor::new(DispatchOptions {
@@ -200,15 +209,21 @@
                 start: owner.clone().recipient(),
                 operate: owner.clone().recipient(),
                 presence: owner.clone().recipient(),
-                config: config.clone().recipient(),
-                status: config.clone().recipient(),
                 logger: logger.clone(),
             },
+            ConfigRecipients {
+                offered: config.clone().recipient(),
+                status: config.clone().recipient(),
+                missing: config.clone().recipient(),
+                settled: config.clone().recipient(),
+            },
             listener,
         ));
         config.do_send(LinkConfig {
-            publish: vec![dispatch.clone().recipient(), peers.clone().recipient()],
+            peers: peers.clone().recipient(),
+            sides: dispatch.clone().recipient(),
             status: peers.clone().recipient(),
+            want: peers.clone().recipient(),
         });
         owner.do_send(LinkOwner {
             dispatch: dispatch.clone(),
@@ -229,18 +244,31 @@
             view.clone(),
             settings.limits,
             CallerMetrics::register(&registry)?,
-            BurnCell::open(&settings.region)?,
+            burn.clone(),
         );
         let tls = entry.callers.tls.as_ref().map(caller_tls).transpose()?;
         let options = ServerOptions {
             address: entry.callers.listen,
             tls,
         };
-        let callers = CallerServer::bind(options, Data::new(state))?;
+        let state = Data::new(state);
+        let callers = CallerServer::bind(options, Data::clone(&state))?;
+        let first_operator = settings.administration.first_operator.as_ref();
+        let first_operator = first_operator.map(|text| text.parse::<KeyDigest>()).transpose();
+        let first_operator = first_operator.context("the first operator's digest is malformed")?;
+        let admin = AdminState::new(view.clone(), config, state, burn, first_operator);
+        let administration = AdminServer::bind(
+            AdminOptions {
+                address: settings.administration.listen,
+                idle_time: settings.limits.idle_time,
+            },
+            Data::new(admin),
+        )?;
         let metrics = HealthServer::bind(settings.metrics.listen, registry, health.clone())?;
         let addresses = EntryAddresses {
             callers: callers.address(),
             links,
+            administration: administration.address(),
             metrics: metrics.address(),
         };
         let drain_time = settings.drain_time;
@@ -252,6 +280,7 @@
             owner,
             dispatch,
             callers,
+            administration,
             metrics,
             drain_time,
         };
@@ -308,6 +337,7 @@
             tokio::time::sleep(STATE_POLL).await;
         }
         parts.callers.stop(true).await;
+        parts.administration.stop().await;
         parts.metrics.stop().await;
     }
 }
--- a/crates/ebony_fleet/src/fleet.rs
+++ b/crates/ebony_fleet/src/fleet.rs
@@ -5,9 +5,8 @@
 use std::time::{Duration, Instant};
 
 use anyhow::{Context, bail};
-use ebony_platform::{
-    HostEntry, HostRole, HostState, HttpTable, RequestLimits, RowKey, TableService, WriteNonce,
-};
+use bytes::Bytes;
+use ebony_platform::{HostEntry, HostRole, HostState};
 use ebony_standins::engine::{EngineControl, EngineOptions, EngineSettings};
 use ebony_standins::hosts::{HostsControl, HostsOptions};
 use ebony_standins::objects::{ObjectsControl, ObjectsOptions};
@@ -16,12 +15,12 @@
 use ebony_standins::weights::WeightsOptions;
 use ebony_standins::{StandinAddress, StandinOptions, StandinSet};
 use ebony_types::{DomainName, HostName, ModelName};
-use serde_json::Value;
+use serde_json::{Value, json};
 use tempfile::TempDir;
 
 use crate::caller::CallerClient;
 use crate::child::{ChildProcess, StopSignal};
-use crate::document::{CALLER_KEY, fleet_document};
+use crate::document::{CALLER_KEY, OPERATOR_KEY, fleet_document};
 use crate::settings::{FleetTimes, PlatformUrls, TargetPlan, entry_settings, side_settings};
 
 /// The pause between two looks at a process that should become ready.
@@ -127,7 +126,6 @@
             entries,
             sides,
         };
-        fleet.write_document().await?;
         for index in 0..fleet.options.engines {
             fleet.add_engine(index)?;
         }
@@ -139,17 +137,24 @@
             fleet.add_entry(&format!("entry-{index}"), index)?;
         }
         fleet.publish_hosts().await?;
+        if fleet.options.entries > 0 {
+            fleet.write_document().await?;
+        }
         fleet.wait_ready().await?;
         Ok(fleet)
     }
 
+    /// Writes the first configuration as the first operator, through the first entry.
     async fn write_document(&self) -> Result<()> {
         let document = fleet_document(&self.options.models, &[SERVICE.to_owned()])?;
-        let table = HttpTable::open(&self.urls.table, RequestLimits::for_platform())?;
-        let key = RowKey("config/current".to_owned());
-        table
-            .create(&key, document.encode().into(), WriteNonce(1))
+        let body = json!({"expected": 0, "summary": "first configuration", "document": document});
+        let reply = self
+            .operator(0)?
+            .send("PUT", "/v1/config", None, None, Bytes::from(body.to_string()))
             .await?;
+        if reply.status != 200 {
+            bail!("the first configuration was refused: {}", reply.json());
+        }
         Ok(())
     }
 
@@ -297,6 +302,16 @@
         ))
     }
 
+    /// Returns a client of the operator at an entry's administration address.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the entry has no address.
+    pub fn operator(&self, entry: usize) -> Result<CallerClient> {
+        let address = self.entries[entry].child.address("administration")?;
+        Ok(CallerClient::open(address, OPERATOR_KEY))
+    }
+
     /// Kills an entry and starts another process in its place, which has no memory of it. Does not wait until it is
     /// ready.
     ///
