Make the dispatcher whole

The dispatcher dialed every listed side process, chose the target with the fewest calls and retried three times.

Links, liveness and draining now follow TargetRegistry; targets are chosen by the placement policy; programs enter by the admission gate; retries stay within the retry budget; crashing requests are refused; engine memory is released, confirmed and retained per side process; deadlines end calls here.

--- a/crates/ebony_entry/src/dispatch/call.rs
+++ b/crates/ebony_entry/src/dispatch/call.rs
@@ -1,16 +1,17 @@
 //! A call that was sent to a side process.
 
-use std::sync::Arc;
-use std::time::Instant;
-
 use bytes::{Bytes, BytesMut};
 use ebony_types::limits::MAX_ANSWER_BYTES;
-use ebony_types::{CallKind, ProblemCode, ProblemReport, RunVerdict, TargetName};
+use ebony_types::{
+    CallId, CallKind, ClockTime, ProblemCode, ProblemReport, ProgramId, RunVerdict, TargetName,
+};
 use ebony_wire::{AnswerFrame, AnswerHead, DispatchOrder};
 
-use super::directory::SideKey;
-use super::messages::FinishedAnswer;
-use crate::answer::{AnswerAssembly, AnswerPart, AnswerPipe, AssemblyStep};
+use super::credit::CreditAccount;
+use super::messages::{FinishedAnswer, PlaceCall};
+use super::picker::PickedTarget;
+use super::side_table::SideKey;
+use crate::answer::{AnswerAssembly, AnswerPart, AssemblyStep};
 
 /// The end of a streamed chat completion. Clients stop reading at it, so it counts as the final marker.
 const STREAM_END: &[u8] = b"data: [DONE]";
@@ -24,21 +25,58 @@
     Finished(FinishedAnswer),
     /// The call failed.
     Failed(ProblemReport),
-    /// The reader is gone; the call should be cancelled.
+    /// The reader takes no more.
     Abandoned,
 }
 
-/// A call under way at a side process.
-pub(super) struct DispatchedCall {
-    pub(super) order: DispatchOrder,
-    pub(super) pipe: Arc<AnswerPipe>,
+/// Where a call is.
+#[derive(Debug)]
+pub(super) enum CallStage {
+    /// The call waits for the admission of its program.
+    Admission,
+    /// The call waits until a target serves it.
+    Target {
+        /// The end of the wait.
+        until: ClockTime,
+    },
+    /// The call waits before its next attempt.
+    Backoff {
+        /// The time of the attempt.
+        until: ClockTime,
+    },
+    /// The call was sent to a target.
+    Placed(Box<CallAttempt>),
+}
+
+/// One attempt of a call.
+#[derive(Debug)]
+pub(super) struct CallAttempt {
     pub(super) side: SideKey,
-    pub(super) deadline: Instant,
+    pub(super) picked: PickedTarget,
+    pub(super) at: ClockTime,
+    /// The time of the first part of the answer.
+    pub(super) first_part: Option<ClockTime>,
+}
+
+/// A call that the owner has handed over and that has not ended.
+pub(super) struct DispatchedCall {
+    pub(super) place: PlaceCall,
+    pub(super) program: ProgramId,
+    pub(super) arrived: ClockTime,
+    pub(super) deadline: ClockTime,
+    pub(super) stage: CallStage,
     pub(super) attempts: u32,
     /// Targets on which an attempt failed.
     pub(super) avoided: Vec<TargetName>,
     /// Whether an earlier attempt may have run.
     pub(super) may_have_run: bool,
+    /// Whether the owner or the reader has given the call up; it is not sent again.
+    pub(super) is_cancelled: bool,
+    /// The problem of the last attempt.
+    pub(super) last_problem: Option<ProblemReport>,
+    pub(super) credit: CreditAccount,
+    /// Whether the answer is to be resumed once its reader has room.
+    pub(super) needs_resume: bool,
     assembly: AnswerAssembly,
     head: AnswerHead,
     body: BytesMut,
@@ -48,15 +86,20 @@
 }
 
 impl DispatchedCall {
-    pub(super) fn new(order: DispatchOrder, pipe: Arc<AnswerPipe>, side: SideKey, deadline: Instant) -> Self {
+    pub(super) fn new(place: PlaceCall, program: ProgramId, arrived: ClockTime, deadline: ClockTime) -> Self {
         Self {
-            order,
-            pipe,
-            side,
+            place,
+            program,
+            arrived,
             deadline,
-            attempts: 1,
+            stage: CallStage::Admission,
+            attempts: 0,
             avoided: Vec::new(),
             may_have_run: false,
+            is_cancelled: false,
+            last_problem: None,
+            credit: CreditAccount::open(0),
+            needs_resume: false,
             assembly: AnswerAssembly::default(),
             head: AnswerHead {
                 status: 0,
@@ -68,6 +111,53 @@
         }
     }
 
+    pub(super) fn id(&self) -> CallId {
+        self.place.request.call
+    }
+
+    /// Returns `true` if the call must not be repeated once it may have run.
+    pub(super) fn has_key(&self) -> bool {
+        self.place.request.idempotency_key.is_some()
+    }
+
+    pub(super) fn attempt(&self) -> Option<&CallAttempt> {
+        match &self.stage {
+            CallStage::Placed(attempt) => Some(attempt),
+            _ => None,
+        }
+    }
+
+    pub(super) fn attempt_mut(&mut self) -> Option<&mut CallAttempt> {
+        match &mut self.stage {
+            CallStage::Placed(attempt) => Some(attempt),
+            _ => None,
+        }
+    }
+
+    /// Returns the time at which the call needs attention: the end of its wait or its deadline.
+    pub(super) fn timer(&self) -> ClockTime {
+        match &self.stage {
+            CallStage::Target { until } | CallStage::Backoff { until } => self.deadline.min(*until),
+            CallStage::Admission | CallStage::Placed(_) => self.deadline,
+        }
+    }
+
+    /// Returns the order that sends the call to a target.
+    pub(super) fn order(&self, target: TargetName) -> DispatchOrder {
+        DispatchOrder {
+            request: self.place.request.clone(),
+            target,
+            session: self.place.session,
+            token: self.place.token,
+            rank: self.place.rank,
+        }
+    }
+
+    /// Returns `true` once a part of the answer has reached the reader.
+    pub(super) fn has_head(&self) -> bool {
+        self.assembly.has_head()
+    }
+
     /// Returns the first byte of the answer that has not arrived.
     pub(super) fn received(&self) -> u64 {
         self.assembly.received()
@@ -75,27 +165,47 @@
 
     /// Returns `true` if the call may run once more after an attempt with the given verdict.
     pub(super) fn may_retry(&self, verdict: RunVerdict) -> bool {
-        let is_idempotent = self.order.request.idempotency_key.is_none()
-            && matches!(self.order.request.kind, CallKind::Model { .. });
-        let has_started = self.assembly.has_head();
-        !has_started && (verdict.is_safe_to_retry() || is_idempotent)
+        let is_idempotent = !self.has_key() && matches!(self.place.request.kind, CallKind::Model { .. });
+        !self.has_head() && !self.is_cancelled && (verdict.is_safe_to_retry() || is_idempotent)
     }
 
-    /// Prepares the call for another attempt.
-    pub(super) fn reset(&mut self, side: SideKey, target: TargetName) {
-        let previous = std::mem::replace(&mut self.order.target, target);
-        self.avoided.push(previous);
-        self.side = side;
+    /// Starts an attempt: nothing of an earlier attempt's answer has reached the reader.
+    pub(super) fn start(&mut self, attempt: CallAttempt) {
         self.attempts += 1;
+        self.stage = CallStage::Placed(Box::new(attempt));
         self.assembly = AnswerAssembly::default();
+        self.credit = CreditAccount::open(0);
+        self.needs_resume = false;
         self.body.clear();
         self.withheld = Bytes::new();
         self.is_ending = false;
     }
 
-    /// Returns the verdict on the call if its side process is lost now.
-    pub(super) fn loss(&self) -> ProblemReport {
-        ProblemReport::may_have_run(ProblemCode::TargetFailed, "the side process or its link was lost")
+    /// Ends the present attempt, whose target is not tried again.
+    pub(super) fn fail(&mut self, problem: &ProblemReport) {
+        self.may_have_run |= !problem.run.is_safe_to_retry();
+        self.last_problem = Some(problem.clone());
+        if let Some(attempt) = self.attempt() {
+            let target = attempt.picked.name.clone();
+            self.avoided.push(target);
+        }
+    }
+
+    /// Returns the problem with the verdict on the whole call: it may have run once any attempt may have.
+    pub(super) fn verdict_on(&self, mut problem: ProblemReport) -> ProblemReport {
+        if self.may_have_run && problem.run.is_safe_to_retry() {
+            problem.run = RunVerdict::MayHaveRun;
+        }
+        problem
+    }
+
+    /// Returns the problem of a call that ends by itself in its present stage.
+    pub(super) fn give_up(&self, code: ProblemCode, detail: &'static str) -> ProblemReport {
+        let run = match self.stage {
+            CallStage::Placed(_) => RunVerdict::MayHaveRun,
+            _ => RunVerdict::NotRun,
+        };
+        self.verdict_on(ProblemReport::new(code, run, detail))
     }
 
     /// Adds a frame of the answer.
@@ -112,7 +222,7 @@
                 usage,
                 body: self.body.split().freeze(),
                 withheld: std::mem::take(&mut self.withheld),
-                side: self.side,
+                side: self.attempt().map(|attempt| attempt.side).unwrap_or_default(),
             }),
             AssemblyStep::Failed(problem) => CallStep::Failed(problem),
         }
@@ -138,7 +248,7 @@
     /// Splits off the final marker, which the caller gets only when the outcome is durable.
     fn withhold(&mut self, bytes: Bytes) -> Bytes {
         if !matches!(
-            self.order.request.kind,
+            self.place.request.kind,
             CallKind::Model {
                 is_streamed: true,
                 ..
@@ -158,7 +268,7 @@
     }
 
     fn push(&self, part: AnswerPart) -> CallStep {
-        if self.pipe.push(part) {
+        if self.place.pipe.push(part) {
             CallStep::Continue
         } else {
             CallStep::Abandoned
--- a/crates/ebony_entry/src/dispatch/link.rs
+++ b/crates/ebony_entry/src/dispatch/link.rs
@@ -4,17 +4,18 @@
 
 use actix::Addr;
 use ebony_link::{LinkIdentity, LinkOptions, LinkReceiver, dial};
+use ebony_types::HostName;
 use ebony_wire::SideFrame;
 use futures_util::Stream;
 use futures_util::stream::unfold;
 
 use super::actor::DispatchActor;
-use super::directory::SideKey;
 use super::messages::{SideDialFailed, SideEvent, SideLinkUp};
+use super::side_table::SideKey;
 
 /// Dials a side process in the background and tells the dispatcher the outcome.
 pub(super) fn spawn_dial(
-    key: SideKey,
+    host: HostName,
     address: SocketAddr,
     identity: LinkIdentity,
     options: LinkOptions,
@@ -22,8 +23,8 @@
 ) {
     actix::spawn(async move {
         match dial(address, &identity, &options).await {
-            Ok(link) => dispatcher.do_send(SideLinkUp { key, link }),
-            Err(_) => dispatcher.do_send(SideDialFailed { key }),
+            Ok(link) => dispatcher.do_send(SideLinkUp { host, link }),
+            Err(_) => dispatcher.do_send(SideDialFailed { host }),
         }
     });
 }
@@ -36,23 +37,13 @@
 ) -> impl Stream<Item = SideEvent> {
     unfold(Some(receiver), move |receiver| async move {
         let mut receiver = receiver?;
-        match receiver.next().await {
-            Ok(frame) => Some((
-                SideEvent {
-                    key,
-                    generation,
-                    frame: Some(frame),
-                },
-                Some(receiver),
-            )),
-            Err(_) => Some((
-                SideEvent {
-                    key,
-                    generation,
-                    frame: None,
-                },
-                None,
-            )),
-        }
+        let frame = receiver.next().await.ok();
+        let next = frame.is_some().then_some(receiver);
+        let event = SideEvent {
+            key,
+            generation,
+            frame,
+        };
+        Some((event, next))
     })
 }
--- a/crates/ebony_entry/src/dispatch/messages.rs
+++ b/crates/ebony_entry/src/dispatch/messages.rs
@@ -2,15 +2,17 @@
 
 use std::sync::Arc;
 
-use actix::Message;
+use actix::{Message, MessageResponse, Recipient};
 use bytes::Bytes;
 use ebony_link::OpenLink;
+use ebony_platform::HostEntry;
 use ebony_types::{
-    CallId, CallRequest, CallUsage, FencingToken, ProblemReport, ProgramId, SessionId, TargetName,
+    CallId, CallRequest, CallUsage, FencingToken, HostName, ProblemReport, ProgramId, SessionId, TargetName,
 };
-use ebony_wire::{AnswerHead, ConfigPush, QueueRank, SideFrame};
+use ebony_wire::{AnswerHead, ConfigPush, CrashReport, QueueRank, SideFrame};
 
-use super::directory::SideKey;
+use super::side_table::SideKey;
+use super::target_status::TargetStatus;
 use crate::answer::AnswerPipe;
 
 /// Sends a call that its owner has admitted to a target.
@@ -109,11 +111,63 @@
 #[rtype(result = "bool")]
 pub struct ReadReadiness;
 
+/// Crashes of targets by request, from another entry or for other entries.
+#[derive(Clone, Debug)]
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct CrashesHeard(pub Vec<CrashReport>);
+
+/// Asks for all crashes that count, for an entry that has just been linked.
+#[derive(Clone, Copy, Debug)]
+#[derive(Message)]
+#[rtype(result = "Vec<CrashReport>")]
+pub struct ReadCrashes;
+
+/// Tells the dispatcher who spreads crashes to other entries.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct LinkDispatch {
+    /// Receives crashes that side processes reported and that were not known here.
+    pub crashes: Recipient<CrashesHeard>,
+}
+
+/// Orders a target to drain: this entry sends it no new work.
+#[derive(Clone, Debug)]
+#[derive(Message)]
+#[rtype(result = "DrainOutcome")]
+pub struct DrainTarget {
+    /// The target.
+    pub target: TargetName,
+}
+
+/// What became of an order to drain a target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(MessageResponse)]
+pub enum DrainOutcome {
+    /// The target gets no new work from this entry.
+    Ordered,
+    /// No such target is known here.
+    UnknownTarget,
+    /// Too many targets are ordered to drain.
+    TooMany,
+}
+
+/// Asks for the targets that this entry knows.
+#[derive(Clone, Copy, Debug)]
+#[derive(Message)]
+#[rtype(result = "Vec<TargetStatus>")]
+pub struct ReadTargets;
+
+/// The host list was read.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub(super) struct HostsListed(pub(super) Vec<HostEntry>);
+
 /// A link to a side process is open.
 #[derive(Message)]
 #[rtype(result = "()")]
 pub(super) struct SideLinkUp {
-    pub(super) key: SideKey,
+    pub(super) host: HostName,
     pub(super) link: OpenLink,
 }
 
@@ -121,7 +175,7 @@
 #[derive(Message)]
 #[rtype(result = "()")]
 pub(super) struct SideDialFailed {
-    pub(super) key: SideKey,
+    pub(super) host: HostName,
 }
 
 /// Something arrived on a link, or the link is over.
--- /dev/null
+++ b/crates/ebony_entry/src/dispatch/picker.rs
@@ -0,0 +1,290 @@
+//! Which target runs a call: placement over the targets that membership opens.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use ebony_membership::{TargetKey as MemberKey, TargetRecord, TargetRegistry};
+use ebony_policy::placement::{CallWork, FinishEstimate, NewTarget, PlacementRequest, TargetState};
+use ebony_policy::{CacheModel, PlacementPlanner, PolicyOptions, PoolName, TargetKey};
+use ebony_types::{
+    CallKind, ClockTime, DomainName, HostName, ModelName, ProcessIncarnation, ProgramId, TargetName,
+};
+use ebony_wire::{CacheEvent, LoadReport, TargetKind};
+use rand::RngCore;
+
+/// The most targets that one decision tries. Membership may know of a silence that the index does not know of yet.
+const MAX_TRIES: usize = 16;
+
+/// What placement needs to know of a call.
+pub(super) struct PlacementWork<'a> {
+    pub(super) kind: &'a CallKind,
+    pub(super) program: ProgramId,
+    /// The target that ran the program's last call.
+    pub(super) last_target: Option<&'a TargetName>,
+    /// Targets that failed the call.
+    pub(super) avoided: &'a [TargetName],
+}
+
+/// The target that was chosen for a call.
+#[derive(Clone, Debug)]
+pub(super) struct PickedTarget {
+    pub(super) key: TargetKey,
+    pub(super) name: TargetName,
+    pub(super) host: HostName,
+    pub(super) incarnation: ProcessIncarnation,
+    pub(super) estimate: FinishEstimate,
+}
+
+#[derive(Clone, Copy)]
+struct TargetLife {
+    member: MemberKey,
+    key: TargetKey,
+}
+
+/// Chooses targets and keeps account of their load and caches. Its tables hold the targets that membership knows.
+pub(super) struct TargetPicker {
+    planner: PlacementPlanner,
+    cache: CacheModel,
+    lives: HashMap<TargetName, TargetLife>,
+    own_domain: DomainName,
+    expected_output: u64,
+    options: PolicyOptions,
+}
+
+impl TargetPicker {
+    pub(super) fn open(options: &PolicyOptions, own_domain: DomainName) -> Self {
+        let planner =
+            PlacementPlanner::open(options.placement.clone(), options.speed, options.latency_weight);
+        Self {
+            planner,
+            cache: CacheModel::open(options.cache.clone()),
+            lives: HashMap::new(),
+            own_domain,
+            expected_output: u64::from(options.placement.expected_output_tokens),
+            options: options.clone(),
+        }
+    }
+
+    pub(super) fn set_latency_weight(&mut self, weight: f64) {
+        self.planner.set_latency_weight(weight);
+    }
+
+    /// Opens a target for placement. A target on a new life of its side process starts without load and cache.
+    pub(super) fn open_target(&mut self, member: MemberKey, record: &TargetRecord) {
+        let name = record.name().clone();
+        if let Some(life) = self.lives.get(&name)
+            && life.member == member
+        {
+            self.planner.set_state(life.key, TargetState::Serving);
+            return self.update_target(member, record);
+        }
+        let target = NewTarget {
+            name: name.clone(),
+            domain: record.domain.clone(),
+            slots: record.report.slots,
+            pools: pools_of(&record.report.kind),
+        };
+        // A full table leaves the target without work, as if it were not linked.
+        if let Ok(key) = self.planner.add_target(target) {
+            self.cache.forget_target(key);
+            self.lives.insert(name, TargetLife { member, key });
+        }
+    }
+
+    /// Takes over what a target says that it serves.
+    pub(super) fn update_target(&mut self, member: MemberKey, record: &TargetRecord) {
+        let life = self.lives.get(record.name()).filter(|life| life.member == member);
+        if let Some(life) = life {
+            // Without room for a new pool, the target keeps its former ones.
+            let _ = self.planner.set_pools(life.key, &pools_of(&record.report.kind));
+        }
+    }
+
+    /// Closes a target for placement.
+    pub(super) fn stop_target(&mut self, name: &TargetName, member: MemberKey) {
+        if let Some(life) = self.lives.get(name).filter(|life| life.member == member) {
+            self.planner.set_state(life.key, TargetState::Draining);
+        }
+    }
+
+    /// Forgets the targets whose life has ended.
+    pub(super) fn sweep(&mut self, registry: &TargetRegistry) {
+        let (planner, cache) = (&mut self.planner, &mut self.cache);
+        self.lives.retain(|_, life| {
+            let is_known = registry.target(life.member).is_some();
+            if !is_known {
+                planner.remove_target(life.key);
+                cache.forget_target(life.key);
+            }
+            is_known
+        });
+    }
+
+    /// Chooses the target of a call.
+    pub(super) fn pick(
+        &mut self,
+        work: &PlacementWork<'_>,
+        registry: &TargetRegistry,
+        now: ClockTime,
+        source: &mut impl RngCore,
+    ) -> Option<PickedTarget> {
+        let pool = self.planner.table().find_pool(&pool_of(work.kind))?;
+        let domain = self.planner.table_mut().domain(&self.own_domain).ok()?;
+        let mut avoid: Vec<TargetKey> = work.avoided.iter().filter_map(|name| self.key_of(name)).collect();
+        let (prompt_tokens, output_tokens) = self.size_of(work.kind);
+        for _ in 0..MAX_TRIES {
+            let request = PlacementRequest {
+                pool,
+                domain,
+                program: work.program,
+                prompt_tokens,
+                output_tokens: Some(output_tokens),
+                last_target: work.last_target.and_then(|name| self.key_of(name)),
+                retained: None,
+                avoid: &avoid,
+            };
+            let choice = self.planner.place(&request, &self.cache, source).ok()?;
+            if let Some(picked) = self.describe(choice.target, choice.estimate, registry, now) {
+                return Some(picked);
+            }
+            avoid.push(choice.target);
+        }
+        None
+    }
+
+    /// Counts a call that is sent to a target.
+    pub(super) fn record_dispatch(&mut self, picked: &PickedTarget, output_tokens: u64, now: ClockTime) {
+        let work = CallWork {
+            uncached_tokens: picked.estimate.uncached_tokens,
+            new_kv_tokens: picked.estimate.uncached_tokens + output_tokens,
+        };
+        self.planner.record_dispatch(picked.key, work, now);
+    }
+
+    pub(super) fn record_first_token(&mut self, picked: &PickedTarget, now: ClockTime) {
+        let uncached_tokens = picked.estimate.uncached_tokens;
+        self.planner.record_first_token(picked.key, uncached_tokens, now);
+    }
+
+    pub(super) fn record_end(&mut self, key: TargetKey, now: ClockTime) {
+        self.planner.record_end(key, now);
+    }
+
+    /// Learns from a whole answer of an engine.
+    pub(super) fn record_answer(
+        &mut self,
+        key: TargetKey,
+        program: ProgramId,
+        course: &AnswerCourse,
+        now: ClockTime,
+    ) {
+        let output = course.output_tokens;
+        self.planner
+            .observe_call(key, course.in_slot, course.decode, output);
+        self.cache.record_call(key, program, course.held_tokens, now);
+    }
+
+    /// Applies a load report; returns `true` if the target is known.
+    pub(super) fn apply_load(&mut self, report: &LoadReport, now: ClockTime) {
+        let Some(key) = self.key_of(&report.target) else {
+            return;
+        };
+        self.planner.apply_report(key, report, now);
+        if report.kv_bytes_total > 0 {
+            let capacity = self.options.speed.tokens_in(report.kv_bytes_total);
+            self.cache.set_capacity(key, capacity);
+        }
+    }
+
+    pub(super) fn apply_cache(&mut self, event: &CacheEvent, now: ClockTime) {
+        if let Some(key) = self.key_of(&event.target) {
+            let (program, sequence, tokens) = (event.program, event.sequence, event.held_tokens);
+            self.cache.apply_event(key, program, sequence, tokens, now);
+        }
+    }
+
+    /// Forgets the cached prefix of a program that ended.
+    pub(super) fn forget_program(&mut self, target: &TargetName, program: ProgramId) {
+        if let Some(key) = self.key_of(target) {
+            self.cache.forget_program(key, program);
+        }
+    }
+
+    /// Returns the share of a target's KV cache in use.
+    pub(super) fn kv_used_share(&self, name: &TargetName) -> f64 {
+        let load = self.key_of(name).and_then(|key| self.planner.table().load(key));
+        load.map_or(0.0, |load| load.kv_used_share())
+    }
+
+    /// Returns the calls of this entry and of all entries at a target.
+    pub(super) fn calls_at(&self, name: &TargetName) -> (u32, u32) {
+        let load = self.key_of(name).and_then(|key| self.planner.table().load(key));
+        load.map_or((0, 0), |load| (load.own_calls(), load.calls()))
+    }
+
+    /// Returns the tokens of prompt and expected answer of a call.
+    pub(super) fn size_of(&self, kind: &CallKind) -> (u64, u64) {
+        match kind {
+            CallKind::Model {
+                prompt_tokens,
+                max_output_tokens,
+                ..
+            } => {
+                let output = u64::from(*max_output_tokens).min(self.expected_output);
+                (u64::from(*prompt_tokens), output)
+            }
+            CallKind::Service { .. } => (0, 0),
+        }
+    }
+
+    fn key_of(&self, name: &TargetName) -> Option<TargetKey> {
+        self.lives.get(name).map(|life| life.key)
+    }
+
+    fn describe(
+        &self,
+        key: TargetKey,
+        estimate: FinishEstimate,
+        registry: &TargetRegistry,
+        now: ClockTime,
+    ) -> Option<PickedTarget> {
+        let name = self.planner.table().name(key)?.clone();
+        let life = self.lives.get(&name)?;
+        let record = registry.target(life.member)?;
+        registry.may_place(life.member, now).then(|| PickedTarget {
+            key,
+            name,
+            host: record.host.clone(),
+            incarnation: record.incarnation,
+            estimate,
+        })
+    }
+}
+
+/// The course of a whole answer.
+pub(super) struct AnswerCourse {
+    /// Time that the call occupied its target.
+    pub(super) in_slot: Duration,
+    /// Time from the first token to the last.
+    pub(super) decode: Duration,
+    pub(super) output_tokens: u64,
+    /// Tokens of the program that the target holds afterwards.
+    pub(super) held_tokens: u64,
+}
+
+fn pool_of(kind: &CallKind) -> PoolName {
+    match kind {
+        CallKind::Model { model, .. } => PoolName::Model(model.clone()),
+        CallKind::Service { service, .. } => PoolName::Service(service.clone()),
+    }
+}
+
+fn pools_of(kind: &TargetKind) -> Vec<PoolName> {
+    match kind {
+        TargetKind::Engine { models } => {
+            let models = models.iter().cloned();
+            models.map(|model: ModelName| PoolName::Model(model)).collect()
+        }
+        TargetKind::Service { service } => vec![PoolName::Service(service.clone())],
+    }
+}
--- a/crates/ebony_entry/src/process.rs
+++ b/crates/ebony_entry/src/process.rs
@@ -23,7 +23,7 @@
 use crate::burn::BurnCell;
 use crate::caller_api::{CallerMetrics, CallerServer, CallerState, ServerOptions};
 use crate::config::{ConfigActor, ConfigOptions, ConfigView, LinkConfig};
-use crate::dispatch::{DispatchActor, DispatchOptions, ReadReadiness};
+use crate::dispatch::{DispatchActor, DispatchMetrics, DispatchOptions, ReadReadiness, read_policy};
 use crate::owner::{LinkOwner, OwnerActor, OwnerOptions, ReadStatus, StartDrain, StorageClient, wall_now};
 use crate::peers::{PeerActor, PeerOptions, PeersListed, ShardRouter};
 use crate::platform::PlatformAccess;
@@ -187,9 +187,16 @@
         let dispatch = dispatch_context.run(DispatchActor::new(DispatchOptions {
             identity: identity.clone(),
             link: link.clone(),
+            heartbeat: settings.links.heartbeat,
+            host: settings.host.clone(),
+            domain: settings.failure_domain.clone(),
             hosts: Rc::clone(&platform.hosts),
+            hosts_interval: settings.platform.hosts.interval,
+            policy: read_policy(&settings.policy).context("cannot use the policy settings")?,
             placed: owner.clone().recipient(),
             ended: owner.clone().recipient(),
+            status: config.clone().recipient(),
+            metrics: DispatchMetrics::register(&registry)?,
             logger: logger.clone(),
         }));
         let peers = peer_context.run(PeerActor::new(
--- a/crates/ebony_membership/src/targets/mod.rs
+++ b/crates/ebony_membership/src/targets/mod.rs
@@ -115,6 +115,11 @@
         open.filter_map(|target| Some((target, self.targets.get(target)?)))
     }
 
+    /// Returns all known targets, whether or not they may receive work.
+    pub fn targets(&self) -> impl Iterator<Item = (TargetKey, &TargetRecord)> {
+        self.targets.iter()
+    }
+
     /// Returns a target.
     pub fn target(&self, target: TargetKey) -> Option<&TargetRecord> {
         self.targets.get(target)
--- a/crates/ebony_policy/src/placement/mod.rs
+++ b/crates/ebony_policy/src/placement/mod.rs
@@ -136,6 +136,11 @@
         }
     }
 
+    /// Changes the weight of latency against wasted cache, from 0 to 1.
+    pub fn set_latency_weight(&mut self, latency_weight: f64) {
+        self.latency_weight = latency_weight.clamp(0.0, 1.0);
+    }
+
     /// Returns the targets.
     pub fn table(&self) -> &TargetTable {
         &self.table
--- a/crates/ebony_policy/src/retry/mod.rs
+++ b/crates/ebony_policy/src/retry/mod.rs
@@ -63,6 +63,16 @@
         }
     }
 
+    /// Changes the options. What the present window has spent stays spent.
+    pub fn set_options(&mut self, options: RetryOptions) {
+        self.options = options;
+    }
+
+    /// Returns the options.
+    pub fn options(&self) -> &RetryOptions {
+        &self.options
+    }
+
     /// Records the first attempt of a call.
     pub fn record_first(&mut self, now: ClockTime) {
         self.roll(now);
