Bound kept answers under load and tighten the stand-ins' tests

An engine forgot ended answers only when one was resumed, so that a load run without resumes kept them all. Header values pass through the adapters if they are UTF-8; before, one value that was not visible ASCII failed the whole answer.

New tests: a dropped answer closes its connection, a cancelled call gives up its cached prefix, and the engine's request digest is that of CallRequest.

--- a/crates/ebony_platform/src/http/client.rs
+++ b/crates/ebony_platform/src/http/client.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use awc::http::header::HeaderValue;
 use awc::http::{Method, Uri};
 use awc::{Client, ClientRequest, ClientResponse};
 use bytes::Bytes;
@@ -148,7 +149,9 @@
         let uri: Uri = uri.parse().map_err(|_| refused("malformed path"))?;
         let mut request = self.client.request(method, uri);
         for field in call.headers.iter().filter(|field| is_passed_through(&field.name)) {
-            request = request.append_header((field.name.as_str(), field.value.as_str()));
+            let value = HeaderValue::from_bytes(field.value.as_bytes())
+                .map_err(|_| refused("malformed header value"))?;
+            request = request.append_header((field.name.as_str(), value));
         }
         Ok(request)
     }
@@ -192,9 +195,8 @@
         if !is_passed_through(name.as_str()) {
             continue;
         }
-        let value = value
-            .to_str()
-            .map_err(|_| PlatformError::Malformed(format!("the value of {name} is not visible ASCII")))?;
+        let value = std::str::from_utf8(value.as_bytes())
+            .map_err(|_| PlatformError::Malformed(format!("the value of {name} is not UTF-8")))?;
         fields.push(HeaderField {
             name: name.as_str().to_owned(),
             value: value.to_owned(),
--- a/crates/ebony_standins/src/engine/routes.rs
+++ b/crates/ebony_standins/src/engine/routes.rs
@@ -61,6 +61,7 @@
         state.log.borrow_mut().counts.refused += 1;
         return failure(HttpResponse::ServiceUnavailable(), code, "the call did not run");
     }
+    sweep(&state);
     let call = job.call;
     let record = run::start(&state, job);
     respond(&state, call, record, 0).await
--- a/crates/ebony_standins/src/proxy/forward.rs
+++ b/crates/ebony_standins/src/proxy/forward.rs
@@ -72,8 +72,14 @@
 ) -> Result<()> {
     let (sender, receiver) = mpsc::channel(MAX_HELD_PARTS);
     let reading = read_parts(state, direction, reader, sender);
-    let writing = write_parts(state, direction, writer, receiver);
-    let ((), ()) = tokio::try_join!(reading, writing)?;
+    let part_writer = PartWriter {
+        state,
+        direction,
+        writer,
+        receiver,
+        forwarded: 0,
+    };
+    let ((), ()) = tokio::try_join!(reading, part_writer.run())?;
     Ok(())
 }
 
@@ -103,46 +109,63 @@
     }
 }
 
-async fn write_parts(
-    state: &ProxyState,
+/// Writes the parts of one direction as its settings ask.
+struct PartWriter<'a> {
+    state: &'a ProxyState,
     direction: Direction,
-    mut writer: OwnedWriteHalf,
-    mut receiver: mpsc::Receiver<HeldPart>,
-) -> Result<()> {
-    let mut forwarded = 0;
-    loop {
-        let is_cut = |settings: &ProxySettings| direction.settings(settings).mode == DirectionMode::Cut;
+    writer: OwnedWriteHalf,
+    receiver: mpsc::Receiver<HeldPart>,
+    forwarded: u64,
+}
+
+impl PartWriter<'_> {
+    async fn run(mut self) -> Result<()> {
+        while let Some(part) = self.next_part().await {
+            self.write(&part.bytes).await?;
+        }
+        self.writer.shutdown().await.map_err(|_| ConnectionEnd)
+    }
+
+    /// Returns the next part when it is due and not frozen; `None` at the end of the input, or when it is cut.
+    async fn next_part(&mut self) -> Option<HeldPart> {
+        let direction = self.direction;
+        let mode = move |settings: &ProxySettings| direction.settings(settings).mode;
         let part = tokio::select! {
-            part = receiver.recv() => part,
-            () = state.settings.wait_for(is_cut) => None,
+            part = self.receiver.recv() => part,
+            () = self.state.settings.wait_for(|settings| mode(settings) == DirectionMode::Cut) => None,
         };
         if let Some(part) = &part {
             sleep_until(part.due).await;
         }
-        let is_thawed = |settings: &ProxySettings| direction.settings(settings).mode != DirectionMode::Frozen;
-        state.settings.wait_for(is_thawed).await;
-        let settings = state.settings.read(|settings| direction.settings(settings));
-        let part = part.filter(|_| settings.mode != DirectionMode::Cut);
-        let Some(part) = part else {
-            return writer.shutdown().await.map_err(|_| ConnectionEnd);
-        };
-        let allowed = settings
+        self.state
+            .settings
+            .wait_for(|settings| mode(settings) != DirectionMode::Frozen)
+            .await;
+        let is_cut = self
+            .state
+            .settings
+            .read(|settings| mode(settings) == DirectionMode::Cut);
+        part.filter(|_| !is_cut)
+    }
+
+    async fn write(&mut self, bytes: &[u8]) -> Result<()> {
+        let settings = self
+            .state
+            .settings
+            .read(|settings| self.direction.settings(settings));
+        let remaining = settings
             .cut_after_bytes
-            .map_or(u64::MAX, |limit| limit.saturating_sub(forwarded));
-        let length = part
-            .bytes
-            .len()
-            .min(usize::try_from(allowed).unwrap_or(usize::MAX));
-        writer
-            .write_all(&part.bytes[..length])
-            .await
-            .map_err(|_| ConnectionEnd)?;
-        forwarded += length as u64;
-        count(state, direction, length as u64);
-        if settings.cut_after_bytes.is_some_and(|limit| forwarded >= limit) {
-            state.seen.change(|seen| seen.cut += 1);
+            .map_or(u64::MAX, |limit| limit.saturating_sub(self.forwarded));
+        let length = (bytes.len() as u64).min(remaining);
+        let written = self.writer.write_all(&bytes[..length as usize]).await;
+        written.map_err(|_| ConnectionEnd)?;
+        self.forwarded += length;
+        count(self.state, self.direction, length);
+        if length == remaining {
+            self.state.seen.change(|seen| seen.cut += 1);
             return Err(ConnectionEnd);
         }
+        Ok(())
     }
 }
 
--- a/crates/ebony_standins/tests/engine.rs
+++ b/crates/ebony_standins/tests/engine.rs
@@ -11,9 +11,9 @@
 };
 use ebony_standins::FaultSettings;
 use ebony_standins::engine::{
-    self, EchoAnswer, EngineControl, EngineOptions, EngineSeen, EngineSettings, answer_text,
+    self, ChatRequest, EchoAnswer, EngineControl, EngineOptions, EngineSeen, EngineSettings, answer_text,
 };
-use ebony_types::{CallId, FencingToken, ModelName};
+use ebony_types::{CallId, CallKind, CallRequest, CallerName, FencingToken, ModelName};
 use futures_util::StreamExt;
 use support::{EngineFixture, MODEL, call, call_id, program, prompt, read, request};
 
@@ -43,6 +43,26 @@
     bail!("the body ended as if it were whole")
 }
 
+/// Returns the digest under which the system knows a request.
+fn model_digest(request: &ChatRequest) -> Result<String> {
+    let call = CallRequest {
+        call: call_id(9),
+        program: None,
+        caller: CallerName::parse("caller")?,
+        kind: CallKind::Model {
+            model: ModelName::parse(MODEL)?,
+            is_streamed: false,
+            prompt_tokens: 0,
+            max_output_tokens: 0,
+        },
+        headers: Vec::new(),
+        body: Bytes::from(serde_json::to_vec(request)?),
+        idempotency_key: None,
+        timeout_ms: 0,
+    };
+    Ok(call.digest().to_string())
+}
+
 /// Guards against answers that are not whole or belong to another call, and against changes of their form.
 #[actix_rt::test]
 async fn answers_are_whole_and_have_a_stable_form() -> Result<()> {
@@ -50,6 +70,8 @@
     let plain = request(&prompt("hello"), 3, false);
     let answer = fixture.engine.complete(call(1, &plain)?).await?;
     let body = read(answer).await?;
+    let digest = fixture.control.recent_runs().await?[0].request.clone();
+    assert_eq!(digest, model_digest(&plain)?);
     insta::assert_snapshot!("plain_answer", std::str::from_utf8(&body)?);
     let streamed = request(&prompt("hello"), 2, true);
     let answer = fixture.engine.complete(call(2, &streamed)?).await?;
--- a/crates/ebony_standins/tests/engine_cache.rs
+++ b/crates/ebony_standins/tests/engine_cache.rs
@@ -6,7 +6,10 @@
 use ebony_platform::{EngineCall, EngineOrder, EngineTarget, PlatformError};
 use ebony_standins::engine::{ChatMessage, EngineSettings};
 use ebony_types::FencingToken;
-use support::{EngineFixture, call, program, prompt, read, request};
+use support::{EngineFixture, call, call_id, program, prompt, read, request};
+
+/// How often a condition is looked at before a test goes on.
+const MAX_LOOKS: u32 = 2_000;
 
 /// Guards against wrong counts of filled, reused and wasted tokens, which the second metric rests on.
 #[actix_rt::test]
@@ -117,3 +120,39 @@
     );
     Ok(())
 }
+
+/// Guards against a cancelled call that keeps its program's prefix from eviction for ever.
+#[actix_rt::test]
+async fn cancelled_calls_no_longer_hold_their_prefix() -> Result<()> {
+    let settings = EngineSettings {
+        cache_tokens: 60,
+        is_hung: true,
+        ..EngineSettings::default()
+    };
+    let fixture = EngineFixture::spawn(settings).await?;
+    let cancelled = call(1, &request(&prompt(&"x".repeat(100)), 1, true))?;
+    let answer = fixture.engine.complete(cancelled).await?;
+    // The call runs once its prompt is held.
+    for _ in 0..MAX_LOOKS {
+        if !fixture.engine.held().await?.is_empty() {
+            break;
+        }
+    }
+    fixture.engine.cancel(call_id(1)).await?;
+    assert!(read(answer).await.is_err());
+    fixture
+        .control
+        .change(|settings| settings.is_hung = false)
+        .await?;
+    let large = EngineCall {
+        program: program(2),
+        ..call(2, &request(&prompt(&"y".repeat(160)), 1, false))?
+    };
+    read(fixture.engine.complete(large).await?).await?;
+    let held = fixture.engine.held().await?;
+    assert_eq!(
+        held.iter().map(|held| held.program).collect::<Vec<_>>(),
+        [program(2)]
+    );
+    Ok(())
+}
--- a/crates/ebony_standins/tests/proxy.rs
+++ b/crates/ebony_standins/tests/proxy.rs
@@ -4,7 +4,11 @@
 
 use anyhow::{Result, bail};
 use bytes::Bytes;
-use ebony_platform::{HttpTable, PlatformError, RequestLimits, RowKey, TableService, WriteNonce};
+use ebony_platform::protocol::engine_route;
+use ebony_platform::{
+    HttpService, HttpTable, PlatformError, RequestLimits, RowKey, ServiceCall, ServiceTarget, TableService,
+    WriteNonce,
+};
 use ebony_standins::engine::{EngineControl, EngineOptions, EngineSettings};
 use ebony_standins::load::{FailureKind, LoadDriver, LoadPlan, ProgramMode};
 use ebony_standins::proxy::{self, DirectionMode, ProxyControl, ProxyOptions, ProxySettings};
@@ -134,6 +138,40 @@
     Ok(())
 }
 
+/// Guards against a dropped answer that keeps its connection, and with it the request, for ever.
+#[actix_rt::test]
+async fn dropping_an_answer_closes_its_connection() -> Result<()> {
+    let settings = EngineSettings {
+        is_hung: true,
+        ..EngineSettings::default()
+    };
+    let engine = engine_options(settings)?.spawn().await?;
+    let proxy = proxy::spawn(ProxyOptions::to(engine.address().data)).await?;
+    let control = ProxyControl::open(proxy.address().control);
+    let limits = RequestLimits {
+        max_connections: 1,
+        ..RequestLimits::for_targets()
+    };
+    let service = HttpService::open(&proxy.url(), limits)?;
+    for _ in 0..3 {
+        let call = ServiceCall {
+            method: "POST".to_owned(),
+            path: engine_route::COMPLETE.to_owned(),
+            headers: Vec::new(),
+            body: Bytes::from_static(br#"{"model": "kalo-70b", "messages": [], "stream": true}"#),
+        };
+        assert_eq!(service.send(call).await?.status, 200);
+    }
+    for _ in 0..MAX_LOOKS {
+        let seen = control.seen().await?;
+        if seen.open == 0 {
+            assert_eq!(seen.accepted, 3);
+            return Ok(());
+        }
+    }
+    bail!("a connection stayed open")
+}
+
 fn engine_options(settings: EngineSettings) -> Result<StandinOptions> {
     Ok(StandinOptions::Engine(EngineOptions {
         models: vec![ModelName::parse("kalo-70b")?],
