--- a/crates/ebony_side/src/actor/drain.rs
+++ b/crates/ebony_side/src/actor/drain.rs
@@ -1,12 +1,18 @@
 //! The planned stop: calls under way end, new ones are refused, and answers reach their entries.
 
+use std::time::Duration;
+
 use actix::{ActorContext, AsyncContext, Context, Handler, Message};
+use ebony_types::ClockTime;
 use ebony_wire::SideFrame;
 use slog::info;
 use tokio::sync::oneshot;
 
 use super::SideActor;
 
+/// The longest wait for entries to close their ends of the links. What was sent has left the process long before.
+const CLOSE_TIME: Duration = Duration::from_secs(1);
+
 /// Begins the drain. The sender is used when nothing is left to do and all links are closed.
 #[derive(Message)]
 #[rtype(result = "()")]
@@ -22,7 +28,8 @@
 pub(super) struct DrainState {
     done: Option<oneshot::Sender<()>>,
     is_draining: bool,
-    is_closing: bool,
+    /// Since when the links are being closed.
+    closing_since: Option<ClockTime>,
     /// Links whose receiving end is open, replaced ones included.
     streams: usize,
 }
@@ -34,7 +41,15 @@
 
     /// Returns `true` when no further link is taken.
     pub(super) fn is_closing(&self) -> bool {
-        self.is_closing
+        self.closing_since.is_some()
+    }
+
+    /// Tells whoever began the drain that nothing is left to do.
+    fn finish(&mut self) {
+        if let Some(done) = self.done.take() {
+            // Without a receiver, the time for the drain is over.
+            let _ = done.send(());
+        }
     }
 
     pub(super) fn add_stream(&mut self) {
@@ -52,17 +67,16 @@
         if !self.drain.is_draining {
             return;
         }
-        if !self.drain.is_closing && self.ledger.open_calls() == 0 && self.deliveries.are_sent() {
-            self.drain.is_closing = true;
+        let now = self.now();
+        if !self.drain.is_closing() && self.ledger.open_calls() == 0 && self.deliveries.are_sent() {
+            self.drain.closing_since = Some(now);
             // The links send what waits in their queues before they close.
             self.links.clear();
         }
-        if self.drain.is_closing
-            && self.drain.streams == 0
-            && let Some(done) = self.drain.done.take()
-        {
-            // Without a receiver, the time for the drain is over.
-            let _ = done.send(());
+        let has_waited = |since: ClockTime| now.since(since) >= CLOSE_TIME;
+        let is_closing = self.drain.is_closing();
+        if is_closing && (self.drain.streams == 0 || self.drain.closing_since.is_some_and(has_waited)) {
+            self.drain.finish();
         }
     }
 }
--- /dev/null
+++ b/crates/ebony_side/tests/side/memory.rs
@@ -0,0 +1,80 @@
+//! Guards against engine memory that stays held for programs that no longer exist.
+
+use anyhow::{Result, ensure};
+use ebony_standins::engine::EngineSettings;
+use ebony_standins::{FaultSettings, OutageMode};
+use ebony_types::FencingToken;
+use ebony_wire::EntryFrame;
+
+use crate::fixture::{SideFixture, SidePlan, call_id, chat, model_order, program, wait_for};
+
+/// Fails if a release is given up when its first orders are lost or refused.
+#[actix_rt::test]
+async fn a_release_is_repeated_until_the_engine_holds_nothing() -> Result<()> {
+    let side = SideFixture::spawn(SidePlan::default()).await?;
+    let mut link = side.link("entry-1").await?;
+    let request = chat("remember this", 50);
+    link.dispatch(&model_order(1, &request))?;
+    link.read(call_id(1)).await?.check_stream(&request)?;
+    ensure!(side.engine().seen().await?.held_tokens > 0);
+    let outage = FaultSettings {
+        outage: OutageMode::Reject,
+        ..FaultSettings::default()
+    };
+    side.engine().set_faults(outage).await?;
+    let rejected = side.engine().faults_seen().await?.rejected;
+    link.send(EntryFrame::Release {
+        program: program(1),
+        token: FencingToken(1),
+    })?;
+    while side.engine().faults_seen().await?.rejected < rejected + 2 {}
+    side.engine().set_faults(FaultSettings::default()).await?;
+    wait_for(side.engine(), "no held tokens", |seen| seen.held_tokens == 0).await?;
+    Ok(())
+}
+
+/// Fails if memory outlasts the lease of a program that no entry vouches for, or if a vouched one loses it.
+#[actix_rt::test]
+async fn memory_without_a_vouching_entry_is_released() -> Result<()> {
+    let side = SideFixture::spawn(SidePlan {
+        vouch_lease: "2s",
+        ..SidePlan::default()
+    })
+    .await?;
+    let mut link = side.link("entry-1").await?;
+    let request = chat("remember this", 50);
+    for number in 1..=2 {
+        link.dispatch(&model_order(number, &request))?;
+        link.read(call_id(number)).await?.check_stream(&request)?;
+    }
+    let both = side.engine().seen().await?.held_tokens;
+    loop {
+        let programs = vec![program(1)];
+        link.send(EntryFrame::Vouch { programs })?;
+        link.sync().await?;
+        if side.engine().seen().await?.held_tokens < both {
+            break;
+        }
+    }
+    let held = side.engine().seen().await?.held_tokens;
+    ensure!(held == both / 2, "{held} of {both} tokens");
+    wait_for(side.engine(), "no held tokens", |seen| seen.held_tokens == 0).await?;
+    Ok(())
+}
+
+/// Fails if memory from before the side process's start is never found.
+#[actix_rt::test]
+async fn a_new_side_process_releases_what_its_predecessor_left() -> Result<()> {
+    let settings = EngineSettings::default();
+    let side = SideFixture::spawn(SidePlan {
+        engines: vec![settings],
+        vouch_lease: "300ms",
+        ..SidePlan::default()
+    })
+    .await?;
+    // The program's prefix appears without the process's knowledge.
+    side.fill_directly(program(9)).await?;
+    ensure!(side.engine().seen().await?.held_tokens > 0);
+    wait_for(side.engine(), "no held tokens", |seen| seen.held_tokens == 0).await?;
+    Ok(())
+}
