--- a/crates/ebony_side/src/actor/admission.rs
+++ b/crates/ebony_side/src/actor/admission.rs
@@ -1,5 +1,7 @@
 //! Takes calls into the queues of their targets, or refuses them with the true verdict.
 
+use std::time::Duration;
+
 use actix::Context;
 use ebony_ledger::LedgerDecision;
 use ebony_policy::{EngineSpeed, QueuedCall};
@@ -22,7 +24,7 @@
     pub(super) fn admit(&mut self, link: LinkKey, order: DispatchOrder, context: &mut Context<Self>) {
         let now = self.now();
         let call = order.request.call;
-        let timeout = std::time::Duration::from_millis(u64::from(order.request.timeout_ms));
+        let timeout = Duration::from_millis(u64::from(order.request.timeout_ms));
         match self.ledger.admit(&order, now) {
             LedgerDecision::Run => {
                 debug!(self.logger, "call admitted"; "call" => %call, "caller" => %order.request.caller,
@@ -55,7 +57,7 @@
     fn enqueue(&mut self, link: LinkKey, order: DispatchOrder, context: &mut Context<Self>) {
         let now = self.now();
         let call = order.request.call;
-        let timeout = std::time::Duration::from_millis(u64::from(order.request.timeout_ms));
+        let timeout = Duration::from_millis(u64::from(order.request.timeout_ms));
         if let Err(problem) = self.push(&order) {
             // The ledger adds what earlier attempts under the call mean for the verdict.
             let problem = self.ledger.fail(call, problem.clone(), now).unwrap_or(problem);
@@ -85,7 +87,7 @@
             let problem = ProblemReport::not_run(ProblemCode::NoTarget, "the target is down");
             return Err(problem.retry_after(RETRY_SECONDS));
         }
-        let timeout = std::time::Duration::from_millis(u64::from(order.request.timeout_ms));
+        let timeout = Duration::from_millis(u64::from(order.request.timeout_ms));
         let queued = QueuedCall {
             call: order.request.call,
             program,
--- a/crates/ebony_side/src/actor/control.rs
+++ b/crates/ebony_side/src/actor/control.rs
@@ -52,16 +52,22 @@
             let Some((order, token)) = self.permit(name, &job) else {
                 continue;
             };
-            if let Some(state) = self.engine_mut(name) {
-                state.is_busy = true;
-            }
+            let Some(state) = self.engine_mut(name) else {
+                return;
+            };
+            state.is_busy = true;
+            let crashes = state.crashes;
             let name = name.clone();
             let running = run_job(engine, order, token).into_actor(self);
             let running = running.map(move |reply, actor, context| {
-                if let Some(state) = actor.engine_mut(&name) {
-                    state.is_busy = false;
+                let Some(state) = actor.engine_mut(&name) else {
+                    return;
+                };
+                state.is_busy = false;
+                let is_present = state.crashes == crashes || matches!(job, EngineJob::Load(..));
+                if is_present {
+                    actor.finish_job(&name, &job, reply);
                 }
-                actor.finish_job(&name, &job, reply);
                 actor.drive_engine(&name, context);
                 actor.rearm(context);
             });
--- a/crates/ebony_side/src/actor/crash.rs
+++ b/crates/ebony_side/src/actor/crash.rs
@@ -1,5 +1,6 @@
 //! Detects crashes of targets: a closed port, or an answer of another incarnation.
 
+use std::rc::Rc;
 use std::time::Duration;
 
 use actix::{ActorFutureExt, AsyncContext, Context, WrapFuture};
@@ -9,8 +10,9 @@
 use slog::{info, warn};
 use tokio::time::sleep;
 
+use super::ending::cancel_on;
 use super::{SideActor, new_life};
-use crate::target::{ProbeOutcome, probe};
+use crate::target::{ProbeOutcome, TargetAdapter, probe};
 
 /// The wait before the first probe after a broken connection. A crashed process may close its connections a moment
 /// before its port.
@@ -19,6 +21,9 @@
 /// Probes after a broken connection; the wait doubles with each, so that they cover 6 seconds.
 const MAX_PROBES: u32 = 8;
 
+/// Failed calls of one target that are watched at once. Further ones count as no crash.
+const MAX_UNRESOLVED: usize = 256;
+
 /// The time between two looks at a target that is down.
 const DOWN_PROBE: Duration = Duration::from_millis(200);
 
@@ -28,6 +33,9 @@
         let Some(target) = self.targets.get_mut(name) else {
             return;
         };
+        if target.unresolved.len() >= MAX_UNRESOLVED {
+            return self.ledger.stopped(name, call);
+        }
         target.unresolved.insert(call);
         let address = target.open.address;
         let probing = async move {
@@ -110,10 +118,12 @@
         warn!(self.logger, "target crashed"; "target" => %name, "failed_calls" => outcome.failed.len());
         self.metrics.crashes.with_label_values(&[name.as_str()]).inc();
         target.unresolved.clear();
+        let mut aborted = Vec::new();
         target.running.retain(|call, running| {
             let survives = Some(*call) == survivor;
             if !survives {
                 running.abort.abort();
+                aborted.push(*call);
             }
             survives
         });
@@ -125,6 +135,13 @@
                     .map(|program| engine.held.start_call(program, now));
             }
         }
+        if let (Some(_), TargetAdapter::Engine(engine)) = (survivor, target.open.adapter.clone()) {
+            // A call that started in the present life without an answer yet would run on for nobody.
+            for call in aborted {
+                let cancelling = cancel_on(Rc::clone(&engine), call, self.logger.clone());
+                context.spawn(cancelling.into_actor(self));
+            }
+        }
         for call in &outcome.failed {
             self.finish(*call, context);
         }
--- a/crates/ebony_side/src/actor/ending.rs
+++ b/crates/ebony_side/src/actor/ending.rs
@@ -1,11 +1,13 @@
 //! Ends calls: cancellation, and what follows from every end.
 
+use std::rc::Rc;
 use std::time::Duration;
 
 use actix::{ActorFutureExt, AsyncContext, Context, WrapFuture};
 use ebony_ledger::{AnswerOutcome, CancelDecision};
+use ebony_platform::EngineTarget;
 use ebony_types::{CallId, ProblemCode, TargetName};
-use slog::{info, warn};
+use slog::{Logger, info, warn};
 use tokio::time::sleep;
 
 use super::SideActor;
@@ -34,11 +36,13 @@
     ) {
         let now = self.now();
         let target = self.ledger.target(call).cloned();
+        // The queue knows an attached call by the one that was admitted first.
+        let first = self.ledger.first_call(call).unwrap_or(call);
         self.deadlines.remove(call);
         match self.ledger.cancel(call, cause, now) {
             CancelDecision::Dequeue(problem) => {
                 if let Some(target) = target {
-                    self.dequeue(&target, call, context);
+                    self.dequeue(&target, first, context);
                 }
                 self.fail_delivery(call, link, problem);
             }
@@ -62,7 +66,6 @@
     fn dequeue(&mut self, name: &TargetName, call: CallId, context: &mut Context<Self>) {
         let now = self.now();
         if let Some(target) = self.targets.get_mut(name) {
-            // An attached call may wait under the call that was admitted first.
             target.forget_waiting(call, now);
         }
         self.schedule(name, context);
@@ -82,16 +85,7 @@
             return self.stopped(name, call, context);
         };
         let name = name.clone();
-        let logger = self.logger.clone();
-        let cancelling = async move {
-            for attempt in 0..MAX_CANCELS {
-                if engine.cancel(call).await.is_ok() {
-                    return;
-                }
-                sleep(CANCEL_WAIT * (1 << attempt)).await;
-            }
-            warn!(logger, "the engine did not confirm a cancellation"; "call" => %call);
-        };
+        let cancelling = cancel_on(engine, call, self.logger.clone());
         let cancelling = cancelling.into_actor(self).map(move |(), actor, context| {
             actor.stopped(&name, call, context);
         });
@@ -134,3 +128,14 @@
         self.check_drained();
     }
 }
+
+/// Cancels a call on an engine, with a bounded number of attempts.
+pub(super) async fn cancel_on(engine: Rc<dyn EngineTarget>, call: CallId, logger: Logger) {
+    for attempt in 0..MAX_CANCELS {
+        if engine.cancel(call).await.is_ok() {
+            return;
+        }
+        sleep(CANCEL_WAIT * (1 << attempt)).await;
+    }
+    warn!(logger, "the engine did not confirm a cancellation"; "call" => %call);
+}
--- a/crates/ebony_side/src/actor/reports.rs
+++ b/crates/ebony_side/src/actor/reports.rs
@@ -84,7 +84,7 @@
         if target.is_down || std::mem::replace(&mut engine.is_polled, true) {
             return;
         }
-        let after = engine.notice;
+        let (after, crashes) = (engine.notice, engine.crashes);
         let engine = Rc::clone(&engine.engine);
         let polling = async move {
             let load = engine.load().await?;
@@ -100,8 +100,12 @@
         };
         let name = name.clone();
         let polling = polling.into_actor(self).map(move |result, actor, context| {
-            if let Some(engine) = actor.engine_mut(&name) {
-                engine.is_polled = false;
+            let Some(engine) = actor.engine_mut(&name) else {
+                return;
+            };
+            engine.is_polled = false;
+            if engine.crashes != crashes {
+                return;
             }
             match result {
                 Ok((load, notices)) => {
--- a/crates/ebony_side/src/target/state.rs
+++ b/crates/ebony_side/src/target/state.rs
@@ -62,6 +62,8 @@
     pub(crate) load: Option<EngineLoad>,
     /// The number of the last cache notice.
     pub(crate) notice: u64,
+    /// Counts the engine's crashes, so that replies from before one do not count.
+    pub(crate) crashes: u64,
 }
 
 impl EngineState {
@@ -76,6 +78,7 @@
             token: FencingToken::default(),
             load: None,
             notice: 0,
+            crashes: 0,
         }
     }
 
@@ -94,6 +97,7 @@
         self.jobs.retain(|job| matches!(job, EngineJob::Load(..)));
         self.has_listed = false;
         self.notice = 0;
+        self.crashes += 1;
         self.load = None;
     }
 }
@@ -109,7 +113,7 @@
     /// Bounded by the target's slots.
     pub(crate) running: BTreeMap<CallId, RunningCall>,
     /// Failed calls whose connection broke while nothing shows whether the target crashed. Each leaves when its
-    /// probes end.
+    /// probes end; their number is bounded.
     pub(crate) unresolved: BTreeSet<CallId>,
     /// Whether the target's port was closed at the last look.
     pub(crate) is_down: bool,
--- a/crates/ebony_side/tests/side/crashes.rs
+++ b/crates/ebony_side/tests/side/crashes.rs
@@ -7,7 +7,7 @@
 use ebony_types::{ProblemCode, RunVerdict};
 use ebony_wire::SideFrame;
 
-use crate::fixture::{SideFixture, SidePlan, call_id, chat, model_order, target, wait_for};
+use crate::fixture::{SideFixture, SidePlan, call_id, chat, model_order, service_order, target, wait_for};
 
 /// Fails if a crash leaves a call without an answer, or gives it another verdict than the true one.
 #[actix_rt::test]
@@ -80,3 +80,65 @@
     }
     Ok(())
 }
+
+/// Fails if a key whose run was cut off by a crash runs again, or is called not run.
+#[actix_rt::test]
+async fn a_key_does_not_run_again_after_a_crash() -> Result<()> {
+    let side = SideFixture::spawn(SidePlan::default()).await?;
+    let mut link = side.link("entry-1").await?;
+    for number in 1..=2 {
+        link.dispatch(&service_order(number, "key-1", "[[crash-service]]"))?;
+        let problem = link.read(call_id(number)).await?.problem()?;
+        ensure!(problem.run == RunVerdict::MayHaveRun, "{problem:?}");
+    }
+    ensure!(side.service.runs_of("key-1").await? == 1);
+    Ok(())
+}
+
+/// Fails if a crash goes unnoticed when the target is back before anything finds its port closed, or counts twice.
+#[actix_rt::test]
+async fn a_quick_restart_counts_as_one_crash() -> Result<()> {
+    let settings = EngineSettings {
+        is_hung: true,
+        ..EngineSettings::default()
+    };
+    let side = SideFixture::spawn(SidePlan {
+        engines: vec![settings],
+        ..SidePlan::default()
+    })
+    .await?;
+    let mut link = side.link("entry-1").await?;
+    let order = model_order(1, &chat("hangs", 10));
+    link.dispatch(&order)?;
+    wait_for(side.engine(), "a running call", |seen| seen.running == 1).await?;
+    side.engine().crash(Duration::ZERO).await?;
+    side.engine().restart().await?;
+    let problem = link.read(call_id(1)).await?.problem()?;
+    ensure!(problem.run == RunVerdict::MayHaveRun, "{problem:?}");
+    side.engine().change(|settings| settings.is_hung = false).await?;
+    let request = chat("goes on", 10);
+    for number in 2..=u8::MAX {
+        // The looks give a target that was found down the time to be found again.
+        for _ in 0..50 {
+            side.engine().seen().await?;
+        }
+        link.dispatch(&model_order(number, &request))?;
+        let answer = link.read(call_id(number)).await?;
+        if answer.problem.is_none() {
+            answer.check_stream(&request)?;
+            break;
+        }
+        ensure!(number < u8::MAX, "{answer:?}");
+    }
+    let sites = link.wait(|frame| match frame {
+        SideFrame::Crashes(reports) => {
+            let report = reports
+                .iter()
+                .find(|report| report.digest == order.request.digest());
+            report.map(|report| report.sites.len())
+        }
+        _ => None,
+    });
+    ensure!(sites.await? == 1);
+    Ok(())
+}
