Add the operators' command

ebonyctl reads, changes and watches the configuration, looks after exceptions, targets and programs, and reports on service levels over HTTP. Its test executable is the daemon of the fleets that it starts, so that operators race from real processes against real entries.

--- a/crates/ebony_fleet/src/fleet.rs
+++ b/crates/ebony_fleet/src/fleet.rs
@@ -308,8 +308,16 @@
     ///
     /// Fails if the entry has no address.
     pub fn operator(&self, entry: usize) -> Result<CallerClient> {
-        let address = self.entries[entry].child.address("administration")?;
-        Ok(CallerClient::open(address, OPERATOR_KEY))
+        Ok(CallerClient::open(self.administration(entry)?, OPERATOR_KEY))
+    }
+
+    /// Returns an entry's administration address.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the entry has no address.
+    pub fn administration(&self, entry: usize) -> Result<SocketAddr> {
+        self.entries[entry].child.address("administration")
     }
 
     /// Kills an entry and starts another process in its place, which has no memory of it. Does not wait until it is
--- a/crates/ebonyctl/src/main.rs
+++ b/crates/ebonyctl/src/main.rs
@@ -1,3 +1,7 @@
 //! The operators' command of ebonyswitch.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    ebonyctl::main_from_arguments()
+}
--- /dev/null
+++ b/crates/ebonyctl/tests/command_line.rs
@@ -0,0 +1,203 @@
+//! The command line by itself, and against an entry that a small server plays.
+
+use std::sync::{Arc, Mutex};
+
+use actix_web::{App, HttpRequest, HttpResponse, HttpServer, web};
+use clap::{CommandFactory, Parser};
+use ebonyctl::command::ControlCommand;
+use ebonyctl::error::ControlError;
+use ebonyctl::run::Session;
+use ebonyctl::{event_stream::EventReader, render};
+use serde_json::{Value, json};
+
+/// Guards against options that disappear or change their meaning, which breaks operators' scripts.
+#[test]
+fn help_teaches_every_command() {
+    // The width must not depend on the terminal that runs the test.
+    let mut command = ControlCommand::command().term_width(100);
+    command.build();
+    insta::assert_snapshot!("help", command.render_long_help());
+    let mut texts = Vec::new();
+    for topic in command.get_subcommands_mut() {
+        for action in topic.get_subcommands_mut() {
+            texts.push(action.render_help().to_string());
+        }
+    }
+    insta::assert_snapshot!("help_of_commands", texts.join("\n----\n"));
+}
+
+/// Guards against keys on the command line, where every process of the host can read them.
+#[test]
+fn wrong_arguments_are_refused() {
+    let refused = [
+        "ebonyctl --key secret config get",
+        "ebonyctl exceptions add x --model kalo --set a.b=1",
+        "ebonyctl exceptions add x --reason r --set a.b=1",
+        "ebonyctl exceptions add x --model m --caller c --reason r --set a.b=1",
+        "ebonyctl config watch --once --until 3",
+    ];
+    for line in refused {
+        assert!(ControlCommand::try_parse_from(line.split(' ')).is_err(), "{line}");
+    }
+}
+
+/// Guards against tables that lose a column or pass control characters on to the terminal.
+#[test]
+fn tables_are_for_people() {
+    let document = json!({"exceptions": {"kalo-queue": {
+        "scope": {"model": "kalo"}, "values": {"admission": {"queue_calls": 32}},
+        "reason": "slow \u{1b}[31mstart", "author": "sela", "expires": 1_764_806_400,
+    }}});
+    let history = json!({"records": [
+        {"version": 8, "author": "sela", "time": 1_764_720_000, "reverts": 6, "summary": ""},
+        {"version": 7, "author": "tomasi", "time": 1_764_719_000, "summary": "a summary ".repeat(20)},
+    ]});
+    let status = json!({"newest": 8, "processes": [
+        {"process": "entry-1", "version": 8, "reported_ms_ago": 12, "lag_ms": 0, "is_silent": false},
+        {"process": "side-kalo-1", "version": 7, "reported_ms_ago": 11_000, "lag_ms": 900, "is_silent": true},
+    ]});
+    let program = json!({"id": "p-0007-00", "state": "open", "turns": 3, "used": {"calls": 4, "tokens": 90},
+        "budget_left": {"calls": 6, "tokens": 10}, "open_children": []});
+    let targets = json!({"targets": [{"target": "kalo-1", "process": "side-kalo-1", "domain": "suva-a",
+        "state": "draining", "serves": ["kalo"], "running": 2, "queued": 0}]});
+    let tables = [
+        render::exception_table(&document),
+        render::history_table(&history),
+        render::status_table(&status),
+        render::program_table(&program),
+        render::target_table(&targets),
+    ];
+    insta::assert_snapshot!("tables", tables.join("\n"));
+}
+
+/// Guards against events that are lost or doubled when the network cuts the stream anywhere.
+#[test]
+fn events_survive_any_cut_of_the_stream() {
+    let stream =
+        b": still here\n\nevent: status\ndata: {\"newest\":7}\n\nevent: change\ndata: {\"to\":8}\n\n";
+    for cut in 0..stream.len() {
+        let mut reader = EventReader::default();
+        let mut events = reader.push(&stream[..cut]);
+        events.extend(reader.push(&stream[cut..]));
+        let names: Vec<&str> = events.iter().map(|event| event.name.as_str()).collect();
+        assert_eq!(names, ["status", "change"], "cut at {cut}");
+        assert_eq!(events[1].data["to"], 8);
+    }
+}
+
+/// An entry that a small server plays: it keeps requests and answers changes with one status and body.
+struct FakeEntry {
+    url: String,
+    seen: Arc<Mutex<Vec<String>>>,
+}
+
+impl FakeEntry {
+    fn start(status: u16, answer: Value) -> Self {
+        let seen = Arc::new(Mutex::new(Vec::new()));
+        let shared = Arc::clone(&seen);
+        let server = HttpServer::new(move || {
+            let (seen, answer) = (Arc::clone(&shared), answer.clone());
+            let handle = move |request: HttpRequest, body: web::Bytes| {
+                let (seen, answer) = (Arc::clone(&seen), answer.clone());
+                let status = if request.method() == "GET" { 200 } else { status };
+                let key = request
+                    .headers()
+                    .get("authorization")
+                    .and_then(|key| key.to_str().ok());
+                let line = format!(
+                    "{} {} {key:?} {}",
+                    request.method(),
+                    request.uri(),
+                    body.len() > 2
+                );
+                seen.lock().expect("no panic").push(line);
+                async move { HttpResponse::build(status.try_into().expect("a status")).json(answer) }
+            };
+            App::new().default_service(web::to(handle))
+        });
+        let server = server.workers(1).disable_signals();
+        let server = server.bind("127.0.0.1:0").expect("a port");
+        let url = format!("http://{}", server.addrs()[0]);
+        actix_web::rt::spawn(server.run());
+        Self { url, seen }
+    }
+}
+
+/// Returns the URL of an entry that is gone: its port was free a moment ago.
+fn gone_entry() -> String {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+    format!("http://{}", listener.local_addr().expect("an address"))
+}
+
+async fn run(entries: &[&str], arguments: &[&str]) -> Result<String, ControlError> {
+    let folder = tempfile::tempdir().expect("a folder");
+    let key = folder.path().join("key");
+    std::fs::write(&key, "operator-key\n").expect("a file");
+    let key = key.to_str().expect("a text").to_owned();
+    let mut line = vec!["ebonyctl", "--key-file", &key];
+    for entry in entries {
+        line.extend(["--entry", entry]);
+    }
+    line.extend(arguments);
+    let command = ControlCommand::try_parse_from(line).expect("the arguments are right");
+    let mut output = Vec::new();
+    let mut session = Session::open(&command.access, &mut output)?;
+    session.run(&command.topic).await?;
+    drop(session);
+    Ok(String::from_utf8(output).expect("a text"))
+}
+
+/// Guards against a change that is sent to a second entry after the first may have taken it, and against an entry that
+/// is gone and stops operators.
+#[actix_web::test]
+async fn a_change_goes_to_the_first_entry_that_can_be_reached() {
+    let gone = gone_entry();
+    let gone = gone.as_str();
+    let first = FakeEntry::start(
+        503,
+        json!({"code": "platform_unavailable", "status": 503, "run": "may_have_run"}),
+    );
+    let second = FakeEntry::start(200, json!({"version": 9}));
+    let revert = ["config", "revert", "3", "--expected", "8"];
+    let failure = run(&[gone, &first.url, &second.url], &revert)
+        .await
+        .expect_err("it is refused");
+    assert_eq!(failure.exit_code(), 7, "{failure}");
+    assert!(
+        second.seen.lock().expect("no panic").is_empty(),
+        "the second entry is not asked"
+    );
+    let output = run(&[gone, &second.url], &revert).await.expect("it is accepted");
+    assert_eq!(output, "version 9 accepted\n");
+    let seen = second.seen.lock().expect("no panic").join("\n");
+    assert_eq!(seen, "POST /v1/config/revert Some(\"Bearer operator-key\") true");
+    let failure = run(&[gone], &["config", "get"])
+        .await
+        .expect_err("nobody answers");
+    assert_eq!(failure.exit_code(), 1, "{failure}");
+    let failure = run(&[&second.url], &["programs", "show", "../config"])
+        .await
+        .expect_err("no name");
+    assert_eq!(failure.exit_code(), 2, "{failure}");
+}
+
+/// Guards against exit codes that scripts can't tell apart.
+#[actix_web::test]
+async fn exit_codes_tell_why() {
+    let cases = [
+        (409, "version_conflict", "not_run", 3),
+        (401, "unauthorized", "not_run", 4),
+        (404, "not_found", "not_run", 5),
+        (422, "invalid_config", "not_run", 6),
+        (503, "platform_unavailable", "not_run", 1),
+        (503, "platform_unavailable", "may_have_run", 7),
+    ];
+    for (status, code, verdict, expected) in cases {
+        let problem = json!({"code": code, "status": status, "run": verdict, "detail": "because"});
+        let entry = FakeEntry::start(status, problem);
+        let failure = run(&[&entry.url], &["targets", "drain", "kalo-1"])
+            .await
+            .expect_err(code);
+        assert_eq!(failure.exit_code(), expected, "{failure}");
+    }
+}
--- /dev/null
+++ b/crates/ebonyctl/tests/operators_support/mod.rs
@@ -0,0 +1,281 @@
+//! A fleet of real processes and the means to run `ebonyctl` against it.
+
+use std::future::Future;
+use std::io::Write;
+use std::panic::{AssertUnwindSafe, catch_unwind};
+use std::pin::Pin;
+use std::process::{Child, Command, ExitCode, Stdio};
+use std::time::{Duration, Instant};
+
+use ebony_fleet::{CallerClient, FleetOptions, OPERATOR_KEY, RunningFleet, StopSignal};
+use ebony_standins::{FaultSettings, OutageMode};
+use serde_json::{Value, json};
+
+/// The longest wait for a condition; a healthy run takes a small part of it.
+const WAIT_LIMIT: Duration = Duration::from_secs(60);
+
+/// The pause between two looks at a condition.
+const WAIT_POLL: Duration = Duration::from_millis(20);
+
+/// A case: what it does with a fresh fleet.
+pub(crate) type CaseBody = fn(Bench) -> Pin<Box<dyn Future<Output = ()>>>;
+
+/// Runs the cases whose names contain the first argument, each with a fleet of its own.
+pub(crate) fn run_cases(cases: &[(&str, CaseBody)]) -> ExitCode {
+    let filter = std::env::args()
+        .skip(1)
+        .find(|argument| !argument.starts_with('-'));
+    let chosen = cases
+        .iter()
+        .filter(|(name, _)| filter.as_ref().is_none_or(|filter| name.contains(filter)));
+    let mut failures = 0;
+    for (name, body) in chosen {
+        let run = || {
+            actix_rt::System::new().block_on(async {
+                let bench = Bench::start().await;
+                body(bench).await;
+            });
+        };
+        let is_ok = catch_unwind(AssertUnwindSafe(run)).is_ok();
+        println!("test {name} ... {}", if is_ok { "ok" } else { "FAILED" });
+        failures += u8::from(!is_ok);
+    }
+    ExitCode::from(failures)
+}
+
+/// A run of `ebonyctl`.
+pub(crate) struct CtlRun(Child);
+
+/// How a run of `ebonyctl` ended.
+#[derive(Debug)]
+pub(crate) struct CtlEnd {
+    pub(crate) code: i32,
+    pub(crate) output: String,
+    pub(crate) errors: String,
+}
+
+impl CtlRun {
+    pub(crate) fn wait(self) -> CtlEnd {
+        let output = self.0.wait_with_output().expect("ebonyctl ends");
+        CtlEnd {
+            code: output.status.code().expect("ebonyctl is not killed"),
+            output: String::from_utf8(output.stdout).expect("a text"),
+            errors: String::from_utf8(output.stderr).expect("a text"),
+        }
+    }
+}
+
+impl CtlEnd {
+    pub(crate) fn json(&self) -> Value {
+        serde_json::from_str(&self.output).unwrap_or_else(|_| panic!("not JSON: {self:?}"))
+    }
+}
+
+/// Rows and objects on the platform.
+#[derive(Debug)]
+pub(crate) struct StoredCounts {
+    pub(crate) rows: u64,
+    pub(crate) objects: u64,
+}
+
+/// A fleet and its operators.
+pub(crate) struct Bench {
+    fleet: RunningFleet,
+}
+
+impl Bench {
+    async fn start() -> Self {
+        let daemon = std::env::current_exe().expect("this executable");
+        let options = FleetOptions {
+            engines: 1,
+            ..FleetOptions::small(daemon)
+        };
+        let fleet = RunningFleet::start(options).await.expect("the fleet starts");
+        Self { fleet }
+    }
+
+    pub(crate) fn entries(&self) -> usize {
+        self.fleet.entry_count()
+    }
+
+    fn url(&self, entry: usize) -> String {
+        format!("http://{}", self.fleet.administration(entry).expect("an entry"))
+    }
+
+    fn command(&self, entries: &[usize], key: &str, arguments: &[&str]) -> Command {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_ebonyctl"));
+        for entry in entries {
+            command.args(["--entry", &self.url(*entry)]);
+        }
+        command
+            .args(arguments)
+            .env("EBONYCTL_KEY", key)
+            .stdin(Stdio::piped())
+            .stdout(Stdio::piped())
+            .stderr(Stdio::piped());
+        command
+    }
+
+    /// Starts `ebonyctl`, with JSON as its standard input.
+    pub(crate) fn spawn(&self, entry: usize, arguments: &[&str], input: Option<&Value>) -> CtlRun {
+        let mut child = self
+            .command(&[entry], OPERATOR_KEY, arguments)
+            .spawn()
+            .expect("ebonyctl starts");
+        let mut pipe = child.stdin.take().expect("a standard input");
+        if let Some(input) = input {
+            pipe.write_all(input.to_string().as_bytes())
+                .expect("ebonyctl reads");
+        }
+        CtlRun(child)
+    }
+
+    pub(crate) fn run(&self, entry: usize, arguments: &[&str], input: Option<&Value>) -> CtlEnd {
+        self.spawn(entry, arguments, input).wait()
+    }
+
+    pub(crate) fn run_with_key(&self, key: &str, arguments: &[&str]) -> CtlEnd {
+        let child = self.command(&[0], key, arguments).spawn();
+        CtlRun(child.expect("ebonyctl starts")).wait()
+    }
+
+    /// Runs `ebonyctl` with all entries.
+    pub(crate) fn run_all(&self, arguments: &[&str]) -> CtlEnd {
+        let entries: Vec<usize> = (0..self.entries()).collect();
+        let child = self.command(&entries, OPERATOR_KEY, arguments).spawn();
+        CtlRun(child.expect("ebonyctl starts")).wait()
+    }
+
+    /// Reads JSON from an entry's administration address.
+    pub(crate) async fn get(&self, entry: usize, path: &str) -> Value {
+        let client: CallerClient = self.fleet.operator(entry).expect("an entry");
+        let reply = client.send("GET", path, None, None, Default::default()).await;
+        reply.expect("the entry answers").json()
+    }
+
+    /// Returns the version in force in an entry; 0 while it starts.
+    pub(crate) async fn version(&self, entry: usize) -> u64 {
+        let status = self.get(entry, "/v1/config/status").await;
+        status["in_force"].as_u64().unwrap_or(0)
+    }
+
+    /// Changes a default and returns the accepted version.
+    pub(crate) async fn change(&self, entry: usize, calls: u64) -> u64 {
+        let patch = json!({"defaults": {"budget": {"calls": calls}}});
+        let run = self.run(entry, &["config", "patch", "-", "--json"], Some(&patch));
+        assert_eq!(run.code, 0, "{run:?}");
+        run.json()["version"].as_u64().expect("a version")
+    }
+
+    pub(crate) async fn wait(&self, what: &str, mut condition: impl AsyncFnMut(&Self) -> bool) {
+        let give_up = Instant::now() + WAIT_LIMIT;
+        while !condition(self).await {
+            assert!(Instant::now() < give_up, "waited in vain: {what}");
+            tokio::time::sleep(WAIT_POLL).await;
+        }
+    }
+
+    /// Waits until all entries have a version in force.
+    pub(crate) async fn wait_version(&self, version: u64) {
+        let has_it = async |bench: &Self| {
+            for entry in 0..bench.entries() {
+                if bench.version(entry).await < version {
+                    return false;
+                }
+            }
+            true
+        };
+        self.wait(&format!("version {version} is in force everywhere"), has_it)
+            .await;
+    }
+
+    /// Waits until every entry knows that a version is in force in all processes.
+    pub(crate) async fn wait_reported(&self, version: u64) {
+        let is_reported = async |bench: &Self| {
+            for entry in 0..bench.entries() {
+                let status = bench.get(entry, "/v1/config/status").await;
+                let processes = status["processes"].as_array().cloned().unwrap_or_default();
+                let names: Vec<&str> = processes
+                    .iter()
+                    .filter_map(|row| row["process"].as_str())
+                    .collect();
+                let has_all =
+                    (0..bench.entries()).all(|index| names.contains(&format!("entry-{index}").as_str()));
+                if !has_all || processes.iter().any(|row| row["version"] != version) {
+                    return false;
+                }
+            }
+            true
+        };
+        self.wait(&format!("all processes report version {version}"), is_reported)
+            .await;
+    }
+
+    pub(crate) async fn set_table_faults(&self, outage: OutageMode) {
+        let faults = FaultSettings {
+            outage,
+            ..FaultSettings::default()
+        };
+        let table = self.fleet.table().expect("a table");
+        table.set_faults(faults).await.expect("the faults are set");
+    }
+
+    /// Loses the answers to the next writes, which take effect.
+    pub(crate) async fn lose_table_answers(&self, lose_replies: u32) {
+        let faults = FaultSettings {
+            lose_replies,
+            ..FaultSettings::default()
+        };
+        let table = self.fleet.table().expect("a table");
+        table.set_faults(faults).await.expect("the faults are set");
+    }
+
+    /// Changes a default without a process for it.
+    pub(crate) async fn change_directly(&self, expected: u64, calls: u64) {
+        let body = json!({"expected": expected, "patch": {"defaults": {"budget": {"calls": calls}}}});
+        let client: CallerClient = self.fleet.operator(0).expect("an entry");
+        let body = body.to_string().into();
+        let reply = client.send("PATCH", "/v1/config", None, None, body).await;
+        let reply = reply.expect("the entry answers");
+        assert_eq!(reply.status, 200, "{reply:?}");
+    }
+
+    /// Returns what the platform stores.
+    pub(crate) async fn stored(&self) -> StoredCounts {
+        let table = self.fleet.table().expect("a table").seen().await;
+        let objects = self.fleet.objects().expect("objects").seen().await;
+        StoredCounts {
+            rows: table.expect("counts").rows,
+            objects: objects.expect("counts").objects,
+        }
+    }
+
+    /// Kills an entry and waits until it is gone.
+    pub(crate) async fn kill_entry(&mut self, entry: usize) {
+        let child = self.fleet.entry(entry);
+        child.signal(StopSignal::Kill).expect("the entry runs");
+        child.wait(WAIT_LIMIT).await.expect("the entry ends");
+    }
+
+    pub(crate) async fn set_stale_prefix(&self, prefix: Option<&str>) {
+        let table = self.fleet.table().expect("a table");
+        let prefix = prefix.map(str::to_owned);
+        let changed = table.change(|settings| settings.stale_prefix = prefix).await;
+        changed.expect("the settings are changed");
+    }
+
+    pub(crate) async fn stale_reads(&self) -> u64 {
+        let seen = self.fleet.table().expect("a table").seen().await;
+        seen.expect("counts").stale_reads
+    }
+
+    pub(crate) async fn replace_entry(&mut self, entry: usize) {
+        self.fleet.replace_entry(entry).await.expect("a new entry starts");
+    }
+
+    pub(crate) async fn open_program(&self) -> String {
+        let caller = self.fleet.caller(0).expect("an entry");
+        let program = caller.open_program(None, json!({})).await;
+        program.expect("a program").to_string()
+    }
+}
