Add the HTTP driver of trace replays

A trace could be planned and summed up, but nothing sent it. The new crate ebony_replay sends it to entries, checks each answer, and reads runs and cache counters from stand-ins. The report now has the time between tokens. The fleet takes policy, models by engine, further callers and default values, and can lose a failure domain.

--- a/crates/ebony_fleet/src/document.rs
+++ b/crates/ebony_fleet/src/document.rs
@@ -1,7 +1,7 @@
 //! The configuration document of a fleet.
 
 use ebony_config::ConfigDocument;
-use serde_json::json;
+use serde_json::{Value, json};
 
 /// The bearer key of the first caller, `shop`.
 pub const CALLER_KEY: &str = "shop-key";
@@ -12,26 +12,45 @@
 /// The bearer key of the operator.
 pub const OPERATOR_KEY: &str = "operator-key";
 
-/// Returns a document with two callers, one operator, and the given models and services in force.
+/// What a document has besides the usual callers and operator.
+#[derive(Clone, Copy, Debug)]
+pub struct DocumentOptions<'a> {
+    /// Models in force.
+    pub models: &'a [String],
+    /// The service in force.
+    pub service: &'a str,
+    /// Further callers.
+    pub callers: &'a [String],
+    /// Default values.
+    pub defaults: &'a Value,
+}
+
+/// Returns the bearer key of a further caller.
+pub fn caller_key(caller: &str) -> String {
+    format!("{caller}-key")
+}
+
+/// Returns a document with two usual and further callers, one operator, and the given models and service in force.
 ///
 /// # Errors
 ///
-/// Fails if a name is not valid.
-pub fn fleet_document(
-    models: &[String],
-    services: &[String],
-) -> Result<ConfigDocument, ebony_config::ConfigReport> {
+/// Fails if a name or value is not valid.
+pub fn fleet_document(options: &DocumentOptions<'_>) -> Result<ConfigDocument, ebony_config::ConfigReport> {
     let digest = |key: &str| ebony_config::KeyDigest::of_key(key).to_string();
-    let document = json!({
+    let mut document = json!({
         "version": 1,
-        "models": models,
-        "services": services,
+        "defaults": options.defaults,
+        "models": options.models,
+        "services": [options.service],
         "operators": {"operator": {"keys": [digest(OPERATOR_KEY)]}},
         "callers": {
             "shop": {"group": "shops", "keys": [digest(CALLER_KEY)]},
             "luthier": {"group": "luthiers", "keys": [digest(OTHER_CALLER_KEY)]},
         },
     });
+    for caller in options.callers {
+        document["callers"][caller] = json!({"group": caller, "keys": [digest(&caller_key(caller))]});
+    }
     let document = ConfigDocument::decode(document.to_string().as_bytes())?;
     document.validate()?;
     Ok(document)
--- a/crates/ebony_fleet/src/fleet.rs
+++ b/crates/ebony_fleet/src/fleet.rs
@@ -1,6 +1,5 @@
 //! A deployment on loopback.
 
-use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::time::{Duration, Instant};
 
@@ -8,20 +7,20 @@
 use ebony_platform::{
     HostEntry, HostRole, HostState, HttpTable, RequestLimits, RowKey, TableService, WriteNonce,
 };
-use ebony_standins::engine::{EngineControl, EngineOptions, EngineSettings};
-use ebony_standins::hosts::{HostsControl, HostsOptions};
-use ebony_standins::objects::{ObjectsControl, ObjectsOptions};
-use ebony_standins::service::{ServiceControl, ServiceOptions};
-use ebony_standins::table::{TableControl, TableOptions};
+use ebony_standins::engine::{EngineOptions, EngineSettings};
+use ebony_standins::hosts::HostsOptions;
+use ebony_standins::objects::ObjectsOptions;
+use ebony_standins::service::ServiceOptions;
+use ebony_standins::table::TableOptions;
 use ebony_standins::weights::WeightsOptions;
 use ebony_standins::{StandinAddress, StandinOptions, StandinSet};
 use ebony_types::{DomainName, HostName, ModelName};
-use serde_json::Value;
+use serde_json::{Value, json};
 use tempfile::TempDir;
 
 use crate::caller::CallerClient;
 use crate::child::{ChildProcess, StopSignal};
-use crate::document::{CALLER_KEY, fleet_document};
+use crate::document::{CALLER_KEY, DocumentOptions, fleet_document};
 use crate::settings::{FleetTimes, PlatformUrls, TargetPlan, entry_settings, side_settings};
 
 /// The pause between two looks at a process that should become ready.
@@ -42,12 +41,24 @@
     pub entries: usize,
     /// Engines, each with a side process.
     pub engines: usize,
-    /// Plain services, each with a side process. They all serve the service `orders`.
+    /// Plain services, each with a side process.
     pub services: usize,
+    /// The service that all plain services serve.
+    pub service: String,
     /// Failure domains, over which hosts are spread.
     pub domains: usize,
-    /// Models that every engine has loaded.
+    /// Models in force, which every engine has loaded unless `engine_models` says otherwise.
     pub models: Vec<String>,
+    /// The models of each engine, by its number. Engines without an entry have all models.
+    pub engine_models: Vec<Vec<String>>,
+    /// Callers in force besides the usual two, each a group of its own. [`caller_key`] returns their keys.
+    pub callers: Vec<String>,
+    /// The default values of the configuration document, as JSON.
+    pub defaults: Value,
+    /// The `policy` object in the settings of all processes.
+    pub policy: Value,
+    /// The level of the log.
+    pub log_level: &'static str,
     /// How engines behave.
     pub engine: EngineSettings,
     /// Times of the processes.
@@ -62,20 +73,35 @@
             entries: 3,
             engines: 2,
             services: 1,
+            service: SERVICE.to_owned(),
             domains: 3,
             models: vec!["kalo".to_owned()],
+            engine_models: Vec::new(),
+            callers: Vec::new(),
+            defaults: json!({}),
+            policy: json!({}),
+            log_level: "debug",
             engine: EngineSettings::default(),
             times: FleetTimes::default(),
         }
     }
 }
 
-/// The name of the plain service in every fleet.
+/// The name of the plain service in small fleets.
 pub const SERVICE: &str = "orders";
 
+/// Where a process is in the fleet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum MemberPlace {
+    /// Among the entries.
+    Entry(usize),
+    /// Among the side processes.
+    Side(usize),
+}
+
 /// A running process, its settings file and its host.
-struct FleetMember {
-    child: ChildProcess,
+pub(crate) struct FleetMember {
+    pub(crate) child: ChildProcess,
     role: &'static str,
     settings: PathBuf,
     host: HostEntry,
@@ -87,7 +113,7 @@
     folder: TempDir,
     standins: StandinSet,
     urls: PlatformUrls,
-    entries: Vec<FleetMember>,
+    pub(crate) entries: Vec<FleetMember>,
     sides: Vec<FleetMember>,
 }
 
@@ -144,7 +170,12 @@
     }
 
     async fn write_document(&self) -> Result<()> {
-        let document = fleet_document(&self.options.models, &[SERVICE.to_owned()])?;
+        let document = fleet_document(&DocumentOptions {
+            models: &self.options.models,
+            service: &self.options.service,
+            callers: &self.options.callers,
+            defaults: &self.options.defaults,
+        })?;
         let table = HttpTable::open(&self.urls.table, RequestLimits::for_platform())?;
         let key = RowKey("config/current".to_owned());
         table
@@ -154,13 +185,15 @@
     }
 
     fn domain(&self, index: usize) -> String {
-        format!("domain-{}", index % self.options.domains.max(1))
+        domain_name(index % self.options.domains.max(1))
     }
 
     fn add_engine(&mut self, index: usize) -> Result<()> {
-        let models = self.options.models.iter().map(|model| ModelName::parse(model));
+        let models = self.options.engine_models.get(index);
+        let models = models.unwrap_or(&self.options.models).clone();
+        let names = models.iter().map(|model| ModelName::parse(model));
         let engine = EngineOptions {
-            models: models.collect::<Result<_, _>>()?,
+            models: names.collect::<Result<_, _>>()?,
             settings: self.options.engine.clone(),
             ..EngineOptions::default()
         };
@@ -170,7 +203,7 @@
             .data;
         let target = TargetPlan::Engine {
             address,
-            models: self.options.models.clone(),
+            models,
             slots: self.options.engine.slots,
             checks_fencing: self.options.engine.checks_fencing,
         };
@@ -179,7 +212,7 @@
 
     fn add_service(&mut self, index: usize) -> Result<()> {
         let options = ServiceOptions {
-            service: SERVICE.to_owned(),
+            service: self.options.service.clone(),
             ..ServiceOptions::default()
         };
         let address = self
@@ -188,14 +221,15 @@
             .data;
         let target = TargetPlan::Service {
             address,
-            service: SERVICE.to_owned(),
+            service: self.options.service.clone(),
         };
         self.add_side(&format!("side-service-{index}"), index, &target)
     }
 
     fn add_side(&mut self, process: &str, index: usize, target: &TargetPlan) -> Result<()> {
         let domain = self.domain(index);
-        let settings = side_settings(process, &domain, &self.urls, self.options.times, target);
+        let mut settings = side_settings(process, &domain, &self.urls, self.options.times, target);
+        self.adjust(&mut settings);
         let member = self.start_member(process, "side", &domain, &settings)?;
         self.sides.push(member);
         Ok(())
@@ -203,12 +237,18 @@
 
     fn add_entry(&mut self, process: &str, index: usize) -> Result<()> {
         let domain = self.domain(index);
-        let settings = entry_settings(process, &domain, &self.urls, self.options.times);
+        let mut settings = entry_settings(process, &domain, &self.urls, self.options.times);
+        self.adjust(&mut settings);
         let member = self.start_member(process, "entry", &domain, &settings)?;
         self.entries.push(member);
         Ok(())
     }
 
+    fn adjust(&self, settings: &mut Value) {
+        settings["policy"] = self.options.policy.clone();
+        settings["log"]["level"] = self.options.log_level.into();
+    }
+
     fn start_member(
         &self,
         process: &str,
@@ -339,69 +379,48 @@
         self.replace_side(index).await
     }
 
-    fn standin(&self, name: &str) -> Result<StandinAddress> {
-        self.standins
-            .address(name)
-            .with_context(|| format!("no stand-in {name}"))
+    /// Returns the places of a failure domain's processes.
+    pub(crate) fn members_of(&self, domain: usize) -> Vec<MemberPlace> {
+        let name = domain_name(domain);
+        let entries = self.entries.iter().enumerate();
+        let entries = entries.filter(|(_, member)| member.host.domain.as_str() == name);
+        let sides = self.sides.iter().enumerate();
+        let sides = sides.filter(|(_, member)| member.host.domain.as_str() == name);
+        let entries = entries.map(|(index, _)| MemberPlace::Entry(index));
+        entries
+            .chain(sides.map(|(index, _)| MemberPlace::Side(index)))
+            .collect()
     }
 
-    /// Controls the table service.
-    ///
-    /// # Errors
-    ///
-    /// Fails if there is none.
-    pub fn table(&self) -> Result<TableControl> {
-        Ok(TableControl::open(self.standin("table")?.control))
+    /// Returns the engines of a failure domain.
+    pub(crate) fn engines_of(&self, domain: usize) -> Vec<usize> {
+        let engines = 0..self.options.engines;
+        engines
+            .filter(|engine| engine % self.options.domains.max(1) == domain)
+            .collect()
     }
 
-    /// Controls the object store.
-    ///
-    /// # Errors
-    ///
-    /// Fails if there is none.
-    pub fn objects(&self) -> Result<ObjectsControl> {
-        Ok(ObjectsControl::open(self.standin("objects")?.control))
-    }
-
-    /// Controls the host list.
-    ///
-    /// # Errors
-    ///
-    /// Fails if there is none.
-    pub fn hosts(&self) -> Result<HostsControl> {
-        Ok(HostsControl::open(self.standin("hosts")?.control))
+    pub(crate) fn member(&mut self, place: MemberPlace) -> &mut FleetMember {
+        match place {
+            MemberPlace::Entry(index) => &mut self.entries[index],
+            MemberPlace::Side(index) => &mut self.sides[index],
+        }
     }
 
-    /// Controls an engine.
-    ///
-    /// # Errors
-    ///
-    /// Fails if there is none.
-    pub fn engine(&self, index: usize) -> Result<EngineControl> {
-        Ok(EngineControl::open(
-            self.standin(&format!("engine-{index}"))?.control,
-        ))
+    pub(crate) fn restart_member(&mut self, place: MemberPlace) -> Result<()> {
+        let program = self.options.program.clone();
+        replace(&program, self.member(place))
     }
 
-    /// Controls a plain service.
-    ///
-    /// # Errors
-    ///
-    /// Fails if there is none.
-    pub fn service(&self, index: usize) -> Result<ServiceControl> {
-        Ok(ServiceControl::open(
-            self.standin(&format!("service-{index}"))?.control,
-        ))
+    pub(crate) fn standin(&self, name: &str) -> Result<StandinAddress> {
+        self.standins
+            .address(name)
+            .with_context(|| format!("no stand-in {name}"))
     }
+}
 
-    /// Returns the address of a stand-in's data port, for direct calls.
-    ///
-    /// # Errors
-    ///
-    /// Fails if there is none.
-    pub fn direct_address(&self, name: &str) -> Result<SocketAddr> {
-        Ok(self.standin(name)?.data)
-    }
+fn domain_name(index: usize) -> String {
+    format!("domain-{index}")
 }
 
 fn replace(program: &std::path::Path, member: &mut FleetMember) -> Result<()> {
--- a/crates/ebony_fleet/src/lib.rs
+++ b/crates/ebony_fleet/src/lib.rs
@@ -6,7 +6,9 @@
 
 pub mod caller;
 pub mod child;
+mod controls;
 pub mod document;
+mod domain_outage;
 pub mod fleet;
 pub mod settings;
 
@@ -14,7 +16,7 @@
 pub mod prelude {
     pub use crate::caller::{CallReply, CallerClient};
     pub use crate::child::{ChildProcess, StopSignal};
-    pub use crate::document::{CALLER_KEY, OPERATOR_KEY, OTHER_CALLER_KEY};
+    pub use crate::document::{CALLER_KEY, OPERATOR_KEY, OTHER_CALLER_KEY, caller_key};
     pub use crate::fleet::{FleetOptions, RunningFleet};
 }
 
--- /dev/null
+++ b/crates/ebony_replay/src/driver.rs
@@ -0,0 +1,295 @@
+//! The loop of a replay.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use anyhow::ensure;
+use bytes::Bytes;
+use ebony_standins::engine::{ChatMessage, ChatRequest};
+use ebony_trace::plan::prompt::{shared_text, turn_text};
+use ebony_trace::{
+    CallOutcome, DueStep, ModelStep, ProgramEnd, ReplayPlan, ReplayReport, ReplaySummary, StepEnd, StepKey,
+    ToolMethod, ToolStep, TraceDocument,
+};
+use ebony_types::{CallerName, ClockTime};
+use tokio::task::{JoinError, JoinSet};
+use tokio::time::{Instant, sleep_until};
+
+use crate::calls::{CallSetting, EndedCall, ModelCall, ToolCall};
+use crate::check::SentService;
+use crate::client::CallClient;
+use crate::hooks::ReplayHooks;
+use crate::options::ReplayOptions;
+use crate::program_book::{ClosedProgram, ProgramBook};
+use crate::progress::ReplayProgress;
+use crate::target_runs::merge_runs;
+
+/// The time between two reports of progress, and between two looks at what targets ran. An engine stand-in keeps its
+/// last 1,000 runs, of which it has far fewer in this time.
+const TICK_INTERVAL: Duration = Duration::from_secs(1);
+
+/// The result of a replay.
+pub type Result<T, E = anyhow::Error> = std::result::Result<T, E>;
+
+/// A replay that has ended.
+#[derive(Clone, Debug)]
+pub struct ReplayRun {
+    /// The figures.
+    pub report: ReplayReport,
+    /// The time that it took.
+    pub elapsed: Duration,
+    /// Whether it ended at its time limit.
+    pub is_timed_out: bool,
+}
+
+/// Replays a trace. Must be called in an actix system.
+///
+/// # Errors
+///
+/// Fails if there is no entry, a hook fails, or a task of the driver panics. What the system does wrong is no failure
+/// but part of the report.
+pub async fn replay(
+    document: Arc<TraceDocument>,
+    options: ReplayOptions,
+    hooks: &mut dyn ReplayHooks,
+) -> Result<ReplayRun> {
+    ensure!(!options.entries.is_empty(), "a replay needs at least one entry");
+    let mut driver = ReplayDriver::open(document, options)?;
+    let is_timed_out = driver.run(hooks).await?;
+    driver.tasks.abort_all();
+    driver.take_runs(hooks).await?;
+    if let Some(cache) = hooks.read_cache().await? {
+        driver.summary.record_cache(cache);
+    }
+    Ok(ReplayRun {
+        report: driver.summary.report(),
+        elapsed: driver.start.elapsed(),
+        is_timed_out,
+    })
+}
+
+struct ReplayDriver {
+    options: ReplayOptions,
+    plan: ReplayPlan,
+    summary: ReplaySummary,
+    book: ProgramBook,
+    client: CallClient,
+    /// Calls, bounded by the options, and requests that close programs, of which each program has one.
+    tasks: JoinSet<Option<EndedCall>>,
+    start: Instant,
+    next_tick: Instant,
+    progress: ReplayProgress,
+}
+
+impl ReplayDriver {
+    fn open(document: Arc<TraceDocument>, options: ReplayOptions) -> Result<Self> {
+        let start = Instant::now();
+        Ok(Self {
+            plan: ReplayPlan::open(document.clone(), ClockTime::default()),
+            summary: ReplaySummary::open(&options.run, document.clone())?,
+            book: ProgramBook::open(&document),
+            client: CallClient::open(options.max_calls),
+            tasks: JoinSet::new(),
+            start,
+            next_tick: start + TICK_INTERVAL,
+            progress: ReplayProgress {
+                programs: document.programs().len(),
+                ..ReplayProgress::default()
+            },
+            options,
+        })
+    }
+
+    fn now(&self) -> ClockTime {
+        ClockTime::default() + self.start.elapsed()
+    }
+
+    /// Runs until the end; returns whether the time limit ended it.
+    async fn run(&mut self, hooks: &mut dyn ReplayHooks) -> Result<bool> {
+        let give_up = self.start + self.options.time_limit;
+        loop {
+            self.send_due(hooks).await?;
+            if self.plan.is_finished() && self.tasks.is_empty() {
+                return Ok(false);
+            }
+            let wake = self.next_wake().min(give_up);
+            tokio::select! {
+                Some(ended) = self.tasks.join_next() => self.take_end(ended)?,
+                () = sleep_until(wake) => {}
+            }
+            if Instant::now() >= self.next_tick {
+                self.next_tick = Instant::now() + TICK_INTERVAL;
+                self.show_progress();
+                self.take_runs(hooks).await?;
+            }
+            if Instant::now() >= give_up {
+                return Ok(true);
+            }
+        }
+    }
+
+    fn has_room(&self) -> bool {
+        self.plan.sent_calls() < self.options.max_calls
+    }
+
+    fn next_wake(&self) -> Instant {
+        let due = self.plan.next_due().filter(|_| self.has_room());
+        let due = due.map(|due| self.start + due.since(ClockTime::default()));
+        due.unwrap_or(self.next_tick).min(self.next_tick)
+    }
+
+    async fn send_due(&mut self, hooks: &mut dyn ReplayHooks) -> Result<()> {
+        while self.has_room() {
+            match self.plan.take_due(self.now()) {
+                Some(DueStep::Model(step)) => self.send_model(step),
+                Some(DueStep::Tool(step)) => self.send_tool(&step),
+                Some(DueStep::Marker(action)) => {
+                    if let Some(entries) = hooks.on_marker(&action).await? {
+                        ensure!(!entries.is_empty(), "no entry is left");
+                        self.options.entries = entries;
+                    }
+                }
+                None => return Ok(()),
+            }
+        }
+        Ok(())
+    }
+
+    fn setting(&self, key: StepKey, repeats: u8, caller: &CallerName, timeout: Duration) -> CallSetting {
+        let entries = &self.options.entries;
+        CallSetting {
+            client: self.client.clone(),
+            check: self.options.check,
+            entry: entries[(key.program as usize + usize::from(repeats)) % entries.len()].clone(),
+            key: self.options.keys.key_of(caller).to_owned(),
+            timeout,
+        }
+    }
+
+    fn send_model(&mut self, step: ModelStep) {
+        self.book.note_start(step.key.program);
+        let parent = step.parent.and_then(|parent| self.book.entry(parent).id);
+        let entry = self.book.entry(step.key.program);
+        if step.repeats == 0 {
+            add_prompt(&mut entry.messages, &step);
+        }
+        let request = ChatRequest {
+            model: step.model.to_string(),
+            messages: entry.messages.clone(),
+            max_tokens: Some(step.output_tokens),
+            stream: true,
+        };
+        let call = ModelCall {
+            key: step.key,
+            program: entry.id,
+            parent,
+            request,
+        };
+        self.book.note_digest(call.request.messages_digest(), step.key);
+        let timeout = self.options.call_timeout;
+        let setting = self.setting(step.key, step.repeats, &step.caller, timeout);
+        self.tasks
+            .spawn_local(async move { Some(setting.run_model(call).await) });
+        self.progress.sent += 1;
+    }
+
+    fn send_tool(&mut self, step: &ToolStep) {
+        let name = format!("{}/{}", self.options.nonce, step.key);
+        let body = match step.method {
+            ToolMethod::Get => Bytes::new(),
+            _ => Bytes::from(format!("{{\"step\":\"{}\"}}", step.key)),
+        };
+        let call = ToolCall {
+            key: step.key,
+            program: self.book.entry(step.key.program).id,
+            service: step.service.to_string(),
+            idempotency_key: step.runs_once.then(|| name.replace('/', "-")),
+            sent: SentService {
+                method: step.method.as_str(),
+                path: format!("/replay/{name}"),
+                body,
+            },
+            run_time: step.run_time,
+        };
+        let setting = self.setting(step.key, step.repeats, &step.caller, step.timeout);
+        self.tasks
+            .spawn_local(async move { Some(setting.run_tool(call).await) });
+        self.progress.sent += 1;
+    }
+
+    fn take_end(&mut self, ended: Result<Option<EndedCall>, JoinError>) -> Result<()> {
+        let Some(call) = ended? else {
+            return Ok(());
+        };
+        let entry = self.book.entry(call.key.program);
+        entry.id = entry.id.or(call.opened);
+        if let Some(text) = &call.text {
+            entry.messages.push(ChatMessage::text("assistant", text));
+        }
+        let completion = self.plan.complete(call.key, call.end, self.now())?;
+        self.progress.repeated += u64::from(completion.is_repeated);
+        self.summary.record_call(&CallOutcome {
+            key: call.key,
+            end: call.end,
+            is_repeated: completion.is_repeated,
+            first_token: call.first_token,
+        })?;
+        if call.end == StepEnd::Answered {
+            for gap in &call.gaps {
+                self.summary.record_tokens(gap.interval, gap.tokens);
+            }
+        }
+        if let Some(outcome) = completion.outcome {
+            self.summary.record_program(&outcome)?;
+            self.progress.ended += 1;
+            let is_finished = outcome.end == ProgramEnd::Finished;
+            for closed in self.book.note_end(outcome.program, is_finished) {
+                self.close(closed);
+            }
+        }
+        Ok(())
+    }
+
+    fn close(&mut self, closed: ClosedProgram) {
+        let Some(id) = closed.id else {
+            return;
+        };
+        let caller = &self.plan.document().programs()[closed.program as usize].caller;
+        let key = StepKey {
+            program: closed.program,
+            turn: 0,
+            kind: ebony_trace::StepKind::Model,
+        };
+        let setting = self.setting(key, 0, caller, self.options.call_timeout);
+        self.tasks.spawn_local(async move {
+            setting.close_program(id, closed.is_finished).await;
+            None
+        });
+    }
+
+    async fn take_runs(&mut self, hooks: &mut dyn ReplayHooks) -> Result<()> {
+        let Some(runs) = hooks.take_runs().await? else {
+            return Ok(());
+        };
+        for key in merge_runs(&self.book, runs) {
+            self.summary.record_run(key)?;
+        }
+        Ok(())
+    }
+
+    fn show_progress(&mut self) {
+        self.progress.under_way = self.plan.sent_calls();
+        if self.options.shows_progress {
+            self.progress.show(&self.options.run, self.start.elapsed());
+        }
+    }
+}
+
+/// Adds the new messages of a turn to the conversation.
+fn add_prompt(messages: &mut Vec<ChatMessage>, step: &ModelStep) {
+    if step.shared_tokens > 0 {
+        let shared = shared_text(&step.caller, &step.model, step.shared_tokens);
+        messages.push(ChatMessage::text("system", &shared));
+    }
+    messages.push(ChatMessage::text("user", &turn_text(step.key, step.new_tokens)));
+}
--- /dev/null
+++ b/crates/ebony_replay/src/load.rs
@@ -0,0 +1,162 @@
+//! Measures the latency of equal calls by concurrent callers.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use anyhow::bail;
+use awc::http::Method;
+use bytes::Bytes;
+use ebony_standins::engine::{ChatMessage, ChatRequest};
+use ebony_trace::StepEnd;
+use hdrhistogram::Histogram;
+use serde::{Deserialize, Serialize};
+
+use crate::check::{AnswerCheck, model_end};
+use crate::client::{CallClient, HttpCall};
+
+/// The highest recorded latency in microseconds.
+const HIGHEST_US: u64 = 60_000_000;
+
+/// Significant decimal digits of latencies.
+const DIGITS: u8 = 3;
+
+/// The result of a measurement.
+pub type Result<T, E = anyhow::Error> = std::result::Result<T, E>;
+
+/// What is sent.
+#[derive(Clone, Debug)]
+pub struct LoadOptions {
+    /// The base URL of an entry or an engine.
+    pub url: String,
+    /// The bearer key.
+    pub key: String,
+    /// The model.
+    pub model: String,
+    /// Callers, each with one call under way.
+    pub callers: usize,
+    /// Calls of each caller that count.
+    pub calls: usize,
+    /// Calls of each caller before these, which don't count.
+    pub warm_up: usize,
+    /// The pause of a caller between the end of a call and the next; zero for the highest rate.
+    pub pause: Duration,
+    /// Tokens of an answer.
+    pub answer_tokens: u32,
+    /// Whether answers are streamed.
+    pub is_streamed: bool,
+    /// The longest wait for one answer.
+    pub timeout: Duration,
+}
+
+/// What was measured.
+#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub struct LoadReport {
+    /// Calls that count.
+    pub calls: u64,
+    /// Calls of those without a whole and own answer.
+    pub failed: u64,
+    /// Answered calls per second.
+    pub calls_per_second: f64,
+    /// Median latency in microseconds.
+    pub p50_us: u64,
+    /// Latency at the 99th percentile in microseconds.
+    pub p99_us: u64,
+    /// The highest latency in microseconds.
+    pub max_us: u64,
+}
+
+/// Sends calls from concurrent callers and measures the time to the end of each answer. Must be called in an actix
+/// system.
+///
+/// # Errors
+///
+/// Fails if no call was answered or a task panics.
+pub async fn run_load(options: LoadOptions) -> Result<LoadReport> {
+    let client = CallClient::open(options.callers);
+    let options = Rc::new(options);
+    run_phase(&client, &options, options.warm_up, "warm").await?;
+    let start = Instant::now();
+    let phase = run_phase(&client, &options, options.calls, "call").await?;
+    let elapsed = start.elapsed();
+    if phase.latency.is_empty() {
+        bail!("none of {} calls was answered", phase.failed);
+    }
+    Ok(LoadReport {
+        calls: phase.latency.len() + phase.failed,
+        failed: phase.failed,
+        calls_per_second: phase.latency.len() as f64 / elapsed.as_secs_f64(),
+        p50_us: phase.latency.value_at_quantile(0.5),
+        p99_us: phase.latency.value_at_quantile(0.99),
+        max_us: phase.latency.max(),
+    })
+}
+
+struct LoadPhase {
+    latency: Histogram<u64>,
+    failed: u64,
+}
+
+impl LoadPhase {
+    fn open() -> Result<Self> {
+        let latency = Histogram::new_with_bounds(1, HIGHEST_US, DIGITS)?;
+        Ok(Self { latency, failed: 0 })
+    }
+}
+
+async fn run_phase(
+    client: &CallClient,
+    options: &Rc<LoadOptions>,
+    calls: usize,
+    name: &str,
+) -> Result<LoadPhase> {
+    let mut tasks = tokio::task::JoinSet::new();
+    for caller in 0..options.callers {
+        let (client, options) = (client.clone(), options.clone());
+        let name = format!("{name} {caller}");
+        tasks.spawn_local(async move { run_caller(&client, &options, calls, &name).await });
+    }
+    let mut total = LoadPhase::open()?;
+    while let Some(phase) = tasks.join_next().await {
+        let phase = phase??;
+        total.latency.add(&phase.latency)?;
+        total.failed += phase.failed;
+    }
+    Ok(total)
+}
+
+async fn run_caller(
+    client: &CallClient,
+    options: &LoadOptions,
+    calls: usize,
+    name: &str,
+) -> Result<LoadPhase> {
+    let mut phase = LoadPhase::open()?;
+    for number in 0..calls {
+        let prompt = format!("{name} {number}");
+        let request = ChatRequest {
+            model: options.model.clone(),
+            messages: vec![ChatMessage::text("user", &prompt)],
+            max_tokens: Some(options.answer_tokens),
+            stream: options.is_streamed,
+        };
+        let call = HttpCall {
+            method: Method::POST,
+            url: format!("{}/v1/chat/completions", options.url),
+            key: options.key.clone(),
+            program: None,
+            idempotency_key: None,
+            timeout: options.timeout,
+            body: Bytes::from(serde_json::to_vec(&request)?),
+        };
+        let reply = client.send(call).await;
+        match model_end(AnswerCheck::Echo, &request, &reply) {
+            StepEnd::Answered => phase.latency.saturating_record(reply.elapsed.as_micros() as u64),
+            _ => phase.failed += 1,
+        }
+        if !options.pause.is_zero() {
+            tokio::time::sleep(options.pause).await;
+        }
+    }
+    Ok(phase)
+}
--- /dev/null
+++ b/crates/ebony_replay/src/standin_hooks.rs
@@ -0,0 +1,144 @@
+//! Reads what stand-ins ran.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use async_trait::async_trait;
+use ebony_standins::engine::EngineControl;
+use ebony_standins::service::ServiceControl;
+use ebony_trace::{CacheOutcome, MarkerAction};
+use ebony_types::CallId;
+
+use crate::hooks::{ReplayHooks, Result, TargetRun};
+
+struct EngineWatch {
+    control: EngineControl,
+    /// The recent runs of the last look, which the engine bounds.
+    recent: Vec<CallId>,
+    /// The cache outcome before the replay.
+    before: CacheOutcome,
+}
+
+struct ServiceWatch {
+    control: ServiceControl,
+    /// Runs by method and path, which the service bounds.
+    paths: BTreeMap<String, u32>,
+}
+
+/// Reads runs and cache counters from stand-ins. Markers have no effect.
+///
+/// A token counts as never reused if the engine released it unused by an order, or still holds it at the end. Held
+/// tokens that were reused before count as well, because the stand-in does not tell them apart; a system that releases
+/// the memory of ended programs leaves none.
+#[derive(Default)]
+pub struct StandinHooks {
+    engines: Vec<EngineWatch>,
+    services: Vec<ServiceWatch>,
+}
+
+impl StandinHooks {
+    /// Opens hooks to stand-ins by the addresses of their control ports. What they ran before does not count.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a stand-in does not answer.
+    pub async fn open(engines: &[SocketAddr], services: &[SocketAddr]) -> Result<Self> {
+        let mut hooks = Self::default();
+        for address in engines {
+            let control = EngineControl::open(*address);
+            let runs = control.recent_runs().await?;
+            let before = cache_outcome(&control).await?;
+            hooks.engines.push(EngineWatch {
+                control,
+                recent: runs.iter().map(|run| run.call).collect(),
+                before,
+            });
+        }
+        for address in services {
+            let control = ServiceControl::open(*address);
+            let paths = control.runs(1).await?.paths;
+            hooks.services.push(ServiceWatch { control, paths });
+        }
+        Ok(hooks)
+    }
+}
+
+async fn cache_outcome(control: &EngineControl) -> Result<CacheOutcome> {
+    let seen = control.seen().await?;
+    Ok(CacheOutcome {
+        filled_tokens: seen.cache.filled,
+        evicted_unused_tokens: seen.cache.evicted_unused,
+        never_reused_tokens: seen.cache.released_unused + seen.held_tokens,
+    })
+}
+
+/// Returns how many of the first new runs were seen before. Both lists are windows over the same runs.
+fn seen_count(before: &[CallId], now: &[CallId]) -> usize {
+    let starts = 0..=before.len();
+    let mut overlaps = starts.map(|start| &before[start..]);
+    let overlap = overlaps.find(|overlap| now.starts_with(overlap));
+    overlap.map_or(0, <[CallId]>::len)
+}
+
+impl EngineWatch {
+    async fn take_runs(&mut self) -> Result<Vec<TargetRun>> {
+        let runs = self.control.recent_runs().await?;
+        let calls: Vec<CallId> = runs.iter().map(|run| run.call).collect();
+        let seen = seen_count(&self.recent, &calls);
+        self.recent = calls;
+        let fresh = runs.into_iter().skip(seen);
+        Ok(fresh
+            .map(|run| TargetRun::Model { digest: run.messages })
+            .collect())
+    }
+}
+
+impl ServiceWatch {
+    async fn take_runs(&mut self) -> Result<Vec<TargetRun>> {
+        let paths = self.control.runs(1).await?.paths;
+        let mut fresh = Vec::new();
+        for (path, count) in &paths {
+            let before = self.paths.get(path).copied().unwrap_or(0);
+            let run = TargetRun::Service { path: path.clone() };
+            fresh.extend((before..*count).map(|_| run.clone()));
+        }
+        self.paths = paths;
+        Ok(fresh)
+    }
+}
+
+#[async_trait(?Send)]
+impl ReplayHooks for StandinHooks {
+    async fn on_marker(&mut self, _: &MarkerAction) -> Result<Option<Vec<String>>> {
+        Ok(None)
+    }
+
+    async fn take_runs(&mut self) -> Result<Option<Vec<Vec<TargetRun>>>> {
+        let mut runs = Vec::new();
+        for engine in &mut self.engines {
+            runs.push(engine.take_runs().await?);
+        }
+        for service in &mut self.services {
+            // Each run is a list of its own, because a service does not tell the order.
+            let fresh = service.take_runs().await?;
+            runs.extend(fresh.into_iter().map(|run| vec![run]));
+        }
+        Ok((!self.engines.is_empty() || !self.services.is_empty()).then_some(runs))
+    }
+
+    async fn read_cache(&mut self) -> Result<Option<CacheOutcome>> {
+        let mut total = CacheOutcome::default();
+        for engine in &self.engines {
+            let now = cache_outcome(&engine.control).await?;
+            let before = engine.before;
+            total = total.plus(CacheOutcome {
+                filled_tokens: now.filled_tokens.saturating_sub(before.filled_tokens),
+                evicted_unused_tokens: now
+                    .evicted_unused_tokens
+                    .saturating_sub(before.evicted_unused_tokens),
+                never_reused_tokens: now.never_reused_tokens.saturating_sub(before.never_reused_tokens),
+            });
+        }
+        Ok((!self.engines.is_empty()).then_some(total))
+    }
+}
--- a/crates/ebony_trace/src/render/tables.rs
+++ b/crates/ebony_trace/src/render/tables.rs
@@ -129,6 +129,11 @@
     rows.extend(distribution_figures("program latency", &report.latency, 1_000.0));
     rows.extend(distribution_figures("slowdown", &report.slowdown, 100.0));
     rows.extend(distribution_figures("first token", &report.first_token, 1_000.0));
+    rows.extend(distribution_figures(
+        "between tokens",
+        &report.token_interval,
+        1_000.0,
+    ));
     rows.extend(cache_figures(report.cache));
     rows.push(FigureRow::new(
         "fairness between callers",
--- a/crates/ebony_trace/src/summary/distribution.rs
+++ b/crates/ebony_trace/src/summary/distribution.rs
@@ -71,6 +71,11 @@
         self.histogram.saturating_record(value.min(HIGHEST_VALUE));
     }
 
+    pub(super) fn record_times(&mut self, value: u64, times: u64) {
+        self.histogram
+            .saturating_record_n(value.min(HIGHEST_VALUE), times);
+    }
+
     pub(super) fn summary(&self) -> DistributionSummary {
         if self.histogram.is_empty() {
             return DistributionSummary::default();
--- a/crates/ebony_trace/src/summary/replay_summary.rs
+++ b/crates/ebony_trace/src/summary/replay_summary.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::time::Duration;
 
 use ebony_types::{CallerName, ProblemCode, RunVerdict};
 
@@ -67,6 +68,7 @@
     latency: ValueRecorder,
     slowdown: ValueRecorder,
     first_token: ValueRecorder,
+    token_interval: ValueRecorder,
     cache: Option<CacheOutcome>,
     /// Calls by the positions of code and verdict, which bound the table.
     problems: BTreeMap<(usize, usize), u64>,
@@ -98,6 +100,7 @@
             latency: ValueRecorder::open()?,
             slowdown: ValueRecorder::open()?,
             first_token: ValueRecorder::open()?,
+            token_interval: ValueRecorder::open()?,
             cache: None,
             problems: BTreeMap::new(),
             callers: BTreeMap::new(),
@@ -144,6 +147,14 @@
         Ok(())
     }
 
+    /// Takes tokens of an answer that arrived together, and the time for each of them since those before, in the time of
+    /// the replay.
+    pub fn record_tokens(&mut self, interval: Duration, tokens: u32) {
+        let interval = self.document.header().time_scale.to_trace(interval);
+        self.token_interval
+            .record_times(interval.as_millis() as u64, u64::from(tokens));
+    }
+
     /// Takes the end of a program.
     ///
     /// # Errors
@@ -197,6 +208,7 @@
             latency: self.latency.summary(),
             slowdown: self.slowdown.summary(),
             first_token: self.first_token.summary(),
+            token_interval: self.token_interval.summary(),
             cache: self.cache,
             problems: self.problem_counts(),
             callers,
--- a/crates/ebony_trace/src/summary/report.rs
+++ b/crates/ebony_trace/src/summary/report.rs
@@ -111,6 +111,9 @@
     pub slowdown: DistributionSummary,
     /// Time to the first token.
     pub first_token: DistributionSummary,
+    /// Time between tokens.
+    #[serde(default)]
+    pub token_interval: DistributionSummary,
     /// What became of cached tokens, if the driver reported it.
     pub cache: Option<CacheOutcome>,
     /// Problems by code and verdict, in the order of the documentation of codes.
