--- a/crates/ebony_fleet/src/lib.rs
+++ b/crates/ebony_fleet/src/lib.rs
@@ -7,9 +7,12 @@
 pub mod audit;
 pub mod caller;
 pub mod child;
+mod controls;
 pub mod directory;
 pub mod document;
+mod domain_outage;
 pub mod fleet;
+mod routing;
 pub mod settings;
 pub mod workload;
 
@@ -19,7 +22,7 @@
     pub use crate::caller::{CallReply, CallerClient};
     pub use crate::child::{ChildProcess, StopSignal};
     pub use crate::directory::EntryDirectory;
-    pub use crate::document::{CALLER_KEY, OPERATOR_KEY, OTHER_CALLER_KEY};
+    pub use crate::document::{CALLER_KEY, OPERATOR_KEY, OTHER_CALLER_KEY, caller_key};
     pub use crate::fleet::{FleetOptions, RunningFleet};
     pub use crate::workload::{CallerNews, ProgramLog, ProgramPlan, ProgramRunner};
 }
--- /dev/null
+++ b/crates/ebony_fleet/src/routing.rs
@@ -0,0 +1,89 @@
+//! Where callers are sent, and the comparison of what they were told with what happened.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Instant;
+
+use anyhow::bail;
+use ebony_types::ProgramId;
+use serde_json::Value;
+
+use crate::audit::AuditReport;
+use crate::caller::CallerClient;
+use crate::directory::EntryDirectory;
+use crate::fleet::{READY_LIMIT, READY_POLL, Result, RunningFleet};
+use crate::workload::ProgramLog;
+
+impl RunningFleet {
+    /// Returns the directory by which callers find entries.
+    pub fn directory(&self) -> EntryDirectory {
+        self.directory.clone()
+    }
+
+    /// Sends callers to all entries, as the load balancer does when they are ready.
+    ///
+    /// # Errors
+    ///
+    /// Fails if an entry has no address.
+    pub fn route_to_all(&self) -> Result<()> {
+        self.route_without(&[])
+    }
+
+    /// Sends callers to all entries but some, as the load balancer does when these are not ready.
+    ///
+    /// # Errors
+    ///
+    /// Fails if an entry has no address.
+    pub fn route_without(&self, left_out: &[usize]) -> Result<()> {
+        let members = self.entries.iter().enumerate();
+        let routed = members.filter(|(index, _)| !left_out.contains(index));
+        let addresses: Result<Vec<SocketAddr>> = routed
+            .map(|(_, member)| member.child.address("callers"))
+            .collect();
+        self.directory.set(addresses?);
+        Ok(())
+    }
+
+    /// Compares what callers were told with the histories and with what the services ran.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a stand-in does not answer or a history can't be read.
+    pub async fn audit(&self, logs: &[ProgramLog]) -> Result<AuditReport> {
+        let mut report = AuditReport::default();
+        let mut runs = BTreeMap::new();
+        for index in 0..self.options.services {
+            for (key, count) in self.service(index)?.runs(1).await?.keys {
+                *runs.entry(key).or_insert(0) += count;
+            }
+        }
+        for log in logs {
+            report.audit_orders(log, &runs);
+            if let Some(program) = log.program {
+                let client = self.caller_with(0, &log.plan.caller_key)?;
+                report.audit_history(log, &read_view(&client, program).await?);
+            }
+        }
+        let programs: Vec<ProgramId> = logs.iter().filter_map(|log| log.program).collect();
+        report.audit_programs(&programs);
+        Ok(report)
+    }
+}
+
+/// Reads a program with its history; tries again while its owner moves.
+async fn read_view(client: &CallerClient, program: ProgramId) -> Result<Value> {
+    let give_up = Instant::now() + READY_LIMIT;
+    loop {
+        let reply = client.show_program(program).await?;
+        if reply.status == 200 {
+            return Ok(reply.json());
+        }
+        if Instant::now() > give_up {
+            bail!(
+                "{program} can't be read: {}",
+                String::from_utf8_lossy(&reply.body)
+            );
+        }
+        tokio::time::sleep(READY_POLL).await;
+    }
+}
--- a/crates/ebonyctl/tests/operators.rs
+++ b/crates/ebonyctl/tests/operators.rs
@@ -203,7 +203,10 @@
     let most_rows = before.rows + MAX_HISTORY_ROWS + 32;
     assert!(after.rows <= most_rows, "{before:?} {after:?}");
     let most_objects = MAX_HISTORY_ROWS / CHECKPOINT_INTERVAL + 3;
-    assert!(after.objects <= before.objects + most_objects, "{before:?} {after:?}");
+    assert!(
+        after.objects <= before.objects + most_objects,
+        "{before:?} {after:?}"
+    );
     let newest = changes + 1;
     let oldest = newest + 2 * CHECKPOINT_INTERVAL - MAX_HISTORY_ROWS;
     let document = bench.get(0, &format!("/v1/config?version={oldest}")).await;
