Answer idempotent calls during a platform outage without losing turns

Ruled out: ending the answer without a second copy, which loses the turn if the owner dies during the outage; and recovering turns from side processes, which would need the order of turns across several of them. Change: while appends fail, the owner cuts rows as usual and gives a copy of each to another entry; answers end once the copy is confirmed. Rows keep their content and nonce, so that all writers of a row agree.

--- a/crates/ebony_entry/src/owner/actor.rs
+++ b/crates/ebony_entry/src/owner/actor.rs
@@ -6,8 +6,9 @@
 
 use actix::{ActorFutureExt, Addr, AsyncContext, Context, Recipient, SpawnHandle, WrapFuture};
 use bytes::Bytes;
-use ebony_owner::journal::BodyPlace;
+use ebony_owner::journal::{AppendOutcome, BodyPlace};
 use ebony_owner::program::HistoryPlan;
+use ebony_owner::storage::{StorageReply, StorageRequest};
 use ebony_owner::{OwnerAction, OwnerCore, OwnerEvent, OwnerSettings, WallTime};
 use ebony_platform::table::{create_resolved, replace_resolved};
 use ebony_platform::{RowKey, RowVersion, TableService, WriteNonce};
@@ -26,7 +27,7 @@
 use super::storage::StorageClient;
 use crate::answer::{AnswerPart, CancelCall};
 use crate::dispatch::{DispatchActor, PlaceCall, ReleaseProgram, SettleCall};
-use crate::peers::{OperationResult, PresenceChanged};
+use crate::peers::{CollectCopies, CopyRow, DropCopies, OperationResult, PresenceChanged};
 
 /// The most session rows that are read at once.
 const MAX_SESSIONS: u32 = 1_000;
@@ -58,6 +59,9 @@
 pub(super) struct OwnerLinks {
     pub(super) dispatch: Addr<DispatchActor>,
     pub(super) presence: Recipient<PresenceChanged>,
+    pub(super) copies: Recipient<CopyRow>,
+    pub(super) drops: Recipient<DropCopies>,
+    pub(super) collect: Recipient<CollectCopies>,
 }
 
 /// Owns programs: carries events into the core and its actions out.
@@ -70,6 +74,8 @@
     pub(super) next_operation: u64,
     pub(super) members: MemberBook,
     pub(super) is_draining: bool,
+    /// Whether other entries may hold copies of rows of this session.
+    pub(super) has_copies: bool,
     started: Instant,
     source: StdRng,
     session_version: Option<RowVersion>,
@@ -102,6 +108,7 @@
             next_operation: 0,
             members: MemberBook::default(),
             is_draining: false,
+            has_copies: false,
             started: Instant::now(),
             source,
             session_version: None,
@@ -180,6 +187,13 @@
             OwnerAction::TakeoverFailed { shard, detail } => {
                 warn!(self.options.logger, "shard could not be taken over"; "shard" => %shard, "detail" => detail);
             }
+            OwnerAction::CopyRow(row) => {
+                if let Some(links) = &self.links {
+                    let session = self.core.session();
+                    links.copies.do_send(CopyRow { session, row });
+                    self.has_copies = true;
+                }
+            }
             OwnerAction::SessionLost => self.reopen(context),
             storage => self.start_storage(storage, context),
         }
@@ -188,13 +202,35 @@
     fn start_storage(&self, action: OwnerAction, context: &mut Context<Self>) {
         let (storage, session) = (self.options.storage.clone(), self.core.session());
         let address = context.address();
+        let collect = self.links.as_ref().map(|links| links.collect.clone());
         actix::spawn(async move {
-            if let Some(event) = store(&storage, session, action).await {
+            if let Some(event) = store(&storage, collect, session, action).await {
                 address.do_send(StorageEvent { session, event });
             }
         });
     }
 
+    /// Lets other entries drop their copies of rows that are durable now.
+    pub(super) fn drop_copies(&mut self, event: &OwnerEvent) {
+        let OwnerEvent::AppendDone {
+            sequence,
+            outcome: AppendOutcome::Durable,
+        } = event
+        else {
+            return;
+        };
+        if !std::mem::take(&mut self.has_copies) {
+            return;
+        }
+        if let Some(links) = &self.links {
+            let session = self.core.session();
+            links.drops.do_send(DropCopies {
+                session,
+                durable: *sequence,
+            });
+        }
+    }
+
     pub(super) fn to_dispatch(&self, send: impl FnOnce(&Addr<DispatchActor>)) {
         if let Some(links) = &self.links {
             send(&links.dispatch);
@@ -378,7 +414,12 @@
 }
 
 /// Carries out a storage action; returns the event that reports its outcome, if the core waits for one.
-async fn store(storage: &StorageClient, session: SessionId, action: OwnerAction) -> Option<OwnerEvent> {
+async fn store(
+    storage: &StorageClient,
+    collect: Option<Recipient<CollectCopies>>,
+    session: SessionId,
+    action: OwnerAction,
+) -> Option<OwnerEvent> {
     match action {
         OwnerAction::Append(append) => {
             let sequence = append.sequence;
@@ -390,7 +431,10 @@
             Some(OwnerEvent::CheckpointDone { sequence, is_stored })
         }
         OwnerAction::Storage { ticket, request } => {
-            let reply = storage.carry_out(request).await;
+            let reply = match append_copies(storage, collect, &request).await {
+                true => storage.carry_out(request).await,
+                false => StorageReply::Unavailable,
+            };
             Some(OwnerEvent::StorageDone { ticket, reply })
         }
         OwnerAction::Truncate {
@@ -408,3 +452,26 @@
         _ => None,
     }
 }
+
+/// Before a journal is sealed, appends the copies of its rows that entries hold since an outage; returns `false` if the
+/// platform does not take them.
+async fn append_copies(
+    storage: &StorageClient,
+    collect: Option<Recipient<CollectCopies>>,
+    request: &StorageRequest,
+) -> bool {
+    let StorageRequest::SealJournal {
+        session, sequence, ..
+    } = request
+    else {
+        return true;
+    };
+    let Some(collect) = collect else { return true };
+    let after = sequence.saturating_sub(1);
+    let message = CollectCopies {
+        session: *session,
+        after,
+    };
+    let copies = collect.send(message).await.unwrap_or_default();
+    storage.append_copies(*session, *sequence, copies).await
+}
--- a/crates/ebony_entry/src/owner/handlers.rs
+++ b/crates/ebony_entry/src/owner/handlers.rs
@@ -14,7 +14,7 @@
 use super::open_call::OpenCall;
 use crate::answer::{AnswerPart, CancelCall};
 use crate::dispatch::{CallEnded, CallPlaced, VouchPrograms};
-use crate::peers::{OperateProgram, OperationResult, PeerPresence, StartCall};
+use crate::peers::{CopyHeld, OperateProgram, OperationResult, PeerPresence, StartCall};
 
 /// The time between two confirmations of programs to side processes.
 const VOUCH_INTERVAL: Duration = Duration::from_secs(5);
@@ -26,8 +26,14 @@
 impl Handler<LinkOwner> for OwnerActor {
     type Result = ();
 
-    fn handle(&mut self, LinkOwner { dispatch, presence }: LinkOwner, context: &mut Context<Self>) {
-        self.links = Some(OwnerLinks { dispatch, presence });
+    fn handle(&mut self, message: LinkOwner, context: &mut Context<Self>) {
+        self.links = Some(OwnerLinks {
+            dispatch: message.dispatch,
+            presence: message.presence,
+            copies: message.copies,
+            drops: message.drops,
+            collect: message.collect,
+        });
         self.publish_presence();
         self.write_session(context);
         context.run_interval(VOUCH_INTERVAL, |actor, _| {
@@ -67,8 +73,20 @@
 
     fn handle(&mut self, StorageEvent { session, event }: StorageEvent, context: &mut Context<Self>) {
         // A result for a lost session concerns nobody.
+        if session != self.core.session() {
+            return;
+        }
+        self.drop_copies(&event);
+        self.handle_event(event, context);
+    }
+}
+
+impl Handler<CopyHeld> for OwnerActor {
+    type Result = ();
+
+    fn handle(&mut self, CopyHeld { session, sequence }: CopyHeld, context: &mut Context<Self>) {
         if session == self.core.session() {
-            self.handle_event(event, context);
+            self.handle_event(OwnerEvent::RowCopied { sequence }, context);
         }
     }
 }
--- a/crates/ebony_entry/src/owner/messages.rs
+++ b/crates/ebony_entry/src/owner/messages.rs
@@ -6,7 +6,7 @@
 use ebony_types::SessionId;
 
 use crate::dispatch::DispatchActor;
-use crate::peers::PresenceChanged;
+use crate::peers::{CollectCopies, CopyRow, DropCopies, PresenceChanged};
 
 /// Tells the owner whom it talks to, after all actors were created.
 #[derive(Message)]
@@ -16,6 +16,12 @@
     pub dispatch: Addr<DispatchActor>,
     /// Spreads which shards are served here.
     pub presence: Recipient<PresenceChanged>,
+    /// Gives copies of rows to other entries during an outage.
+    pub copies: Recipient<CopyRow>,
+    /// Drops such copies.
+    pub drops: Recipient<DropCopies>,
+    /// Reads such copies before a journal is sealed.
+    pub collect: Recipient<CollectCopies>,
 }
 
 /// Starts to release all shards.
--- a/crates/ebony_entry/src/owner/storage.rs
+++ b/crates/ebony_entry/src/owner/storage.rs
@@ -9,6 +9,9 @@
 use ebony_platform::table::{create_resolved, replace_resolved};
 use ebony_platform::{ObjectStore, PlatformError, RowKey, RowRecord, RowVersion, TableService, WriteNonce};
 use ebony_types::{SessionId, ShardKey};
+use ebony_wire::HeldRow;
+
+use crate::peers::append_of;
 
 /// The result of reading stored bodies.
 pub(super) type Result<T, E = PlatformError> = std::result::Result<T, E>;
@@ -74,6 +77,28 @@
         }
     }
 
+    /// Returns `true` if a row of a journal exists.
+    pub async fn has_row(&self, session: SessionId, sequence: u64) -> bool {
+        let row = self.table.read(&journal_key(session, sequence)).await;
+        row.is_ok_and(|row| row.is_some())
+    }
+
+    /// Appends copies of a dead owner's rows that follow its journal without a gap, so that a seal does not cut them
+    /// off; returns `false` if the platform does not take one.
+    pub async fn append_copies(&self, session: SessionId, next: u64, copies: Vec<HeldRow>) -> bool {
+        let mut next = next;
+        for held in copies {
+            if held.sequence != next {
+                continue;
+            }
+            if self.append(session, append_of(held)).await == AppendOutcome::Unavailable {
+                return false;
+            }
+            next += 1;
+        }
+        true
+    }
+
     /// Stores a checkpoint; returns whether it is stored.
     pub async fn store_checkpoint(&self, session: SessionId, sequence: u64, bytes: Bytes) -> bool {
         self.objects
--- a/crates/ebony_entry/src/peers/actor.rs
+++ b/crates/ebony_entry/src/peers/actor.rs
@@ -1,5 +1,6 @@
 //! The actor that holds the links to other entries.
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -9,7 +10,7 @@
 };
 use ebony_link::{LinkIdentity, LinkListener, LinkOptions, LinkReceiver, dial};
 use ebony_types::{CallRequest, ProblemCode, ProblemReport};
-use ebony_wire::PeerFrame;
+use ebony_wire::{HeldRow, PeerFrame};
 use futures_util::Stream;
 use futures_util::stream::unfold;
 use slog::{Logger, info, warn};
@@ -17,6 +18,8 @@
 use tokio::sync::oneshot;
 
 use super::config_news::{ConfigNews, ConfigRecipients};
+use super::copies::{CopyHeld, CopyRow};
+use super::held_rows::HeldRows;
 use super::incoming::IncomingLink;
 use super::messages::{
     ForwardCall, ForwardOperation, IncomingEvent, IncomingKey, OperateProgram, OperationResult,
@@ -25,6 +28,7 @@
 use super::outgoing::{ForwardedWork, PeerRecord};
 use super::router::{PeerKey, ShardRoute, ShardRouter};
 use crate::answer::{AnswerPart, AnswerPipe, CancelCall, CreditGrant};
+use crate::owner::StorageClient;
 
 /// The time between two pings on a link, and the least time between two dials.
 const HEARTBEAT: Duration = Duration::from_millis(500);
@@ -43,21 +47,30 @@
     pub operate: Recipient<OperateProgram>,
     /// Receives what other entries say of themselves.
     pub presence: Recipient<PeerPresence>,
+    /// Receives which copies of rows other entries hold.
+    pub copied: Recipient<CopyHeld>,
+    /// Appends rows that this entry holds for others.
+    pub storage: StorageClient,
     /// The process's logger.
     pub logger: Logger,
 }
 
 /// Holds the links to other entries.
 pub struct PeerActor {
-    options: PeerOptions,
+    pub(super) options: PeerOptions,
     own_address: SocketAddr,
     listener: Option<LinkListener>,
-    peers: SlotMap<PeerKey, PeerRecord>,
+    pub(super) peers: SlotMap<PeerKey, PeerRecord>,
     pub(super) incoming: SlotMap<IncomingKey, IncomingLink>,
     work: ForwardedWork,
     presence: PresenceChanged,
     pub(super) news: ConfigNews,
     next_generation: u64,
+    pub(super) held: HeldRows,
+    pub(super) copy: Option<CopyRow>,
+    pub(super) copy_turn: usize,
+    pub(super) collects: HashMap<u64, oneshot::Sender<Vec<HeldRow>>>,
+    pub(super) next_collect: u64,
 }
 
 impl PeerActor {
@@ -73,6 +86,11 @@
             work: ForwardedWork::default(),
             presence: PresenceChanged::default(),
             next_generation: 0,
+            held: HeldRows::default(),
+            copy: None,
+            copy_turn: 0,
+            collects: HashMap::new(),
+            next_collect: 0,
         }
     }
 
@@ -188,6 +206,8 @@
                 }
             }
             PeerFrame::Operated { request, result } => self.work.end_operation(request, result),
+            PeerFrame::RowHeld { session, sequence } => self.accept_held(session, sequence),
+            PeerFrame::HeldRows { request, rows } => self.end_collect(request, rows),
             PeerFrame::Config(push) => self.news.offer(push),
             PeerFrame::ConfigInForce(status) => self.news.accept_outgoing(peer, status),
             PeerFrame::ConfigWanted { known } => {
@@ -204,6 +224,19 @@
         match frame {
             PeerFrame::Forward(request) => self.start_forwarded(key, *request),
             PeerFrame::Operate { request, operation } => self.operate_forwarded(key, request, operation),
+            PeerFrame::HoldRow(row) => {
+                let reply = self.accept_copy(*row);
+                self.reply(key, reply);
+            }
+            PeerFrame::DropRows { session, durable } => self.held.drop_up_to(session, durable),
+            PeerFrame::ReadHeldRows {
+                request,
+                session,
+                after,
+            } => {
+                let rows = self.held.read(session, after);
+                self.reply(key, Some(PeerFrame::HeldRows { request, rows }));
+            }
             PeerFrame::Cancel { call } => self.with_incoming(key, |link| link.cancel(call)),
             PeerFrame::Credit { call, bytes } => self.with_incoming(key, |link| link.grant(call, bytes)),
             PeerFrame::Config(push) => self.news.offer(push),
@@ -221,6 +254,13 @@
         }
     }
 
+    fn reply(&mut self, key: IncomingKey, frame: Option<PeerFrame>) {
+        if let Some(frame) = frame {
+            // A sender whose link is lost or full asks again.
+            self.with_incoming(key, |link| drop(link.sender.send(&frame)));
+        }
+    }
+
     fn with_incoming(&mut self, key: IncomingKey, action: impl FnOnce(&mut IncomingLink)) {
         if let Some(link) = self.incoming.get_mut(key) {
             action(link);
@@ -237,6 +277,7 @@
 
     fn started(&mut self, context: &mut Self::Context) {
         self.accept_next(context);
+        self.start_copies(context);
         context.run_interval(HEARTBEAT, |actor, _| {
             actor.broadcast_outgoing(&PeerFrame::Ping { nonce: 0 })
         });
--- /dev/null
+++ b/crates/ebony_entry/src/peers/copies.rs
@@ -0,0 +1,248 @@
+//! Copies of journal rows between entries, while the platform takes no writes.
+
+use std::time::Duration;
+
+use actix::{ActorFutureExt, AsyncContext, Context, Handler, Message, ResponseFuture, WrapFuture};
+use ebony_owner::journal::{AppendOutcome, AppendRow};
+use ebony_types::SessionId;
+use ebony_wire::{HeldRow, PeerFrame};
+use tokio::sync::oneshot;
+
+use super::actor::PeerActor;
+use super::router::PeerKey;
+
+/// The time between two attempts to append held rows, and to place a copy that no entry has taken yet.
+const COPY_INTERVAL: Duration = Duration::from_millis(500);
+
+/// The longest wait for another entry's copies before a seal.
+const COLLECT_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// The most rounds of replies from one entry before a seal.
+const MAX_COLLECT_ROUNDS: u32 = 64;
+
+/// Gives a copy of a row to another entry.
+#[derive(Clone, Debug)]
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct CopyRow {
+    /// The session whose journal it is.
+    pub session: SessionId,
+    /// The row.
+    pub row: AppendRow,
+}
+
+/// Another entry has a copy of a row.
+#[derive(Clone, Copy, Debug)]
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct CopyHeld {
+    /// The session whose journal it is.
+    pub session: SessionId,
+    /// The row's number.
+    pub sequence: u64,
+}
+
+/// Rows are durable, and their copies may go.
+#[derive(Clone, Copy, Debug)]
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct DropCopies {
+    /// The session whose journal it is.
+    pub session: SessionId,
+    /// The last durable row.
+    pub durable: u64,
+}
+
+/// Asks all linked entries, this one included, for copies of a session's rows.
+#[derive(Clone, Copy, Debug)]
+#[derive(Message)]
+#[rtype(result = "Vec<HeldRow>")]
+pub struct CollectCopies {
+    /// The session.
+    pub session: SessionId,
+    /// Only rows behind this one are wanted.
+    pub after: u64,
+}
+
+/// Turns a held row into the append of its owner.
+pub(crate) fn append_of(held: HeldRow) -> AppendRow {
+    AppendRow {
+        sequence: held.sequence,
+        row: held.row,
+        bodies: held.bodies,
+        nonce: u128::from_be_bytes(held.nonce),
+    }
+}
+
+impl PeerActor {
+    pub(super) fn accept_copy(&mut self, row: HeldRow) -> Option<PeerFrame> {
+        let (session, sequence) = (row.session, row.sequence);
+        self.held
+            .hold(row)
+            .then_some(PeerFrame::RowHeld { session, sequence })
+    }
+
+    pub(super) fn accept_held(&mut self, session: SessionId, sequence: u64) {
+        if self
+            .copy
+            .as_ref()
+            .is_some_and(|copy| (copy.session, copy.row.sequence) == (session, sequence))
+        {
+            self.copy = None;
+        }
+        self.options.copied.do_send(CopyHeld { session, sequence });
+    }
+
+    /// Offers the present copy to the next linked entry.
+    pub(super) fn offer_copy(&mut self) {
+        let Some(copy) = self.copy.clone() else { return };
+        let peers: Vec<PeerKey> = self
+            .peers
+            .iter()
+            .filter(|(_, record)| record.sender.is_some())
+            .map(|(key, _)| key)
+            .collect();
+        if peers.is_empty() {
+            return;
+        }
+        self.copy_turn += 1;
+        let peer = peers[self.copy_turn % peers.len()];
+        let held = HeldRow {
+            session: copy.session,
+            sequence: copy.row.sequence,
+            row: copy.row.row,
+            bodies: copy.row.bodies,
+            nonce: copy.row.nonce.to_be_bytes(),
+        };
+        self.send(peer, &PeerFrame::HoldRow(Box::new(held)));
+    }
+
+    /// Appends held rows on behalf of their owners, and offers a copy again that nobody has taken.
+    pub(super) fn run_copies(&mut self, context: &mut Context<Self>) {
+        self.offer_copy();
+        for held in self.held.first_of_each() {
+            let storage = self.options.storage.clone();
+            let (session, sequence) = (held.session, held.sequence);
+            let append = async move {
+                // A gap before the row would hide it from a successor.
+                let has_previous = sequence == 1 || storage.has_row(session, sequence - 1).await;
+                has_previous && storage.append(session, append_of(held)).await != AppendOutcome::Unavailable
+            };
+            let append = append.into_actor(self).map(move |is_over, actor, _| {
+                // Another nonce in the row's place means that the journal was sealed without it.
+                if is_over {
+                    actor.held.drop_up_to(session, sequence);
+                }
+            });
+            context.spawn(append);
+        }
+    }
+
+    pub(super) fn start_copies(&mut self, context: &mut Context<Self>) {
+        context.run_interval(COPY_INTERVAL, PeerActor::run_copies);
+    }
+
+    pub(super) fn end_collect(&mut self, request: u64, rows: Vec<HeldRow>) {
+        if let Some(reply) = self.collects.remove(&request) {
+            // The requester may have given up.
+            let _ = reply.send(rows);
+        }
+    }
+
+    /// Asks one entry for copies; the reply is empty if its link is lost.
+    fn ask(&mut self, peer: PeerKey, session: SessionId, after: u64) -> oneshot::Receiver<Vec<HeldRow>> {
+        let (reply, rows) = oneshot::channel();
+        self.collects.retain(|_, pending| !pending.is_closed());
+        self.next_collect += 1;
+        let request = self.next_collect;
+        if self.send(
+            peer,
+            &PeerFrame::ReadHeldRows {
+                request,
+                session,
+                after,
+            },
+        ) {
+            self.collects.insert(request, reply);
+        }
+        rows
+    }
+}
+
+/// Asks one linked entry again and again until it has no more copies.
+#[derive(Clone, Copy, Debug)]
+#[derive(Message)]
+#[rtype(result = "Vec<HeldRow>")]
+struct AskPeer {
+    peer: PeerKey,
+    session: SessionId,
+    after: u64,
+}
+
+impl Handler<AskPeer> for PeerActor {
+    type Result = ResponseFuture<Vec<HeldRow>>;
+
+    fn handle(&mut self, message: AskPeer, _: &mut Context<Self>) -> Self::Result {
+        let rows = self.ask(message.peer, message.session, message.after);
+        Box::pin(async move {
+            let rows = tokio::time::timeout(COLLECT_TIMEOUT, rows).await;
+            rows.ok().and_then(Result::ok).unwrap_or_default()
+        })
+    }
+}
+
+impl Handler<CopyRow> for PeerActor {
+    type Result = ();
+
+    fn handle(&mut self, message: CopyRow, _: &mut Context<Self>) {
+        self.copy = Some(message);
+        self.offer_copy();
+    }
+}
+
+impl Handler<DropCopies> for PeerActor {
+    type Result = ();
+
+    fn handle(&mut self, DropCopies { session, durable }: DropCopies, _: &mut Context<Self>) {
+        self.copy = self
+            .copy
+            .take()
+            .filter(|copy| copy.session == session && copy.row.sequence > durable);
+        for peer in self.peers.keys() {
+            self.send(peer, &PeerFrame::DropRows { session, durable });
+        }
+    }
+}
+
+impl Handler<CollectCopies> for PeerActor {
+    type Result = ResponseFuture<Vec<HeldRow>>;
+
+    fn handle(&mut self, message: CollectCopies, context: &mut Context<Self>) -> Self::Result {
+        let CollectCopies { session, after } = message;
+        let mut rows = self.held.read(session, after);
+        let peers: Vec<PeerKey> = self
+            .peers
+            .iter()
+            .filter(|(_, record)| record.sender.is_some())
+            .map(|(key, _)| key)
+            .collect();
+        let address = context.address();
+        Box::pin(async move {
+            for peer in peers {
+                let mut after = after;
+                for _ in 0..MAX_COLLECT_ROUNDS {
+                    let more = address
+                        .send(AskPeer { peer, session, after })
+                        .await
+                        .unwrap_or_default();
+                    let Some(last) = more.last() else { break };
+                    after = last.sequence;
+                    rows.extend(more);
+                }
+            }
+            rows.sort_by_key(|row| row.sequence);
+            rows.dedup_by_key(|row| row.sequence);
+            rows
+        })
+    }
+}
--- /dev/null
+++ b/crates/ebony_entry/src/peers/held_rows.rs
@@ -0,0 +1,74 @@
+//! Copies of other owners' journal rows, held while the platform takes no writes.
+
+use std::collections::BTreeMap;
+
+use ebony_types::SessionId;
+use ebony_wire::HeldRow;
+
+/// The most bytes of copies in one entry. A copy above it is refused, and its owner asks another entry.
+const MAX_HELD_BYTES: usize = 16 * 1024 * 1024;
+
+/// The most bytes of copies in one reply, so that it fits a frame.
+const MAX_REPLY_BYTES: usize = 4 * 1024 * 1024;
+
+/// Copies of rows by session and number. They leave when they are durable.
+#[derive(Debug, Default)]
+pub(super) struct HeldRows {
+    rows: BTreeMap<(SessionId, u64), HeldRow>,
+    bytes: usize,
+}
+
+fn size_of(row: &HeldRow) -> usize {
+    row.row.len() + row.bodies.as_ref().map_or(0, bytes::Bytes::len)
+}
+
+impl HeldRows {
+    /// Takes a copy; returns `false` if there is no room.
+    pub(super) fn hold(&mut self, row: HeldRow) -> bool {
+        let key = (row.session, row.sequence);
+        if self.rows.contains_key(&key) {
+            return true;
+        }
+        let size = size_of(&row);
+        if self.bytes + size > MAX_HELD_BYTES {
+            return false;
+        }
+        self.bytes += size;
+        self.rows.insert(key, row);
+        true
+    }
+
+    /// Drops the copies of a session up to a row.
+    pub(super) fn drop_up_to(&mut self, session: SessionId, durable: u64) {
+        let dropped = self
+            .rows
+            .extract_if((session, 0)..=(session, durable), |_, _| true);
+        let size: usize = dropped.map(|(_, row)| size_of(&row)).sum();
+        self.bytes -= size;
+    }
+
+    /// Returns the copies of a session behind a row, in order, as many as fit a reply.
+    pub(super) fn read(&self, session: SessionId, after: u64) -> Vec<HeldRow> {
+        let mut size = 0;
+        let rows = self
+            .rows
+            .range((session, after.saturating_add(1))..=(session, u64::MAX));
+        let fits = rows.take_while(|(_, row)| {
+            let is_first = size == 0;
+            size += size_of(row);
+            is_first || size <= MAX_REPLY_BYTES
+        });
+        fits.map(|(_, row)| row.clone()).collect()
+    }
+
+    /// Returns the first copy of each session.
+    pub(super) fn first_of_each(&self) -> Vec<HeldRow> {
+        let mut firsts: Vec<HeldRow> = Vec::new();
+        for ((session, _), row) in &self.rows {
+            if firsts.last().is_none_or(|last| last.session != *session) {
+                firsts.push(row.clone());
+            }
+        }
+        firsts
+    }
+}
--- a/crates/ebony_entry/src/peers/mod.rs
+++ b/crates/ebony_entry/src/peers/mod.rs
@@ -2,6 +2,8 @@
 
 mod actor;
 mod config_news;
+mod copies;
+mod held_rows;
 mod incoming;
 mod messages;
 mod outgoing;
@@ -9,6 +11,8 @@
 
 pub use actor::{PeerActor, PeerOptions};
 pub use config_news::ConfigRecipients;
+pub(crate) use copies::append_of;
+pub use copies::{CollectCopies, CopyHeld, CopyRow, DropCopies};
 pub use messages::{
     ForwardCall, ForwardOperation, OperateProgram, OperationResult, PeerPresence, PeersListed,
     PresenceChanged, StartCall,
--- a/crates/ebony_entry/src/process.rs
+++ b/crates/ebony_entry/src/process.rs
@@ -216,6 +216,8 @@
                 start: owner.clone().recipient(),
                 operate: owner.clone().recipient(),
                 presence: owner.clone().recipient(),
+                copied: owner.clone().recipient(),
+                storage: StorageClient::new(Rc::clone(&platform.table), Rc::clone(&platform.objects)),
                 logger: logger.clone(),
             },
             ConfigRecipients {
@@ -235,6 +237,9 @@
         owner.do_send(LinkOwner {
             dispatch: dispatch.clone(),
             presence: peers.clone().recipient(),
+            copies: peers.clone().recipient(),
+            drops: peers.clone().recipient(),
+            collect: peers.clone().recipient(),
         });
         spawn_peer_list(
             Rc::clone(&platform.hosts),
--- a/crates/ebony_owner/src/action.rs
+++ b/crates/ebony_owner/src/action.rs
@@ -36,7 +36,8 @@
         /// The problem with its verdict.
         problem: ProblemReport,
     },
-    /// Sends the final marker of the call's answer. Its record is durable now, and not before.
+    /// Sends the final marker of the call's answer. Its record is durable now, or during an outage of the platform two
+    /// processes hold it, and not before.
     Finish {
         /// The call.
         call: CallId,
@@ -84,6 +85,9 @@
     /// [`Durable`](crate::journal::AppendOutcome::Durable) only if the row exists with this nonce and the bodies are
     /// stored.
     Append(AppendRow),
+    /// Gives a copy of the row to a process in another failure domain, which appends it if this owner dies during the
+    /// outage, and reports [`crate::OwnerEvent::RowCopied`]. The copy may be dropped once the row is durable.
+    CopyRow(AppendRow),
     /// Stores the object `checkpoint/{session}/{sequence}` and reports the outcome.
     Checkpoint {
         /// The last row that the checkpoint includes.
--- a/crates/ebony_owner/src/event.rs
+++ b/crates/ebony_owner/src/event.rs
@@ -73,6 +73,11 @@
         /// How it ended.
         outcome: AppendOutcome,
     },
+    /// Another process has a copy of a row, as ordered by [`crate::OwnerAction::CopyRow`].
+    RowCopied {
+        /// The row's number.
+        sequence: u64,
+    },
     /// A checkpoint was stored, or could not be.
     CheckpointDone {
         /// The checkpoint's sequence.
--- a/crates/ebony_owner/src/journal/writer.rs
+++ b/crates/ebony_owner/src/journal/writer.rs
@@ -64,6 +64,17 @@
     Stale,
 }
 
+/// Whether another process has a copy of a row.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum CopyState {
+    /// Only this process has the row.
+    Absent,
+    /// A copy was ordered.
+    Ordered,
+    /// Another process has a copy.
+    Copied,
+}
+
 #[derive(Debug)]
 struct PendingAppend {
     row: AppendRow,
@@ -71,6 +82,7 @@
     bytes: usize,
     failures: u32,
     retry_at: Option<ClockTime>,
+    copy: CopyState,
 }
 
 /// The state of a journal that takes records.
@@ -78,6 +90,8 @@
 pub struct OpenJournal {
     queue: VecDeque<RowBatch>,
     append: Option<PendingAppend>,
+    /// Rows that were cut during an outage, so that another process can hold copies of them until they are appended.
+    held: VecDeque<PendingAppend>,
     next_sequence: u64,
     durable: u64,
     last_start: Option<ClockTime>,
@@ -147,6 +161,7 @@
             state: OpenJournal {
                 queue: VecDeque::new(),
                 append: None,
+                held: VecDeque::new(),
                 next_sequence: 1,
                 durable: 0,
                 last_start: None,
@@ -224,6 +239,21 @@
             append.retry_at = None;
             return Ok(Some(append.row.clone()));
         }
+        let next = match self.state.held.pop_front() {
+            Some(held) => Some(held),
+            None => self.cut(written, source)?,
+        };
+        let row = next.as_ref().map(|append| append.row.clone());
+        self.state.last_start = Some(now);
+        self.state.append = next;
+        Ok(row)
+    }
+
+    /// Makes a row of the next batch.
+    fn cut(&mut self, written: WallTime, source: &mut impl RngCore) -> Result<Option<PendingAppend>> {
+        if self.state.queue.front().is_none_or(RowBatch::is_empty) {
+            return Ok(None);
+        }
         let Some(batch) = self.state.queue.pop_front() else {
             return Ok(None);
         };
@@ -234,31 +264,88 @@
             checkpoint: self.state.checkpoint,
             records: 0,
         };
+        let (sequence, turns, bytes) = (batch.sequence, batch.turns, batch.byte_count());
         let (row, bodies) = batch.encode(header)?;
-        let row = AppendRow {
-            sequence: batch.sequence,
-            row,
-            bodies,
-            nonce: (u128::from(source.next_u64()) << 64) | u128::from(source.next_u64()),
-        };
-        self.state.last_start = Some(now);
-        self.state.append = Some(PendingAppend {
-            row: row.clone(),
-            turns: batch.turns,
-            bytes: batch.byte_count(),
+        let nonce = (u128::from(source.next_u64()) << 64) | u128::from(source.next_u64());
+        Ok(Some(PendingAppend {
+            row: AppendRow {
+                sequence,
+                row,
+                bodies,
+                nonce,
+            },
+            turns,
+            bytes,
             failures: 0,
             retry_at: None,
-        });
+            copy: CopyState::Absent,
+        }))
+    }
+
+    /// Returns the next row that another process should hold a copy of, while the platform takes no writes.
+    ///
+    /// One copy is ordered at a time; records that arrive meanwhile form the next row.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`crate::codec::CodecError`] if the row cannot be encoded. The journal must not be used further.
+    pub fn next_copy(&mut self, written: WallTime, source: &mut impl RngCore) -> Result<Option<AppendRow>> {
+        let is_ordered = |append: &PendingAppend| append.copy == CopyState::Ordered;
+        if !self.is_outage() || self.pending().any(is_ordered) {
+            return Ok(None);
+        }
+        if let Some(append) = &mut self.state.append
+            && append.copy == CopyState::Absent
+        {
+            append.copy = CopyState::Ordered;
+            return Ok(Some(append.row.clone()));
+        }
+        let Some(mut held) = self.cut(written, source)? else {
+            return Ok(None);
+        };
+        held.copy = CopyState::Ordered;
+        let row = held.row.clone();
+        self.state.held.push_back(held);
         Ok(Some(row))
     }
 
+    /// Notes that another process has a copy of a row.
+    pub fn copy_done(&mut self, sequence: u64) {
+        let pending = self.state.append.iter_mut().chain(&mut self.state.held);
+        for append in pending.filter(|append| append.row.sequence == sequence) {
+            append.copy = CopyState::Copied;
+        }
+    }
+
+    /// Returns the last row up to which every row is durable or has a copy.
+    pub fn copied(&self) -> u64 {
+        let copied = self
+            .pending()
+            .take_while(|append| append.copy == CopyState::Copied);
+        copied
+            .last()
+            .map_or(self.state.durable, |append| append.row.sequence)
+    }
+
+    fn pending(&self) -> impl Iterator<Item = &PendingAppend> {
+        self.state.append.iter().chain(&self.state.held)
+    }
+
+    /// Returns `true` if the platform counts as down.
+    fn is_outage(&self) -> bool {
+        let failures = self.state.append.as_ref().map_or(0, |append| append.failures);
+        failures >= OUTAGE_FAILURES
+    }
+
     /// Returns the time from which [`JournalWriter::flush`] has an append; `None` while it waits for an outcome or has
     /// no record.
     pub fn next_flush(&self) -> Option<ClockTime> {
         if let Some(append) = &self.state.append {
             return append.retry_at;
         }
-        self.state.queue.front().filter(|batch| !batch.is_empty())?;
+        if self.state.held.is_empty() {
+            self.state.queue.front().filter(|batch| !batch.is_empty())?;
+        }
         let start = self.state.last_start.map(|start| start + self.state.floor);
         Some(start.unwrap_or_default())
     }
@@ -311,7 +398,7 @@
 
     /// Returns `true` if no record waits behind the append in flight.
     pub fn is_queue_empty(&self) -> bool {
-        self.state.queue.iter().all(RowBatch::is_empty)
+        self.state.held.is_empty() && self.state.queue.iter().all(RowBatch::is_empty)
     }
 
     /// Returns `true` if the append in flight has failed at least once: the platform does not take writes at present.
--- a/crates/ebony_owner/src/owner_core/durability.rs
+++ b/crates/ebony_owner/src/owner_core/durability.rs
@@ -103,6 +103,25 @@
         }
     }
 
+    /// Orders a copy of the next row while the platform takes no writes.
+    pub(super) fn copy_row(&mut self) {
+        let written = self.wall_now();
+        match self.writer.next_copy(written, &mut self.source) {
+            Err(_) => self.is_lost = true,
+            Ok(None) => {}
+            Ok(Some(row)) => self.act(OwnerAction::CopyRow(row)),
+        }
+    }
+
+    /// Completes answers whose turns two processes hold. The copy is appended if this owner dies before the platform is
+    /// back, so that the turn is not lost.
+    pub(super) fn on_row_copied(&mut self, sequence: u64) {
+        self.writer.copy_done(sequence);
+        for call in self.effects.take_finishes(self.writer.copied()) {
+            self.finish_call(call);
+        }
+    }
+
     fn take_checkpoint(&mut self, sequence: u64) {
         let is_due = self.checkpoints.count_row();
         if !is_due || !self.writer.is_queue_empty() {
--- a/crates/ebony_owner/src/owner_core/effect.rs
+++ b/crates/ebony_owner/src/owner_core/effect.rs
@@ -54,6 +54,19 @@
         (entry.key().0 <= durable).then(|| entry.remove())
     }
 
+    /// Removes and returns the calls whose answers wait for rows up to `sequence`.
+    pub(super) fn take_finishes(&mut self, sequence: u64) -> Vec<CallKey> {
+        let is_finish = |effect: &DurableEffect| matches!(effect, DurableEffect::FinishCall(_));
+        let taken = self
+            .effects
+            .extract_if(..=(sequence, u64::MAX), |_, effect| is_finish(effect));
+        let call = |(_, effect)| match effect {
+            DurableEffect::FinishCall(call) => Some(call),
+            _ => None,
+        };
+        taken.filter_map(call).collect()
+    }
+
     /// Removes and returns the replies that wait.
     pub(super) fn take_replies(&mut self) -> Vec<u64> {
         let mut requests = Vec::new();
--- a/crates/ebony_owner/src/owner_core/state.rs
+++ b/crates/ebony_owner/src/owner_core/state.rs
@@ -92,6 +92,7 @@
         self.run_timers();
         self.release_idle_shards();
         self.flush();
+        self.copy_row();
         std::mem::take(&mut self.actions)
     }
 
@@ -110,6 +111,7 @@
             OwnerEvent::CallCancelled { call } => self.on_call_cancelled(call),
             OwnerEvent::Operation { request, operation } => self.on_operation(request, operation),
             OwnerEvent::AppendDone { sequence, outcome } => self.on_append_done(sequence, outcome),
+            OwnerEvent::RowCopied { sequence } => self.on_row_copied(sequence),
             OwnerEvent::CheckpointDone { sequence, is_stored } => {
                 self.on_checkpoint_done(sequence, is_stored);
             }
--- a/crates/ebony_wire/src/lib.rs
+++ b/crates/ebony_wire/src/lib.rs
@@ -21,7 +21,7 @@
     pub use crate::crash_report::{CrashReport, CrashSite, SiteReport};
     pub use crate::entry_frame::{DispatchOrder, EntryFrame, LoadOrder, QueueRank};
     pub use crate::handshake::{ClusterKey, HandshakeFrame, HandshakeState, LinkRole, PeerIdentity};
-    pub use crate::peer_frame::{PeerFrame, ProgramOperation, ProgramView, ShardClaim};
+    pub use crate::peer_frame::{HeldRow, PeerFrame, ProgramOperation, ProgramView, ShardClaim};
     pub use crate::report::{CacheEvent, LoadReport, TargetKind, TargetReport};
     pub use crate::side_frame::SideFrame;
 }
--- a/crates/ebony_wire/src/peer_frame.rs
+++ b/crates/ebony_wire/src/peer_frame.rs
@@ -95,6 +95,22 @@
     pub epoch: FencingToken,
 }
 
+/// A copy of a journal row that the platform has not taken yet.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct HeldRow {
+    /// The session whose journal it is.
+    pub session: SessionId,
+    /// The row's number.
+    pub sequence: u64,
+    /// The row's value.
+    pub row: Bytes,
+    /// The bodies, stored before the row.
+    pub bodies: Option<Bytes>,
+    /// The nonce of the write as 16 bytes, most significant first.
+    pub nonce: [u8; 16],
+}
+
 /// A message between entries.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -149,6 +165,38 @@
     Crashes(Vec<CrashReport>),
     /// The configuration in force at the sender and the side processes that it is linked to.
     ConfigInForce(Vec<ConfigStatus>),
+    /// Gives a copy of a row to the receiver, which holds it until it is durable.
+    HoldRow(Box<HeldRow>),
+    /// Confirms a copy.
+    RowHeld {
+        /// The session whose journal it is.
+        session: SessionId,
+        /// The row's number.
+        sequence: u64,
+    },
+    /// Allows the receiver to drop its copies.
+    DropRows {
+        /// The session whose journal it is.
+        session: SessionId,
+        /// The last row that is durable.
+        durable: u64,
+    },
+    /// Asks for the copies of a session's rows, before its journal is sealed.
+    ReadHeldRows {
+        /// Pairs the reply with the request.
+        request: u64,
+        /// The session.
+        session: SessionId,
+        /// Only rows behind this one are returned.
+        after: u64,
+    },
+    /// Returns copies, as many as fit a frame; none if there are no more.
+    HeldRows {
+        /// The request's number.
+        request: u64,
+        /// The rows in order.
+        rows: Vec<HeldRow>,
+    },
     /// Asks for a [`PeerFrame::Pong`].
     Ping {
         /// Echoed.
