--- a/crates/ebony_owner/src/owner_core/durability.rs
+++ b/crates/ebony_owner/src/owner_core/durability.rs
@@ -18,6 +18,7 @@
             .append_done(sequence, outcome, self.now, &mut self.source)
         {
             AppendProgress::Durable(sequence) => {
+                self.bodies.row_durable(sequence);
                 self.run_effects();
                 self.advance_checkpoint(sequence);
             }
--- a/crates/ebony_owner/tests/owner/main.rs
+++ b/crates/ebony_owner/tests/owner/main.rs
@@ -3,4 +3,5 @@
 mod harness;
 mod intents;
 mod journal;
+mod model;
 mod programs;
