Tell the runs of a call apart and forget refused calls

Cause: what an aborted run had sent could count for a later run under the same call identifier, and refusals in an overload could push stored answers out of the ledger's bounded table. Change: messages of a run carry its number; a refused call that has not run leaves the ledger at once. A test of the ledger covers a call that survives the crash before it.

--- a/crates/ebony_ledger/tests/crashes.rs
+++ b/crates/ebony_ledger/tests/crashes.rs
@@ -174,3 +174,24 @@
     ledger.cancel(call(3), ProblemCode::Cancelled, now);
     assert_eq!(ledger.start(call(4), now), Ok(StartDecision::Start));
 }
+
+/// Fails if a call that the next life of a target answers is failed with the calls of the life before, or if it is
+/// not held to account when that life crashes too.
+#[test]
+fn a_call_of_the_next_life_survives_the_crash_before_it() {
+    let now = ClockTime::from_millis(1);
+    let mut ledger = CallLedger::open(LedgerLimits::default(), now);
+    ledger.add_target(&target(1), life(1), true);
+    for (number, body) in [(1, "first"), (2, "second")] {
+        assert_eq!(ledger.admit(&order(number, None, body), now), LedgerDecision::Run);
+        assert_eq!(ledger.start(call(number), now), Ok(StartDecision::Start));
+    }
+    let outcome = ledger
+        .target_restarted(&target(1), life(2), call(2), now)
+        .unwrap();
+    assert_eq!(outcome.failed, [call(1)]);
+    assert_eq!(ledger.running_on(&target(1)), 1);
+    assert_eq!(ledger.target_restarted(&target(1), life(2), call(2), now), None);
+    let outcome = ledger.target_crashed(&target(1), life(3), now).unwrap();
+    assert_eq!(outcome.failed, [call(2)]);
+}
--- a/crates/ebony_side/src/actor/admission.rs
+++ b/crates/ebony_side/src/actor/admission.rs
@@ -61,6 +61,10 @@
         if let Err(problem) = self.push(&order) {
             // The ledger adds what earlier attempts under the call mean for the verdict.
             let problem = self.ledger.fail(call, problem.clone(), now).unwrap_or(problem);
+            if problem.run.is_safe_to_retry() {
+                // Nothing has to be kept of it: refusals in an overload would push stored answers out of the ledger.
+                self.ledger.settled(call);
+            }
             return self.send_failure(link, call, problem);
         }
         self.deliveries.open(call, link);
--- a/crates/ebony_side/src/actor/mod.rs
+++ b/crates/ebony_side/src/actor/mod.rs
@@ -62,6 +62,8 @@
     targets: BTreeMap<TargetName, TargetState>,
     deliveries: DeliveryTable,
     deadlines: DeadlineTable,
+    /// Runs of calls so far.
+    runs: u64,
     config: ConfigState,
     drain: DrainState,
     metrics: SideMetrics,
@@ -100,6 +102,7 @@
             ledger,
             deliveries: DeliveryTable::default(),
             deadlines: DeadlineTable::default(),
+            runs: 0,
             config,
             drain: DrainState::default(),
             metrics,
--- a/crates/ebony_side/src/actor/running.rs
+++ b/crates/ebony_side/src/actor/running.rs
@@ -6,21 +6,25 @@
 use ebony_wire::SideFrame;
 
 use super::SideActor;
-use crate::run::{RunChunk, RunDoubt, RunEnded, RunHead, RunOutcome, RunStep};
+use crate::run::{RunChunk, RunDoubt, RunEnded, RunHead, RunKey, RunOutcome, RunStep};
 
 impl Handler<RunHead> for SideActor {
     type Result = bool;
 
     fn handle(&mut self, message: RunHead, context: &mut Context<Self>) -> bool {
+        let RunKey { target, call, .. } = &message.key;
+        if !self.is_current(&message.key) {
+            return false;
+        }
         if let Some(life) = message.incarnation {
-            self.see_life(&message.target, message.call, life, context);
+            self.see_life(target, *call, life, context);
         }
         if let Some(head) = message.head
-            && self.ledger.record_head(message.call, head).is_err()
+            && self.ledger.record_head(*call, head).is_err()
         {
             return false;
         }
-        self.pump(message.call, context);
+        self.pump(*call, context);
         true
     }
 }
@@ -29,9 +33,13 @@
     type Result = RunStep;
 
     fn handle(&mut self, message: RunChunk, context: &mut Context<Self>) -> RunStep {
-        match self.ledger.record_chunk(message.call, &message.bytes) {
+        if !self.is_current(&message.key) {
+            return RunStep::Ended;
+        }
+        let call = message.key.call;
+        match self.ledger.record_chunk(call, &message.bytes) {
             Ok(_) => {
-                self.pump(message.call, context);
+                self.pump(call, context);
                 RunStep::Taken
             }
             Err(LedgerError::Buffer(BufferError::Full)) => RunStep::Full,
@@ -44,20 +52,14 @@
     type Result = ();
 
     fn handle(&mut self, message: RunEnded, context: &mut Context<Self>) {
-        let RunEnded {
-            target: name,
-            call,
-            outcome,
-        } = message;
-        let is_stopping = self
-            .targets
-            .get(&name)
-            .and_then(|target| target.running.get(&call))
-            .is_none_or(|running| running.is_stopping);
-        if is_stopping {
+        let RunEnded { key, outcome } = message;
+        if !self.is_current(&key) {
             // The call was cancelled or its target crashed; its entry has been told.
             return;
         }
+        let RunKey {
+            target: name, call, ..
+        } = key;
         match outcome {
             RunOutcome::Whole(usage) => self.complete(&name, call, usage, context),
             RunOutcome::Failed { problem, doubt } => {
@@ -79,6 +81,13 @@
 }
 
 impl SideActor {
+    /// Returns whether a run is under way and wanted.
+    fn is_current(&self, key: &RunKey) -> bool {
+        let target = self.targets.get(&key.target);
+        let running = target.and_then(|target| target.running.get(&key.call));
+        running.is_some_and(|running| running.number == key.number && !running.is_stopping)
+    }
+
     fn complete(&mut self, name: &TargetName, call: CallId, usage: CallUsage, context: &mut Context<Self>) {
         let now = self.now();
         let suspects = self.suspects(call);
--- a/crates/ebony_side/src/actor/schedule.rs
+++ b/crates/ebony_side/src/actor/schedule.rs
@@ -9,7 +9,7 @@
 use tokio::sync::Notify;
 
 use super::SideActor;
-use crate::run::CallRun;
+use crate::run::{CallRun, RunKey};
 use crate::target::{RunningCall, prompt_tokens};
 
 /// Calls that are offered to the ledger while it holds others back beside a crash suspect.
@@ -99,11 +99,17 @@
         let request = waiting.request;
         let is_model = matches!(request.kind, CallKind::Model { .. });
         let program = request.program.filter(|_| is_model);
+        self.runs += 1;
+        let number = self.runs;
         let gate = Rc::new(Notify::new());
         let prompt_tokens = prompt_tokens(&request);
         let run = CallRun {
             actor: context.address(),
-            target: name.clone(),
+            key: RunKey {
+                target: name.clone(),
+                call: queued.call,
+                number,
+            },
             address: target.open.address,
             adapter: target.open.adapter.clone(),
             request,
@@ -115,6 +121,7 @@
         };
         let task = actix::spawn(run.run());
         let running = RunningCall {
+            number,
             abort: task.abort_handle(),
             gate,
             program,
--- a/crates/ebony_side/src/run/messages.rs
+++ b/crates/ebony_side/src/run/messages.rs
@@ -5,12 +5,21 @@
 use ebony_types::{CallId, CallUsage, ProblemReport, ProcessIncarnation, TargetName};
 use ebony_wire::AnswerHead;
 
+/// Names one run of a call. A call that failed as not run may run again under its identifier; what an aborted run
+/// has sent must not count for the next one.
+#[derive(Clone, Debug)]
+pub(crate) struct RunKey {
+    pub(crate) target: TargetName,
+    pub(crate) call: CallId,
+    /// The number of the run within the process.
+    pub(crate) number: u64,
+}
+
 /// The target has begun to answer. The result says whether the call goes on.
 #[derive(Message)]
 #[rtype(result = "bool")]
 pub(crate) struct RunHead {
-    pub(crate) target: TargetName,
-    pub(crate) call: CallId,
+    pub(crate) key: RunKey,
     /// `None` if the answer is a continued one, whose head is known.
     pub(crate) head: Option<AnswerHead>,
     pub(crate) incarnation: Option<ProcessIncarnation>,
@@ -20,7 +29,7 @@
 #[derive(Message)]
 #[rtype(result = "RunStep")]
 pub(crate) struct RunChunk {
-    pub(crate) call: CallId,
+    pub(crate) key: RunKey,
     pub(crate) bytes: Bytes,
 }
 
@@ -60,7 +69,6 @@
 #[derive(Message)]
 #[rtype(result = "()")]
 pub(crate) struct RunEnded {
-    pub(crate) target: TargetName,
-    pub(crate) call: CallId,
+    pub(crate) key: RunKey,
     pub(crate) outcome: RunOutcome,
 }
--- a/crates/ebony_side/src/run/mod.rs
+++ b/crates/ebony_side/src/run/mod.rs
@@ -12,7 +12,7 @@
 use ebony_platform::protocol::{CALL_HEADER, IDEMPOTENCY_KEY_HEADER, INCARNATION_HEADER};
 use ebony_platform::{EngineCall, EngineTarget, PlatformError, ServiceAnswer, ServiceCall, ServiceTarget};
 use ebony_types::limits::MAX_CHUNK_BYTES;
-use ebony_types::{CallKind, CallRequest, HeaderField, ProblemCode, ProblemReport, RunVerdict, TargetName};
+use ebony_types::{CallKind, CallRequest, HeaderField, ProblemCode, ProblemReport, RunVerdict};
 use ebony_wire::AnswerHead;
 use futures_util::StreamExt;
 use tokio::sync::Notify;
@@ -21,7 +21,7 @@
 use crate::actor::SideActor;
 use crate::target::{ProbeOutcome, TargetAdapter, probe};
 
-pub(crate) use self::messages::{RunChunk, RunDoubt, RunEnded, RunHead, RunOutcome, RunStep};
+pub(crate) use self::messages::{RunChunk, RunDoubt, RunEnded, RunHead, RunKey, RunOutcome, RunStep};
 use self::usage::BodyTail;
 
 /// Attempts to continue an engine's answer without a byte of progress.
@@ -44,7 +44,7 @@
 /// A call on its target.
 pub(crate) struct CallRun {
     pub(crate) actor: Addr<SideActor>,
-    pub(crate) target: TargetName,
+    pub(crate) key: RunKey,
     pub(crate) address: SocketAddr,
     pub(crate) adapter: TargetAdapter,
     pub(crate) request: CallRequest,
@@ -77,8 +77,7 @@
         };
         if let Some(outcome) = outcome {
             self.actor.do_send(RunEnded {
-                target: self.target,
-                call: self.request.call,
+                key: self.key,
                 outcome,
             });
         }
@@ -199,8 +198,7 @@
         let is_first = !passed.has_head;
         passed.has_head = true;
         let message = RunHead {
-            target: self.target.clone(),
-            call: self.request.call,
+            key: self.key.clone(),
             head: is_first.then_some(AnswerHead { status, headers }),
             incarnation,
         };
@@ -214,7 +212,7 @@
     async fn pass_chunk(&self, bytes: Bytes, passed: &mut PassedBody) -> Result<()> {
         loop {
             let message = RunChunk {
-                call: self.request.call,
+                key: self.key.clone(),
                 bytes: bytes.clone(),
             };
             match self.actor.send(message).await {
--- a/crates/ebony_side/src/target/state.rs
+++ b/crates/ebony_side/src/target/state.rs
@@ -25,6 +25,8 @@
 
 /// A call that a target runs.
 pub(crate) struct RunningCall {
+    /// The number of the run within the process.
+    pub(crate) number: u64,
     pub(crate) abort: AbortHandle,
     /// Woken when the answer may go on.
     pub(crate) gate: Rc<Notify>,
--- a/crates/ebony_side/tests/side/memory.rs
+++ b/crates/ebony_side/tests/side/memory.rs
@@ -78,3 +78,24 @@
     wait_for(side.engine(), "no held tokens", |seen| seen.held_tokens == 0).await?;
     Ok(())
 }
+
+/// Fails if memory that an entry retains through a pause is left to eviction, or stays pinned when the call goes on.
+#[actix_rt::test]
+async fn a_retained_program_is_pinned_until_its_next_call() -> Result<()> {
+    let side = SideFixture::spawn(SidePlan::default()).await?;
+    let mut link = side.link("entry-1").await?;
+    let request = chat("pause here", 20);
+    link.dispatch(&model_order(1, &request))?;
+    link.read(call_id(1)).await?.check_stream(&request)?;
+    link.send(EntryFrame::Retain {
+        program: program(1),
+        expires_ms: 600_000,
+    })?;
+    wait_for(side.engine(), "a pin", |seen| seen.pinned == [program(1)]).await?;
+    let mut next = model_order(2, &request);
+    next.request.program = Some(program(1));
+    link.dispatch(&next)?;
+    link.read(call_id(2)).await?.check_stream(&request)?;
+    wait_for(side.engine(), "no pin", |seen| seen.pinned.is_empty()).await?;
+    Ok(())
+}
