Accept updates with the largest document

A document of exactly the largest size was accepted, and then refused as an update by every process that received it, because the envelope counted. An update may now be 1 KiB larger; the new test failed before and passes now. Changes that no link takes are left to the table and to whole documents.

--- a/crates/ebony_config/src/document.rs
+++ b/crates/ebony_config/src/document.rs
@@ -93,8 +93,13 @@
 
 /// Decodes JSON of at most [`MAX_DOCUMENT_BYTES`].
 pub(crate) fn decode_json<T: serde::de::DeserializeOwned>(bytes: &[u8]) -> Result<T> {
-    if bytes.len() > MAX_DOCUMENT_BYTES {
-        let message = format!("{} bytes are more than {MAX_DOCUMENT_BYTES}", bytes.len());
+    decode_json_within(bytes, MAX_DOCUMENT_BYTES)
+}
+
+/// Decodes JSON of at most `max` bytes.
+pub(crate) fn decode_json_within<T: serde::de::DeserializeOwned>(bytes: &[u8], max: usize) -> Result<T> {
+    if bytes.len() > max {
+        let message = format!("{} bytes are more than {max}", bytes.len());
         return Err(ConfigReport::malformed(message));
     }
     serde_json::from_slice(bytes).map_err(ConfigReport::malformed)
--- a/crates/ebony_config/src/update.rs
+++ b/crates/ebony_config/src/update.rs
@@ -4,10 +4,13 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::document::{ConfigDocument, decode_json, encode_json};
+use crate::document::{ConfigDocument, MAX_DOCUMENT_BYTES, decode_json_within, encode_json};
 use crate::issue::Result;
 use crate::patch::{ConfigPatch, MapPatch};
 
+/// The largest update in bytes of JSON: the largest document with the name of its kind around it.
+pub const MAX_UPDATE_BYTES: usize = MAX_DOCUMENT_BYTES + 1024;
+
 /// A change from one version to the next.
 ///
 /// At the design scale a document has several megabytes and changes 17,000 times a day, so that distributing whole
@@ -48,7 +51,7 @@
     ///
     /// Returns a [`crate::ConfigReport`] if the bytes are too many or not an update.
     pub fn decode(bytes: &[u8]) -> Result<Self> {
-        decode_json(bytes)
+        decode_json_within(bytes, MAX_UPDATE_BYTES)
     }
 
     /// Returns the JSON form.
--- a/crates/ebony_entry/src/config/actor.rs
+++ b/crates/ebony_entry/src/config/actor.rs
@@ -4,8 +4,9 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use actix::{Actor, ActorFutureExt, AsyncContext, Context, WrapFuture};
+use actix::{Actor, ActorFutureExt, AsyncContext, Context, Recipient, WrapFuture};
 use bytes::Bytes;
+use ebony_config::update::MAX_UPDATE_BYTES;
 use ebony_config::{
     ConfigAudience, ConfigDocument, ConfigHolder, ConfigTracker, ConfigUpdate, EditOutcome, LearningState,
     OfferOutcome, OperatorName, PROPAGATION_DEADLINE, ServingState, VersionSource, WallTime,
@@ -208,11 +209,9 @@
         if let Some(links) = &self.links {
             // Other entries that miss the versions before a whole document ask for it when they hear of it.
             if matches!(update, ConfigUpdate::Delta(_)) {
-                links.peers.do_send(ConfigPublished(to_push(update)));
+                publish(&links.peers, update);
             }
-            links
-                .sides
-                .do_send(ConfigPublished(to_push(&update.clone().for_side())));
+            publish(&links.sides, &update.clone().for_side());
         }
         // Without readers there is nobody to tell.
         let _ = self.events.send(WatchEvent::Version { version });
@@ -354,6 +353,15 @@
     }))
 }
 
+/// Spreads an update. One that no link takes, such as the change from one large document to another, is left out: those
+/// who hear of its version read the table or ask for a whole document.
+fn publish(recipient: &Recipient<ConfigPublished>, update: &ConfigUpdate) {
+    let push = to_push(update);
+    if push.document.len() <= MAX_UPDATE_BYTES {
+        recipient.do_send(ConfigPublished(push));
+    }
+}
+
 fn to_push(update: &ConfigUpdate) -> ConfigPush {
     ConfigPush {
         version: update.version(),
