Load models as demand shifts and keep crashes in the table

Model loading runs in one entry of each failure domain, with the version of a table row as fencing token, and only if the settings ask for it. Crashes that side processes report are written as rows in the background; entries that start read them.

--- a/crates/ebony_entry/src/dispatch/actor.rs
+++ b/crates/ebony_entry/src/dispatch/actor.rs
@@ -8,7 +8,7 @@
 use ebony_config::FleetValues;
 use ebony_link::{LinkIdentity, LinkOptions};
 use ebony_membership::{TargetEvent, TargetRegistry};
-use ebony_platform::HostList;
+use ebony_platform::{HostList, TableService, WeightStore};
 use ebony_policy::{PolicyOptions, RetryBudget, RetryOptions};
 use ebony_types::{ClockTime, DomainName, HostName, TargetName};
 use ebony_wire::{ConfigPush, EntryFrame};
@@ -18,7 +18,9 @@
 
 use super::admission::CallGate;
 use super::call_table::CallTable;
+use super::crash_rows::CrashRows;
 use super::crashes::CrashBook;
+use super::loading::{ModelLoader, PLAN_INTERVAL};
 use super::memory::PauseKeeper;
 use super::messages::{CallEnded, CallPlaced, CrashesHeard, HostsListed};
 use super::metrics::DispatchMetrics;
@@ -52,6 +54,10 @@
     pub hosts_interval: Duration,
     /// The scheduling policy.
     pub policy: PolicyOptions,
+    /// The weight store, which switches model loading on; without it, models stay where they are.
+    pub weights: Option<Rc<dyn WeightStore>>,
+    /// The table service.
+    pub table: Rc<dyn TableService>,
     /// Who is told where calls were sent.
     pub placed: Recipient<CallPlaced>,
     /// Who is told how calls end.
@@ -74,8 +80,10 @@
     pub(super) gate: CallGate,
     pub(super) budget: RetryBudget,
     pub(super) crashes: CrashBook,
+    pub(super) crash_rows: CrashRows,
     pub(super) programs: ProgramBook,
     pub(super) keeper: PauseKeeper,
+    pub(super) loader: Option<ModelLoader>,
     /// The last configuration, as side processes get it.
     pub(super) config: Option<ConfigPush>,
     /// Targets that operators have ordered to drain.
@@ -106,6 +114,11 @@
             crashes: CrashBook::open(),
             programs: ProgramBook::default(),
             keeper: PauseKeeper::open(policy),
+            crash_rows: CrashRows::default(),
+            loader: options
+                .weights
+                .clone()
+                .map(|weights| ModelLoader::open(weights, policy)),
             config: None,
             drains: BTreeSet::new(),
             peers: None,
@@ -172,6 +185,7 @@
         self.apply(TargetEvent::Tick, context);
         self.close_idle_links(context);
         self.poll_gate();
+        self.write_crash_rows(context);
         for call in self.calls.unread() {
             self.grant_unread(call);
         }
@@ -202,10 +216,12 @@
 
     fn started(&mut self, context: &mut Self::Context) {
         self.poll_hosts(context);
+        self.read_crash_rows(context);
         context.run_interval(TICK_INTERVAL, |actor, context| actor.tick(context));
         context.run_interval(self.options.heartbeat, |actor, _| {
             actor.sides.broadcast(&EntryFrame::Ping { nonce: 0 }, None);
         });
+        context.run_interval(PLAN_INTERVAL, |actor, context| actor.plan_loads(context));
         context.run_interval(EXPIRY_INTERVAL, |actor, _| {
             let now = actor.now();
             actor.crashes.expire(now);
--- a/crates/ebony_entry/src/dispatch/attempts.rs
+++ b/crates/ebony_entry/src/dispatch/attempts.rs
@@ -147,6 +147,10 @@
         self.count_attempt(&call, is_first, now);
         let (_, output_tokens) = self.picker.size_of(&order.request.kind);
         self.picker.record_dispatch(&picked, output_tokens, now);
+        if let Some(loader) = &mut self.loader {
+            let (domain, kind) = (&self.options.domain, &order.request.kind);
+            loader.record_dispatch(domain, kind, &picked, output_tokens, now);
+        }
         self.programs.place_call(call.program, &picked.host, &picked.name);
         if let Some(record) = self.sides.get_mut(side) {
             record.open_calls += 1;
--- /dev/null
+++ b/crates/ebony_entry/src/dispatch/crash_rows.rs
@@ -0,0 +1,203 @@
+//! Crashes in the table service, as rows `crashes/{digest}`.
+//!
+//! Rows are written in the background, one after the other, and no call waits for them. A row that can't be written is
+//! dropped: the counts stay in the memory of side processes and entries. Rows whose crashes no longer count are
+//! deleted by the entries that start.
+
+use std::collections::VecDeque;
+use std::rc::Rc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use actix::{ActorFutureExt, AsyncContext, Context, WrapFuture};
+use bytes::Bytes;
+use ebony_platform::table::{create_resolved, replace_resolved};
+use ebony_platform::{PlatformError, RowKey, RowRecord, TableService, WriteNonce};
+use ebony_wire::{CrashReport, CrashSite, SiteReport};
+use rand::Rng;
+use serde::{Deserialize, Serialize};
+use slog::debug;
+
+use super::actor::DispatchActor;
+use super::crashes::CrashSource;
+
+/// The prefix of the rows.
+const ROW_PREFIX: &str = "crashes/";
+
+/// The most rows that are read at a start. It is the bound of a tracker.
+const MAX_ROWS: u32 = 4_096;
+
+/// The most reports that wait to be written; an engine crash adds up to 64. Further ones are dropped.
+const MAX_QUEUED: usize = 1_024;
+
+/// Attempts to write a row that other entries write as well.
+const WRITE_ATTEMPTS: u32 = 3;
+
+/// The pause before another attempt to read the rows.
+const READ_RETRY: Duration = Duration::from_secs(5);
+
+/// The result of reading or writing a row.
+type Result<T, E = PlatformError> = std::result::Result<T, E>;
+
+/// One crash in a row.
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
+struct StoredSite {
+    site: CrashSite,
+    /// When the crash no longer counts, in milliseconds of the wall clock.
+    expires_ms: u64,
+    is_cleared: bool,
+}
+
+/// The value of a row.
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
+struct StoredCrashes {
+    digest: ebony_types::RequestDigest,
+    sites: Vec<StoredSite>,
+}
+
+fn wall_millis() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+}
+
+impl StoredCrashes {
+    fn from_report(report: &CrashReport, now_ms: u64) -> Self {
+        let sites = report.sites.iter().map(|site| StoredSite {
+            site: site.site.clone(),
+            expires_ms: now_ms + site.remaining_micros / 1_000,
+            is_cleared: site.is_cleared,
+        });
+        Self {
+            digest: report.digest,
+            sites: sites.collect(),
+        }
+    }
+
+    fn to_report(&self, now_ms: u64) -> CrashReport {
+        let counting = self.sites.iter().filter(|site| site.expires_ms > now_ms);
+        let sites = counting.map(|site| SiteReport {
+            site: site.site.clone(),
+            remaining_micros: (site.expires_ms - now_ms).saturating_mul(1_000),
+            is_cleared: site.is_cleared,
+        });
+        CrashReport {
+            digest: self.digest,
+            sites: sites.collect(),
+        }
+    }
+
+    /// Adds the crashes of a row that another entry wrote, by the rules of the crash tracker.
+    fn merge(&mut self, other: Self, now_ms: u64) {
+        for stored in other.sites.into_iter().filter(|site| site.expires_ms > now_ms) {
+            match self.sites.iter_mut().find(|site| site.site == stored.site) {
+                Some(known) => {
+                    known.expires_ms = known.expires_ms.min(stored.expires_ms);
+                    known.is_cleared |= stored.is_cleared;
+                }
+                None => self.sites.push(stored),
+            }
+        }
+    }
+}
+
+/// Reports that wait to be written.
+#[derive(Default)]
+pub(super) struct CrashRows {
+    queue: VecDeque<CrashReport>,
+    is_writing: bool,
+}
+
+impl CrashRows {
+    pub(super) fn queue(&mut self, reports: &[CrashReport]) {
+        let room = MAX_QUEUED.saturating_sub(self.queue.len());
+        self.queue.extend(reports.iter().take(room).cloned());
+    }
+}
+
+/// Writes one report, together with what other entries have written.
+async fn write(
+    table: Rc<dyn TableService>,
+    report: CrashReport,
+    nonces: [u128; WRITE_ATTEMPTS as usize],
+) -> Result<()> {
+    let key = RowKey(format!("{ROW_PREFIX}{}", report.digest));
+    let now_ms = wall_millis();
+    for nonce in nonces {
+        let mut stored = StoredCrashes::from_report(&report, now_ms);
+        let row = table.read(&key).await?;
+        if let Some(other) = row.as_ref().and_then(decode) {
+            stored.merge(other, now_ms);
+        }
+        let value =
+            serde_json::to_vec(&stored).map_err(|error| PlatformError::Malformed(error.to_string()))?;
+        let (value, nonce) = (Bytes::from(value), WriteNonce(nonce));
+        let written = match row {
+            Some(row) => replace_resolved(&*table, &key, row.version, value, nonce).await,
+            None => create_resolved(&*table, &key, value, nonce).await,
+        };
+        match written {
+            Err(PlatformError::Conflict) => {}
+            result => return result.map(drop),
+        }
+    }
+    Err(PlatformError::Conflict)
+}
+
+fn decode(row: &RowRecord) -> Option<StoredCrashes> {
+    serde_json::from_slice(&row.value).ok()
+}
+
+/// Reads the crashes that count, and deletes the rows of others.
+async fn read(table: Rc<dyn TableService>) -> Result<Vec<CrashReport>> {
+    let now_ms = wall_millis();
+    let mut reports = Vec::new();
+    for row in table.list(ROW_PREFIX, None, MAX_ROWS).await? {
+        let Some(stored) = decode(&row) else { continue };
+        let report = stored.to_report(now_ms);
+        if report.sites.is_empty() {
+            // Another entry may have deleted or replaced it.
+            let _ = table.delete(&row.key, row.version).await;
+        } else {
+            reports.push(report);
+        }
+    }
+    Ok(reports)
+}
+
+impl DispatchActor {
+    /// Learns the crashes that other entries wrote.
+    pub(super) fn read_crash_rows(&self, context: &mut Context<Self>) {
+        let read = read(Rc::clone(&self.options.table));
+        let read = read
+            .into_actor(self)
+            .map(|reports, actor, context| match reports {
+                Ok(reports) => actor.hear_crashes(&reports, CrashSource::Entry),
+                Err(_) => {
+                    context.run_later(READ_RETRY, |actor, context| actor.read_crash_rows(context));
+                }
+            });
+        context.spawn(read);
+    }
+
+    /// Writes the next report, if none is being written.
+    pub(super) fn write_crash_rows(&mut self, context: &mut Context<Self>) {
+        if self.crash_rows.is_writing {
+            return;
+        }
+        let Some(report) = self.crash_rows.queue.pop_front() else {
+            return;
+        };
+        self.crash_rows.is_writing = true;
+        let nonces = std::array::from_fn(|_| self.source.random());
+        let write = write(Rc::clone(&self.options.table), report, nonces);
+        let write = write.into_actor(self).map(|written, actor, context| {
+            actor.crash_rows.is_writing = false;
+            if let Err(error) = written {
+                debug!(actor.options.logger, "crash row not written"; "error" => %error);
+            }
+            actor.write_crash_rows(context);
+        });
+        context.spawn(write);
+    }
+}
--- a/crates/ebony_entry/src/dispatch/crashes.rs
+++ b/crates/ebony_entry/src/dispatch/crashes.rs
@@ -1,7 +1,8 @@
 //! Crashes of targets by request, as this entry knows and spreads them.
 //!
-//! Counts live in the memory of side processes and entries. An entry that is replaced learns them again from the side
-//! processes and the entries that it is linked to.
+//! Counts live in the memory of side processes and entries, and the entry that hears of a crash from a side process
+//! writes it to the table service in the background. An entry that is replaced learns the counts again from the side
+//! processes and entries that it is linked to and from the table.
 
 use std::collections::BTreeSet;
 
@@ -22,7 +23,7 @@
 pub(super) enum CrashSource {
     /// A side process.
     Side(SideKey),
-    /// Another entry.
+    /// Another entry, or the table service.
     Entry,
 }
 
@@ -106,6 +107,9 @@
         for part in news.chunks(REPORTS_PER_FRAME) {
             self.sides.broadcast(&EntryFrame::Crashes(part.to_vec()), except);
         }
+        if matches!(source, CrashSource::Side(_)) {
+            self.crash_rows.queue(&news);
+        }
         // Entries are linked to each other, so that what one has told needs no forwarding.
         if let (CrashSource::Side(_), Some(recipient)) = (source, &self.peers) {
             recipient.do_send(CrashesHeard(news));
--- a/crates/ebony_entry/src/dispatch/membership.rs
+++ b/crates/ebony_entry/src/dispatch/membership.rs
@@ -85,6 +85,9 @@
     /// Takes over the host list.
     pub(super) fn list_hosts(&mut self, entries: Vec<HostEntry>, context: &mut Context<Self>) {
         self.has_hosts = true;
+        if let Some(loader) = &mut self.loader {
+            loader.list_entries(&entries, &self.options.host, &self.options.domain);
+        }
         let is_live_entry =
             |entry: &&HostEntry| entry.role == HostRole::Entry && entry.state == HostState::Live;
         self.entry_count = entries.iter().filter(is_live_entry).count().max(1);
--- a/crates/ebony_entry/src/dispatch/mod.rs
+++ b/crates/ebony_entry/src/dispatch/mod.rs
@@ -11,11 +11,13 @@
 mod call;
 mod call_table;
 mod config_push;
+mod crash_rows;
 mod crashes;
 mod credit;
 mod handlers;
 mod link;
 mod link_events;
+mod loading;
 mod membership;
 mod memory;
 mod messages;
@@ -33,6 +35,6 @@
     VouchPrograms,
 };
 pub use metrics::DispatchMetrics;
-pub use policy_settings::{PolicyError, read_policy};
+pub use policy_settings::{PolicyError, is_loading_on, read_policy};
 pub use side_table::SideKey;
 pub use target_status::{TargetPhase, TargetStatus};
--- a/crates/ebony_entry/src/dispatch/picker.rs
+++ b/crates/ebony_entry/src/dispatch/picker.rs
@@ -32,6 +32,8 @@
     pub(super) name: TargetName,
     pub(super) host: HostName,
     pub(super) incarnation: ProcessIncarnation,
+    /// Calls that the target runs at once.
+    pub(super) slots: u32,
     pub(super) estimate: FinishEstimate,
 }
 
@@ -237,10 +239,16 @@
         }
     }
 
-    fn key_of(&self, name: &TargetName) -> Option<TargetKey> {
+    /// Returns the key of a target's present life.
+    pub(super) fn key_of(&self, name: &TargetName) -> Option<TargetKey> {
         self.lives.get(name).map(|life| life.key)
     }
 
+    /// Returns the name of a target.
+    pub(super) fn name_of(&self, key: TargetKey) -> Option<&TargetName> {
+        self.planner.table().name(key)
+    }
+
     fn describe(
         &self,
         key: TargetKey,
@@ -256,6 +264,7 @@
             name,
             host: record.host.clone(),
             incarnation: record.incarnation,
+            slots: record.report.slots,
             estimate,
         })
     }
--- a/crates/ebony_entry/src/dispatch/policy_settings.rs
+++ b/crates/ebony_entry/src/dispatch/policy_settings.rs
@@ -54,6 +54,22 @@
     Ok(options)
 }
 
+/// Returns `true` if the policy object switches model loading on. It moves models between engines, so that it is off
+/// unless the settings ask for it.
+///
+/// ```
+/// use ebony_entry::dispatch::is_loading_on;
+/// use serde_json::json;
+///
+/// assert!(!is_loading_on(json!({}).as_object().unwrap()));
+/// assert!(is_loading_on(json!({"loading": {"enabled": true}}).as_object().unwrap()));
+/// ```
+pub fn is_loading_on(policy: &Map<String, Value>) -> bool {
+    let loading = policy.get("loading");
+    let is_enabled = loading.and_then(|loading| loading.get("enabled"));
+    is_enabled.and_then(Value::as_bool) == Some(true)
+}
+
 /// Puts the members of `changes` over those of `value`, level by level.
 fn overlay(value: &mut Value, changes: Value) {
     match (value, changes) {
--- a/crates/ebony_entry/src/process.rs
+++ b/crates/ebony_entry/src/process.rs
@@ -10,7 +10,7 @@
 use anyhow::Context as _;
 use ebony_link::{LinkIdentity, LinkListener, LinkOptions};
 use ebony_owner::OwnerSettings;
-use ebony_platform::{HostList, HostRole};
+use ebony_platform::{HostList, HostRole, HttpWeights, RequestLimits, WeightStore};
 use ebony_settings::{EntrySettings, ProcessSettings, RoleSettings};
 use ebony_telemetry::{HealthServer, HealthState, MetricsRegistry};
 use ebony_types::ProcessIncarnation;
@@ -23,7 +23,9 @@
 use crate::burn::BurnCell;
 use crate::caller_api::{CallerMetrics, CallerServer, CallerState, ServerOptions};
 use crate::config::{ConfigActor, ConfigOptions, ConfigView, LinkConfig};
-use crate::dispatch::{DispatchActor, DispatchMetrics, DispatchOptions, ReadReadiness, read_policy};
+use crate::dispatch::{
+    DispatchActor, DispatchMetrics, DispatchOptions, ReadReadiness, is_loading_on, read_policy,
+};
 use crate::owner::{LinkOwner, OwnerActor, OwnerOptions, ReadStatus, StartDrain, StorageClient, wall_now};
 use crate::peers::{PeerActor, PeerOptions, PeersListed, ShardRouter};
 use crate::platform::PlatformAccess;
@@ -116,6 +118,18 @@
     }
 }
 
+/// Opens the weight store if the settings switch model loading on.
+fn weight_store(settings: &ProcessSettings) -> Result<Option<Rc<dyn WeightStore>>> {
+    if !is_loading_on(&settings.policy) {
+        return Ok(None);
+    }
+    let weights = &settings.platform.weights;
+    let limits = RequestLimits::for_platform().with_answer_timeout(weights.timeout);
+    let weights =
+        HttpWeights::open(&weights.url.to_string(), limits).context("cannot open the weight store")?;
+    Ok(Some(Rc::new(weights)))
+}
+
 /// Reads the host list for other entries.
 fn spawn_peer_list(
     hosts: Rc<dyn HostList>,
@@ -193,6 +207,8 @@
             hosts: Rc::clone(&platform.hosts),
             hosts_interval: settings.platform.hosts.interval,
             policy: read_policy(&settings.policy).context("cannot use the policy settings")?,
+            weights: weight_store(&settings)?,
+            table: Rc::clone(&platform.table),
             placed: owner.clone().recipient(),
             ended: owner.clone().recipient(),
             status: config.clone().recipient(),
--- a/crates/ebony_entry/tests/dispatch/fakes/mod.rs
+++ b/crates/ebony_entry/tests/dispatch/fakes/mod.rs
@@ -1,6 +1,7 @@
 //! Fakes around the dispatcher: a host list, side processes over real links, and the owner.
 
 mod owner;
+mod platform;
 mod side;
 
 use std::cell::RefCell;
@@ -17,7 +18,7 @@
     CallEnded, DispatchActor, DispatchMetrics, DispatchOptions, LinkDispatch, PlaceCall, ReadReadiness,
 };
 use ebony_link::{LinkIdentity, LinkOptions};
-use ebony_platform::{HostEntry, HostList, HostRole, HostState};
+use ebony_platform::{HostEntry, HostList, HostRole, HostState, WeightStore};
 use ebony_policy::PolicyOptions;
 use ebony_telemetry::MetricsRegistry;
 use ebony_types::{
@@ -28,6 +29,7 @@
 use tokio::sync::watch;
 
 pub(crate) use owner::{FakeOwner, ToldOwner};
+pub(crate) use platform::{FakeTable, FakeWeights};
 pub(crate) use side::{FakeLink, FakeSide};
 
 /// Bounds waits that hang only if the code is at fault.
@@ -80,6 +82,17 @@
         });
     }
 
+    /// Lists the entry itself.
+    pub(crate) fn list_entry(&self) {
+        self.entries.borrow_mut().push(HostEntry {
+            host: HostName::parse("entry-1").expect("a name"),
+            role: HostRole::Entry,
+            address: ([127, 0, 0, 1], 1).into(),
+            domain: DomainName::parse("here").expect("a name"),
+            state: HostState::Live,
+        });
+    }
+
     /// Marks a side process as leaving.
     pub(crate) fn mark_leaving(&self, side: &FakeSide) {
         let mut entries = self.entries.borrow_mut();
@@ -109,6 +122,15 @@
 
 impl DispatchRig {
     pub(crate) fn start(policy: PolicyOptions) -> Self {
+        Self::start_on(FakeTable::new(), None, policy)
+    }
+
+    /// Starts a dispatcher with a table service and perhaps a weight store.
+    pub(crate) fn start_on(
+        table: FakeTable,
+        weights: Option<Rc<dyn WeightStore>>,
+        policy: PolicyOptions,
+    ) -> Self {
         let hosts = FakeHosts::new();
         let (owner, told) = FakeOwner::start_with_channels();
         let dispatch = DispatchActor::new(DispatchOptions {
@@ -123,6 +145,8 @@
             hosts: Rc::new(hosts.clone()),
             hosts_interval: HOSTS_INTERVAL,
             policy,
+            weights,
+            table: Rc::new(table),
             placed: owner.clone().recipient(),
             ended: owner.clone().recipient(),
             status: owner.clone().recipient(),
@@ -248,6 +272,13 @@
         call
     }
 
+    pub(crate) fn with_prompt(mut self, tokens: u32) -> Self {
+        if let CallKind::Model { prompt_tokens, .. } = &mut self.request.kind {
+            *prompt_tokens = tokens;
+        }
+        self
+    }
+
     pub(crate) fn with_timeout(mut self, timeout_ms: u32) -> Self {
         self.request.timeout_ms = timeout_ms;
         self
--- a/crates/ebony_entry/tests/dispatch/fakes/side.rs
+++ b/crates/ebony_entry/tests/dispatch/fakes/side.rs
@@ -20,6 +20,7 @@
 pub(crate) struct FakeSide {
     name: String,
     listener: LinkListener,
+    models: Vec<ModelName>,
 }
 
 impl FakeSide {
@@ -34,9 +35,16 @@
         Self {
             name: name.to_owned(),
             listener: listener.await.expect("a free port"),
+            models: vec![ModelName::parse("kalo").expect("a name")],
         }
     }
 
+    /// Takes all models from the engine.
+    pub(crate) fn without_models(mut self) -> Self {
+        self.models.clear();
+        self
+    }
+
     pub(crate) fn name(&self) -> &str {
         &self.name
     }
@@ -66,7 +74,7 @@
     }
 
     fn targets(&self) -> Vec<TargetReport> {
-        let models = vec![ModelName::parse("kalo").expect("a name")];
+        let models = self.models.clone();
         let service = ServiceName::parse("shop").expect("a name");
         let report = |target: TargetName, kind: TargetKind| TargetReport {
             target,
--- a/crates/ebony_entry/tests/dispatch/shared.rs
+++ b/crates/ebony_entry/tests/dispatch/shared.rs
@@ -1,13 +1,15 @@
 //! What the dispatcher shares with side processes and other entries: crashes, the configuration, programs.
 
+use std::rc::Rc;
+
 use bytes::Bytes;
 use ebony_config::{ConfigDocument, ConfigUpdate, OperatorRecord};
 use ebony_entry::dispatch::{ConfigPublished, CrashesHeard, ReleaseProgram, VouchPrograms};
-use ebony_policy::{AdmissionOptions, PolicyOptions};
+use ebony_policy::{AdmissionOptions, LoadingOptions, PolicyOptions};
 use ebony_types::{FencingToken, ProblemCode, ProcessIncarnation, RunVerdict, TargetName};
 use ebony_wire::{ConfigPush, CrashReport, CrashSite, EntryFrame, SideFrame, SiteReport};
 
-use super::fakes::{DispatchRig, FakeSide, TestCall, program};
+use super::fakes::{DispatchRig, FakeSide, FakeTable, FakeWeights, TestCall, program, within};
 
 /// An hour.
 const REMAINING_MICROS: u64 = 3_600_000_000;
@@ -74,6 +76,65 @@
     assert_eq!(problem.code, ProblemCode::CrashingRequest);
 }
 
+/// Guards against crashes that are forgotten when every process that knew of them is gone.
+#[actix_rt::test]
+async fn crashes_are_kept_in_the_table() {
+    let table = FakeTable::new();
+    let mut rig = DispatchRig::start_on(table.clone(), None, PolicyOptions::default());
+    let mut side = FakeSide::start("side-1", 1).await;
+    let link = rig.join(&mut side).await;
+    // The second report adds a crash to the row that the first one wrote.
+    let report = crashes_of(&TestCall::model());
+    for count in 1..=2 {
+        let mut report = report.clone();
+        report.sites.truncate(count);
+        let mut writes = table.writes.subscribe();
+        let known = *writes.borrow_and_update();
+        link.send(SideFrame::Crashes(vec![report]));
+        within(writes.wait_for(|count| *count > known))
+            .await
+            .expect("open");
+    }
+    let mut rig = DispatchRig::start_on(table, None, PolicyOptions::default());
+    rig.hosts.list(&FakeSide::start("side-2", 2).await);
+    rig.sync_hosts().await;
+    rig.place(TestCall::model());
+    let problem = rig.ended().await.outcome.expect_err("refused");
+    assert_eq!(problem.code, ProblemCode::CrashingRequest);
+}
+
+/// Guards against loads that the weight store did not grant, and against orders without a fencing token.
+#[actix_rt::test]
+async fn a_busy_model_is_loaded_on_an_idle_engine() {
+    let policy = PolicyOptions {
+        loading: LoadingOptions {
+            sustain_ms: 0,
+            dwell_ms: 0,
+            backoff_ms: 0,
+            ..LoadingOptions::default()
+        },
+        ..PolicyOptions::default()
+    };
+    let weights = Rc::new(FakeWeights::default());
+    let mut rig = DispatchRig::start_on(FakeTable::new(), Some(weights), policy);
+    rig.hosts.list_entry();
+    let mut busy = FakeSide::start("side-1", 1).await;
+    let mut idle = FakeSide::start("side-2", 2).await.without_models();
+    let _busy_link = rig.join(&mut busy).await;
+    let mut link = rig.join(&mut idle).await;
+    for _ in 0..8 {
+        rig.place(TestCall::model().with_prompt(80_000));
+    }
+    let order = link
+        .find(|frame| match frame {
+            EntryFrame::Load(order) => Some(order),
+            _ => None,
+        })
+        .await;
+    assert_eq!((&order.target, order.is_load), (&idle.engine(), true));
+    assert!(order.token > FencingToken(0));
+}
+
 /// Guards against callers' and operators' keys on target hosts, and against side processes that miss a configuration.
 #[actix_rt::test]
 async fn side_processes_get_the_configuration_without_keys() {
