--- a/crates/ebony_entry/src/dispatch/admission.rs
+++ b/crates/ebony_entry/src/dispatch/admission.rs
@@ -32,7 +32,7 @@
     gate: AdmissionGate,
     speed: EngineSpeed,
     waiting: HashMap<ProgramId, Vec<CallId>>,
-    /// Tokens of KV cache by target, from load reports. Bounded by the targets that membership knows.
+    /// Tokens of KV cache by target, from load reports. Bounded by the targets that are open for calls.
     kv_tokens: BTreeMap<TargetName, u64>,
 }
 
--- a/crates/ebony_entry/src/dispatch/attempts.rs
+++ b/crates/ebony_entry/src/dispatch/attempts.rs
@@ -35,38 +35,37 @@
             slog::error!(self.options.logger, "a call was placed twice"; "call" => %id);
             return;
         }
-        if let Some(problem) = self.refusal_of(&place, now) {
+        let timeout = Duration::from_millis(u64::from(place.request.timeout_ms));
+        let call = DispatchedCall::new(place, program, now, now + timeout);
+        if let Some(problem) = self.refusal_of(&call, now) {
             return self.refuse(id, problem);
         }
-        let timeout = Duration::from_millis(u64::from(place.request.timeout_ms));
-        let deadline = now + timeout;
-        let step = self.gate.arrive(&place, program, deadline, now);
+        let step = self.gate.arrive(&call.place, program, call.deadline, now);
         if let GateStep::Refuse(problem) = step {
             return self.refuse(id, problem);
         }
-        let start = self.programs.start_call(program, &place.request.caller, now);
+        let caller = &call.place.request.caller;
+        let start = self.programs.start_call(program, caller, now);
         if let Some(pause) = start.pause {
-            self.keeper.observe(&place.request.caller, pause);
+            self.keeper.observe(caller, pause);
         }
         if let Some(evicted) = start.evicted {
             self.gate.finish(evicted, now);
         }
-        place
-            .pipe
-            .set_credit(context.address().recipient::<CreditGrant>());
-        let call = DispatchedCall::new(place, program, now, deadline);
+        let credit = context.address().recipient::<CreditGrant>();
+        call.place.pipe.set_credit(credit);
         match step {
             GateStep::Wait => self.calls.insert(call),
             GateStep::Enter | GateStep::Refuse(_) => self.place_call(call),
         }
     }
 
-    fn refusal_of(&self, place: &PlaceCall, now: ClockTime) -> Option<ProblemReport> {
+    fn refusal_of(&self, call: &DispatchedCall, now: ClockTime) -> Option<ProblemReport> {
         if self.calls.len() >= MAX_CALLS {
             let problem = ProblemReport::not_run(ProblemCode::Overloaded, "too many calls are under way");
             return Some(problem.retry_after(RETRY_AFTER_SECONDS));
         }
-        self.crashes.refusal(place.request.digest(), now)
+        self.crashes.refusal(call, now)
     }
 
     /// Lets calls go on whose wait for admission is over.
@@ -84,7 +83,7 @@
     pub(super) fn place_call(&mut self, call: DispatchedCall) {
         let now = self.now();
         // Another attempt may have crashed a target in the meantime.
-        if let Some(problem) = self.crashes.refusal(call.place.request.digest(), now) {
+        if let Some(problem) = self.crashes.refusal(&call, now) {
             return self.end(call, Err(problem));
         }
         let work = PlacementWork {
@@ -267,6 +266,10 @@
             .filter(|_| is_model)
             .map(|answer| u64::from(answer.usage.prompt_tokens) + u64::from(answer.usage.output_tokens));
         self.programs.end_call(call.program, history, now);
+        if outcome.is_ok() {
+            debug!(self.options.logger, "call finished"; "call" => %id, "program" => %call.program,
+                "caller" => %call.place.request.caller, "attempts" => call.attempts);
+        }
         if let Err(problem) = &outcome {
             info!(self.options.logger, "call failed"; "call" => %id, "program" => %call.program,
                 "caller" => %call.place.request.caller, "attempts" => call.attempts,
--- a/crates/ebony_entry/src/dispatch/call.rs
+++ b/crates/ebony_entry/src/dispatch/call.rs
@@ -1,9 +1,11 @@
 //! A call that was sent to a side process.
 
+use std::cell::OnceCell;
+
 use bytes::{Bytes, BytesMut};
 use ebony_types::limits::MAX_ANSWER_BYTES;
 use ebony_types::{
-    CallId, CallKind, ClockTime, ProblemCode, ProblemReport, ProgramId, RunVerdict, TargetName,
+    CallId, CallKind, ClockTime, ProblemCode, ProblemReport, ProgramId, RequestDigest, RunVerdict, TargetName,
 };
 use ebony_wire::{AnswerFrame, AnswerHead, DispatchOrder};
 
@@ -77,6 +79,7 @@
     pub(super) credit: CreditAccount,
     /// Whether the answer is to be resumed once its reader has room.
     pub(super) needs_resume: bool,
+    digest: OnceCell<RequestDigest>,
     assembly: AnswerAssembly,
     head: AnswerHead,
     body: BytesMut,
@@ -100,6 +103,7 @@
             last_problem: None,
             credit: CreditAccount::open(0),
             needs_resume: false,
+            digest: OnceCell::new(),
             assembly: AnswerAssembly::default(),
             head: AnswerHead {
                 status: 0,
@@ -115,6 +119,11 @@
         self.place.request.call
     }
 
+    /// Returns the digest of the request, which is computed once.
+    pub(super) fn digest(&self) -> RequestDigest {
+        *self.digest.get_or_init(|| self.place.request.digest())
+    }
+
     /// Returns `true` if the call must not be repeated once it may have run.
     pub(super) fn has_key(&self) -> bool {
         self.place.request.idempotency_key.is_some()
--- a/crates/ebony_entry/src/dispatch/crashes.rs
+++ b/crates/ebony_entry/src/dispatch/crashes.rs
@@ -12,6 +12,7 @@
 use ebony_wire::{CrashReport, CrashSite, EntryFrame, SiteReport};
 
 use super::actor::DispatchActor;
+use super::call::DispatchedCall;
 use super::messages::CrashesHeard;
 use super::side_table::SideKey;
 
@@ -42,8 +43,10 @@
     }
 
     /// Returns the refusal of a request that crashed too many targets.
-    pub(super) fn refusal(&self, digest: RequestDigest, now: ClockTime) -> Option<ProblemReport> {
-        let is_refused = self.tracker.standing(digest, now) == CrashStanding::Refused;
+    pub(super) fn refusal(&self, call: &DispatchedCall, now: ClockTime) -> Option<ProblemReport> {
+        // The digest covers the whole body, which may have megabytes.
+        let is_refused =
+            !self.tracker.is_empty() && self.tracker.standing(call.digest(), now) == CrashStanding::Refused;
         is_refused.then(|| {
             let detail = "the request crashed two targets and will not run again";
             ProblemReport::not_run(ProblemCode::CrashingRequest, detail)
--- a/crates/ebony_entry/src/dispatch/link_events.rs
+++ b/crates/ebony_entry/src/dispatch/link_events.rs
@@ -114,8 +114,9 @@
             SideFrame::Crashes(reports) => self.hear_crashes(&reports, CrashSource::Side(key)),
             SideFrame::Load(reports) => {
                 for report in &reports {
-                    self.picker.apply_load(report, now);
-                    self.gate.apply_load(report, self.entry_count);
+                    if self.picker.apply_load(report, now) {
+                        self.gate.apply_load(report, self.entry_count);
+                    }
                 }
             }
             SideFrame::Cache(events) => {
--- a/crates/ebony_entry/src/dispatch/picker.rs
+++ b/crates/ebony_entry/src/dispatch/picker.rs
@@ -186,16 +186,17 @@
         self.cache.record_call(key, program, course.held_tokens, now);
     }
 
-    /// Applies a load report; returns `true` if the target is known.
-    pub(super) fn apply_load(&mut self, report: &LoadReport, now: ClockTime) {
+    /// Applies a load report; returns `true` if the target is open for calls.
+    pub(super) fn apply_load(&mut self, report: &LoadReport, now: ClockTime) -> bool {
         let Some(key) = self.key_of(&report.target) else {
-            return;
+            return false;
         };
         self.planner.apply_report(key, report, now);
         if report.kv_bytes_total > 0 {
             let capacity = self.options.speed.tokens_in(report.kv_bytes_total);
             self.cache.set_capacity(key, capacity);
         }
+        self.planner.table().state(key) == Some(TargetState::Serving)
     }
 
     pub(super) fn apply_cache(&mut self, event: &CacheEvent, now: ClockTime) {
