--- a/crates/ebony_entry/src/dispatch/picker.rs
+++ b/crates/ebony_entry/src/dispatch/picker.rs
@@ -32,6 +32,8 @@
     pub(super) name: TargetName,
     pub(super) host: HostName,
     pub(super) incarnation: ProcessIncarnation,
+    /// Calls that the target runs at once.
+    pub(super) slots: u32,
     pub(super) estimate: FinishEstimate,
 }
 
@@ -184,16 +186,17 @@
         self.cache.record_call(key, program, course.held_tokens, now);
     }
 
-    /// Applies a load report; returns `true` if the target is known.
-    pub(super) fn apply_load(&mut self, report: &LoadReport, now: ClockTime) {
+    /// Applies a load report; returns `true` if the target is open for calls.
+    pub(super) fn apply_load(&mut self, report: &LoadReport, now: ClockTime) -> bool {
         let Some(key) = self.key_of(&report.target) else {
-            return;
+            return false;
         };
         self.planner.apply_report(key, report, now);
         if report.kv_bytes_total > 0 {
             let capacity = self.options.speed.tokens_in(report.kv_bytes_total);
             self.cache.set_capacity(key, capacity);
         }
+        self.planner.table().state(key) == Some(TargetState::Serving)
     }
 
     pub(super) fn apply_cache(&mut self, event: &CacheEvent, now: ClockTime) {
@@ -237,10 +240,16 @@
         }
     }
 
-    fn key_of(&self, name: &TargetName) -> Option<TargetKey> {
+    /// Returns the key of a target's present life.
+    pub(super) fn key_of(&self, name: &TargetName) -> Option<TargetKey> {
         self.lives.get(name).map(|life| life.key)
     }
 
+    /// Returns the name of a target.
+    pub(super) fn name_of(&self, key: TargetKey) -> Option<&TargetName> {
+        self.planner.table().name(key)
+    }
+
     fn describe(
         &self,
         key: TargetKey,
@@ -256,6 +265,7 @@
             name,
             host: record.host.clone(),
             incarnation: record.incarnation,
+            slots: record.report.slots,
             estimate,
         })
     }
