--- a/crates/ebony_fleet/src/fleet.rs
+++ b/crates/ebony_fleet/src/fleet.rs
@@ -21,6 +21,7 @@
 use crate::caller::CallerClient;
 use crate::child::{ChildProcess, StopSignal};
 use crate::document::{CALLER_KEY, DocumentOptions, fleet_document};
+use crate::relay_set::{FleetBytes, RelaySet};
 use crate::settings::{FleetTimes, PlatformUrls, TargetPlan, entry_settings, side_settings};
 
 /// The pause between two looks at a process that should become ready.
@@ -57,6 +58,8 @@
     pub defaults: Value,
     /// The `policy` object in the settings of all processes.
     pub policy: Value,
+    /// Whether the bytes between processes and stand-ins are counted, which takes a relay in between.
+    pub counts_bytes: bool,
     /// The level of the log.
     pub log_level: &'static str,
     /// How engines behave.
@@ -80,6 +83,7 @@
             callers: Vec::new(),
             defaults: json!({}),
             policy: json!({}),
+            counts_bytes: false,
             log_level: "debug",
             engine: EngineSettings::default(),
             times: FleetTimes::default(),
@@ -112,6 +116,7 @@
     options: FleetOptions,
     folder: TempDir,
     standins: StandinSet,
+    relays: RelaySet,
     urls: PlatformUrls,
     pub(crate) entries: Vec<FleetMember>,
     sides: Vec<FleetMember>,
@@ -142,13 +147,15 @@
     /// Fails if a process does not start or does not become ready.
     pub async fn start(options: FleetOptions) -> Result<Self> {
         let mut standins = StandinSet::start()?;
-        let urls = standin_urls(&mut standins)?;
+        let mut relays = RelaySet::new(options.counts_bytes);
+        let urls = relays.relay_platform(standin_urls(&mut standins)?)?;
         let folder = tempfile::tempdir()?;
         let (entries, sides) = (Vec::new(), Vec::new());
         let mut fleet = Self {
             options,
             folder,
             standins,
+            relays,
             urls,
             entries,
             sides,
@@ -202,7 +209,7 @@
             .add(&format!("engine-{index}"), StandinOptions::Engine(engine))?
             .data;
         let target = TargetPlan::Engine {
-            address,
+            address: self.relays.relay_target(address)?,
             models,
             slots: self.options.engine.slots,
             checks_fencing: self.options.engine.checks_fencing,
@@ -220,7 +227,7 @@
             .add(&format!("service-{index}"), StandinOptions::Service(options))?
             .data;
         let target = TargetPlan::Service {
-            address,
+            address: self.relays.relay_target(address)?,
             service: self.options.service.clone(),
         };
         self.add_side(&format!("side-service-{index}"), index, &target)
@@ -230,7 +237,8 @@
         let domain = self.domain(index);
         let mut settings = side_settings(process, &domain, &self.urls, self.options.times, target);
         self.adjust(&mut settings);
-        let member = self.start_member(process, "side", &domain, &settings)?;
+        let mut member = self.start_member(process, "side", &domain, &settings)?;
+        member.host.address = self.relays.relay_link(member.host.address)?;
         self.sides.push(member);
         Ok(())
     }
@@ -278,6 +286,11 @@
         })
     }
 
+    /// Returns the bytes so far; zero if they are not counted.
+    pub fn bytes(&self) -> FleetBytes {
+        self.relays.bytes()
+    }
+
     /// Publishes the present hosts in the host list.
     ///
     /// # Errors
--- a/crates/ebony_fleet/src/lib.rs
+++ b/crates/ebony_fleet/src/lib.rs
@@ -10,6 +10,8 @@
 pub mod document;
 mod domain_outage;
 pub mod fleet;
+pub mod relay;
+pub mod relay_set;
 pub mod settings;
 
 /// Re-exports the fleet, its options and the client.
@@ -18,6 +20,7 @@
     pub use crate::child::{ChildProcess, StopSignal};
     pub use crate::document::{CALLER_KEY, OPERATOR_KEY, OTHER_CALLER_KEY, caller_key};
     pub use crate::fleet::{FleetOptions, RunningFleet};
+    pub use crate::relay_set::FleetBytes;
 }
 
 pub use prelude::*;
