--- a/crates/ebony_fleet/src/lib.rs
+++ b/crates/ebony_fleet/src/lib.rs
@@ -12,6 +12,8 @@
 pub mod document;
 mod domain_outage;
 pub mod fleet;
+pub mod relay;
+pub mod relay_set;
 mod routing;
 pub mod settings;
 pub mod workload;
@@ -24,6 +26,7 @@
     pub use crate::directory::EntryDirectory;
     pub use crate::document::{CALLER_KEY, OPERATOR_KEY, OTHER_CALLER_KEY, caller_key};
     pub use crate::fleet::{FleetOptions, RunningFleet};
+    pub use crate::relay_set::FleetBytes;
     pub use crate::workload::{CallerNews, ProgramLog, ProgramPlan, ProgramRunner};
 }
 
--- a/tests/failures/main.rs
+++ b/tests/failures/main.rs
@@ -2,6 +2,8 @@
 
 mod at_most_once;
 mod common;
+mod limits;
 mod ownership;
 mod planned_stops;
 mod platform_outage;
+mod targets;
--- a/tests/failures/platform_outage.rs
+++ b/tests/failures/platform_outage.rs
@@ -1,8 +1,8 @@
 //! Guards promises while the platform's table service is down, slow, or loses replies.
 
-use crate::common::{assert_sound, fast_fleet, plans, run_beside, wait_for_runs};
-use ebony_fleet::RunningFleet;
+use crate::common::{assert_sound, fast_fleet, plans, run_beside, wait_for_runs, wait_until};
 use ebony_fleet::caller::chat_body;
+use ebony_fleet::{RunningFleet, StopSignal};
 use ebony_standins::{FaultSettings, OutageMode};
 
 async fn set_faults(fleet: &RunningFleet, faults: FaultSettings) {
@@ -116,3 +116,35 @@
     .await;
     assert_sound(&fleet, &logs).await;
 }
+
+/// The owner dies during the outage, after it has ended an answer whose turn the platform has not taken.
+#[actix_web::test]
+async fn a_turn_of_an_outage_survives_the_death_of_its_owner() {
+    let mut fleet = RunningFleet::start(fast_fleet()).await.expect("the fleet starts");
+    let caller = fleet.caller(0).expect("an entry");
+    let program = caller
+        .open_program(None, serde_json::json!({}))
+        .await
+        .expect("a program");
+    let down = FaultSettings {
+        outage: OutageMode::Refuse,
+        ..FaultSettings::default()
+    };
+    set_faults(&fleet, down).await;
+    for turn in 0..3 {
+        let body = chat_body("kalo", &format!("turn {turn}"), 10, true);
+        let reply = caller.chat(Some(program), &body).await.expect("an answer");
+        assert!(reply.is_done(), "{reply:?}");
+    }
+    fleet.entry(0).signal(StopSignal::Kill).expect("the entry runs");
+    set_faults(&fleet, FaultSettings::default()).await;
+    let other = fleet.caller(1).expect("an entry");
+    let mut turns = serde_json::Value::Null;
+    wait_until("the program has a new owner", async || {
+        let reply = other.show_program(program).await;
+        turns = reply.map_or(serde_json::Value::Null, |reply| reply.json()["turns"].clone());
+        turns.is_number()
+    })
+    .await;
+    assert_eq!(turns, 3, "the turns of the outage are in the history");
+}
