--- a/crates/ebony_replay/src/load.rs
+++ b/crates/ebony_replay/src/load.rs
@@ -1,5 +1,6 @@
 //! Measures the latency of equal calls by concurrent callers.
 
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -12,7 +13,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::check::{AnswerCheck, model_end};
-use crate::client::{CallClient, HttpCall};
+use crate::client::{CallClient, HttpCall, HttpReply};
 
 /// The highest recorded latency in microseconds.
 const HIGHEST_US: u64 = 60_000_000;
@@ -49,13 +50,15 @@
 }
 
 /// What was measured.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 #[derive(Serialize, Deserialize)]
 pub struct LoadReport {
     /// Calls that count.
     pub calls: u64,
     /// Calls of those without a whole and own answer.
     pub failed: u64,
+    /// Failed calls by the code of their problem, or by what was wrong with the answer.
+    pub failures: BTreeMap<String, u64>,
     /// Answered calls per second.
     pub calls_per_second: f64,
     /// Median latency in microseconds.
@@ -64,6 +67,10 @@
     pub p99_us: u64,
     /// The highest latency in microseconds.
     pub max_us: u64,
+    /// Median time to the first text of a streamed answer in microseconds; zero for others.
+    pub first_p50_us: u64,
+    /// Time to the first text at the 99th percentile in microseconds.
+    pub first_p99_us: u64,
 }
 
 /// Sends calls from concurrent callers and measures the time to the end of each answer. Must be called in an actix
@@ -85,22 +92,59 @@
     Ok(LoadReport {
         calls: phase.latency.len() + phase.failed,
         failed: phase.failed,
+        failures: phase.failures,
         calls_per_second: phase.latency.len() as f64 / elapsed.as_secs_f64(),
         p50_us: phase.latency.value_at_quantile(0.5),
         p99_us: phase.latency.value_at_quantile(0.99),
         max_us: phase.latency.max(),
+        first_p50_us: phase.first_token.value_at_quantile(0.5),
+        first_p99_us: phase.first_token.value_at_quantile(0.99),
     })
 }
 
 struct LoadPhase {
     latency: Histogram<u64>,
+    first_token: Histogram<u64>,
     failed: u64,
+    // Bounded by the codes.
+    failures: BTreeMap<String, u64>,
 }
 
 impl LoadPhase {
     fn open() -> Result<Self> {
-        let latency = Histogram::new_with_bounds(1, HIGHEST_US, DIGITS)?;
-        Ok(Self { latency, failed: 0 })
+        Ok(Self {
+            latency: Histogram::new_with_bounds(1, HIGHEST_US, DIGITS)?,
+            first_token: Histogram::new_with_bounds(1, HIGHEST_US, DIGITS)?,
+            failed: 0,
+            failures: BTreeMap::new(),
+        })
+    }
+
+    fn record(&mut self, end: StepEnd, reply: &HttpReply) {
+        let failure = match end {
+            StepEnd::Answered => {
+                self.latency.saturating_record(reply.elapsed.as_micros() as u64);
+                if let Some(wait) = reply.first_token {
+                    self.first_token.saturating_record(wait.as_micros() as u64);
+                }
+                return;
+            }
+            StepEnd::Problem { code, run, .. } => format!("{} {}", code.as_str(), run.as_str()),
+            StepEnd::Disconnected => "disconnected".to_owned(),
+            StepEnd::Corrupt => "corrupt".to_owned(),
+        };
+        self.failed += 1;
+        *self.failures.entry(failure).or_default() += 1;
+    }
+
+    fn add(&mut self, other: Self) -> Result<()> {
+        self.latency.add(&other.latency)?;
+        self.first_token.add(&other.first_token)?;
+        self.failed += other.failed;
+        for (failure, count) in other.failures {
+            *self.failures.entry(failure).or_default() += count;
+        }
+        Ok(())
     }
 }
 
@@ -114,13 +158,16 @@
     for caller in 0..options.callers {
         let (client, options) = (client.clone(), options.clone());
         let name = format!("{name} {caller}");
-        tasks.spawn_local(async move { run_caller(&client, &options, calls, &name).await });
+        // Callers that start together would stay in step and form bursts.
+        let offset = options.pause * caller as u32 / options.callers as u32;
+        tasks.spawn_local(async move {
+            tokio::time::sleep(offset).await;
+            run_caller(&client, &options, calls, &name).await
+        });
     }
     let mut total = LoadPhase::open()?;
     while let Some(phase) = tasks.join_next().await {
-        let phase = phase??;
-        total.latency.add(&phase.latency)?;
-        total.failed += phase.failed;
+        total.add(phase??)?;
     }
     Ok(total)
 }
@@ -150,10 +197,7 @@
             body: Bytes::from(serde_json::to_vec(&request)?),
         };
         let reply = client.send(call).await;
-        match model_end(AnswerCheck::Echo, &request, &reply) {
-            StepEnd::Answered => phase.latency.saturating_record(reply.elapsed.as_micros() as u64),
-            _ => phase.failed += 1,
-        }
+        phase.record(model_end(AnswerCheck::Echo, &request, &reply), &reply);
         if !options.pause.is_zero() {
             tokio::time::sleep(options.pause).await;
         }
