Make a slow entry's answers exceed the answer buffer

Cause: answers of 1,500 words fit into the window and the waiting chunk, so that the test missed a lost wake-up. Change: 3,000 words, which is about twice the buffer's bound.

--- a/crates/ebony_side/tests/side/answers.rs
+++ b/crates/ebony_side/tests/side/answers.rs
@@ -162,7 +162,7 @@
     })
     .await?;
     let mut link = side.link("entry-1").await?;
-    let request = |number: u8| chat(&format!("call {number}"), 1_500);
+    let request = |number: u8| chat(&format!("call {number}"), 3_000);
     for number in 1..=CALLS {
         link.dispatch(&model_order(number, &request(number)))?;
     }
--- a/crates/ebony_side/tests/side/crashes.rs
+++ b/crates/ebony_side/tests/side/crashes.rs
@@ -95,7 +95,7 @@
     Ok(())
 }
 
-/// Fails if a crash goes unnoticed when the target is back before anything finds its port closed, or counts twice.
+/// Fails if a crash goes unnoticed because the target is back at once, or counts twice.
 #[actix_rt::test]
 async fn a_quick_restart_counts_as_one_crash() -> Result<()> {
     let settings = EngineSettings {
