Connect administration, crash reports and link TLS across the entry's parts

The parts were written side by side: operators' requests about targets reach the dispatcher, crashes travel between entries, links use TLS if the settings say so, and side processes get changes of the configuration instead of whole documents.

--- a/crates/ebony_entry/src/admin/mod.rs
+++ b/crates/ebony_entry/src/admin/mod.rs
@@ -21,13 +21,11 @@
 mod burn;
 mod config;
 mod error;
-mod messages;
 mod programs;
 mod server;
 mod state;
 mod targets;
 mod watch;
 
-pub use messages::{DrainTarget, ReadTargets, TargetView};
 pub use server::{AdminOptions, AdminServer};
 pub use state::AdminState;
--- a/crates/ebony_entry/src/admin/state.rs
+++ b/crates/ebony_entry/src/admin/state.rs
@@ -2,15 +2,15 @@
 
 use std::sync::Arc;
 
-use actix::{Addr, Recipient};
+use actix::Addr;
 use actix_web::web::Data;
 use ebony_config::KeyDigest;
 use tokio::sync::Semaphore;
 
-use super::messages::{DrainTarget, ReadTargets};
 use crate::burn::BurnCell;
 use crate::caller_api::CallerState;
 use crate::config::{ConfigActor, ConfigView};
+use crate::dispatch::DispatchActor;
 
 /// Live views that may be open at once.
 const MAX_WATCHERS: usize = 16;
@@ -25,10 +25,8 @@
     pub callers: Data<CallerState>,
     /// Service-level objectives.
     pub burn: BurnCell,
-    /// Lists targets; without it the list is empty.
-    pub read_targets: Option<Recipient<ReadTargets>>,
-    /// Drains targets; without it the operation is refused.
-    pub drain_target: Option<Recipient<DrainTarget>>,
+    /// Lists and drains targets.
+    pub targets: Addr<DispatchActor>,
     /// The digest of the key that may write the first configuration.
     pub first_operator: Option<KeyDigest>,
     /// Permits for live views.
@@ -36,12 +34,13 @@
 }
 
 impl AdminState {
-    /// Creates the state, without access to targets.
+    /// Creates the state.
     pub fn new(
         view: ConfigView,
         config: Addr<ConfigActor>,
         callers: Data<CallerState>,
         burn: BurnCell,
+        targets: Addr<DispatchActor>,
         first_operator: Option<KeyDigest>,
     ) -> Self {
         Self {
@@ -49,8 +48,7 @@
             config,
             callers,
             burn,
-            read_targets: None,
-            drain_target: None,
+            targets,
             first_operator,
             watchers: Arc::new(Semaphore::new(MAX_WATCHERS)),
         }
--- a/crates/ebony_entry/src/admin/targets.rs
+++ b/crates/ebony_entry/src/admin/targets.rs
@@ -2,25 +2,42 @@
 
 use actix_web::web::{Data, Path};
 use actix_web::{HttpRequest, HttpResponse};
-use ebony_types::{ProblemCode, TargetName};
-use serde_json::json;
+use ebony_types::{ModelName, ProblemCode, TargetName};
+use ebony_wire::TargetKind;
+use serde_json::{Value, json};
 
 use super::auth::authenticate;
 use super::error::{AdminProblem, Result};
-use super::messages::{DrainTarget, ReadTargets};
 use super::state::AdminState;
+use crate::dispatch::{DrainOutcome, DrainTarget, ReadTargets, TargetStatus};
 
 /// Handles `GET /v1/targets`.
 pub(super) async fn list(request: HttpRequest, state: Data<AdminState>) -> Result<HttpResponse> {
     authenticate(&request, &state)?;
-    let targets = match &state.read_targets {
-        Some(recipient) => recipient
-            .send(ReadTargets)
-            .await
-            .map_err(|_| AdminProblem::busy())?,
-        None => Vec::new(),
+    let targets = state
+        .targets
+        .send(ReadTargets)
+        .await
+        .map_err(|_| AdminProblem::busy())?;
+    let views: Vec<Value> = targets.iter().map(view_json).collect();
+    Ok(HttpResponse::Ok().json(json!({"targets": views})))
+}
+
+fn view_json(target: &TargetStatus) -> Value {
+    let serves: Vec<&str> = match &target.kind {
+        TargetKind::Engine { models } => models.iter().map(ModelName::as_str).collect(),
+        TargetKind::Service { service } => vec![service.as_str()],
     };
-    Ok(HttpResponse::Ok().json(json!({"targets": targets})))
+    json!({
+        "target": target.target,
+        "host": target.host,
+        "domain": target.domain,
+        "state": target.phase.as_str(),
+        "serves": serves,
+        "slots": target.slots,
+        "calls": target.calls,
+        "kv_used_share": target.kv_used_share,
+    })
 }
 
 /// Handles `POST /v1/targets/{name}/drain`.
@@ -32,11 +49,23 @@
     authenticate(&request, &state)?;
     let unknown = |_| AdminProblem::not_run(ProblemCode::NotFound, "the path names no target");
     let target = TargetName::parse(&path).map_err(unknown)?;
-    let Some(recipient) = &state.drain_target else {
-        let detail = "this process cannot drain targets";
-        return Err(AdminProblem::not_run(ProblemCode::NoTarget, detail));
+    let order = DrainTarget {
+        target: target.clone(),
     };
-    let drained = recipient.send(DrainTarget { target }).await;
-    let view = drained.map_err(|_| AdminProblem::busy())??;
-    Ok(HttpResponse::Ok().json(view))
+    match state
+        .targets
+        .send(order)
+        .await
+        .map_err(|_| AdminProblem::busy())?
+    {
+        DrainOutcome::Ordered => Ok(HttpResponse::Ok().json(json!({"target": target, "state": "draining"}))),
+        DrainOutcome::UnknownTarget => Err(AdminProblem::not_run(
+            ProblemCode::NotFound,
+            "no such target is known here",
+        )),
+        DrainOutcome::TooMany => {
+            let detail = "too many targets are ordered to drain";
+            Err(AdminProblem::not_run(ProblemCode::Overloaded, detail))
+        }
+    }
 }
--- a/crates/ebony_entry/src/dispatch/actor.rs
+++ b/crates/ebony_entry/src/dispatch/actor.rs
@@ -11,13 +11,14 @@
 use ebony_platform::{HostList, TableService, WeightStore};
 use ebony_policy::{PolicyOptions, RetryBudget, RetryOptions};
 use ebony_types::{ClockTime, DomainName, HostName, TargetName};
-use ebony_wire::{ConfigPush, EntryFrame};
+use ebony_wire::EntryFrame;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use slog::Logger;
 
 use super::admission::CallGate;
 use super::call_table::CallTable;
+use super::config_push::SideConfig;
 use super::crash_rows::CrashRows;
 use super::crashes::CrashBook;
 use super::loading::{ModelLoader, PLAN_INTERVAL};
@@ -85,7 +86,7 @@
     pub(super) keeper: PauseKeeper,
     pub(super) loader: Option<ModelLoader>,
     /// The last configuration, as side processes get it.
-    pub(super) config: Option<ConfigPush>,
+    pub(super) config: Option<SideConfig>,
     /// Targets that operators have ordered to drain.
     pub(super) drains: BTreeSet<TargetName>,
     /// Who spreads crashes to other entries.
--- a/crates/ebony_entry/src/dispatch/config_push.rs
+++ b/crates/ebony_entry/src/dispatch/config_push.rs
@@ -3,30 +3,46 @@
 use std::time::{SystemTime, UNIX_EPOCH};
 
 use bytes::Bytes;
-use ebony_config::{ConfigUpdate, FleetValues, ResolveScope, WallTime};
+use ebony_config::{ConfigDocument, ConfigUpdate, FleetValues, ResolveScope, WallTime};
 use ebony_wire::ConfigPush;
 
-/// What the dispatcher takes from a configuration that came into force.
-pub(super) struct PublishedConfig {
-    /// The push for side processes: without callers and operators.
-    pub(super) push: ConfigPush,
-    /// The fleet's values.
-    pub(super) values: FleetValues,
+/// The document in force without callers and operators, which side processes must not know.
+pub(super) struct SideConfig {
+    document: Box<ConfigDocument>,
 }
 
-impl PublishedConfig {
-    /// Reads a whole configuration; `None` if it is malformed or not whole.
-    pub(super) fn read(push: &ConfigPush) -> Option<Self> {
-        let update = ConfigUpdate::decode(&push.document).ok()?;
-        let ConfigUpdate::Full(document) = &update else {
-            return None;
+impl SideConfig {
+    /// Takes a configuration that came into force: a whole document, or the change from the one that is known. Returns
+    /// the push for side processes; `None` if it is malformed or does not follow.
+    pub(super) fn accept(known: &mut Option<Self>, push: &ConfigPush) -> Option<ConfigPush> {
+        let update = ConfigUpdate::decode(&push.document).ok()?.for_side();
+        let document = match (&update, &*known) {
+            (ConfigUpdate::Full(document), _) => document.clone(),
+            (ConfigUpdate::Delta(delta), Some(known)) if delta.version == known.document.version + 1 => {
+                Box::new(delta.patch.apply(&known.document).ok()?)
+            }
+            (ConfigUpdate::Delta(_), _) => return None,
         };
-        let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        let values = document.resolve(&ResolveScope::default(), WallTime(since.as_secs()));
-        let push = ConfigPush {
+        *known = Some(Self { document });
+        Some(ConfigPush {
             version: push.version,
-            document: Bytes::from(update.for_side().encode()),
-        };
-        Some(Self { push, values })
+            document: Bytes::from(update.encode()),
+        })
+    }
+
+    /// Returns the push of the whole document, for a side process that knows none or has missed changes.
+    pub(super) fn whole(&self) -> ConfigPush {
+        let update = ConfigUpdate::Full(self.document.clone());
+        ConfigPush {
+            version: self.document.version,
+            document: Bytes::from(update.encode()),
+        }
+    }
+
+    /// Returns the fleet's values.
+    pub(super) fn values(&self) -> FleetValues {
+        let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        self.document
+            .resolve(&ResolveScope::default(), WallTime(since.as_secs()))
     }
 }
--- a/crates/ebony_entry/src/dispatch/handlers.rs
+++ b/crates/ebony_entry/src/dispatch/handlers.rs
@@ -4,7 +4,7 @@
 use slog::warn;
 
 use super::actor::DispatchActor;
-use super::config_push::PublishedConfig;
+use super::config_push::SideConfig;
 use super::crashes::CrashSource;
 use super::messages::{
     ConfigPublished, CrashesHeard, DrainOutcome, DrainTarget, LinkDispatch, PlaceCall, ReadCrashes,
@@ -78,14 +78,14 @@
     type Result = ();
 
     fn handle(&mut self, ConfigPublished(push): ConfigPublished, _: &mut Context<Self>) {
-        let Some(published) = PublishedConfig::read(&push) else {
+        let Some(push) = SideConfig::accept(&mut self.config, &push) else {
             warn!(self.options.logger, "configuration can't be read"; "version" => push.version);
             return;
         };
-        self.apply_values(&published.values);
-        self.sides
-            .broadcast(&EntryFrame::Config(published.push.clone()), None);
-        self.config = Some(published.push);
+        if let Some(config) = &self.config {
+            self.apply_values(&config.values());
+        }
+        self.sides.broadcast(&EntryFrame::Config(push), None);
     }
 }
 
--- a/crates/ebony_entry/src/dispatch/link_events.rs
+++ b/crates/ebony_entry/src/dispatch/link_events.rs
@@ -84,13 +84,17 @@
             record.send_late_cancels();
         }
         self.resume_calls(key);
-        if let Some(push) = &self.config {
-            self.sides.send(key, &EntryFrame::Config(push.clone()));
-        }
+        self.send_config(key);
         self.greet_with_crashes(key);
         self.repeat_releases(key);
     }
 
+    fn send_config(&self, key: SideKey) {
+        if let Some(config) = &self.config {
+            self.sides.send(key, &EntryFrame::Config(config.whole()));
+        }
+    }
+
     fn accept_frame(&mut self, key: SideKey, host: HostName, frame: SideFrame, context: &mut Context<Self>) {
         let now = self.now();
         match frame {
@@ -125,11 +129,7 @@
                 }
             }
             SideFrame::ConfigInForce(status) => self.options.status.do_send(StatusHeard(vec![status])),
-            SideFrame::ConfigWanted { .. } => {
-                if let Some(push) = &self.config {
-                    self.sides.send(key, &EntryFrame::Config(push.clone()));
-                }
-            }
+            SideFrame::ConfigWanted { .. } => self.send_config(key),
             SideFrame::Fenced { shard, highest } => {
                 warn!(self.options.logger, "order fenced"; "shard" => %shard, "highest" => highest.0);
             }
--- a/crates/ebony_entry/src/peers/actor.rs
+++ b/crates/ebony_entry/src/peers/actor.rs
@@ -28,6 +28,7 @@
 use super::outgoing::{ForwardedWork, PeerRecord};
 use super::router::{PeerKey, ShardRoute, ShardRouter};
 use crate::answer::{AnswerPart, AnswerPipe, CancelCall, CreditGrant};
+use crate::dispatch::{CrashesHeard, ReadCrashes};
 use crate::owner::StorageClient;
 
 /// The time between two pings on a link, and the least time between two dials.
@@ -49,6 +50,10 @@
     pub presence: Recipient<PeerPresence>,
     /// Receives which copies of rows other entries hold.
     pub copied: Recipient<CopyHeld>,
+    /// Receives crashes of targets from other entries.
+    pub crashes: Recipient<CrashesHeard>,
+    /// Returns the crashes that count, for an entry that has just been linked.
+    pub known_crashes: Recipient<ReadCrashes>,
     /// Appends rows that this entry holds for others.
     pub storage: StorageClient,
     /// The process's logger.
@@ -224,6 +229,7 @@
         match frame {
             PeerFrame::Forward(request) => self.start_forwarded(key, *request),
             PeerFrame::Operate { request, operation } => self.operate_forwarded(key, request, operation),
+            PeerFrame::Crashes(reports) => self.options.crashes.do_send(CrashesHeard(reports)),
             PeerFrame::HoldRow(row) => {
                 let reply = self.accept_copy(*row);
                 self.reply(key, reply);
@@ -384,6 +390,7 @@
                 for frame in self.greet() {
                     self.send(peer, &frame);
                 }
+                self.greet_with_crashes(peer);
             }
             PeerLinkUp::DialFailed(peer) => {
                 self.news.note_heard(peer);
--- /dev/null
+++ b/crates/ebony_entry/src/peers/crash_news.rs
@@ -0,0 +1,38 @@
+//! Spreads crashes of targets between entries.
+
+use actix::{Context, Handler};
+use ebony_wire::PeerFrame;
+
+use super::actor::PeerActor;
+use super::router::PeerKey;
+use crate::dispatch::{CrashesHeard, ReadCrashes};
+
+/// The most reports in one frame.
+const REPORTS_PER_FRAME: usize = 256;
+
+impl PeerActor {
+    /// Tells an entry that has just been linked all crashes that count.
+    pub(super) fn greet_with_crashes(&self, peer: PeerKey) {
+        let Some(sender) = self.peers.get(peer).and_then(|record| record.sender.clone()) else {
+            return;
+        };
+        let crashes = self.options.known_crashes.clone();
+        actix::spawn(async move {
+            let reports = crashes.send(ReadCrashes).await.unwrap_or_default();
+            for part in reports.chunks(REPORTS_PER_FRAME) {
+                // An entry whose link is lost hears it with the next one.
+                let _ = sender.send(&PeerFrame::Crashes(part.to_vec()));
+            }
+        });
+    }
+}
+
+impl Handler<CrashesHeard> for PeerActor {
+    type Result = ();
+
+    fn handle(&mut self, CrashesHeard(reports): CrashesHeard, _: &mut Context<Self>) {
+        for part in reports.chunks(REPORTS_PER_FRAME) {
+            self.broadcast_outgoing(&PeerFrame::Crashes(part.to_vec()));
+        }
+    }
+}
--- a/crates/ebony_entry/src/peers/mod.rs
+++ b/crates/ebony_entry/src/peers/mod.rs
@@ -3,6 +3,7 @@
 mod actor;
 mod config_news;
 mod copies;
+mod crash_news;
 mod held_rows;
 mod incoming;
 mod messages;
--- a/crates/ebony_entry/src/process.rs
+++ b/crates/ebony_entry/src/process.rs
@@ -9,10 +9,10 @@
 use actix_web::web::Data;
 use anyhow::Context as _;
 use ebony_config::KeyDigest;
-use ebony_link::{LinkIdentity, LinkListener, LinkOptions};
+use ebony_link::{LinkIdentity, LinkListener, LinkOptions, tls};
 use ebony_owner::OwnerSettings;
 use ebony_platform::{HostList, HostRole, HttpWeights, RequestLimits, WeightStore};
-use ebony_settings::{EntrySettings, ProcessSettings, RoleSettings};
+use ebony_settings::{EntrySettings, LinkSettings, ProcessSettings, RoleSettings};
 use ebony_telemetry::{HealthServer, HealthState, MetricsRegistry};
 use ebony_types::ProcessIncarnation;
 use ebony_wire::LinkRole;
@@ -26,7 +26,7 @@
 use crate::caller_api::{CallerMetrics, CallerServer, CallerState, ServerOptions};
 use crate::config::{ConfigActor, ConfigOptions, ConfigView, LinkConfig};
 use crate::dispatch::{
-    DispatchActor, DispatchMetrics, DispatchOptions, ReadReadiness, is_loading_on, read_policy,
+    DispatchActor, DispatchMetrics, DispatchOptions, LinkDispatch, ReadReadiness, is_loading_on, read_policy,
 };
 use crate::owner::{LinkOwner, OwnerActor, OwnerOptions, ReadStatus, StartDrain, StorageClient, wall_now};
 use crate::peers::{ConfigRecipients, PeerActor, PeerOptions, PeersListed, ShardRouter};
@@ -136,6 +136,28 @@
     Ok(Some(Rc::new(weights)))
 }
 
+/// Returns the limits and the encryption of links.
+fn link_options(settings: &LinkSettings) -> Result<LinkOptions> {
+    let mut options = LinkOptions {
+        open_timeout: settings.connect_timeout,
+        silence_limit: settings.lost_after,
+        ..LinkOptions::default()
+    };
+    if let Some(files) = &settings.tls {
+        options.client_tls = Some(tls::client_config(
+            &files.certificate,
+            &files.key,
+            &files.authority,
+        )?);
+        options.server_tls = Some(tls::server_config(
+            &files.certificate,
+            &files.key,
+            &files.authority,
+        )?);
+    }
+    Ok(options)
+}
+
 /// Reads the host list for other entries.
 fn spawn_peer_list(
     hosts: Rc<dyn HostList>,
@@ -182,11 +204,7 @@
             role: LinkRole::Entry,
             incarnation: ProcessIncarnation::random(&mut StdRng::from_os_rng()),
         };
-        let link = LinkOptions {
-            open_timeout: settings.links.connect_timeout,
-            silence_limit: settings.links.lost_after,
-            ..LinkOptions::default()
-        };
+        let link = link_options(&settings.links)?;
         let listener = LinkListener::bind(settings.links.listen, identity.clone(), link.clone()).await?;
         let links = listener.address();
         let (registry, health) = (MetricsRegistry::default(), HealthState::default());
@@ -233,6 +251,8 @@
                 operate: owner.clone().recipient(),
                 presence: owner.clone().recipient(),
                 copied: owner.clone().recipient(),
+                crashes: dispatch.clone().recipient(),
+                known_crashes: dispatch.clone().recipient(),
                 storage: StorageClient::new(Rc::clone(&platform.table), Rc::clone(&platform.objects)),
                 logger: logger.clone(),
             },
@@ -250,6 +270,9 @@
             status: peers.clone().recipient(),
             want: peers.clone().recipient(),
         });
+        dispatch.do_send(LinkDispatch {
+            crashes: peers.clone().recipient(),
+        });
         owner.do_send(LinkOwner {
             dispatch: dispatch.clone(),
             presence: peers.clone().recipient(),
@@ -284,7 +307,8 @@
         let first_operator = settings.administration.first_operator.as_ref();
         let first_operator = first_operator.map(|text| text.parse::<KeyDigest>()).transpose();
         let first_operator = first_operator.context("the first operator's digest is malformed")?;
-        let admin = AdminState::new(view.clone(), config, state, burn, first_operator);
+        let targets = dispatch.clone();
+        let admin = AdminState::new(view.clone(), config, state, burn, targets, first_operator);
         let administration = AdminServer::bind(
             AdminOptions {
                 address: settings.administration.listen,
--- a/crates/ebonyctl/src/render.rs
+++ b/crates/ebonyctl/src/render.rs
@@ -117,12 +117,12 @@
 pub fn target_table(answer: &Value) -> String {
     let columns = [
         ("target", "target"),
-        ("process", "process"),
+        ("host", "host"),
         ("failure domain", "domain"),
         ("state", "state"),
         ("serves", "serves"),
-        ("running", "running"),
-        ("queued", "queued"),
+        ("slots", "slots"),
+        ("calls", "calls"),
     ];
     table("Targets", &columns, items(&answer["targets"]))
 }
--- a/crates/ebonyctl/tests/command_line.rs
+++ b/crates/ebonyctl/tests/command_line.rs
@@ -58,8 +58,8 @@
     ]});
     let program = json!({"id": "p-0007-00", "state": "open", "turns": 3, "used": {"calls": 4, "tokens": 90},
         "budget_left": {"calls": 6, "tokens": 10}, "open_children": []});
-    let targets = json!({"targets": [{"target": "kalo-1", "process": "side-kalo-1", "domain": "suva-a",
-        "state": "draining", "serves": ["kalo"], "running": 2, "queued": 0}]});
+    let targets = json!({"targets": [{"target": "kalo-1", "host": "side-kalo-1", "domain": "suva-a",
+        "state": "draining", "serves": ["kalo"], "slots": 8, "calls": 2}]});
     let tables = [
         render::exception_table(&document),
         render::history_table(&history),
