Put the runs of targets in the order of their answers

Targets are read one after another, so that a step could be reported before an earlier one. An answered step's first run now goes before later steps; repeated runs stay where they were reported.

--- a/crates/ebony_replay/src/driver.rs
+++ b/crates/ebony_replay/src/driver.rs
@@ -22,7 +22,7 @@
 use crate::options::ReplayOptions;
 use crate::program_book::{ClosedProgram, ProgramBook};
 use crate::progress::ReplayProgress;
-use crate::target_runs::merge_runs;
+use crate::target_runs::RunOrder;
 
 /// The time between two reports of progress, and between two looks at what targets ran. An engine stand-in keeps its
 /// last 1,000 runs, of which it has far fewer in this time.
@@ -58,6 +58,9 @@
     let is_timed_out = driver.run(hooks).await?;
     driver.tasks.abort_all();
     driver.take_runs(hooks).await?;
+    for key in driver.runs.finish() {
+        driver.summary.record_run(key)?;
+    }
     if let Some(cache) = hooks.read_cache().await? {
         driver.summary.record_cache(cache);
     }
@@ -73,6 +76,7 @@
     plan: ReplayPlan,
     summary: ReplaySummary,
     book: ProgramBook,
+    runs: RunOrder,
     client: CallClient,
     /// Calls, bounded by the options, and requests that close programs, of which each program has one.
     tasks: JoinSet<Option<EndedCall>>,
@@ -88,6 +92,7 @@
             plan: ReplayPlan::open(document.clone(), ClockTime::default()),
             summary: ReplaySummary::open(&options.run, document.clone())?,
             book: ProgramBook::open(&document),
+            runs: RunOrder::default(),
             client: CallClient::open(options.max_calls),
             tasks: JoinSet::new(),
             start,
@@ -235,6 +240,7 @@
             first_token: call.first_token,
         })?;
         if call.end == StepEnd::Answered {
+            self.runs.note_answer(call.key);
             for gap in &call.gaps {
                 self.summary.record_tokens(gap.interval, gap.tokens);
             }
@@ -271,7 +277,7 @@
         let Some(runs) = hooks.take_runs().await? else {
             return Ok(());
         };
-        for key in merge_runs(&self.book, runs) {
+        for key in self.runs.take(&self.book, runs) {
             self.summary.record_run(key)?;
         }
         Ok(())
--- a/crates/ebony_replay/tests/fake_entry/mod.rs
+++ b/crates/ebony_replay/tests/fake_entry/mod.rs
@@ -4,6 +4,7 @@
 
 use actix_web::web::{Bytes, Data, Path};
 use actix_web::{App, HttpRequest, HttpResponse, HttpServer, web};
+use ebony_replay::TargetRun;
 use ebony_standins::engine::{ChatMessage, ChatRequest, EchoAnswer};
 use ebony_trace::plan::prompt::tagged_step;
 use ebony_types::CallId;
@@ -33,6 +34,7 @@
     pub(crate) idempotency_keys: Vec<String>,
     pub(crate) finished: u32,
     pub(crate) cancelled: u32,
+    runs: Vec<TargetRun>,
     has_refused: bool,
 }
 
@@ -80,6 +82,11 @@
         self.url.clone()
     }
 
+    /// Returns what ran since the last time.
+    pub(crate) fn take_runs(&self) -> Vec<TargetRun> {
+        std::mem::take(&mut self.state.seen.lock().expect("a lock").runs)
+    }
+
     pub(crate) fn seen(&self) -> SeenCalls {
         self.state.seen.lock().expect("a lock").clone()
     }
@@ -125,6 +132,8 @@
                 .insert_header(("retry-after", "0"))
                 .json(json!({"code": "too_many_calls", "run": "not_run"}));
         }
+        let digest = request.messages_digest();
+        seen.runs.push(TargetRun::Model { digest });
     }
     answer(state.fault, &step, &request)
 }
@@ -171,6 +180,9 @@
     let step = path.rsplit('/').next().unwrap_or_default().to_owned();
     let mut seen = state.seen.lock().expect("a lock");
     seen.calls.push((step.clone(), 0));
+    seen.runs.push(TargetRun::Service {
+        path: format!("POST /{path}"),
+    });
     let key = http.headers().get("idempotency-key");
     seen.idempotency_keys
         .extend(key.and_then(|key| key.to_str().ok()).map(str::to_owned));
--- a/crates/ebony_replay/tests/replay.rs
+++ b/crates/ebony_replay/tests/replay.rs
@@ -3,10 +3,15 @@
 mod fake_entry;
 
 use std::process::ExitCode;
+use std::rc::Rc;
 use std::sync::Arc;
 
-use ebony_replay::{CallerKeys, NoHooks, ReplayCommand, ReplayOptions, ReplayRun, replay, run_command};
-use ebony_trace::{TraceDocument, read_trace};
+use async_trait::async_trait;
+use ebony_replay::hooks::Result as HookResult;
+use ebony_replay::{
+    CallerKeys, NoHooks, ReplayCommand, ReplayHooks, ReplayOptions, ReplayRun, TargetRun, replay, run_command,
+};
+use ebony_trace::{CacheOutcome, MarkerAction, TraceDocument, read_trace};
 use fake_entry::{EntryFault, FakeEntry};
 
 /// A parent with a call that must run once and a blocking sub-agent, and a program of one call.
@@ -105,6 +110,46 @@
     assert_eq!(run.report.programs.failed, 1);
 }
 
+/// Reports runs in the reverse of their order, and then the given steps as repeated.
+struct LateRuns {
+    entry: Rc<FakeEntry>,
+    repeated: Vec<&'static str>,
+}
+
+#[async_trait(?Send)]
+impl ReplayHooks for LateRuns {
+    async fn on_marker(&mut self, _: &MarkerAction) -> HookResult<Option<Vec<String>>> {
+        Ok(None)
+    }
+
+    async fn take_runs(&mut self) -> HookResult<Option<Vec<Vec<TargetRun>>>> {
+        let mut runs = self.entry.take_runs();
+        runs.reverse();
+        let repeated = self.repeated.drain(..);
+        runs.extend(repeated.map(|step| TargetRun::Service {
+            path: format!("POST /replay/{step}"),
+        }));
+        Ok(Some(vec![runs]))
+    }
+
+    async fn read_cache(&mut self) -> HookResult<Option<CacheOutcome>> {
+        Ok(None)
+    }
+}
+
+#[actix_rt::test]
+async fn late_reports_are_no_order_violations_but_repeated_runs_are() {
+    for (repeated, expected) in [(vec![], (0, 0)), (vec!["0.0.tool"], (1, 1))] {
+        let entry = Rc::new(FakeEntry::spawn(EntryFault::None).await);
+        let options = ReplayOptions::open("tiny run", vec![entry.url()], CallerKeys::same("shop-key"));
+        let mut hooks = LateRuns { entry, repeated };
+        let run = replay(tiny_trace(), options, &mut hooks).await.expect("a replay");
+        let violations = run.report.violations;
+        assert_eq!((violations.duplicated, violations.order), expected);
+        assert_eq!(violations.lost, 0, "every answered call is known to have run");
+    }
+}
+
 #[actix_rt::test]
 async fn the_exit_code_follows_the_stated_outcomes() {
     let folder = tempfile::tempdir().expect("a folder");
