--- a/crates/ebony_fleet/src/settings.rs
+++ b/crates/ebony_fleet/src/settings.rs
@@ -100,7 +100,7 @@
     settings["callers"] = json!({"listen": ANY_PORT});
     settings["peers"] = json!([]);
     settings["ownership"] = json!({
-        "writes_per_second": 100,
+        "writes_per_second": 240,
         "shards": 16,
         "heartbeat": millis(times.heartbeat),
         "lease": millis(times.lease),
--- a/crates/ebony_settings/src/entry_settings.rs
+++ b/crates/ebony_settings/src/entry_settings.rs
@@ -48,7 +48,7 @@
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct OwnershipSettings {
-    /// This entry's share of the table service's writes per second.
+    /// Journal rows that all entries of the deployment together may write per second.
     pub writes_per_second: f64,
     /// The shards that programs are divided into.
     pub shards: u16,
--- a/crates/ebony_settings/src/schema/keys.rs
+++ b/crates/ebony_settings/src/schema/keys.rs
@@ -347,10 +347,10 @@
         KeySpec::required(
             "writes_per_second",
             ValueKind::Rate {
-                min: 0.1,
+                min: 1.0,
                 max: 1_000.0,
             },
-            "This entry's share of the table service's writes per second.",
+            "Journal rows that all entries of the deployment together may write per second; live entries share them equally.",
         ),
         KeySpec::defaults_to(
             "64",
