Tune the policy on the comparison

The first comparison showed programs that waited at the gate while engines idled, and caches that thrashed near saturation.

Admission is bounded by KV memory and by a limit that never falls below the slots; placement counts refills several times; the queue passes over calls without memory for a bounded time; paused programs give way by their expected return; cache events of other entries are ignored; model calls are not hedged.

--- a/crates/ebony_policy/examples/compare.rs
+++ b/crates/ebony_policy/examples/compare.rs
@@ -1,7 +1,9 @@
 //! Compares the policy with the baselines and its own ablations on generated program mixes, in virtual time.
 //!
 //! `cargo run --release -p ebony_policy --example compare -- [--seeds N] [--scenario NAME] [--policy NAME]
-//! [--deployment NAME] [--threads N]`
+//! [--deployment NAME] [--threads N] [--set queue.ageing=false]...`
+//!
+//! `--set` changes an option of ours and of its ablations, by its path and JSON value.
 
 #[path = "compare/engine.rs"]
 mod engine;
@@ -19,6 +21,8 @@
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicUsize, Ordering};
 
+use serde_json::Value;
+
 use crate::scenario::{DEPLOYMENTS, DeploymentPlan, PolicyPlan, SCENARIOS, ScenarioPlan, policies};
 use crate::summary::{COLUMNS, MEAN, RunSummary, WASTED, spread};
 
@@ -31,6 +35,7 @@
     scenario: String,
     policy: String,
     deployment: String,
+    overrides: Vec<(String, Value)>,
 }
 
 struct CompareJob<'a> {
@@ -42,7 +47,11 @@
 
 fn main() {
     let options = read_options();
-    let policies = policies();
+    let mut policies = policies();
+    let ours = policies
+        .iter_mut()
+        .filter(|policy| policy.name.starts_with(['o', '-', '+']));
+    ours.for_each(|policy| override_options(policy, &options.overrides));
     let policies: Vec<&PolicyPlan> = policies
         .iter()
         .filter(|policy| policy.name.contains(&options.policy) || policy.name == "ours")
@@ -78,7 +87,17 @@
         arguments.get(position + 1).cloned()
     };
     let number = |name: &str, default: u64| value(name).and_then(|text| text.parse().ok()).unwrap_or(default);
+    let pairs = arguments.windows(2).filter(|pair| pair[0] == "--set");
+    let pairs = pairs.filter_map(|pair| pair[1].split_once('='));
     CommandOptions {
+        overrides: pairs
+            .map(|(path, value)| {
+                (
+                    path.to_owned(),
+                    serde_json::from_str(value).expect("a JSON value"),
+                )
+            })
+            .collect(),
         seeds: number("--seeds", 5).max(1),
         threads: number("--threads", 4).clamp(1, 16) as usize,
         scenario: value("--scenario").unwrap_or_default(),
@@ -87,6 +106,17 @@
     }
 }
 
+/// Changes options by their paths.
+fn override_options(policy: &mut PolicyPlan, overrides: &[(String, Value)]) {
+    let mut document = serde_json::to_value(&policy.options).expect("options are JSON");
+    for (path, value) in overrides {
+        let pointer = format!("/{}", path.replace('.', "/"));
+        let member = document.pointer_mut(&pointer).expect("an option of this path");
+        *member = value.clone();
+    }
+    policy.options = serde_json::from_value(document).expect("valid options");
+}
+
 /// Runs all jobs on a few threads and returns their summaries in the order of the jobs.
 fn run_jobs(jobs: &[CompareJob<'_>], threads: usize) -> Vec<RunSummary> {
     let next = AtomicUsize::new(0);
--- a/crates/ebony_policy/examples/compare/engine.rs
+++ b/crates/ebony_policy/examples/compare/engine.rs
@@ -184,6 +184,21 @@
         true
     }
 
+    /// Loses all calls and returns their attempts. What they filled is wasted.
+    pub(crate) fn fail(&mut self) -> Vec<usize> {
+        let prefilling = self.prefilling.drain(..).map(|(work, _)| work);
+        let works: Vec<EngineWork> = prefilling
+            .chain(std::mem::take(&mut self.decoding).into_values())
+            .collect();
+        for work in &works {
+            let tokens = self.cached_tokens(work.program);
+            self.tally.evicted += (work.prompt_tokens + work.output_tokens).saturating_sub(tokens);
+            self.settle(work.program, tokens);
+        }
+        self.reserved = 0;
+        works.into_iter().map(|work| work.attempt).collect()
+    }
+
     /// Returns the time of the next event, in seconds.
     pub(crate) fn next_event(&self) -> Option<f64> {
         let prefill = self
--- a/crates/ebony_policy/examples/compare/parts.rs
+++ b/crates/ebony_policy/examples/compare/parts.rs
@@ -75,7 +75,7 @@
         let pools = (0..MODELS.len()).map(|model| table.pool(&pool_name(model)).expect("room"));
         let pools = pools.collect();
         Self {
-            gate: AdmissionGate::open(options.admission.clone()),
+            gate: AdmissionGate::open(options.admission.clone(), weight),
             planner,
             cache: CacheModel::open(options.cache.clone()),
             pauses: PauseModel::open(&options.retention),
--- a/crates/ebony_policy/src/admission/limit.rs
+++ b/crates/ebony_policy/src/admission/limit.rs
@@ -17,7 +17,7 @@
 const DECREASE_FACTOR: f64 = 0.9;
 
 /// The share of an increase.
-const INCREASE_SHARE: f64 = 0.02;
+const INCREASE_SHARE: f64 = 0.1;
 
 /// The share of the limit that must be in use for it to grow; an idle limit proves nothing.
 const IN_USE_SHARE: f64 = 0.8;
@@ -34,6 +34,7 @@
 #[derive(Clone, Debug)]
 pub(crate) struct ConcurrencyLimit {
     limit: f64,
+    floor: f64,
     window_start: ClockTime,
     samples: u32,
     slow: u32,
@@ -43,6 +44,7 @@
     pub(crate) fn open(options: &AdmissionOptions) -> Self {
         Self {
             limit: f64::from(options.initial_limit),
+            floor: f64::from(options.min_limit),
             window_start: ClockTime::default(),
             samples: 0,
             slow: 0,
@@ -53,6 +55,12 @@
         self.limit as u32
     }
 
+    /// Sets the calls that the targets run at once. A program runs one call at a time, so that fewer programs than
+    /// slots would leave slots idle.
+    pub(crate) fn set_floor(&mut self, slots: u32) {
+        self.floor = f64::from(slots);
+    }
+
     pub(crate) fn observe(
         &mut self,
         options: &AdmissionOptions,
@@ -80,7 +88,7 @@
         } else if programs >= self.limit * IN_USE_SHARE {
             self.limit += (self.limit * INCREASE_SHARE).max(1.0);
         }
-        let (low, high) = (f64::from(options.min_limit), f64::from(options.max_limit));
-        self.limit = self.limit.max(low).min(high);
+        let low = self.floor.max(f64::from(options.min_limit));
+        self.limit = self.limit.max(low).min(f64::from(options.max_limit));
     }
 }
--- a/crates/ebony_policy/src/admission/mod.rs
+++ b/crates/ebony_policy/src/admission/mod.rs
@@ -17,7 +17,7 @@
 use self::limit::ConcurrencyLimit;
 pub use self::limit::FirstTokenSample;
 pub use self::options::AdmissionOptions;
-use self::waiting_room::{CallerKey, WaitingRoom};
+use self::waiting_room::{CallerKey, WaitingProgram, WaitingRoom};
 use crate::drain_rate::DrainRate;
 
 /// The time constant of the rate at which programs end. Programs take a minute or two.
@@ -26,6 +26,9 @@
 /// The most programs in progress, children and adopted ones included. 330,000 programs over 390 entries are 850.
 pub const MAX_PROGRAMS: usize = 131_072;
 
+/// The share of the KV limit that small programs may use beyond the others, in percent.
+const SMALL_EXTRA_PERCENT: u64 = 25;
+
 /// A program that wants to start.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ProgramArrival {
@@ -35,6 +38,8 @@
     pub caller: CallerName,
     /// The deadline of its first call.
     pub deadline: ClockTime,
+    /// Tokens of its first prompt.
+    pub prompt_tokens: u64,
     /// Whether it belongs to a program in progress or was adopted from another entry. Such a program always enters:
     /// it is part of a whole that was admitted.
     pub is_admitted: bool,
@@ -82,12 +87,13 @@
 /// use ebony_types::{CallerName, ClockTime, ProgramId, ShardKey};
 ///
 /// let options = AdmissionOptions { initial_limit: 1, min_limit: 1, ..AdmissionOptions::default() };
-/// let mut gate = AdmissionGate::open(options);
+/// let mut gate = AdmissionGate::open(options, 0.5);
 /// let now = ClockTime::from_millis(0);
 /// let arrival = |number: u8| ProgramArrival {
 ///     program: ProgramId::from_parts(ShardKey(0), [number; 14]),
 ///     caller: CallerName::parse("shop").unwrap(),
 ///     deadline: ClockTime::from_millis(60_000),
+///     prompt_tokens: 8_000,
 ///     is_admitted: false,
 /// };
 /// assert_eq!(gate.arrive(&arrival(1), now), AdmissionDecision::Admitted);
@@ -103,13 +109,18 @@
     programs: HashMap<ProgramId, ProgramSeat>,
     kv_tokens: u64,
     kv_limit_tokens: Option<u64>,
+    kv_percent: u64,
     rate: DrainRate,
 }
 
 impl AdmissionGate {
     /// Creates a gate without programs.
-    pub fn open(options: AdmissionOptions) -> Self {
+    pub fn open(options: AdmissionOptions, latency_weight: f64) -> Self {
+        let (low, high) = (options.kv_percent_for_cache, options.kv_percent_for_latency);
+        let span = f64::from(high) - f64::from(low);
+        let percent = f64::from(low) + span * latency_weight.clamp(0.0, 1.0);
         Self {
+            kv_percent: percent as u64,
             limit: ConcurrencyLimit::open(&options),
             room: WaitingRoom::open(options.fair_share),
             options,
@@ -141,10 +152,10 @@
             return AdmissionDecision::Admitted;
         }
         let must_enter = arrival.is_admitted || !self.options.enabled;
-        let may_enter = self.room.len() == 0 && self.has_room();
+        let may_enter = self.is_small_enough(arrival) || (self.room.len() == 0 && self.has_room());
         if self.programs.len() < MAX_PROGRAMS && (must_enter || may_enter) {
             let caller = self.room.enter(&arrival.caller);
-            self.seat(arrival.program, caller);
+            self.seat(arrival.program, caller, arrival.prompt_tokens);
             return AdmissionDecision::Admitted;
         }
         if let Some(retry_after_seconds) = self.refusal(arrival, now) {
@@ -152,7 +163,16 @@
         }
         let longest = now + Duration::from_millis(2 * u64::from(self.options.max_wait_ms));
         let deadline = arrival.deadline.min(longest);
-        self.room.push(&arrival.caller, arrival.program, deadline);
+        let delay = arrival
+            .prompt_tokens
+            .saturating_mul(u64::from(self.options.delay_per_token_us));
+        let waiting = WaitingProgram {
+            program: arrival.program,
+            prompt_tokens: arrival.prompt_tokens,
+            deadline,
+            due_micros: now.as_micros().saturating_add(delay),
+        };
+        self.room.push(&arrival.caller, waiting);
         self.rate.advance(true, now);
         AdmissionDecision::Waiting
     }
@@ -172,7 +192,7 @@
         while self.has_room()
             && let Some((caller, waiting)) = self.room.pop()
         {
-            self.seat(waiting.program, caller);
+            self.seat(waiting.program, caller, waiting.prompt_tokens);
             outcomes.push(WaitOutcome {
                 program: waiting.program,
                 decision: AdmissionDecision::Admitted,
@@ -204,9 +224,11 @@
         }
     }
 
-    /// Sets the tokens of KV cache that this entry's programs may need together: its part of what the targets have.
-    pub fn set_kv_limit(&mut self, kv_limit_tokens: u64) {
+    /// Sets what the targets have for this entry's programs: tokens of KV cache, and calls at once. With several
+    /// entries it is this entry's part.
+    pub fn set_capacity(&mut self, kv_limit_tokens: u64, slots: u32) {
         self.kv_limit_tokens = Some(kv_limit_tokens);
+        self.limit.set_floor(slots);
     }
 
     /// Learns from the time to a call's first token.
@@ -226,13 +248,25 @@
         if !self.options.enabled {
             return self.programs.len() < MAX_PROGRAMS;
         }
-        let has_memory =
-            !self.options.memory_bound || self.kv_limit_tokens.is_none_or(|limit| self.kv_tokens < limit);
+        let has_memory = self.has_memory(self.kv_percent);
         let limit = (self.limit.programs() as usize).min(MAX_PROGRAMS);
         // One program always runs, whatever its size, so that a wrong limit cannot stop all work.
         self.programs.is_empty() || (has_memory && self.programs.len() < limit)
     }
 
+    fn has_memory(&self, percent: u64) -> bool {
+        let is_free = |limit: u64| self.kv_tokens < limit / 100 * percent;
+        !self.options.memory_bound || self.kv_limit_tokens.is_none_or(is_free)
+    }
+
+    /// Returns `true` if a program needs so little memory that waiting behind large ones would be a waste. Small
+    /// programs may use a little more of the KV limit.
+    fn is_small_enough(&self, arrival: &ProgramArrival) -> bool {
+        let is_small = arrival.prompt_tokens <= u64::from(self.options.small_program_tokens);
+        let has_memory = self.has_memory(self.kv_percent + SMALL_EXTRA_PERCENT);
+        is_small && has_memory && self.programs.len() < self.limit.programs() as usize
+    }
+
     /// Returns the retry time if the program is refused at once.
     fn refusal(&self, arrival: &ProgramArrival, now: ClockTime) -> Option<u32> {
         let waiting = self.room.len();
@@ -255,8 +289,8 @@
         is_refused.then(|| self.rate.retry_after_seconds(ahead as u64 + 1))
     }
 
-    fn seat(&mut self, program: ProgramId, caller: CallerKey) {
-        let seat = ProgramSeat { caller, kv_tokens: 0 };
-        self.programs.insert(program, seat);
+    fn seat(&mut self, program: ProgramId, caller: CallerKey, kv_tokens: u64) {
+        self.programs.insert(program, ProgramSeat { caller, kv_tokens });
+        self.kv_tokens += kv_tokens;
     }
 }
--- a/crates/ebony_policy/src/admission/options.rs
+++ b/crates/ebony_policy/src/admission/options.rs
@@ -15,6 +15,16 @@
     pub adaptive: bool,
     /// Whether the KV cache that admitted programs need limits admission.
     pub memory_bound: bool,
+    /// The share of the KV limit up to which programs are admitted if only wasted cache counts, in percent. Programs
+    /// grow after their admission.
+    pub kv_percent_for_cache: u32,
+    /// The share up to which programs are admitted if only latency counts, in percent. Weights in between interpolate.
+    pub kv_percent_for_latency: u32,
+    /// Tokens of a first prompt up to which a program need not wait behind larger ones.
+    pub small_program_tokens: u32,
+    /// How much later a waiting program is due for each token of its first prompt, in microseconds. Smaller programs
+    /// overtake larger ones that have waited for less than the difference.
+    pub delay_per_token_us: u32,
     /// Programs in progress at the start.
     pub initial_limit: u32,
     /// The least limit on programs in progress.
@@ -42,11 +52,15 @@
             fair_share: true,
             adaptive: true,
             memory_bound: true,
+            kv_percent_for_cache: 75,
+            kv_percent_for_latency: 105,
+            small_program_tokens: 6_000,
+            delay_per_token_us: 1_000,
             initial_limit: 256,
             min_limit: 8,
             max_limit: 65_536,
             first_token_target_ms: 930,
-            slow_permille: 50,
+            slow_permille: 500,
             window_ms: 5_000,
             min_samples: 20,
             waiting_places: 256,
--- a/crates/ebony_policy/src/admission/waiting_room.rs
+++ b/crates/ebony_policy/src/admission/waiting_room.rs
@@ -1,9 +1,10 @@
 //! Callers and their programs at the gate: in progress and waiting.
 //!
-//! The next program to admit is the oldest of the caller with the fewest programs in progress for its weight, which
-//! gives max-min fairness. Each operation costs a logarithm of the number of callers.
+//! The next program to admit is the first of the caller with the fewest programs in progress for its weight, which
+//! gives max-min fairness. Among the programs of one caller smaller ones go first, with ageing. Each operation costs
+//! a logarithm of the number of programs.
 
-use std::collections::{BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use ebony_types::{CallerName, ClockTime, ProgramId};
 use slotmap::SlotMap;
@@ -22,19 +23,24 @@
 #[derive(Clone, Debug)]
 pub(crate) struct WaitingProgram {
     pub(crate) program: ProgramId,
+    pub(crate) prompt_tokens: u64,
     pub(crate) deadline: ClockTime,
-    sequence: u64,
+    /// The program's place among those of its caller, in microseconds: its arrival, and a delay for its size.
+    pub(crate) due_micros: u64,
 }
 
-/// The share of a caller: programs in progress over weight, in fixed point, and the oldest waiting program.
-type ShareRank = (u64, u64, CallerKey);
+/// The share of a caller: programs in progress over weight, in fixed point, and the first waiting program.
+type ShareRank = (u64, WaitRank, CallerKey);
+
+/// The place of a waiting program, with the order of arrival between equals.
+type WaitRank = (u64, u64);
 
 #[derive(Debug)]
 struct CallerShare {
     name: CallerName,
     weight: u32,
     in_progress: u32,
-    waiting: VecDeque<WaitingProgram>,
+    waiting: BTreeMap<WaitRank, WaitingProgram>,
 }
 
 #[derive(Debug)]
@@ -74,15 +80,11 @@
         key.map_or(0, |key| self.callers[*key].waiting.len())
     }
 
-    pub(crate) fn push(&mut self, caller: &CallerName, program: ProgramId, deadline: ClockTime) {
+    pub(crate) fn push(&mut self, caller: &CallerName, waiting: WaitingProgram) {
         let key = self.caller(caller);
         self.next_sequence += 1;
-        let waiting = WaitingProgram {
-            program,
-            deadline,
-            sequence: self.next_sequence,
-        };
-        self.change(key, |share| share.waiting.push_back(waiting));
+        let rank = (waiting.due_micros, self.next_sequence);
+        self.change(key, |share| share.waiting.insert(rank, waiting));
         self.waiting += 1;
     }
 
@@ -91,8 +93,9 @@
         let (_, _, key) = self.order.first().copied()?;
         let program = self.change(key, |share| {
             share.in_progress += 1;
-            share.waiting.pop_front()
-        })?;
+            share.waiting.pop_first()
+        });
+        let (_, program) = program?;
         self.waiting -= 1;
         Some((key, program))
     }
@@ -104,9 +107,9 @@
         for key in keys {
             self.change(key, |share| {
                 let is_over = |waiting: &WaitingProgram| waiting.deadline <= now;
-                let programs = share.waiting.iter().filter(|waiting| is_over(waiting));
+                let programs = share.waiting.values().filter(|waiting| is_over(waiting));
                 expired.extend(programs.map(|waiting| waiting.program));
-                share.waiting.retain(|waiting| !is_over(waiting));
+                share.waiting.retain(|_, waiting| !is_over(waiting));
             });
         }
         self.waiting -= expired.len();
@@ -120,7 +123,7 @@
         };
         let was_waiting = self.change(key, |share| {
             let length = share.waiting.len();
-            share.waiting.retain(|waiting| waiting.program != program);
+            share.waiting.retain(|_, waiting| waiting.program != program);
             share.waiting.len() < length
         });
         self.waiting -= usize::from(was_waiting);
@@ -166,7 +169,7 @@
             name: name.clone(),
             weight: self.weights.get(name).copied().unwrap_or(DEFAULT_WEIGHT),
             in_progress: 0,
-            waiting: VecDeque::new(),
+            waiting: BTreeMap::new(),
         });
         self.by_name.insert(name.clone(), key);
         key
@@ -191,13 +194,13 @@
 
     fn rank(&self, key: CallerKey) -> Option<ShareRank> {
         let share = &self.callers[key];
-        let oldest = share.waiting.front()?;
+        let (first, _) = share.waiting.first_key_value()?;
         let programs = u64::from(share.in_progress) << 16;
         let standing = if self.is_fair {
             programs / u64::from(share.weight)
         } else {
             0
         };
-        Some((standing, oldest.sequence, key))
+        Some((standing, *first, key))
     }
 }
--- a/crates/ebony_policy/src/options.rs
+++ b/crates/ebony_policy/src/options.rs
@@ -199,6 +199,7 @@
         self.queue.order = QueueOrder::FirstComeFirstServed;
         self.queue.fair_share = false;
         self.queue.early_refusal = false;
+        self.queue.bypass_calls = 0;
         self.cache.enabled = false;
         self.retention.keep = false;
         self.retention.export = false;
--- a/crates/ebony_policy/src/placement/load_view.rs
+++ b/crates/ebony_policy/src/placement/load_view.rs
@@ -18,6 +18,10 @@
 /// The share by which one observation moves a running mean.
 const OBSERVATION_SHARE: f64 = 0.1;
 
+/// The measured pace up to which a target counts as normal. Prefill of other calls slows decode by up to 1.4, and
+/// reacting to that moves programs away from their caches.
+const PACE_TOLERANCE: f64 = 1.5;
+
 /// Bounds of the measured pace of a target, against outliers.
 const PACE_RANGE: (f64, f64) = (0.5, 16.0);
 
@@ -105,9 +109,9 @@
         }
     }
 
-    /// Returns how many times slower than expected the target decodes.
+    /// Returns how many times slower than expected the target decodes; 1 within the tolerance.
     pub fn pace(&self) -> f64 {
-        self.pace
+        (self.pace / PACE_TOLERANCE).max(1.0)
     }
 
     /// Returns the mean seconds that a call occupies a slot; `None` before one ended.
--- a/crates/ebony_policy/src/placement/mod.rs
+++ b/crates/ebony_policy/src/placement/mod.rs
@@ -329,7 +329,7 @@
             && let Some(load) = load
         {
             let wasted = wasted_seconds(&self.speed, load, estimate);
-            seconds = self.latency_weight * seconds + (1.0 - self.latency_weight) * wasted;
+            seconds += self.options.refill_factor * (1.5 - self.latency_weight) * wasted;
         }
         seconds
     }
--- a/crates/ebony_policy/src/placement/options.rs
+++ b/crates/ebony_policy/src/placement/options.rs
@@ -36,6 +36,9 @@
     pub measured_pace: bool,
     /// Whether filling a prefix again, and evicting others for it, adds to the cost of a target.
     pub refill_cost: bool,
+    /// How many seconds of finish time a second of wasted prefill is worth at even weights. It delays the other calls
+    /// of the target, too.
+    pub refill_factor: f64,
     /// Whether other failure domains are sampled when the best candidate of the own one is busy.
     pub spill: bool,
     /// The wait before the first token from which on other failure domains are sampled, in milliseconds.
@@ -57,6 +60,7 @@
             optimistic: true,
             measured_pace: true,
             refill_cost: true,
+            refill_factor: 8.0,
             spill: true,
             spill_wait_ms: 250,
             other_domain_ms: 2,
--- a/crates/ebony_policy/src/queue/flow.rs
+++ b/crates/ebony_policy/src/queue/flow.rs
@@ -90,11 +90,14 @@
         self.advance();
     }
 
-    /// Returns the call that runs next.
-    pub(crate) fn first(&self) -> Option<QueueKey> {
-        let (_, key) = self.eligible.first()?;
-        let (_, call) = self.flows[*key].calls.first()?;
-        Some(*call)
+    /// Returns up to `limit` calls in the order in which they would run: first the best call of each eligible flow, then
+    /// the further calls of these flows.
+    pub(crate) fn first_calls(&self, limit: usize) -> impl Iterator<Item = QueueKey> + '_ {
+        let keys = || self.eligible.iter().map(|(_, key)| *key);
+        let calls = |key: FlowKey| self.flows[key].calls.iter().map(|(_, call)| *call);
+        let heads = keys().filter_map(move |key| calls(key).next());
+        let others = keys().flat_map(move |key| calls(key).skip(1));
+        heads.chain(others).take(limit)
     }
 
     /// Adds to the service that a caller received. A flow that was forgotten is not charged.
--- a/crates/ebony_policy/src/queue/mod.rs
+++ b/crates/ebony_policy/src/queue/mod.rs
@@ -79,6 +79,7 @@
     call: QueuedCall,
     flow: FlowKey,
     rank: CallRank,
+    arrived: ClockTime,
 }
 
 /// The calls that wait for one target.
@@ -163,6 +164,7 @@
             call,
             flow: FlowKey::default(),
             rank,
+            arrived: now,
         });
         self.calls[key].flow = self.flows.insert(&caller, rank, key);
         self.deadlines.insert((deadline, key));
@@ -170,24 +172,36 @@
         Ok(key)
     }
 
-    /// Returns the call that [`CallQueue::pop`] would return.
-    pub fn peek(&mut self, now: ClockTime) -> Option<&QueuedCall> {
-        self.sweep(now);
-        let key = self.flows.first()?;
-        self.calls.get(key).map(|waiting| &waiting.call)
-    }
-
     /// Takes the next call to run and charges its expected service to its caller. Calls past their deadline are
     /// never returned here but by [`CallQueue::take_expired`].
     pub fn pop(&mut self, now: ClockTime) -> Option<QueuedCall> {
+        self.pop_fitting(now, |_, _| true)
+    }
+
+    /// Takes the first call that fits into the target, given the call and how long it has waited.
+    ///
+    /// Calls that do not fit are passed over, at most [`QueueOptions::bypass_calls`] at a time. A call that has waited
+    /// for [`QueueOptions::bypass_ms`] is no longer passed over: nothing behind it starts until it fits.
+    pub fn pop_fitting(
+        &mut self,
+        now: ClockTime,
+        mut fits: impl FnMut(&QueuedCall, Duration) -> bool,
+    ) -> Option<QueuedCall> {
         self.sweep(now);
-        let key = self.flows.first()?;
-        // The charge comes first: a flow that is left without calls may be forgotten.
-        let waiting = self.calls.get(key)?;
-        self.flows.charge(&waiting.call.caller, waiting.call.cost_tokens);
-        let call = self.take(key)?;
-        self.rate.record(call.cost_tokens, !self.calls.is_empty(), now);
-        Some(call)
+        let patience = Duration::from_millis(u64::from(self.options.bypass_ms));
+        let mut chosen = None;
+        for key in self.flows.first_calls(self.options.bypass_calls + 1) {
+            let waiting = &self.calls[key];
+            let waited = now.since(waiting.arrived);
+            if fits(&waiting.call, waited) {
+                chosen = Some(key);
+                break;
+            }
+            if waited >= patience {
+                break;
+            }
+        }
+        self.pop_key(chosen?, now)
     }
 
     /// Corrects a caller's share when the service of a popped call is known to differ from the expected one.
@@ -262,8 +276,17 @@
         }
     }
 
+    fn pop_key(&mut self, key: QueueKey, now: ClockTime) -> Option<QueuedCall> {
+        // The charge comes first: a flow that is left without calls may be forgotten.
+        let waiting = self.calls.get(key)?;
+        self.flows.charge(&waiting.call.caller, waiting.call.cost_tokens);
+        let call = self.take(key)?;
+        self.rate.record(call.cost_tokens, !self.calls.is_empty(), now);
+        Some(call)
+    }
+
     fn take(&mut self, key: QueueKey) -> Option<QueuedCall> {
-        let WaitingCall { call, flow, rank } = self.calls.remove(key)?;
+        let WaitingCall { call, flow, rank, .. } = self.calls.remove(key)?;
         self.flows.remove(flow, rank, key);
         self.deadlines.remove(&(call.deadline, key));
         self.backlog_tokens -= call.cost_tokens;
--- a/crates/ebony_policy/src/queue/options.rs
+++ b/crates/ebony_policy/src/queue/options.rs
@@ -43,6 +43,10 @@
     pub max_delay_ms: u32,
     /// The time that a call gets before its deadline, in milliseconds.
     pub deadline_reserve_ms: u32,
+    /// Calls that are passed over at a time because the target has no memory for them.
+    pub bypass_calls: usize,
+    /// Milliseconds of waiting after which a call is no longer passed over.
+    pub bypass_ms: u32,
 }
 
 impl Default for QueueOptions {
@@ -60,6 +64,8 @@
             level_delay_ms: 2_000,
             max_delay_ms: 20_000,
             deadline_reserve_ms: 20_000,
+            bypass_calls: 32,
+            bypass_ms: 20_000,
         }
     }
 }
--- a/crates/ebony_policy/src/retention/held_table.rs
+++ b/crates/ebony_policy/src/retention/held_table.rs
@@ -278,13 +278,25 @@
         }
     }
 
-    /// Makes room for a call of `program` by exporting or releasing other paused programs: those that are not pinned
-    /// first, then those that are expected back last. Returns no order if they cannot make enough room.
-    pub fn make_room(&mut self, program: ProgramId, tokens: u64, now: ClockTime) -> Vec<HeldOrder> {
+    /// Makes room for a call of `program` that has waited for the given time, by exporting or releasing other paused
+    /// programs: those that are not pinned first, then those that are expected back last. A pinned program whose
+    /// return is closer than the break-even time gives way only to a call that has waited for as long.
+    ///
+    /// Returns no order if they cannot make enough room; then the call waits and others may go first.
+    pub fn make_room(
+        &mut self,
+        program: ProgramId,
+        tokens: u64,
+        waited: Duration,
+        now: ClockTime,
+    ) -> Vec<HeldOrder> {
+        let break_even = Duration::from_millis(u64::from(self.options.break_even_ms));
+        let patience = Duration::from_millis(u64::from(self.options.patience_ms));
         let mut freed = 0;
         let mut chosen = Vec::new();
-        for (_, _, key) in self.by_return.iter().rev() {
-            if freed >= tokens {
+        for (is_unpinned, back_at, key) in self.by_return.iter().rev() {
+            let gives_way = *is_unpinned || waited >= patience || back_at.since(now) >= break_even;
+            if freed >= tokens || !gives_way {
                 break;
             }
             let entry = self.entries[*key];
--- a/crates/ebony_policy/src/retention/options.rs
+++ b/crates/ebony_policy/src/retention/options.rs
@@ -26,6 +26,10 @@
     pub repeat_ms: u32,
     /// The longest time between two repeats, in milliseconds.
     pub max_repeat_ms: u32,
+    /// The time until a program's return from which on its KV cache gives way to any call, in milliseconds.
+    pub break_even_ms: u32,
+    /// The wait after which a call takes the memory of any paused program, in milliseconds.
+    pub patience_ms: u32,
     /// The longest time for which KV cache is kept, in milliseconds.
     pub max_hold_ms: u32,
     /// Tokens of KV cache that one target's exports may take.
@@ -46,6 +50,8 @@
             lease_ms: 30_000,
             repeat_ms: 1_000,
             max_repeat_ms: 30_000,
+            break_even_ms: 10_000,
+            patience_ms: 10_000,
             max_hold_ms: 300_000,
             export_tokens: 250_000,
             transfer_tokens_per_second: 100_000.0,
--- a/crates/ebony_policy/src/retry/options.rs
+++ b/crates/ebony_policy/src/retry/options.rs
@@ -21,8 +21,10 @@
     pub backoff_ms: u32,
     /// The longest wait before any repeat, in milliseconds.
     pub max_backoff_ms: u32,
-    /// Whether calls that may run twice are hedged.
+    /// Whether calls of plain services that may run twice are hedged.
     pub hedging: bool,
+    /// Whether model calls are hedged as well. It fills a prefix twice and gained no latency in `examples/compare.rs`.
+    pub hedge_model_calls: bool,
     /// How many times its estimated time to the first token a call waits before it is hedged.
     pub hedge_factor: f64,
     /// What is added to that wait, in milliseconds. Estimates err by about this much.
@@ -40,8 +42,9 @@
             backoff_ms: 50,
             max_backoff_ms: 2_000,
             hedging: true,
+            hedge_model_calls: false,
             hedge_factor: 3.0,
-            hedge_margin_ms: 2_000,
+            hedge_margin_ms: 4_000,
         }
     }
 }
--- a/crates/ebony_policy/tests/cache_model.rs
+++ b/crates/ebony_policy/tests/cache_model.rs
@@ -81,3 +81,18 @@
     model.apply_event(target, program(1), 6, 0, seconds(21));
     assert_eq!(model.prefix(target, program(1)).tokens, 0);
 }
+
+/// Events about programs of other entries do not crowd out the entry's own programs.
+#[test]
+fn events_of_other_programs_are_ignored() {
+    let mut keys: SlotMap<TargetKey, ()> = SlotMap::with_key();
+    let target = keys.insert(());
+    let mut model = CacheModel::open(CacheOptions::default());
+    model.set_capacity(target, 10_000);
+    model.record_call(target, program(1), 9_000, seconds(0));
+    for number in 2..40 {
+        model.apply_event(target, program(number), u64::from(number), 5_000, seconds(10));
+    }
+    assert_eq!(model.programs_of(target), 1);
+    assert_eq!(model.prefix(target, program(1)).tokens, 9_000);
+}
--- a/crates/ebony_policy/tests/queue.rs
+++ b/crates/ebony_policy/tests/queue.rs
@@ -179,6 +179,25 @@
     assert!((55..=60).contains(&retry_after_seconds), "{retry_after_seconds}");
 }
 
+/// Calls that do not fit are passed over for a bounded time; then nothing starts before them.
+#[test]
+fn a_large_call_is_not_passed_over_for_ever() {
+    let options = QueueOptions::default();
+    let patience = u64::from(options.bypass_ms) / 1_000;
+    let mut queue = CallQueue::open(options);
+    let large = call(0, "shop", 0, 100_000);
+    queue.push(large.clone(), seconds(0)).unwrap();
+    for second in 1..=patience + 10 {
+        queue
+            .push(call(second, "shop", 0, 1_000), seconds(second))
+            .unwrap();
+        let popped = queue.pop_fitting(seconds(second), |call, _| call.cost_tokens < 10_000);
+        assert_eq!(popped.is_some(), second < patience, "{second} s");
+    }
+    let popped = queue.pop_fitting(seconds(patience + 11), |_, waited| waited.as_secs() > patience);
+    assert_eq!(popped, Some(large));
+}
+
 /// The order of a small mixed backlog, by option.
 #[test]
 fn order_by_option() {
