Extend the fleet with proxies, kept folders and program endings

Proxies stand in front of the links of side processes and between each process and the platform when a fleet asks for them. Callers can finish, cancel or exhaust their programs, and logs state when each attempt was sent and answered.

--- a/crates/ebony_fleet/src/audit.rs
+++ b/crates/ebony_fleet/src/audit.rs
@@ -41,6 +41,11 @@
         }
     }
 
+    /// Returns the checks by invariant.
+    pub fn counts(&self) -> &BTreeMap<&'static str, InvariantCount> {
+        &self.counts
+    }
+
     /// Returns the number of failed checks.
     pub fn violations(&self) -> u64 {
         self.counts.values().map(|count| count.violations).sum()
--- a/crates/ebony_fleet/src/child.rs
+++ b/crates/ebony_fleet/src/child.rs
@@ -1,6 +1,6 @@
 //! A real process of the system.
 
-use std::fs::File;
+use std::fs::OpenOptions;
 use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -49,7 +49,8 @@
 }
 
 impl ChildProcess {
-    /// Starts `program` in a role and waits until it prints its addresses.
+    /// Starts `program` in a role and waits until it prints its addresses. Its log is appended to that of its
+    /// predecessor with the same settings.
     ///
     /// # Errors
     ///
@@ -61,7 +62,7 @@
             .arg(settings)
             .stdin(Stdio::null())
             .stdout(Stdio::piped())
-            .stderr(File::create(&log)?)
+            .stderr(OpenOptions::new().create(true).append(true).open(&log)?)
             .spawn()
             .with_context(|| format!("cannot start {}", program.display()))?;
         let output = child.stdout.take().context("the process has no output")?;
@@ -113,6 +114,15 @@
         Ok(kill_process(pid, signal.to_signal())?)
     }
 
+    /// Returns how the process has ended; `None` while it runs.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the system can't tell.
+    pub fn ended(&mut self) -> Result<Option<ExitStatus>> {
+        Ok(self.child.try_wait()?)
+    }
+
     /// Waits until the process has ended.
     ///
     /// # Errors
--- a/crates/ebony_fleet/src/fleet.rs
+++ b/crates/ebony_fleet/src/fleet.rs
@@ -16,12 +16,12 @@
 use ebony_standins::{StandinAddress, StandinOptions, StandinSet};
 use ebony_types::{DomainName, HostName, ModelName};
 use serde_json::{Value, json};
-use tempfile::TempDir;
 
 use crate::caller::CallerClient;
-use crate::child::{ChildProcess, StopSignal};
+use crate::child::ChildProcess;
 use crate::directory::EntryDirectory;
 use crate::document::{CALLER_KEY, DocumentOptions, OPERATOR_KEY, fleet_document};
+use crate::folder::FleetFolder;
 use crate::relay_set::{FleetBytes, RelaySet};
 use crate::settings::{FleetTimes, PlatformUrls, TargetPlan, entry_settings, side_settings};
 
@@ -61,6 +61,11 @@
     pub policy: Value,
     /// Whether the bytes between processes and stand-ins are counted, which takes a relay in between.
     pub counts_bytes: bool,
+    /// Whether fault-injecting proxies stand in front of the links of side processes, and between each process and the
+    /// table service and object store.
+    pub has_proxies: bool,
+    /// The folder for settings and logs, which is kept; a temporary one if `None`.
+    pub folder: Option<PathBuf>,
     /// The level of the log.
     pub log_level: &'static str,
     /// How engines behave.
@@ -85,6 +90,8 @@
             defaults: json!({}),
             policy: json!({}),
             counts_bytes: false,
+            has_proxies: false,
+            folder: None,
             log_level: "debug",
             engine: EngineSettings::default(),
             times: FleetTimes::default(),
@@ -97,7 +104,7 @@
 
 /// Where a process is in the fleet.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum MemberPlace {
+pub enum MemberPlace {
     /// Among the entries.
     Entry(usize),
     /// Among the side processes.
@@ -107,20 +114,20 @@
 /// A running process, its settings file and its host.
 pub(crate) struct FleetMember {
     pub(crate) child: ChildProcess,
-    role: &'static str,
-    settings: PathBuf,
-    host: HostEntry,
+    pub(crate) role: &'static str,
+    pub(crate) settings: PathBuf,
+    pub(crate) host: HostEntry,
 }
 
 /// A running deployment on loopback. Dropping it kills its processes.
 pub struct RunningFleet {
     pub(crate) options: FleetOptions,
-    folder: TempDir,
-    standins: StandinSet,
+    folder: FleetFolder,
+    pub(crate) standins: StandinSet,
     relays: RelaySet,
-    urls: PlatformUrls,
+    pub(crate) urls: PlatformUrls,
     pub(crate) entries: Vec<FleetMember>,
-    sides: Vec<FleetMember>,
+    pub(crate) sides: Vec<FleetMember>,
     pub(crate) directory: EntryDirectory,
 }
 
@@ -151,7 +158,7 @@
         let mut standins = StandinSet::start()?;
         let mut relays = RelaySet::new(options.counts_bytes);
         let urls = relays.relay_platform(standin_urls(&mut standins)?)?;
-        let folder = tempfile::tempdir()?;
+        let folder = FleetFolder::open(options.folder.as_deref())?;
         let (entries, sides) = (Vec::new(), Vec::new());
         let mut fleet = Self {
             options,
@@ -245,17 +252,20 @@
 
     fn add_side(&mut self, process: &str, index: usize, target: &TargetPlan) -> Result<()> {
         let domain = self.domain(index);
-        let mut settings = side_settings(process, &domain, &self.urls, self.options.times, target);
+        let urls = self.proxy_platform(process)?;
+        let mut settings = side_settings(process, &domain, &urls, self.options.times, target);
         self.adjust(&mut settings);
         let mut member = self.start_member(process, "side", &domain, &settings)?;
         member.host.address = self.relays.relay_link(member.host.address)?;
+        self.proxy_link(process, member.host.address)?;
         self.sides.push(member);
         Ok(())
     }
 
     fn add_entry(&mut self, process: &str, index: usize) -> Result<()> {
         let domain = self.domain(index);
-        let mut settings = entry_settings(process, &domain, &self.urls, self.options.times);
+        let urls = self.proxy_platform(process)?;
+        let mut settings = entry_settings(process, &domain, &urls, self.options.times);
         self.adjust(&mut settings);
         let member = self.start_member(process, "entry", &domain, &settings)?;
         self.entries.push(member);
@@ -308,7 +318,10 @@
     /// Fails if the host list does not answer.
     pub async fn publish_hosts(&self) -> Result<()> {
         let members = self.entries.iter().chain(&self.sides);
-        let hosts: Vec<HostEntry> = members.map(|member| member.host.clone()).collect();
+        let mut hosts = Vec::new();
+        for member in members {
+            hosts.push(self.published_host(&member.host).await?);
+        }
         self.hosts()?.set_hosts(&hosts).await
     }
 
@@ -378,81 +391,6 @@
         self.entries[entry].child.address("administration")
     }
 
-    /// Kills an entry and starts another process in its place, which has no memory of it. Does not wait until it is
-    /// ready.
-    ///
-    /// # Errors
-    ///
-    /// Fails if the new process does not start.
-    pub async fn replace_entry(&mut self, index: usize) -> Result<()> {
-        replace(&self.options.program, &mut self.entries[index])?;
-        self.publish_hosts().await
-    }
-
-    /// Kills a side process and starts another one in its place.
-    ///
-    /// # Errors
-    ///
-    /// Fails if the new process does not start.
-    pub async fn replace_side(&mut self, index: usize) -> Result<()> {
-        replace(&self.options.program, &mut self.sides[index])?;
-        self.publish_hosts().await
-    }
-
-    /// Stops an entry as planned, waits until it has ended, and starts another one in its place.
-    ///
-    /// # Errors
-    ///
-    /// Fails if the stop takes longer than a minute.
-    pub async fn roll_entry(&mut self, index: usize) -> Result<()> {
-        roll(&mut self.entries[index]).await?;
-        self.replace_entry(index).await?;
-        wait_ready(&self.entries[index].child).await
-    }
-
-    /// Stops a side process as planned, waits until it has ended, and starts another one in its place.
-    ///
-    /// # Errors
-    ///
-    /// Fails if the stop takes longer than a minute.
-    pub async fn roll_side(&mut self, index: usize) -> Result<()> {
-        roll(&mut self.sides[index]).await?;
-        self.replace_side(index).await
-    }
-
-    /// Returns the places of a failure domain's processes.
-    pub(crate) fn members_of(&self, domain: usize) -> Vec<MemberPlace> {
-        let name = domain_name(domain);
-        let entries = self.entries.iter().enumerate();
-        let entries = entries.filter(|(_, member)| member.host.domain.as_str() == name);
-        let sides = self.sides.iter().enumerate();
-        let sides = sides.filter(|(_, member)| member.host.domain.as_str() == name);
-        let entries = entries.map(|(index, _)| MemberPlace::Entry(index));
-        entries
-            .chain(sides.map(|(index, _)| MemberPlace::Side(index)))
-            .collect()
-    }
-
-    /// Returns the engines of a failure domain.
-    pub(crate) fn engines_of(&self, domain: usize) -> Vec<usize> {
-        let engines = 0..self.options.engines;
-        engines
-            .filter(|engine| engine % self.options.domains.max(1) == domain)
-            .collect()
-    }
-
-    pub(crate) fn member(&mut self, place: MemberPlace) -> &mut FleetMember {
-        match place {
-            MemberPlace::Entry(index) => &mut self.entries[index],
-            MemberPlace::Side(index) => &mut self.sides[index],
-        }
-    }
-
-    pub(crate) fn restart_member(&mut self, place: MemberPlace) -> Result<()> {
-        let program = self.options.program.clone();
-        replace(&program, self.member(place))
-    }
-
     pub(crate) fn standin(&self, name: &str) -> Result<StandinAddress> {
         self.standins
             .address(name)
@@ -460,28 +398,11 @@
     }
 }
 
-fn domain_name(index: usize) -> String {
+pub(crate) fn domain_name(index: usize) -> String {
     format!("domain-{index}")
 }
 
-fn replace(program: &std::path::Path, member: &mut FleetMember) -> Result<()> {
-    // The process may have ended already.
-    let _ = member.child.signal(StopSignal::Kill);
-    member.child = ChildProcess::spawn(program, member.role, &member.settings)?;
-    member.host.address = member.child.address("links")?;
-    Ok(())
-}
-
-async fn roll(member: &mut FleetMember) -> Result<()> {
-    member.child.signal(StopSignal::Terminate)?;
-    let status = member.child.wait(READY_LIMIT).await?;
-    if !status.success() {
-        bail!("the process ended with {status}: {}", member.child.log());
-    }
-    Ok(())
-}
-
-async fn wait_ready(child: &ChildProcess) -> Result<()> {
+pub(crate) async fn wait_ready(child: &ChildProcess) -> Result<()> {
     let url = format!("http://{}/readyz", child.address("metrics")?);
     let client = awc::Client::default();
     let give_up = Instant::now() + READY_LIMIT;
--- /dev/null
+++ b/crates/ebony_fleet/src/folder.rs
@@ -0,0 +1,35 @@
+//! The folder for settings and logs of a fleet.
+
+use std::io;
+use std::path::{Path, PathBuf};
+
+use tempfile::TempDir;
+
+/// The result of an operation on the folder.
+pub(crate) type Result<T, E = io::Error> = std::result::Result<T, E>;
+
+/// A folder that is kept, or a temporary one that is removed with the fleet.
+pub(crate) enum FleetFolder {
+    Kept(PathBuf),
+    Temporary(TempDir),
+}
+
+impl FleetFolder {
+    /// Opens the folder at `path`, or a temporary one.
+    pub(crate) fn open(path: Option<&Path>) -> Result<Self> {
+        match path {
+            Some(path) => {
+                std::fs::create_dir_all(path)?;
+                Ok(Self::Kept(path.to_owned()))
+            }
+            None => Ok(Self::Temporary(tempfile::tempdir()?)),
+        }
+    }
+
+    pub(crate) fn path(&self) -> &Path {
+        match self {
+            Self::Kept(path) => path,
+            Self::Temporary(folder) => folder.path(),
+        }
+    }
+}
--- a/crates/ebony_fleet/src/lib.rs
+++ b/crates/ebony_fleet/src/lib.rs
@@ -11,7 +11,11 @@
 pub mod directory;
 pub mod document;
 mod domain_outage;
+mod ending;
 pub mod fleet;
+mod folder;
+mod lifecycle;
+mod proxies;
 pub mod relay;
 pub mod relay_set;
 mod routing;
@@ -25,9 +29,9 @@
     pub use crate::child::{ChildProcess, StopSignal};
     pub use crate::directory::EntryDirectory;
     pub use crate::document::{CALLER_KEY, OPERATOR_KEY, OTHER_CALLER_KEY, caller_key};
-    pub use crate::fleet::{FleetOptions, RunningFleet};
+    pub use crate::fleet::{FleetOptions, MemberPlace, RunningFleet};
     pub use crate::relay_set::FleetBytes;
-    pub use crate::workload::{CallerNews, ProgramLog, ProgramPlan, ProgramRunner};
+    pub use crate::workload::{CallerNews, PlanEnding, ProgramLog, ProgramPlan, ProgramRunner};
 }
 
 pub use prelude::*;
--- /dev/null
+++ b/crates/ebony_fleet/src/lifecycle.rs
@@ -0,0 +1,133 @@
+//! Kills, stops and replaces the processes of a fleet.
+
+use std::path::Path;
+
+use anyhow::bail;
+
+use crate::child::{ChildProcess, StopSignal};
+use crate::fleet::{FleetMember, MemberPlace, READY_LIMIT, Result, RunningFleet, domain_name, wait_ready};
+
+impl RunningFleet {
+    /// Kills an entry and starts another process in its place, which has no memory of it. Does not wait until it is
+    /// ready.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the new process does not start.
+    pub async fn replace_entry(&mut self, index: usize) -> Result<()> {
+        replace(&self.options.program, &mut self.entries[index])?;
+        self.publish_hosts().await
+    }
+
+    /// Kills a side process and starts another one in its place.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the new process does not start.
+    pub async fn replace_side(&mut self, index: usize) -> Result<()> {
+        replace(&self.options.program, &mut self.sides[index])?;
+        self.publish_hosts().await
+    }
+
+    /// Stops an entry as planned, waits until it has ended, and starts another one in its place.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the stop takes longer than a minute.
+    pub async fn roll_entry(&mut self, index: usize) -> Result<()> {
+        roll(&mut self.entries[index]).await?;
+        self.replace_entry(index).await?;
+        wait_ready(&self.entries[index].child).await
+    }
+
+    /// Stops a side process as planned, waits until it has ended, and starts another one in its place.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the stop takes longer than a minute.
+    pub async fn roll_side(&mut self, index: usize) -> Result<()> {
+        roll(&mut self.sides[index]).await?;
+        self.replace_side(index).await
+    }
+
+    /// Returns the places of a failure domain's processes.
+    pub(crate) fn members_of(&self, domain: usize) -> Vec<MemberPlace> {
+        let name = domain_name(domain);
+        let entries = self.entries.iter().enumerate();
+        let entries = entries.filter(|(_, member)| member.host.domain.as_str() == name);
+        let sides = self.sides.iter().enumerate();
+        let sides = sides.filter(|(_, member)| member.host.domain.as_str() == name);
+        let entries = entries.map(|(index, _)| MemberPlace::Entry(index));
+        entries
+            .chain(sides.map(|(index, _)| MemberPlace::Side(index)))
+            .collect()
+    }
+
+    /// Returns the engines of a failure domain.
+    pub(crate) fn engines_of(&self, domain: usize) -> Vec<usize> {
+        let engines = 0..self.options.engines;
+        engines
+            .filter(|engine| engine % self.options.domains.max(1) == domain)
+            .collect()
+    }
+
+    pub(crate) fn member(&mut self, place: MemberPlace) -> &mut FleetMember {
+        match place {
+            MemberPlace::Entry(index) => &mut self.entries[index],
+            MemberPlace::Side(index) => &mut self.sides[index],
+        }
+    }
+
+    /// Returns the places of all processes.
+    pub fn places(&self) -> Vec<MemberPlace> {
+        let entries = (0..self.entries.len()).map(MemberPlace::Entry);
+        entries
+            .chain((0..self.sides.len()).map(MemberPlace::Side))
+            .collect()
+    }
+
+    /// Returns the name of the process at a place.
+    pub fn name_of(&self, place: MemberPlace) -> String {
+        match place {
+            MemberPlace::Entry(index) => self.entries[index].host.host.to_string(),
+            MemberPlace::Side(index) => self.sides[index].host.host.to_string(),
+        }
+    }
+
+    /// Returns the process at a place.
+    pub fn process(&mut self, place: MemberPlace) -> &mut ChildProcess {
+        &mut self.member(place).child
+    }
+
+    /// Kills the process at a place and starts another one. Does not wait until it is ready.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the new process does not start.
+    pub async fn replace_process(&mut self, place: MemberPlace) -> Result<()> {
+        self.restart_member(place)?;
+        self.publish_hosts().await
+    }
+
+    pub(crate) fn restart_member(&mut self, place: MemberPlace) -> Result<()> {
+        let program = self.options.program.clone();
+        replace(&program, self.member(place))
+    }
+}
+
+fn replace(program: &Path, member: &mut FleetMember) -> Result<()> {
+    // The process may have ended already.
+    let _ = member.child.signal(StopSignal::Kill);
+    member.child = ChildProcess::spawn(program, member.role, &member.settings)?;
+    member.host.address = member.child.address("links")?;
+    Ok(())
+}
+
+async fn roll(member: &mut FleetMember) -> Result<()> {
+    member.child.signal(StopSignal::Terminate)?;
+    let status = member.child.wait(READY_LIMIT).await?;
+    if !status.success() {
+        bail!("the process ended with {status}: {}", member.child.log());
+    }
+    Ok(())
+}
--- a/crates/ebony_fleet/src/workload.rs
+++ b/crates/ebony_fleet/src/workload.rs
@@ -15,7 +15,21 @@
 const MAX_PAUSE: Duration = Duration::from_millis(250);
 
 /// The pause of a caller that could not connect, or was told none.
-const MIN_PAUSE: Duration = Duration::from_millis(25);
+pub(crate) const MIN_PAUSE: Duration = Duration::from_millis(25);
+
+/// How a program ends.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum PlanEnding {
+    /// Its caller leaves it open.
+    #[default]
+    Open,
+    /// Its caller finishes it after its last step.
+    Finish,
+    /// Its caller cancels it after its last step, with a further model call under way.
+    Cancel,
+    /// Its budget does not suffice for its steps.
+    Exhaust,
+}
 
 /// What one caller's program does.
 #[derive(Clone, Debug)]
@@ -38,6 +52,8 @@
     pub patience: Duration,
     /// The limit on calls that the caller asks for, its retries included.
     pub budget_calls: u32,
+    /// How the program ends.
+    pub ending: PlanEnding,
 }
 
 impl ProgramPlan {
@@ -53,6 +69,7 @@
             pause: Duration::ZERO,
             patience: Duration::from_secs(60),
             budget_calls: 1_000,
+            ending: PlanEnding::Open,
         }
     }
 }
@@ -88,6 +105,11 @@
             _ => false,
         }
     }
+
+    /// Returns `true` if the caller was told that the program's budget is exhausted.
+    pub fn says_exhausted(&self) -> bool {
+        matches!(self, Self::Problem { code, .. } if code == "budget_exhausted")
+    }
 }
 
 /// One model call as its caller saw it.
@@ -97,6 +119,10 @@
     pub prompt: String,
     /// What the caller was told.
     pub news: CallerNews,
+    /// When it was sent.
+    pub began: Instant,
+    /// When the caller was told.
+    pub told: Instant,
 }
 
 /// One non-idempotent call as its caller saw it.
@@ -106,6 +132,8 @@
     pub key: String,
     /// What the caller was told, attempt by attempt.
     pub attempts: Vec<CallerNews>,
+    /// When each attempt was sent, and when its caller was told.
+    pub times: Vec<(Instant, Instant)>,
 }
 
 /// A program as its caller saw it.
@@ -119,6 +147,12 @@
     pub turns: Vec<TurnLog>,
     /// The non-idempotent calls.
     pub orders: Vec<OrderLog>,
+    /// The sub-agents.
+    pub children: Vec<ProgramId>,
+    /// Whether the caller was told that the budget is exhausted.
+    pub is_exhausted: bool,
+    /// Whether the caller was told that the program and its sub-agents have ended.
+    pub is_ended: bool,
     /// Whether every step succeeded in the end.
     pub is_complete: bool,
     /// Time from the first call to the last.
@@ -129,7 +163,7 @@
 pub struct ProgramRunner {
     directory: EntryDirectory,
     source: StdRng,
-    log: ProgramLog,
+    pub(crate) log: ProgramLog,
     messages: Vec<Value>,
 }
 
@@ -141,6 +175,9 @@
             program: None,
             turns: Vec::new(),
             orders: Vec::new(),
+            children: Vec::new(),
+            is_exhausted: false,
+            is_ended: false,
             is_complete: false,
             latency: Duration::ZERO,
         };
@@ -157,6 +194,7 @@
         let started = Instant::now();
         self.log.is_complete = self.run_steps().await.is_some();
         self.log.latency = started.elapsed();
+        self.end().await;
         self.log
     }
 
@@ -180,7 +218,7 @@
         Some(())
     }
 
-    fn client(&mut self) -> Option<CallerClient> {
+    pub(crate) fn client(&mut self) -> Option<CallerClient> {
         let address = self.directory.pick(self.source.random())?;
         Some(CallerClient::open(address, &self.log.plan.caller_key))
     }
@@ -200,12 +238,14 @@
 
     async fn child(&mut self, parent: ProgramId) -> Option<()> {
         let child = self.open(Some(parent), json!({})).await?;
+        self.log.children.push(child);
         let give_up = Instant::now() + self.log.plan.patience;
         while Instant::now() < give_up {
             let body = self.body(
                 vec![user_message(&format!("{}/child", self.log.plan.label))],
                 false,
             );
+            let began = Instant::now();
             let news = self.send_chat(child, &body).await.0;
             if news == CallerNews::Whole {
                 return Some(());
@@ -214,6 +254,8 @@
                 self.log.turns.push(TurnLog {
                     prompt: "child".to_owned(),
                     news,
+                    began,
+                    told: Instant::now(),
                 });
                 return None;
             }
@@ -222,7 +264,7 @@
         None
     }
 
-    fn body(&self, messages: Vec<Value>, is_streamed: bool) -> Value {
+    pub(crate) fn body(&self, messages: Vec<Value>, is_streamed: bool) -> Value {
         json!({
             "model": "kalo",
             "messages": messages,
@@ -240,16 +282,25 @@
             let mut messages = self.messages.clone();
             messages.push(user_message(&prompt));
             let body = self.body(messages.clone(), turn.is_multiple_of(2));
+            let began = Instant::now();
             let (news, pause, text) = self.send_chat(program, &body).await;
+            let told = Instant::now();
+            let is_spent = news.says_exhausted();
             let is_whole = news == CallerNews::Whole;
             let is_wrong = matches!(news, CallerNews::Wrong(_));
-            self.log.turns.push(TurnLog { prompt, news });
+            self.log.turns.push(TurnLog {
+                prompt,
+                news,
+                began,
+                told,
+            });
             if is_whole {
                 messages.push(json!({"role": "assistant", "content": text}));
                 self.messages = messages;
                 return Some(());
             }
-            if is_wrong {
+            self.log.is_exhausted |= is_spent;
+            if is_wrong || is_spent {
                 return None;
             }
             tokio::time::sleep(pause).await;
@@ -257,7 +308,11 @@
         None
     }
 
-    async fn send_chat(&mut self, program: ProgramId, body: &Value) -> (CallerNews, Duration, String) {
+    pub(crate) async fn send_chat(
+        &mut self,
+        program: ProgramId,
+        body: &Value,
+    ) -> (CallerNews, Duration, String) {
         let Some(client) = self.client() else {
             return (CallerNews::NotSent, MIN_PAUSE, String::new());
         };
@@ -277,15 +332,19 @@
         let mut order = OrderLog {
             key: key.clone(),
             attempts: Vec::new(),
+            times: Vec::new(),
         };
         let mut is_known = false;
-        while Instant::now() < give_up && !is_known {
+        while Instant::now() < give_up && !is_known && !self.log.is_exhausted {
+            let began = Instant::now();
             let (news, pause) = self.send_order(program, &key, &body).await;
             // After "may have run", the caller asks a person; asking the system again must not run it again.
             let is_uncertain = matches!(&news, CallerNews::Problem { run, .. } if run != "not_run");
             let is_spent = order.attempts.iter().filter(|told| !told.says_not_run()).count() > 3;
             is_known = news == CallerNews::Whole || (is_uncertain && is_spent);
+            self.log.is_exhausted |= news.says_exhausted();
             order.attempts.push(news);
+            order.times.push((began, Instant::now()));
             if !is_known {
                 tokio::time::sleep(pause).await;
             }
@@ -317,7 +376,7 @@
     }
 }
 
-fn user_message(text: &str) -> Value {
+pub(crate) fn user_message(text: &str) -> Value {
     json!({"role": "user", "content": text})
 }
 
