Bring the tuned admission into the dispatcher

The gate needs the prompt's size, the engines' slots and the weight of latency; the dispatcher now feeds them from calls, welcome frames and the configuration.

--- a/crates/ebony_entry/src/dispatch/actor.rs
+++ b/crates/ebony_entry/src/dispatch/actor.rs
@@ -141,6 +141,7 @@
         let weight = values.policy.latency_weight;
         self.picker.set_latency_weight(weight);
         self.keeper.set_latency_weight(weight);
+        self.gate.set_latency_weight(weight);
         self.budget.set_options(RetryOptions {
             share_percent: values.retries.percent,
             fixed_repeats: values.retries.minimum,
--- a/crates/ebony_entry/src/dispatch/admission.rs
+++ b/crates/ebony_entry/src/dispatch/admission.rs
@@ -32,17 +32,25 @@
     gate: AdmissionGate,
     speed: EngineSpeed,
     waiting: HashMap<ProgramId, Vec<CallId>>,
-    /// Tokens of KV cache by target, from load reports. Bounded by the targets that are open for calls.
-    kv_tokens: BTreeMap<TargetName, u64>,
+    /// Engines that are open for calls.
+    engines: BTreeMap<TargetName, EngineRoom>,
+}
+
+/// What an engine has room for.
+#[derive(Clone, Copy, Debug)]
+struct EngineRoom {
+    slots: u32,
+    /// Tokens of KV cache, from the last load report.
+    kv_tokens: Option<u64>,
 }
 
 impl CallGate {
     pub(super) fn open(options: &PolicyOptions) -> Self {
         Self {
-            gate: AdmissionGate::open(options.admission.clone()),
+            gate: AdmissionGate::open(options.admission.clone(), options.latency_weight),
             speed: options.speed,
             waiting: HashMap::new(),
-            kv_tokens: BTreeMap::new(),
+            engines: BTreeMap::new(),
         }
     }
 
@@ -55,9 +63,10 @@
         now: ClockTime,
     ) -> GateStep {
         let request = &place.request;
-        if matches!(request.kind, CallKind::Service { .. }) {
+        let CallKind::Model { prompt_tokens, .. } = &request.kind else {
             return GateStep::Enter;
-        }
+        };
+        let prompt_tokens = u64::from(*prompt_tokens);
         if let Some(calls) = self.waiting.get_mut(&program) {
             if calls.len() >= MAX_WAITING_CALLS_PER_PROGRAM {
                 return GateStep::Refuse(refusal_report(WAITING_RETRY_SECONDS));
@@ -70,6 +79,7 @@
             caller: request.caller.clone(),
             deadline,
             // A program that has attained service, or blocks its parent, is part of work that was admitted.
+            prompt_tokens,
             is_admitted: place.rank.attained_tokens > 0 || place.rank.blocks_parent,
         };
         match self.gate.arrive(&arrival, now) {
@@ -137,29 +147,48 @@
         self.gate.observe_first_token(sample, now);
     }
 
-    /// Learns how much KV cache the targets have, of which each of `entries` entries takes an equal part.
+    /// Adds an engine that is open for calls. Each of `entries` entries takes an equal part of its room.
+    pub(super) fn add_engine(&mut self, target: TargetName, slots: u32, entries: usize) {
+        let room = EngineRoom {
+            slots,
+            kv_tokens: None,
+        };
+        self.engines.insert(target, room);
+        self.set_capacity(entries);
+    }
+
+    /// Learns how much KV cache an engine has.
     pub(super) fn apply_load(&mut self, report: &LoadReport, entries: usize) {
-        if report.kv_bytes_total > 0 {
-            let tokens = self.speed.tokens_in(report.kv_bytes_total);
-            self.kv_tokens.insert(report.target.clone(), tokens);
-            self.set_kv_limit(entries);
+        let tokens = self.speed.tokens_in(report.kv_bytes_total);
+        if let Some(room) = self.engines.get_mut(&report.target) {
+            room.kv_tokens = Some(tokens).filter(|tokens| *tokens > 0);
+            self.set_capacity(entries);
         }
     }
 
     /// Forgets a target that receives no further work.
     pub(super) fn remove_target(&mut self, target: &TargetName, entries: usize) {
-        if self.kv_tokens.remove(target).is_some() && !self.kv_tokens.is_empty() {
-            self.set_kv_limit(entries);
+        if self.engines.remove(target).is_some() && !self.engines.is_empty() {
+            self.set_capacity(entries);
         }
     }
 
+    /// Sets the weight of latency against wasted cache.
+    pub(super) fn set_latency_weight(&mut self, weight: f64) {
+        self.gate.set_latency_weight(weight);
+    }
+
     /// Returns the programs in progress.
     pub(super) fn in_progress(&self) -> usize {
         self.gate.in_progress()
     }
 
-    fn set_kv_limit(&mut self, entries: usize) {
-        let total: u64 = self.kv_tokens.values().sum();
-        self.gate.set_kv_limit(total / entries.max(1) as u64);
+    /// An engine that has not reported its memory does not limit it.
+    fn set_capacity(&mut self, entries: usize) {
+        let entries = u32::try_from(entries.max(1)).unwrap_or(u32::MAX);
+        let slots: u32 = self.engines.values().map(|room| room.slots).sum();
+        let tokens: Option<u64> = self.engines.values().map(|room| room.kv_tokens).sum();
+        let tokens = tokens.map_or(u64::MAX, |tokens| tokens / u64::from(entries));
+        self.gate.set_capacity(tokens, slots.div_ceil(entries));
     }
 }
--- a/crates/ebony_entry/src/dispatch/membership.rs
+++ b/crates/ebony_entry/src/dispatch/membership.rs
@@ -6,7 +6,7 @@
 use ebony_membership::{HostHint, SidePhase, TargetDecision, TargetEvent};
 use ebony_platform::{HostEntry, HostRole, HostState};
 use ebony_types::{ClockTime, HostName, TargetName};
-use ebony_wire::EntryFrame;
+use ebony_wire::{EntryFrame, TargetKind};
 use slog::{info, warn};
 
 use super::actor::DispatchActor;
@@ -60,6 +60,10 @@
                 if let Some(record) = self.registry.target(target) {
                     info!(self.options.logger, "target open for calls"; "target" => %record.name());
                     self.picker.open_target(target, record);
+                    if matches!(record.report.kind, TargetKind::Engine { .. }) {
+                        let (name, slots) = (record.name().clone(), record.report.slots);
+                        self.gate.add_engine(name, slots, self.entry_count);
+                    }
                 }
             }
             TargetDecision::StopPlacement { target, name } => {
--- a/crates/ebony_policy/src/admission/mod.rs
+++ b/crates/ebony_policy/src/admission/mod.rs
@@ -116,11 +116,8 @@
 impl AdmissionGate {
     /// Creates a gate without programs.
     pub fn open(options: AdmissionOptions, latency_weight: f64) -> Self {
-        let (low, high) = (options.kv_percent_for_cache, options.kv_percent_for_latency);
-        let span = f64::from(high) - f64::from(low);
-        let percent = f64::from(low) + span * latency_weight.clamp(0.0, 1.0);
         Self {
-            kv_percent: percent as u64,
+            kv_percent: kv_percent(&options, latency_weight),
             limit: ConcurrencyLimit::open(&options),
             room: WaitingRoom::open(options.fair_share),
             options,
@@ -131,6 +128,11 @@
         }
     }
 
+    /// Sets the weight of latency against wasted cache.
+    pub fn set_latency_weight(&mut self, latency_weight: f64) {
+        self.kv_percent = kv_percent(&self.options, latency_weight);
+    }
+
     /// Returns the number of programs in progress.
     pub fn in_progress(&self) -> usize {
         self.programs.len()
@@ -294,3 +296,10 @@
         self.kv_tokens += kv_tokens;
     }
 }
+
+/// Returns the share of the KV limit in percent that programs may fill at a weight of latency.
+fn kv_percent(options: &AdmissionOptions, latency_weight: f64) -> u64 {
+    let (low, high) = (options.kv_percent_for_cache, options.kv_percent_for_latency);
+    let span = f64::from(high) - f64::from(low);
+    (f64::from(low) + span * latency_weight.clamp(0.0, 1.0)) as u64
+}
