Add the rehearsal example: a seeded schedule of faults beside a load, and an audit

The example starts a deployment of real processes, injects single and overlapping faults by a seed, heals them and audits what callers and operators were told.

--- a/crates/ebony_fleet/src/audit.rs
+++ b/crates/ebony_fleet/src/audit.rs
@@ -6,7 +6,7 @@
 use ebony_types::ProgramId;
 use serde_json::Value;
 
-use crate::workload::{CallerNews, OrderLog, ProgramLog};
+use crate::workload::{CallerNews, OrderLog, PlanEnding, ProgramLog};
 
 /// The most violations that are kept as text for each invariant.
 const MAX_EXAMPLES: usize = 5;
@@ -119,6 +119,28 @@
         });
     }
 
+    /// Checks that a program has ended as its caller was told.
+    pub fn audit_ending(&mut self, log: &ProgramLog, view: &Value) {
+        let label = &log.plan.label;
+        let state = view["state"].as_str().unwrap_or_default();
+        let expected = match log.plan.ending {
+            PlanEnding::Open => return,
+            PlanEnding::Finish => "finished",
+            PlanEnding::Cancel => "cancelled",
+            PlanEnding::Exhaust => "exhausted",
+        };
+        if log.plan.ending == PlanEnding::Exhaust {
+            self.check("budget", log.is_exhausted, || {
+                format!("{label} was not told that its budget is exhausted")
+            });
+        }
+        if log.is_ended {
+            self.check("ending", state == expected, || {
+                format!("{label} is {state} and not {expected}")
+            });
+        }
+    }
+
     /// Checks that prompts are recorded once each, in the order in which they were sent.
     fn audit_order_of(&mut self, label: &str, recorded: &[String]) {
         let positions: Vec<(u32, u32)> = recorded.iter().filter_map(|prompt| position(prompt)).collect();
--- a/crates/ebony_fleet/src/fleet.rs
+++ b/crates/ebony_fleet/src/fleet.rs
@@ -103,7 +103,7 @@
 pub const SERVICE: &str = "orders";
 
 /// Where a process is in the fleet.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum MemberPlace {
     /// Among the entries.
     Entry(usize),
--- a/crates/ebony_fleet/src/lifecycle.rs
+++ b/crates/ebony_fleet/src/lifecycle.rs
@@ -1,6 +1,7 @@
 //! Kills, stops and replaces the processes of a fleet.
 
 use std::path::Path;
+use std::time::Duration;
 
 use anyhow::bail;
 
@@ -51,7 +52,7 @@
     }
 
     /// Returns the places of a failure domain's processes.
-    pub(crate) fn members_of(&self, domain: usize) -> Vec<MemberPlace> {
+    pub fn members_of(&self, domain: usize) -> Vec<MemberPlace> {
         let name = domain_name(domain);
         let entries = self.entries.iter().enumerate();
         let entries = entries.filter(|(_, member)| member.host.domain.as_str() == name);
@@ -99,6 +100,20 @@
         &mut self.member(place).child
     }
 
+    /// Returns `true` if the process at a place says that it is ready, within `limit`.
+    pub async fn is_ready(&self, place: MemberPlace, limit: Duration) -> bool {
+        let member = match place {
+            MemberPlace::Entry(index) => &self.entries[index],
+            MemberPlace::Side(index) => &self.sides[index],
+        };
+        let Ok(address) = member.child.address("metrics") else {
+            return false;
+        };
+        let client = awc::Client::builder().timeout(limit).finish();
+        let reply = client.get(format!("http://{address}/readyz")).send().await;
+        reply.is_ok_and(|reply| reply.status().is_success())
+    }
+
     /// Kills the process at a place and starts another one. Does not wait until it is ready.
     ///
     /// # Errors
--- a/crates/ebony_fleet/src/routing.rs
+++ b/crates/ebony_fleet/src/routing.rs
@@ -61,7 +61,9 @@
             report.audit_orders(log, &runs);
             if let Some(program) = log.program {
                 let client = self.caller_with(0, &log.plan.caller_key)?;
-                report.audit_history(log, &read_view(&client, program).await?);
+                let view = read_view(&client, program).await?;
+                report.audit_history(log, &view);
+                report.audit_ending(log, &view);
             }
         }
         let programs: Vec<ProgramId> = logs.iter().filter_map(|log| log.program).collect();
--- /dev/null
+++ b/examples/rehearsal/auditor.rs
@@ -0,0 +1,240 @@
+//! Compares what callers and operators were told with what happened.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use anyhow::{Result, bail};
+use bytes::Bytes;
+use ebony_fleet::{AuditReport, CallerNews, PlanEnding, ProgramLog, RunningFleet};
+
+use crate::injector::{FaultInjector, StopRecord};
+use crate::operators::{ConfigLog, SharedLog, change, version_of};
+use crate::schedule::ENGINES;
+
+/// The longest wait until engines hold nothing for ended programs.
+const MEMORY_LIMIT: Duration = Duration::from_secs(20);
+
+/// The time in which an accepted configuration is in force everywhere.
+const CONFIG_LIMIT: Duration = Duration::from_secs(5);
+
+/// The pause between two looks at a condition.
+const POLL: Duration = Duration::from_millis(100);
+
+/// The time after the end of an unplanned fault in which a broken answer may be its effect: the time after which a
+/// silent link is lost, and a margin.
+const FAULT_EFFECT: Duration = Duration::from_secs(3);
+
+/// The most tries of the last change of the configuration.
+const CHANGE_TRIES: u32 = 20;
+
+/// The records of the configuration's history that are read; a run makes fewer changes.
+const HISTORY_ROWS: u32 = 200;
+
+/// Checks all invariants after a run.
+///
+/// # Errors
+///
+/// Fails if a stand-in or an entry does not answer.
+pub(crate) async fn audit(
+    fleet: &RunningFleet,
+    logs: &[ProgramLog],
+    injector: &FaultInjector,
+    config: &SharedLog,
+) -> Result<AuditReport> {
+    let mut report = fleet.audit(logs).await?;
+    audit_ends(&mut report, logs);
+    audit_stops(&mut report, fleet, injector);
+    audit_drain(&mut report, logs, injector);
+    audit_memory(&mut report, fleet).await?;
+    audit_last_change(&mut report, config).await?;
+    let summaries = read_history(config).await?;
+    audit_config(&mut report, &config.borrow(), &summaries);
+    Ok(report)
+}
+
+/// Checks that each program did all its steps and ended, now that all faults are over.
+fn audit_ends(report: &mut AuditReport, logs: &[ProgramLog]) {
+    for log in logs {
+        let label = &log.plan.label;
+        let is_done = log.is_complete || log.plan.ending == PlanEnding::Exhaust;
+        report.check("load", is_done && log.is_ended, || {
+            let turn = log.turns.last();
+            let order = log.orders.last().map(|order| (&order.key, order.attempts.last()));
+            let (program, is_ended) = (log.program, log.is_ended);
+            format!("{label} {program:?}: ended {is_ended}, last turn {turn:?}, last order {order:?}")
+        });
+    }
+}
+
+fn audit_stops(report: &mut AuditReport, fleet: &RunningFleet, injector: &FaultInjector) {
+    for stop in &injector.stops {
+        let name = fleet.name_of(stop.place);
+        let at = stop.began.duration_since(injector.started);
+        report.check("drain", stop.is_clean, || {
+            format!("{name} did not stop as planned after {at:?}")
+        });
+        if let (Some(before), Some(after)) = (stop.runs_at_limit, stop.runs_at_end) {
+            report.check("leaving", before == after, || {
+                format!(
+                    "{name} is leaving since {at:?} and began {} late runs",
+                    after - before
+                )
+            });
+        }
+    }
+}
+
+/// Checks that no answer broke off during a planned stop, apart from those that another fault may have broken.
+fn audit_drain(report: &mut AuditReport, logs: &[ProgramLog], injector: &FaultInjector) {
+    for log in logs {
+        let cancelled = format!("{}/{}/", log.plan.label, log.plan.turns);
+        let turns = log
+            .turns
+            .iter()
+            .filter(|turn| !turn.prompt.starts_with(&cancelled));
+        for turn in turns {
+            audit_attempt(
+                report,
+                injector,
+                &turn.prompt,
+                &turn.news,
+                (turn.began, turn.told),
+            );
+        }
+        for order in &log.orders {
+            for (news, times) in order.attempts.iter().zip(&order.times) {
+                audit_attempt(report, injector, &order.key, news, *times);
+            }
+        }
+    }
+}
+
+fn audit_attempt(
+    report: &mut AuditReport,
+    injector: &FaultInjector,
+    what: &str,
+    news: &CallerNews,
+    (began, told): (Instant, Instant),
+) {
+    let meets = |stop: &&StopRecord| began <= stop.ended.unwrap_or(told) && stop.began <= told;
+    let Some(stop) = injector.stops.iter().find(meets) else {
+        return;
+    };
+    let faults = injector.faults.iter().filter(|fault| !fault.kind.is_planned());
+    let mut spans = faults.map(|fault| (fault.began, fault.ended.unwrap_or(told) + FAULT_EFFECT));
+    if spans.any(|(start, end)| began <= end && start <= told) {
+        return;
+    }
+    let is_whole = *news == CallerNews::Whole || news.says_not_run();
+    report.check("drain", is_whole, || {
+        let start = began.duration_since(injector.started);
+        let end = told.duration_since(injector.started);
+        format!(
+            "{what} from {start:?} to {end:?} during the stop of {:?}: {news:?}",
+            stop.place
+        )
+    });
+}
+
+async fn audit_memory(report: &mut AuditReport, fleet: &RunningFleet) -> Result<()> {
+    let give_up = Instant::now() + MEMORY_LIMIT;
+    for index in 0..ENGINES {
+        let engine = fleet.engine(index)?;
+        let mut held = engine.seen().await?.held_tokens;
+        while held > 0 && Instant::now() < give_up {
+            tokio::time::sleep(POLL).await;
+            held = engine.seen().await?.held_tokens;
+        }
+        let pinned = engine.seen().await?.pinned;
+        report.check("memory", held == 0, || {
+            format!("engine-{index} holds {held} tokens, pinned for {pinned:?}")
+        });
+    }
+    Ok(())
+}
+
+/// Makes a last change and checks that it is in force everywhere in time.
+async fn audit_last_change(report: &mut AuditReport, config: &SharedLog) -> Result<()> {
+    let processes = config.borrow().processes.clone();
+    let mut entries = processes
+        .iter()
+        .filter_map(|process| process.administration)
+        .cycle();
+    let mut last = None;
+    for number in 0..CHANGE_TRIES {
+        let Some(address) = entries.next() else {
+            bail!("there is no entry");
+        };
+        let news = change(address, format!("last-{number}"), 190).await;
+        last = news.accepted;
+        config.borrow_mut().news.push(news);
+        if last.is_some() {
+            break;
+        }
+        tokio::time::sleep(POLL).await;
+    }
+    report.check("config", last.is_some(), || {
+        "the last change was not accepted".to_owned()
+    });
+    let give_up = Instant::now() + CONFIG_LIMIT;
+    for process in &processes {
+        let mut version = version_of(process).await;
+        while version != last && Instant::now() < give_up {
+            tokio::time::sleep(POLL).await;
+            version = version_of(process).await;
+        }
+        report.check("config", version == last, || {
+            format!("{} has version {version:?} and not {last:?}", process.name)
+        });
+    }
+    Ok(())
+}
+
+/// Returns the summaries of accepted changes by their version.
+async fn read_history(config: &SharedLog) -> Result<BTreeMap<u64, String>> {
+    let address = config
+        .borrow()
+        .processes
+        .iter()
+        .find_map(|process| process.administration);
+    let Some(address) = address else {
+        bail!("there is no entry");
+    };
+    let client = ebony_fleet::CallerClient::open(address, ebony_fleet::OPERATOR_KEY);
+    let path = format!("/v1/config/history?limit={HISTORY_ROWS}");
+    let body = client.send("GET", &path, None, None, Bytes::new()).await?.json();
+    let Some(records) = body["records"].as_array() else {
+        bail!("the history can't be read: {body}");
+    };
+    let rows = records.iter().filter_map(|record| {
+        let summary = record["summary"].as_str().unwrap_or_default();
+        Some((record["version"].as_u64()?, summary.to_owned()))
+    });
+    Ok(rows.collect())
+}
+
+fn audit_config(report: &mut AuditReport, config: &ConfigLog, summaries: &BTreeMap<u64, String>) {
+    for news in &config.news {
+        let summary = &news.summary;
+        if let Some(version) = news.accepted {
+            report.check("config", summaries.get(&version) == Some(summary), || {
+                format!(
+                    "{summary} was accepted as {version}: {:?}",
+                    summaries.get(&version)
+                )
+            });
+        }
+        if news.is_refused {
+            let is_absent = summaries.values().all(|accepted| accepted != summary);
+            report.check("config", is_absent, || {
+                format!("{summary} was refused and accepted")
+            });
+        }
+    }
+    for _ in 0..config.samples - config.reverts.len() as u64 {
+        report.check("config", true, String::new);
+    }
+    for revert in &config.reverts {
+        report.check("config", false, || revert.clone());
+    }
+}
