Compare the model calls of callers with the runs of engines in the audit

A refusal as not run was compared with the history alone, which a run that was not recorded passes. The audit now counts runs of each attempt by the digest of its messages.

--- a/crates/ebony_fleet/src/audit.rs
+++ b/crates/ebony_fleet/src/audit.rs
@@ -83,6 +83,26 @@
         }
     }
 
+    /// Checks what a caller was told of its model calls against the runs of the engines, by digest of the messages.
+    pub fn audit_turns(&mut self, log: &ProgramLog, runs: &BTreeMap<String, u32>) {
+        for turn in &log.turns {
+            let count = runs.get(&turn.digest).copied().unwrap_or(0);
+            if turn.news == CallerNews::Whole {
+                self.check("answer", count >= 1, || {
+                    format!("{} was answered and ran {count} times", turn.prompt)
+                });
+            }
+            if turn.news.says_not_run() {
+                self.check("not-run", count == 0, || {
+                    format!(
+                        "{} was refused as {:?} and ran {count} times",
+                        turn.prompt, turn.news
+                    )
+                });
+            }
+        }
+    }
+
     /// Checks what a caller was told of its model calls against the program's history.
     pub fn audit_history(&mut self, log: &ProgramLog, view: &Value) {
         let label = &log.plan.label;
--- a/crates/ebony_fleet/src/ending.rs
+++ b/crates/ebony_fleet/src/ending.rs
@@ -5,7 +5,7 @@
 use ebony_types::ProgramId;
 
 use crate::caller::{CallReply, CallerClient, Result};
-use crate::workload::{MIN_PAUSE, PlanEnding, ProgramRunner, TurnLog, user_message};
+use crate::workload::{MIN_PAUSE, PlanEnding, ProgramRunner, TurnLog, digest_of, user_message};
 
 /// How long after a call a cancellation is sent, so that it meets the call under way.
 const CANCEL_DELAY: Duration = Duration::from_millis(30);
@@ -49,6 +49,7 @@
         let told = Instant::now();
         self.log.turns.push(TurnLog {
             prompt,
+            digest: digest_of(&body),
             news,
             began,
             told,
--- a/crates/ebony_fleet/src/routing.rs
+++ b/crates/ebony_fleet/src/routing.rs
@@ -57,8 +57,15 @@
                 *runs.entry(key).or_insert(0) += count;
             }
         }
+        let mut turns = BTreeMap::new();
+        for index in 0..self.options.engines {
+            for (digest, count) in self.engine(index)?.run_counts(1).await?.messages {
+                *turns.entry(digest).or_insert(0) += count;
+            }
+        }
         for log in logs {
             report.audit_orders(log, &runs);
+            report.audit_turns(log, &turns);
             if let Some(program) = log.program {
                 let client = self.caller_with(0, &log.plan.caller_key)?;
                 let view = read_view(&client, program).await?;
--- a/crates/ebony_fleet/src/workload.rs
+++ b/crates/ebony_fleet/src/workload.rs
@@ -117,6 +117,8 @@
 pub struct TurnLog {
     /// The prompt, unique for each attempt.
     pub prompt: String,
+    /// The digest of the messages, by which engines count their runs.
+    pub digest: String,
     /// What the caller was told.
     pub news: CallerNews,
     /// When it was sent.
@@ -253,6 +255,7 @@
             if matches!(news, CallerNews::Wrong(_)) {
                 self.log.turns.push(TurnLog {
                     prompt: "child".to_owned(),
+                    digest: digest_of(&body),
                     news,
                     began,
                     told: Instant::now(),
@@ -290,6 +293,7 @@
             let is_wrong = matches!(news, CallerNews::Wrong(_));
             self.log.turns.push(TurnLog {
                 prompt,
+                digest: digest_of(&body),
                 news,
                 began,
                 told,
@@ -376,6 +380,12 @@
     }
 }
 
+/// Returns the digest of a request's messages as engines count it; empty if the body is malformed.
+pub(crate) fn digest_of(body: &Value) -> String {
+    let request = ChatRequest::parse(body.to_string().as_bytes());
+    request.map_or_else(|_| String::new(), |request| request.messages_digest())
+}
+
 pub(crate) fn user_message(text: &str) -> Value {
     json!({"role": "user", "content": text})
 }
--- /dev/null
+++ b/crates/ebony_fleet/tests/audit.rs
@@ -0,0 +1,77 @@
+//! Guards the audit against passing runs that broke a promise.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use ebony_fleet::workload::TurnLog;
+use ebony_fleet::{AuditReport, CallerNews, PlanEnding, ProgramLog, ProgramPlan};
+use serde_json::json;
+
+const DIGEST: &str = "0123456789abcdef";
+
+fn refused() -> CallerNews {
+    CallerNews::Problem {
+        status: 503,
+        code: "platform_unavailable".to_owned(),
+        run: "not_run".to_owned(),
+    }
+}
+
+fn log(ending: PlanEnding, news: CallerNews) -> ProgramLog {
+    let mut plan = ProgramPlan::mixed("audit", 1);
+    plan.ending = ending;
+    let now = Instant::now();
+    ProgramLog {
+        plan,
+        program: None,
+        turns: vec![TurnLog {
+            prompt: "audit/0/0".to_owned(),
+            digest: DIGEST.to_owned(),
+            news,
+            began: now,
+            told: now,
+        }],
+        orders: Vec::new(),
+        children: Vec::new(),
+        is_exhausted: false,
+        is_ended: true,
+        is_complete: true,
+        latency: Duration::ZERO,
+    }
+}
+
+fn turns_report(news: CallerNews, runs: u32) -> u64 {
+    let mut report = AuditReport::default();
+    let runs = BTreeMap::from([(DIGEST.to_owned(), runs)]);
+    report.audit_turns(&log(PlanEnding::Finish, news), &runs);
+    assert!(report.checks("answer") + report.checks("not-run") > 0);
+    report.violations()
+}
+
+/// A call that was refused as not run, and ran, passes; so does an answer that no engine gave.
+#[test]
+fn turns_are_compared_with_the_runs_of_engines() {
+    assert_eq!(turns_report(refused(), 0), 0);
+    assert_eq!(turns_report(refused(), 1), 1);
+    assert_eq!(turns_report(CallerNews::Whole, 1), 0);
+    assert_eq!(turns_report(CallerNews::Whole, 0), 1);
+}
+
+/// A program whose end was lost, or whose budget never ran out, passes.
+#[test]
+fn programs_end_as_their_callers_were_told() {
+    let violations = |ending, state: &str| {
+        let mut report = AuditReport::default();
+        report.audit_ending(&log(ending, CallerNews::Whole), &json!({"state": state}));
+        report.violations()
+    };
+    assert_eq!(violations(PlanEnding::Finish, "finished"), 0);
+    assert_eq!(violations(PlanEnding::Finish, "open"), 1);
+    assert_eq!(violations(PlanEnding::Cancel, "finished"), 1);
+    assert_eq!(
+        violations(PlanEnding::Exhaust, "exhausted"),
+        1,
+        "the caller was not told"
+    );
+    assert_eq!(violations(PlanEnding::Open, "open"), 0);
+}
