--- a/crates/ebonyctl/src/command.rs
+++ b/crates/ebonyctl/src/command.rs
@@ -11,7 +11,7 @@
 const EXIT_CODES: &str = "\
 Exit codes:
   0  done
-  1  failed: no entry answers, or the platform does not take the change
+  1  failed: no entry answers, the platform takes no change, or a replay misses a stated outcome
   2  the arguments or a file are wrong
   3  another operator was faster; the message names the winning version
   4  the key is missing, unknown or not allowed to do this
@@ -77,6 +77,8 @@
     /// Reports on the fleet.
     #[command(subcommand)]
     Report(ReportCommand),
+    /// Replays a recorded trace against callers' addresses of entries and checks its stated outcomes.
+    Replay(ReplayArguments),
     /// Prints a completion script for a shell.
     Completions {
         /// The shell.
@@ -84,6 +86,21 @@
     },
 }
 
+/// A replay. All callers of the trace use the one key of `--key-file`, and `--entry` names callers' addresses.
+#[derive(Clone, Debug)]
+#[derive(Args)]
+pub struct ReplayArguments {
+    /// The file of the trace.
+    #[arg(value_name = "TRACE")]
+    pub trace: PathBuf,
+    /// Writes the report as an HTML page to this file.
+    #[arg(long, value_name = "FILE")]
+    pub html: Option<PathBuf>,
+    /// Checks only that answers are complete. Without it, targets must be the stand-ins, whose answers are known.
+    #[arg(long)]
+    pub complete: bool,
+}
+
 /// Who is faster wins: a change is accepted only if the version that it starts from is still the newest.
 #[derive(Clone, Debug, Default)]
 #[derive(Args)]
--- a/crates/ebonyctl/src/lib.rs
+++ b/crates/ebonyctl/src/lib.rs
@@ -15,7 +15,8 @@
 use clap::{CommandFactory, Parser};
 
 use crate::command::{ControlCommand, ControlTopic};
-use crate::run::Session;
+use crate::error::Result;
+use crate::run::{Session, run_replay};
 
 /// Runs the command by the arguments of this process.
 pub fn main_from_arguments() -> ExitCode {
@@ -25,15 +26,21 @@
         clap_complete::generate(shell, &mut definition, "ebonyctl", &mut std::io::stdout());
         return ExitCode::SUCCESS;
     }
-    let result = actix_rt::System::new().block_on(async {
-        let mut session = Session::open(&command.access, std::io::stdout())?;
-        session.run(&command.topic).await
-    });
+    let result = actix_rt::System::new().block_on(run_command(&command));
     match result {
-        Ok(()) => ExitCode::SUCCESS,
+        Ok(code) => code,
         Err(failure) => {
             eprintln!("ebonyctl: {failure}");
             ExitCode::from(failure.exit_code())
         }
     }
 }
+
+async fn run_command(command: &ControlCommand) -> Result<ExitCode> {
+    if let ControlTopic::Replay(arguments) = &command.topic {
+        return run_replay(&command.access, arguments, &mut std::io::stdout()).await;
+    }
+    let mut session = Session::open(&command.access, std::io::stdout())?;
+    session.run(&command.topic).await?;
+    Ok(ExitCode::SUCCESS)
+}
--- a/crates/ebonyctl/src/run/mod.rs
+++ b/crates/ebonyctl/src/run/mod.rs
@@ -4,6 +4,7 @@
 mod config;
 mod exceptions;
 mod fleet;
+mod replay;
 mod watch;
 
 use std::io::{Read, Write};
@@ -15,6 +16,7 @@
 use crate::client::{AdminClient, AdminRequest};
 use crate::command::{AccessOptions, ControlTopic, KEY_VARIABLE, ReportCommand};
 use crate::error::{ControlError, Result};
+pub use replay::{replay_command, run_replay};
 
 /// The largest file that is read, in bytes; a document is below it.
 const MAX_FILE_BYTES: u64 = 16 * 1024 * 1024;
@@ -54,7 +56,8 @@
             ControlTopic::Targets(command) => self.targets(command).await,
             ControlTopic::Programs(command) => self.programs(command).await,
             ControlTopic::Report(ReportCommand::Burn { html }) => self.burn(html.as_deref()).await,
-            ControlTopic::Completions { .. } => Ok(()),
+            // These need no session; `main_from_arguments` carries them out.
+            ControlTopic::Replay(_) | ControlTopic::Completions { .. } => Ok(()),
         }
     }
 
--- a/crates/ebonyctl/tests/command_line.rs
+++ b/crates/ebonyctl/tests/command_line.rs
@@ -4,9 +4,10 @@
 
 use actix_web::{App, HttpRequest, HttpResponse, HttpServer, web};
 use clap::{CommandFactory, Parser};
-use ebonyctl::command::ControlCommand;
+use ebony_replay::{AnswerCheck, CallerKeys, OutputFormat};
+use ebonyctl::command::{ControlCommand, ControlTopic};
 use ebonyctl::error::ControlError;
-use ebonyctl::run::Session;
+use ebonyctl::run::{Session, replay_command, run_replay};
 use ebonyctl::{event_stream::EventReader, render};
 use serde_json::{Value, json};
 
@@ -41,6 +42,43 @@
     }
 }
 
+/// Guards against a replay that drops an argument, checks real engines as stand-ins, or passes although it did not run.
+#[actix_web::test]
+async fn replay_takes_its_arguments() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let key = folder.path().join("key");
+    std::fs::write(&key, "caller-key\n").expect("a file");
+    let key = key.to_str().expect("a text");
+    let parse = |line: &str| {
+        let command = ControlCommand::try_parse_from(line.split(' ')).expect("the arguments are right");
+        let ControlTopic::Replay(arguments) = command.topic else {
+            panic!("{line} is no replay");
+        };
+        (command.access, arguments)
+    };
+    let url = "http://127.0.0.1:1";
+    let line = format!(
+        "ebonyctl replay no.trace --entry {url} --entry {url}1 --key-file {key} --json --html a.html --complete"
+    );
+    let (access, arguments) = parse(&line);
+    let command = replay_command(&access, &arguments).expect("the arguments are complete");
+    assert_eq!(command.trace.to_str(), Some("no.trace"));
+    assert_eq!(command.entries, [url.to_owned(), format!("{url}1")]);
+    assert_eq!(command.keys, CallerKeys::same("caller-key"));
+    assert_eq!(command.format, OutputFormat::Json);
+    assert_eq!(command.html.as_deref(), Some("a.html".as_ref()));
+    assert_eq!(command.check, AnswerCheck::Complete);
+    let mut output = Vec::new();
+    let failure = run_replay(&access, &arguments, &mut output).await;
+    assert_eq!(failure.expect_err("there is no trace").exit_code(), 2);
+    assert!(output.is_empty());
+
+    let (access, arguments) = parse(&format!("ebonyctl replay no.trace --key-file {key}"));
+    let failure = replay_command(&access, &arguments).expect_err("there is no entry");
+    assert_eq!(failure.exit_code(), 2);
+    assert!(ControlCommand::try_parse_from(["ebonyctl", "replay", "--entry", url]).is_err());
+}
+
 /// Guards against tables that lose a column or pass control characters on to the terminal.
 #[test]
 fn tables_are_for_people() {
