Close a draining side process only after entries have seen the drain

Cause: a side process announced its drain and closed its links at once when it was idle, so that a call on its way over a link was lost and its caller told that it may have run. Seen once as target_failed in the rolling replacement under load (machine load about 18). Change: an entry confirms the announcement on the same link, behind all calls that it sent before; the side process waits for that from each linked entry, at most 5 s.

--- a/crates/ebony_entry/src/dispatch/link_events.rs
+++ b/crates/ebony_entry/src/dispatch/link_events.rs
@@ -113,7 +113,11 @@
                 self.update_targets(&host);
                 return self.retry_waiting();
             }
-            SideFrame::Draining => return self.apply(TargetEvent::DrainAnnounced { host }, context),
+            SideFrame::Draining => {
+                self.apply(TargetEvent::DrainAnnounced { host }, context);
+                self.sides.send(key, &EntryFrame::DrainSeen);
+                return;
+            }
             SideFrame::Answer(frame) => self.accept_answer(key, frame),
             SideFrame::Crashes(reports) => self.hear_crashes(&reports, CrashSource::Side(key)),
             SideFrame::Load(reports) => {
--- a/crates/ebony_side/src/actor/accept.rs
+++ b/crates/ebony_side/src/actor/accept.rs
@@ -33,7 +33,9 @@
             return;
         }
         let (sender, receiver) = link.split();
-        let (key, older) = self.links.insert(peer.process.clone(), sender);
+        let (key, older) = self
+            .links
+            .insert(peer.process.clone(), sender, self.drain.is_draining());
         if let Some(older) = older {
             self.deliveries.lose_link(older);
         }
--- a/crates/ebony_side/src/actor/drain.rs
+++ b/crates/ebony_side/src/actor/drain.rs
@@ -13,6 +13,10 @@
 /// The longest wait for entries to close their ends of the links. What was sent has left the process long before.
 const CLOSE_TIME: Duration = Duration::from_secs(1);
 
+/// The longest wait for entries to confirm that they have seen the drain. A call that an entry sent before would be lost
+/// with its link, and its caller told that it may have run.
+const CONFIRM_TIME: Duration = Duration::from_secs(5);
+
 /// Begins the drain. The sender is used when nothing is left to do and all links are closed.
 #[derive(Message)]
 #[rtype(result = "()")]
@@ -28,6 +32,7 @@
 pub(super) struct DrainState {
     done: Option<oneshot::Sender<()>>,
     is_draining: bool,
+    began: ClockTime,
     /// Since when the links are being closed.
     closing_since: Option<ClockTime>,
     /// Links whose receiving end is open, replaced ones included.
@@ -68,7 +73,9 @@
             return;
         }
         let now = self.now();
-        if !self.drain.is_closing() && self.ledger.open_calls() == 0 && self.deliveries.are_sent() {
+        let is_confirmed = self.links.have_seen_drain() || now.since(self.drain.began) >= CONFIRM_TIME;
+        let is_idle = self.ledger.open_calls() == 0 && self.deliveries.are_sent();
+        if !self.drain.is_closing() && is_confirmed && is_idle {
             self.drain.closing_since = Some(now);
             // The links send what waits in their queues before they close.
             self.links.clear();
@@ -87,6 +94,7 @@
     fn handle(&mut self, BeginDrain(done): BeginDrain, context: &mut Context<Self>) {
         info!(self.logger, "drain began"; "open_calls" => self.ledger.open_calls());
         self.drain.is_draining = true;
+        self.drain.began = self.now();
         self.drain.done = Some(done);
         self.links.broadcast(&SideFrame::Draining);
         // In a message of its own, so that entries see the announcement on a link that stays open for a moment.
--- a/crates/ebony_side/src/actor/frames.rs
+++ b/crates/ebony_side/src/actor/frames.rs
@@ -31,6 +31,10 @@
                     }
                 }
             }
+            EntryFrame::DrainSeen => {
+                self.links.confirm_drain(link);
+                self.check_drained();
+            }
             EntryFrame::Ping { nonce } => {
                 // A full queue means that the link is busy, which is a sign of life as well.
                 let _ = self.links.send(link, &SideFrame::Pong { nonce });
--- a/crates/ebony_side/src/links/mod.rs
+++ b/crates/ebony_side/src/links/mod.rs
@@ -20,6 +20,8 @@
 struct EntryLink {
     process: String,
     sender: LinkSender<SideFrame>,
+    /// Whether the entry knows that this process drains, so that no call of it is on its way.
+    has_seen_drain: bool,
 }
 
 /// The open links. The listener bounds their number.
@@ -35,10 +37,12 @@
         &mut self,
         process: String,
         sender: LinkSender<SideFrame>,
+        has_seen_drain: bool,
     ) -> (LinkKey, Option<LinkKey>) {
         let key = self.links.insert(EntryLink {
             process: process.clone(),
             sender,
+            has_seen_drain,
         });
         let older = self.by_process.insert(process, key);
         if let Some(older) = older {
@@ -61,6 +65,18 @@
         self.links.contains_key(key)
     }
 
+    /// Notes that an entry knows of the drain.
+    pub(crate) fn confirm_drain(&mut self, key: LinkKey) {
+        if let Some(link) = self.links.get_mut(key) {
+            link.has_seen_drain = true;
+        }
+    }
+
+    /// Returns `true` if every linked entry knows of the drain.
+    pub(crate) fn have_seen_drain(&self) -> bool {
+        self.links.values().all(|link| link.has_seen_drain)
+    }
+
     pub(crate) fn is_empty(&self) -> bool {
         self.links.is_empty()
     }
--- a/crates/ebony_wire/src/entry_frame.rs
+++ b/crates/ebony_wire/src/entry_frame.rs
@@ -114,6 +114,9 @@
         /// Relative weight; 100 is the default.
         weight: u32,
     },
+    /// Confirms that the sender has seen [`crate::side_frame::SideFrame::Draining`] and dispatches nothing further over
+    /// this link.
+    DrainSeen,
     /// Asks for a [`crate::side_frame::SideFrame::Pong`].
     Ping {
         /// Echoed.
--- a/tests/failures/ownership.rs
+++ b/tests/failures/ownership.rs
@@ -1,7 +1,9 @@
 //! Guards order, histories and budgets of programs whose owner dies, is paused, or moves.
 
-use crate::common::{assert_sound, plans, run_beside, slow_fleet, wait_for_runs};
 use ebony_fleet::{RunningFleet, StopSignal};
+use serde_json::json;
+
+use crate::common::{assert_sound, plans, run_beside, slow_fleet, wait_for_runs, wait_until};
 
 /// A history or a turn is lost when its owner dies with calls under way and without notice.
 #[actix_web::test]
@@ -22,11 +24,18 @@
 #[actix_web::test]
 async fn a_paused_owner_does_no_harm_when_it_wakes() {
     let mut fleet = RunningFleet::start(slow_fleet()).await.expect("the fleet starts");
+    let paused = fleet.caller(0).expect("an entry");
+    let program = paused.open_program(None, json!({})).await.expect("a program");
     let logs = run_beside(&mut fleet, plans("pause", 9, 5), async |fleet| {
         wait_for_runs(fleet, 2, 12).await;
         fleet.entry(0).signal(StopSignal::Pause).expect("the entry runs");
         fleet.route_without(&[0]).expect("addresses");
-        wait_for_runs(fleet, 2, 40).await;
+        let other = fleet.caller(1).expect("an entry");
+        wait_until("the paused owner's program has another owner", async || {
+            let reply = other.show_program(program).await;
+            reply.is_ok_and(|reply| reply.status == 200)
+        })
+        .await;
         fleet
             .entry(0)
             .signal(StopSignal::Resume)
