--- a/crates/ebony_fleet/src/routing.rs
+++ b/crates/ebony_fleet/src/routing.rs
@@ -48,7 +48,7 @@
     ///
     /// # Errors
     ///
-    /// Fails if a stand-in does not answer or a history can't be read.
+    /// Fails if a stand-in does not answer. A history that can't be read is a violation.
     pub async fn audit(&self, logs: &[ProgramLog]) -> Result<AuditReport> {
         let mut report = AuditReport::default();
         let mut runs = BTreeMap::new();
@@ -63,14 +63,20 @@
                 *turns.entry(digest).or_insert(0) += count;
             }
         }
+        let give_up = Instant::now() + READY_LIMIT;
         for log in logs {
             report.audit_orders(log, &runs);
             report.audit_turns(log, &turns);
             if let Some(program) = log.program {
                 let client = self.caller_with(0, &log.plan.caller_key)?;
-                let view = read_view(&client, program).await?;
-                report.audit_history(log, &view);
-                report.audit_ending(log, &view);
+                let view = read_view(&client, program, give_up).await;
+                report.check("history", view.is_ok(), || {
+                    format!("{}: {:?}", log.plan.label, view.as_ref().err())
+                });
+                if let Ok(view) = view {
+                    report.audit_history(log, &view);
+                    report.audit_ending(log, &view);
+                }
             }
         }
         let programs: Vec<ProgramId> = logs.iter().filter_map(|log| log.program).collect();
@@ -79,9 +85,8 @@
     }
 }
 
-/// Reads a program with its history; tries again while its owner moves.
-async fn read_view(client: &CallerClient, program: ProgramId) -> Result<Value> {
-    let give_up = Instant::now() + READY_LIMIT;
+/// Reads a program with its history; tries again until `give_up` while its owner moves, and once in any case.
+async fn read_view(client: &CallerClient, program: ProgramId, give_up: Instant) -> Result<Value> {
     loop {
         let reply = client.show_program(program).await?;
         if reply.status == 200 {
--- a/examples/rehearsal/main.rs
+++ b/examples/rehearsal/main.rs
@@ -46,6 +46,9 @@
     /// Prints one line of JSON for each seed.
     #[arg(long)]
     json: bool,
+    /// Prints the planned faults of the seeds and runs nothing.
+    #[arg(long)]
+    plan: bool,
     /// Where the folders of failed runs are kept.
     #[arg(long, default_value = "target/rehearsal")]
     keep: PathBuf,
@@ -82,12 +85,16 @@
 async fn run_seeds(arguments: &Arguments) -> Result<u64> {
     let (first, end) = arguments.seeds.unwrap_or((arguments.seed, arguments.seed + 1));
     let mut violations = 0;
+    let length = Duration::from_secs(arguments.seconds);
     for seed in first..end {
+        if arguments.plan {
+            print_plan(seed, length);
+            continue;
+        }
         let folder = arguments.keep.join(format!("seed-{seed}"));
         if folder.exists() {
             std::fs::remove_dir_all(&folder)?;
         }
-        let length = Duration::from_secs(arguments.seconds);
         let outcome = run_seed(seed, length, &folder).await;
         let outcome = outcome.with_context(|| format!("seed {seed}; its folder is {}", folder.display()))?;
         violations += outcome.report.violations();
@@ -101,6 +108,14 @@
     Ok(violations)
 }
 
+fn print_plan(seed: u64, length: Duration) {
+    println!("seed {seed}");
+    for fault in plan_faults(seed, length) {
+        let (start, end) = (fault.start.as_secs_f64(), fault.end.as_secs_f64());
+        println!("{start:8.3} to {end:8.3}  {:?}", fault.kind);
+    }
+}
+
 async fn run_seed(seed: u64, length: Duration, folder: &Path) -> Result<RunOutcome> {
     let mut options = FleetOptions::small(std::env::current_exe()?);
     options.entries = ENTRIES;
