--- a/crates/ebony_policy/examples/compare.rs
+++ b/crates/ebony_policy/examples/compare.rs
@@ -5,16 +5,24 @@
 //!
 //! `--set` changes an option of ours and of its ablations, by its path and JSON value.
 
+#[path = "compare/call_flow.rs"]
+mod call_flow;
 #[path = "compare/engine.rs"]
 mod engine;
+#[path = "compare/fleet_flow.rs"]
+mod fleet_flow;
 #[path = "compare/parts.rs"]
 mod parts;
+#[path = "compare/program_flow.rs"]
+mod program_flow;
 #[path = "compare/programs.rs"]
 mod programs;
 #[path = "compare/run.rs"]
 mod run;
 #[path = "compare/scenario.rs"]
 mod scenario;
+#[path = "compare/side_flow.rs"]
+mod side_flow;
 #[path = "compare/summary.rs"]
 mod summary;
 
@@ -24,7 +32,7 @@
 use serde_json::Value;
 
 use crate::scenario::{DEPLOYMENTS, DeploymentPlan, PolicyPlan, SCENARIOS, ScenarioPlan, policies};
-use crate::summary::{COLUMNS, MEAN, RunSummary, WASTED, spread};
+use crate::summary::{COLUMNS, MEAN, RunSummary, WASTED, spread, spread_of_change};
 
 /// The baselines that the aims are measured against.
 const BASELINES: [&str; 2] = ["round-robin", "least-outstanding"];
@@ -149,14 +157,19 @@
         "\n### {} / {} (load {})\n",
         deployment.name, scenario.name, scenario.load
     );
-    println!("| policy | {} |", COLUMNS.join(" | "));
-    println!("| --- |{}", " --- |".repeat(COLUMNS.len()));
+    println!(
+        "| policy | {} | mean to ours % | wasted to ours % |",
+        COLUMNS.join(" | ")
+    );
+    println!("| --- |{}", " --- |".repeat(COLUMNS.len() + 2));
+    let ours = policies.iter().position(|policy| policy.name == "ours");
+    let ours = ours.map_or(&[][..], |index| rows[index]);
     for (policy, summaries) in policies.iter().zip(rows) {
-        let cells: Vec<String> = (0..COLUMNS.len())
-            .map(|column| {
-                let (center, deviation) = spread(summaries, column);
-                format!("{center:.2} ±{deviation:.2}")
-            })
+        let figures = (0..COLUMNS.len()).map(|column| spread(summaries, column));
+        let changes = [MEAN, WASTED].map(|column| spread_of_change(summaries, ours, column));
+        let cells: Vec<String> = figures
+            .chain(changes)
+            .map(|(center, deviation)| format!("{center:.2} ±{deviation:.2}"))
             .collect();
         println!("| {} | {} |", policy.name, cells.join(" | "));
     }
--- a/crates/ebony_policy/examples/compare/engine.rs
+++ b/crates/ebony_policy/examples/compare/engine.rs
@@ -3,7 +3,7 @@
 //!
 //! Between two events all rates are constant, so the engine jumps from event to event.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 
 use ebony_policy::speed::EngineSpeed;
 
@@ -67,7 +67,7 @@
     exported: HashMap<usize, CacheRecord>,
     /// Programs whose record changed since the last call of [`FakeEngine::take_changes`].
     changes: Vec<(usize, u64)>,
-    ended: HashMap<usize, ()>,
+    ended: HashSet<usize>,
     pub(crate) tally: CacheTally,
 }
 
@@ -94,7 +94,7 @@
             next_use: 0,
             exported: HashMap::new(),
             changes: Vec::new(),
-            ended: HashMap::new(),
+            ended: HashSet::new(),
             tally: CacheTally::default(),
         }
     }
@@ -284,7 +284,7 @@
 
     /// Notes that a program has ended: its record can no longer be needed.
     pub(crate) fn end_program(&mut self, program: usize) {
-        self.ended.insert(program, ());
+        self.ended.insert(program);
     }
 
     /// Drops everything that is cached, for a change of the model.
@@ -292,7 +292,8 @@
         while let Some((_, program)) = self.evictable.first().copied() {
             self.drop_record(program);
         }
-        let programs: Vec<usize> = self.cache.keys().copied().collect();
+        let mut programs: Vec<usize> = self.cache.keys().copied().collect();
+        programs.sort_unstable();
         for program in programs {
             self.release(program);
         }
@@ -377,7 +378,7 @@
     }
 
     fn count_waste(&mut self, program: usize, record: CacheRecord) {
-        if self.ended.contains_key(&program) {
+        if self.ended.contains(&program) {
             self.tally.never_reused += record.tokens - record.reused_tokens.min(record.tokens);
         } else {
             self.tally.evicted += record.tokens;
--- a/crates/ebony_policy/examples/compare/summary.rs
+++ b/crates/ebony_policy/examples/compare/summary.rs
@@ -102,8 +102,19 @@
 
 /// Returns the mean and the standard deviation of one column over seeds.
 pub(crate) fn spread(summaries: &[RunSummary], column: usize) -> (f64, f64) {
-    let figures: Vec<f64> = summaries.iter().map(|summary| summary.figures[column]).collect();
-    let center = mean(&figures);
+    let figures = summaries.iter().map(|summary| summary.figures[column]);
+    mean_and_deviation(&figures.collect::<Vec<f64>>())
+}
+
+/// Returns the mean and the standard deviation of the change against `base` on the same seeds, in percent.
+pub(crate) fn spread_of_change(summaries: &[RunSummary], base: &[RunSummary], column: usize) -> (f64, f64) {
+    let pairs = summaries.iter().zip(base);
+    let changes = pairs.map(|(summary, base)| 100.0 * (summary.figures[column] / base.figures[column] - 1.0));
+    mean_and_deviation(&changes.collect::<Vec<f64>>())
+}
+
+fn mean_and_deviation(figures: &[f64]) -> (f64, f64) {
+    let center = mean(figures);
     let squares: f64 = figures.iter().map(|figure| (figure - center).powi(2)).sum();
     (center, (squares / (figures.len().max(2) - 1) as f64).sqrt())
 }
