--- a/crates/ebony_entry/src/owner/actor.rs
+++ b/crates/ebony_entry/src/owner/actor.rs
@@ -6,7 +6,7 @@
 
 use actix::{ActorFutureExt, Addr, AsyncContext, Context, Recipient, SpawnHandle, WrapFuture};
 use bytes::Bytes;
-use ebony_owner::journal::{AppendOutcome, BodyPlace};
+use ebony_owner::journal::{AppendOutcome, AppendRow, BodyPlace};
 use ebony_owner::program::HistoryPlan;
 use ebony_owner::storage::{StorageReply, StorageRequest};
 use ebony_owner::{OwnerAction, OwnerCore, OwnerEvent, OwnerSettings, WallTime};
@@ -372,6 +372,7 @@
                 actor.session_version = written.ok().or(actor.session_version);
                 if let Ok(rows) = listed {
                     context.notify(SessionsListed(rows));
+                    actor.check_journal(context);
                 }
                 context.run_later(pause, move |actor, context| {
                     if session == actor.core.session() {
@@ -382,6 +383,37 @@
         context.spawn(renew);
     }
 
+    /// Ends the session, which a successor is sealing or has sealed, and opens another one. Returns the rows that are not
+    /// durable.
+    pub(super) fn surrender(&mut self, context: &mut Context<Self>) -> Vec<AppendRow> {
+        let (rows, actions) = self.core.surrender();
+        for action in actions {
+            self.carry_out(action, context);
+        }
+        self.schedule_wakeup(context);
+        rows
+    }
+
+    /// Looks whether a successor has sealed the journal. An owner without work would not notice otherwise, and would keep
+    /// shards that others serve.
+    fn check_journal(&self, context: &mut Context<Self>) {
+        let report = self.core.report();
+        if report.undurable_bytes > 0 {
+            return;
+        }
+        let (session, durable) = (self.core.session(), report.durable_row);
+        let storage = self.options.storage.clone();
+        let check = async move { storage.has_row(session, durable + 1).await };
+        let check = check.into_actor(self).map(move |is_sealed, actor, context| {
+            let report = actor.core.report();
+            let is_idle = report.undurable_bytes == 0 && report.durable_row == durable;
+            if is_sealed && is_idle && session == actor.core.session() {
+                actor.surrender(context);
+            }
+        });
+        context.spawn(check);
+    }
+
     /// Hands the live sessions to the core.
     pub(super) fn publish_sessions(&mut self, context: &mut Context<Self>) {
         let mut sessions = self.members.live(self.options.lease, self.now());
--- a/crates/ebony_entry/src/owner/handlers.rs
+++ b/crates/ebony_entry/src/owner/handlers.rs
@@ -2,11 +2,12 @@
 
 use std::time::Duration;
 
-use actix::{Actor, AsyncContext, Context, Handler, ResponseFuture};
+use actix::{Actor, AsyncContext, Context, Handler, MessageResult, ResponseFuture};
 use ebony_owner::OwnerEvent;
 use ebony_owner::program::MessageList;
 use ebony_types::limits::MAX_ANSWER_BYTES;
 use ebony_types::{CallKind, ProblemCode, ProblemReport, RunVerdict};
+use ebony_wire::HeldRow;
 use tokio::sync::oneshot;
 
 use super::actor::{OwnerActor, OwnerLinks};
@@ -14,7 +15,9 @@
 use super::open_call::OpenCall;
 use crate::answer::{AnswerPart, CancelCall};
 use crate::dispatch::{CallEnded, CallPlaced, VouchPrograms};
-use crate::peers::{CopyHeld, OperateProgram, OperationResult, PeerPresence, StartCall};
+use crate::peers::{
+    CopyHeld, CopyLost, OperateProgram, OperationResult, PeerPresence, StartCall, SurrenderSession,
+};
 
 /// The time between two confirmations of programs to side processes.
 const VOUCH_INTERVAL: Duration = Duration::from_secs(5);
@@ -91,6 +94,36 @@
     }
 }
 
+impl Handler<CopyLost> for OwnerActor {
+    type Result = ();
+
+    fn handle(&mut self, CopyLost { session, sequence }: CopyLost, context: &mut Context<Self>) {
+        if session == self.core.session() {
+            self.handle_event(OwnerEvent::CopyLost { sequence }, context);
+        }
+    }
+}
+
+impl Handler<SurrenderSession> for OwnerActor {
+    type Result = MessageResult<SurrenderSession>;
+
+    fn handle(&mut self, message: SurrenderSession, context: &mut Context<Self>) -> Self::Result {
+        let session = message.session;
+        if session != self.core.session() {
+            return MessageResult(Vec::new());
+        }
+        let rows = self.surrender(context);
+        let held = rows.into_iter().map(|row| HeldRow {
+            session,
+            sequence: row.sequence,
+            row: row.row,
+            bodies: row.bodies,
+            nonce: row.nonce.to_be_bytes(),
+        });
+        MessageResult(held.collect())
+    }
+}
+
 impl Handler<StartCall> for OwnerActor {
     type Result = ();
 
--- a/crates/ebony_entry/src/peers/actor.rs
+++ b/crates/ebony_entry/src/peers/actor.rs
@@ -1,6 +1,6 @@
 //! The actor that holds the links to other entries.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -18,7 +18,7 @@
 use tokio::sync::oneshot;
 
 use super::config_news::{ConfigNews, ConfigRecipients};
-use super::copies::{CopyHeld, CopyRow};
+use super::copies::{CopyHeld, CopyLost, CopyRow, SurrenderSession};
 use super::held_rows::HeldRows;
 use super::incoming::IncomingLink;
 use super::messages::{
@@ -50,6 +50,10 @@
     pub presence: Recipient<PeerPresence>,
     /// Receives which copies of rows other entries hold.
     pub copied: Recipient<CopyHeld>,
+    /// Receives which copies are lost with the entry that held them.
+    pub lost_copies: Recipient<CopyLost>,
+    /// Ends this entry's session in favour of a successor.
+    pub surrender: Recipient<SurrenderSession>,
     /// Receives crashes of targets from other entries.
     pub crashes: Recipient<CrashesHeard>,
     /// Returns the crashes that count, for an entry that has just been linked.
@@ -68,12 +72,14 @@
     pub(super) peers: SlotMap<PeerKey, PeerRecord>,
     pub(super) incoming: SlotMap<IncomingKey, IncomingLink>,
     work: ForwardedWork,
-    presence: PresenceChanged,
+    pub(super) presence: PresenceChanged,
     pub(super) news: ConfigNews,
     next_generation: u64,
     pub(super) held: HeldRows,
     pub(super) copy: Option<CopyRow>,
     pub(super) copy_turn: usize,
+    /// Entries that hold copies of this session's rows; rows leave when they are durable.
+    pub(super) copied_at: BTreeMap<u64, PeerKey>,
     pub(super) collects: HashMap<u64, oneshot::Sender<Vec<HeldRow>>>,
     pub(super) next_collect: u64,
 }
@@ -94,6 +100,7 @@
             held: HeldRows::default(),
             copy: None,
             copy_turn: 0,
+            copied_at: BTreeMap::new(),
             collects: HashMap::new(),
             next_collect: 0,
         }
@@ -211,7 +218,7 @@
                 }
             }
             PeerFrame::Operated { request, result } => self.work.end_operation(request, result),
-            PeerFrame::RowHeld { session, sequence } => self.accept_held(session, sequence),
+            PeerFrame::RowHeld { session, sequence } => self.accept_held(peer, session, sequence),
             PeerFrame::HeldRows { request, rows } => self.end_collect(request, rows),
             PeerFrame::Config(push) => self.news.offer(push),
             PeerFrame::ConfigInForce(status) => self.news.accept_outgoing(peer, status),
@@ -225,7 +232,7 @@
         }
     }
 
-    fn accept_incoming(&mut self, key: IncomingKey, frame: PeerFrame) {
+    fn accept_incoming(&mut self, key: IncomingKey, frame: PeerFrame, context: &mut Context<Self>) {
         match frame {
             PeerFrame::Forward(request) => self.start_forwarded(key, *request),
             PeerFrame::Operate { request, operation } => self.operate_forwarded(key, request, operation),
@@ -240,8 +247,7 @@
                 session,
                 after,
             } => {
-                let rows = self.held.read(session, after);
-                self.reply(key, Some(PeerFrame::HeldRows { request, rows }));
+                self.read_held(key, request, session, after, context);
             }
             PeerFrame::Cancel { call } => self.with_incoming(key, |link| link.cancel(call)),
             PeerFrame::Credit { call, bytes } => self.with_incoming(key, |link| link.grant(call, bytes)),
@@ -260,7 +266,7 @@
         }
     }
 
-    fn reply(&mut self, key: IncomingKey, frame: Option<PeerFrame>) {
+    pub(super) fn reply(&mut self, key: IncomingKey, frame: Option<PeerFrame>) {
         if let Some(frame) = frame {
             // A sender whose link is lost or full asks again.
             self.with_incoming(key, |link| drop(link.sender.send(&frame)));
@@ -424,6 +430,7 @@
                 }
                 self.options.router.set_claims(ShardRoute::Peer(peer), &[]);
                 self.work.lose(peer);
+                self.lose_copies(peer);
                 self.options
                     .presence
                     .do_send(PeerPresence { peer, presence: None });
@@ -436,9 +443,9 @@
 impl Handler<IncomingEvent> for PeerActor {
     type Result = ();
 
-    fn handle(&mut self, event: IncomingEvent, _: &mut Context<Self>) {
+    fn handle(&mut self, event: IncomingEvent, context: &mut Context<Self>) {
         match event.frame {
-            Some(frame) => self.accept_incoming(event.key, frame),
+            Some(frame) => self.accept_incoming(event.key, frame, context),
             None => {
                 self.news.forget(event.key);
                 if let Some(mut link) = self.incoming.remove(event.key) {
--- a/crates/ebony_entry/src/peers/copies.rs
+++ b/crates/ebony_entry/src/peers/copies.rs
@@ -9,6 +9,7 @@
 use tokio::sync::oneshot;
 
 use super::actor::PeerActor;
+use super::messages::IncomingKey;
 use super::router::PeerKey;
 
 /// The time between two attempts to append held rows, and to place a copy that no entry has taken yet.
@@ -53,6 +54,26 @@
     pub durable: u64,
 }
 
+/// The entry with a copy of a row is gone.
+#[derive(Clone, Copy, Debug)]
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct CopyLost {
+    /// The session whose journal it is.
+    pub session: SessionId,
+    /// The row's number.
+    pub sequence: u64,
+}
+
+/// Ends this entry's session in favour of a successor, and returns its rows that are not durable.
+#[derive(Clone, Copy, Debug)]
+#[derive(Message)]
+#[rtype(result = "Vec<HeldRow>")]
+pub struct SurrenderSession {
+    /// The session; another one than the present one has nothing to give.
+    pub session: SessionId,
+}
+
 /// Asks all linked entries, this one included, for copies of a session's rows.
 #[derive(Clone, Copy, Debug)]
 #[derive(Message)]
@@ -82,7 +103,50 @@
             .then_some(PeerFrame::RowHeld { session, sequence })
     }
 
-    pub(super) fn accept_held(&mut self, session: SessionId, sequence: u64) {
+    /// Returns copies to a successor that is about to seal a journal. An owner that is asked for its own session ends it,
+    /// and holds its rows like those of others until they are durable.
+    pub(super) fn read_held(
+        &mut self,
+        key: IncomingKey,
+        request: u64,
+        session: SessionId,
+        after: u64,
+        context: &mut Context<Self>,
+    ) {
+        if self.presence.session != Some(session) {
+            return self.reply_held(key, request, session, after);
+        }
+        let surrendered = self.options.surrender.send(SurrenderSession { session });
+        let surrendered = surrendered.into_actor(self).map(move |rows, actor, _| {
+            for row in rows.unwrap_or_default() {
+                actor.held.hold(row);
+            }
+            actor.reply_held(key, request, session, after);
+        });
+        context.spawn(surrendered);
+    }
+
+    fn reply_held(&mut self, key: IncomingKey, request: u64, session: SessionId, after: u64) {
+        self.held.close(session);
+        let rows = self.held.read(session, after);
+        self.reply(key, Some(PeerFrame::HeldRows { request, rows }));
+    }
+
+    /// Orders other copies of the rows whose copies a lost entry had.
+    pub(super) fn lose_copies(&mut self, peer: PeerKey) {
+        let lost = self.copied_at.extract_if(.., |_, holder| *holder == peer);
+        let Some(session) = self.presence.session else {
+            return;
+        };
+        for (sequence, _) in lost {
+            self.options.lost_copies.do_send(CopyLost { session, sequence });
+        }
+    }
+
+    pub(super) fn accept_held(&mut self, peer: PeerKey, session: SessionId, sequence: u64) {
+        if self.presence.session == Some(session) {
+            self.copied_at.insert(sequence, peer);
+        }
         if self
             .copy
             .as_ref()
@@ -204,6 +268,7 @@
     type Result = ();
 
     fn handle(&mut self, DropCopies { session, durable }: DropCopies, _: &mut Context<Self>) {
+        self.copied_at.retain(|sequence, _| *sequence > durable);
         self.copy = self
             .copy
             .take()
@@ -219,6 +284,7 @@
 
     fn handle(&mut self, message: CollectCopies, context: &mut Context<Self>) -> Self::Result {
         let CollectCopies { session, after } = message;
+        self.held.close(session);
         let mut rows = self.held.read(session, after);
         let peers: Vec<PeerKey> = self
             .peers
--- a/crates/ebony_entry/src/peers/held_rows.rs
+++ b/crates/ebony_entry/src/peers/held_rows.rs
@@ -1,6 +1,6 @@
 //! Copies of other owners' journal rows, held while the platform takes no writes.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 
 use ebony_types::SessionId;
 use ebony_wire::HeldRow;
@@ -11,11 +11,17 @@
 /// The most bytes of copies in one reply, so that it fits a frame.
 const MAX_REPLY_BYTES: usize = 4 * 1024 * 1024;
 
+/// The most sessions that are remembered as closed. An owner learns of its seal within a lease, long before so many
+/// further sessions are sealed.
+const MAX_CLOSED: usize = 1_024;
+
 /// Copies of rows by session and number. They leave when they are durable.
 #[derive(Debug, Default)]
 pub(super) struct HeldRows {
     rows: BTreeMap<(SessionId, u64), HeldRow>,
     bytes: usize,
+    /// Sessions whose copies a successor has read. A later copy would be missed by it.
+    closed: VecDeque<SessionId>,
 }
 
 fn size_of(row: &HeldRow) -> usize {
@@ -23,9 +29,12 @@
 }
 
 impl HeldRows {
-    /// Takes a copy; returns `false` if there is no room.
+    /// Takes a copy; returns `false` if there is no room, or a successor is about to seal the journal.
     pub(super) fn hold(&mut self, row: HeldRow) -> bool {
         let key = (row.session, row.sequence);
+        if self.closed.contains(&row.session) {
+            return false;
+        }
         if self.rows.contains_key(&key) {
             return true;
         }
@@ -38,6 +47,17 @@
         true
     }
 
+    /// Takes no further copies of a session.
+    pub(super) fn close(&mut self, session: SessionId) {
+        if self.closed.contains(&session) {
+            return;
+        }
+        if self.closed.len() == MAX_CLOSED {
+            self.closed.pop_front();
+        }
+        self.closed.push_back(session);
+    }
+
     /// Drops the copies of a session up to a row.
     pub(super) fn drop_up_to(&mut self, session: SessionId, durable: u64) {
         let dropped = self
--- a/crates/ebony_entry/src/peers/mod.rs
+++ b/crates/ebony_entry/src/peers/mod.rs
@@ -13,7 +13,7 @@
 pub use actor::{PeerActor, PeerOptions};
 pub use config_news::ConfigRecipients;
 pub(crate) use copies::append_of;
-pub use copies::{CollectCopies, CopyHeld, CopyRow, DropCopies};
+pub use copies::{CollectCopies, CopyHeld, CopyLost, CopyRow, DropCopies, SurrenderSession};
 pub use messages::{
     ForwardCall, ForwardOperation, OperateProgram, OperationResult, PeerPresence, PeersListed,
     PresenceChanged, StartCall,
--- a/crates/ebony_entry/src/process/actors.rs
+++ b/crates/ebony_entry/src/process/actors.rs
@@ -151,6 +151,8 @@
         operate: owner.clone().recipient(),
         presence: owner.clone().recipient(),
         copied: owner.clone().recipient(),
+        lost_copies: owner.clone().recipient(),
+        surrender: owner.clone().recipient(),
         crashes: dispatch.clone().recipient(),
         known_crashes: dispatch.clone().recipient(),
         storage: StorageClient::new(Rc::clone(table), Rc::clone(objects)),
--- a/crates/ebony_owner/src/event.rs
+++ b/crates/ebony_owner/src/event.rs
@@ -78,6 +78,11 @@
         /// The row's number.
         sequence: u64,
     },
+    /// The process with a copy of a row is gone.
+    CopyLost {
+        /// The row's number.
+        sequence: u64,
+    },
     /// A checkpoint was stored, or could not be.
     CheckpointDone {
         /// The checkpoint's sequence.
--- a/crates/ebony_owner/src/journal/writer.rs
+++ b/crates/ebony_owner/src/journal/writer.rs
@@ -294,9 +294,8 @@
         if !self.is_outage() || self.pending().any(is_ordered) {
             return Ok(None);
         }
-        if let Some(append) = &mut self.state.append
-            && append.copy == CopyState::Absent
-        {
+        let mut pending = self.state.append.iter_mut().chain(&mut self.state.held);
+        if let Some(append) = pending.find(|append| append.copy == CopyState::Absent) {
             append.copy = CopyState::Ordered;
             return Ok(Some(append.row.clone()));
         }
@@ -317,6 +316,33 @@
         }
     }
 
+    /// Notes that the process with a copy of a row is gone, so that another copy is ordered.
+    pub fn copy_lost(&mut self, sequence: u64) {
+        let pending = self.state.append.iter_mut().chain(&mut self.state.held);
+        for append in pending.filter(|append| append.row.sequence == sequence) {
+            append.copy = CopyState::Absent;
+        }
+    }
+
+    /// Returns all rows that are not durable, records that wait for a row included.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`crate::codec::CodecError`] if a row cannot be encoded.
+    pub fn surrender(&mut self, written: WallTime, source: &mut impl RngCore) -> Result<Vec<AppendRow>> {
+        let pending = self
+            .state
+            .append
+            .take()
+            .into_iter()
+            .chain(std::mem::take(&mut self.state.held));
+        let mut rows: Vec<AppendRow> = pending.map(|append| append.row).collect();
+        while let Some(append) = self.cut(written, source)? {
+            rows.push(append.row);
+        }
+        Ok(rows)
+    }
+
     /// Returns the last row up to which every row is durable or has a copy.
     pub fn copied(&self) -> u64 {
         let copied = self
--- a/crates/ebony_owner/src/owner_core/durability.rs
+++ b/crates/ebony_owner/src/owner_core/durability.rs
@@ -119,6 +119,16 @@
         }
     }
 
+    /// Returns the rows that are not durable, for the successor that is about to seal the journal.
+    pub(super) fn surrender(&mut self) -> Vec<crate::journal::AppendRow> {
+        self.is_lost = true;
+        let written = self.wall_now();
+        // A row that cannot be encoded was never promised to anybody.
+        self.writer
+            .surrender(written, &mut self.source)
+            .unwrap_or_default()
+    }
+
     /// Completes answers whose turns two processes hold. The copy is appended if this owner dies before the platform is
     /// back, so that the turn is not lost.
     pub(super) fn on_row_copied(&mut self, sequence: u64) {
--- a/crates/ebony_owner/src/owner_core/mod.rs
+++ b/crates/ebony_owner/src/owner_core/mod.rs
@@ -20,7 +20,7 @@
 
 use crate::action::OwnerAction;
 use crate::event::OwnerEvent;
-use crate::journal::writer::{JournalWriter, SealedJournal};
+use crate::journal::writer::{AppendRow, JournalWriter, SealedJournal};
 use crate::settings::OwnerSettings;
 pub use report::OwnerReport;
 use state::ServingState;
@@ -91,6 +91,18 @@
         }
     }
 
+    /// Ends the session in favour of a successor that is about to seal its journal. Returns the rows that are not
+    /// durable, which the successor appends first, and what to do.
+    pub fn surrender(&mut self) -> (Vec<AppendRow>, Vec<OwnerAction>) {
+        let OwnerPhase::Serving(state) = &mut self.phase else {
+            return Default::default();
+        };
+        let rows = state.surrender();
+        let mut actions = Vec::new();
+        self.lose_if_sealed(&mut actions);
+        (rows, actions)
+    }
+
     /// Returns the session.
     pub fn session(&self) -> SessionId {
         match &self.phase {
--- a/crates/ebony_owner/src/owner_core/state.rs
+++ b/crates/ebony_owner/src/owner_core/state.rs
@@ -112,6 +112,7 @@
             OwnerEvent::Operation { request, operation } => self.on_operation(request, operation),
             OwnerEvent::AppendDone { sequence, outcome } => self.on_append_done(sequence, outcome),
             OwnerEvent::RowCopied { sequence } => self.on_row_copied(sequence),
+            OwnerEvent::CopyLost { sequence } => self.writer.copy_lost(sequence),
             OwnerEvent::CheckpointDone { sequence, is_stored } => {
                 self.on_checkpoint_done(sequence, is_stored);
             }
--- a/crates/ebony_owner/src/owner_core/takeover.rs
+++ b/crates/ebony_owner/src/owner_core/takeover.rs
@@ -357,6 +357,10 @@
             self.clear_origins(shard, version, nonce, ShardRow::owned(owner, epoch));
         }
         self.evaluate_shard(shard);
+        // Its former owner may have told callers that a budget is spent without having recorded the program's end.
+        for key in self.programs.shard_keys(shard) {
+            self.end_if_spent(key);
+        }
     }
 
     fn clear_origins(&mut self, shard: ShardKey, version: u64, nonce: u128, row: ShardRow) {
