--- a/crates/ebony_entry/src/owner/actor.rs
+++ b/crates/ebony_entry/src/owner/actor.rs
@@ -4,14 +4,12 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use actix::{ActorFutureExt, Addr, AsyncContext, Context, Recipient, SpawnHandle, WrapFuture};
-use bytes::Bytes;
-use ebony_owner::journal::{AppendOutcome, AppendRow, BodyPlace};
+use actix::{Addr, AsyncContext, Context, Recipient, SpawnHandle};
+use ebony_owner::journal::{AppendOutcome, BodyPlace};
 use ebony_owner::program::HistoryPlan;
 use ebony_owner::storage::{StorageReply, StorageRequest};
 use ebony_owner::{OwnerAction, OwnerCore, OwnerEvent, OwnerSettings, WallTime};
-use ebony_platform::table::{create_resolved, replace_resolved};
-use ebony_platform::{RowKey, RowVersion, TableService, WriteNonce};
+use ebony_platform::{RowVersion, TableService};
 use ebony_types::{
     CallId, CallUsage, ClockTime, DomainName, ProblemCode, ProblemReport, RunVerdict, SessionId,
 };
@@ -21,20 +19,14 @@
 use slog::{Logger, debug, info, warn};
 use tokio::sync::oneshot;
 
-use super::members::{MemberBook, SessionRow};
-use super::messages::{SessionsListed, StorageEvent};
+use super::members::MemberBook;
+use super::messages::StorageEvent;
 use super::open_call::OpenCall;
 use super::storage::StorageClient;
 use crate::answer::{AnswerPart, CancelCall};
 use crate::dispatch::{DispatchActor, PlaceCall, ReleaseProgram, SettleCall};
 use crate::peers::{CollectCopies, CopyRow, DropCopies, OperationResult, PresenceChanged};
 
-/// The most session rows that are read at once.
-const MAX_SESSIONS: u32 = 1_000;
-
-/// The pause after a failed write of the session row.
-const SESSION_RETRY: Duration = Duration::from_millis(250);
-
 /// What the owner needs to run.
 pub struct OwnerOptions {
     /// Bounds and rates of the owner.
@@ -77,8 +69,8 @@
     /// Whether other entries may hold copies of rows of this session.
     pub(super) has_copies: bool,
     started: Instant,
-    source: StdRng,
-    session_version: Option<RowVersion>,
+    pub(super) source: StdRng,
+    pub(super) session_version: Option<RowVersion>,
     wakeup: Option<(ClockTime, SpawnHandle)>,
 }
 
@@ -130,7 +122,7 @@
         self.schedule_wakeup(context);
     }
 
-    fn schedule_wakeup(&mut self, context: &mut Context<Self>) {
+    pub(super) fn schedule_wakeup(&mut self, context: &mut Context<Self>) {
         let next = self.core.next_wakeup();
         if self.wakeup.map(|(time, _)| time) == next {
             return;
@@ -146,7 +138,7 @@
         self.wakeup = Some((time, handle));
     }
 
-    fn carry_out(&mut self, action: OwnerAction, context: &mut Context<Self>) {
+    pub(super) fn carry_out(&mut self, action: OwnerAction, context: &mut Context<Self>) {
         match action {
             OwnerAction::Dispatch {
                 call,
@@ -299,7 +291,7 @@
     }
 
     /// Opens a new session after the present one was sealed by a successor.
-    fn reopen(&mut self, context: &mut Context<Self>) {
+    pub(super) fn reopen(&mut self, context: &mut Context<Self>) {
         warn!(self.options.logger, "session lost; opening a new one"; "session" => %self.core.session());
         for (_, open) in self.calls.drain() {
             let detail = "the owner of the program was replaced";
@@ -327,122 +319,6 @@
             links.presence.do_send(presence);
         }
     }
-
-    fn session_row(&self) -> Option<Bytes> {
-        let row = SessionRow {
-            process: self.options.process.clone(),
-            domain: self.options.domain.clone(),
-            is_draining: self.is_draining,
-            shards: self
-                .core
-                .serving_shards()
-                .into_iter()
-                .map(|(shard, _)| shard)
-                .collect(),
-        };
-        serde_json::to_vec(&row).ok().map(Bytes::from)
-    }
-
-    /// Creates or renews the session row, lists all rows, and repeats after a heartbeat.
-    pub(super) fn write_session(&mut self, context: &mut Context<Self>) {
-        let Some(row) = self.session_row() else { return };
-        let session = self.core.session();
-        let (table, version) = (Rc::clone(&self.options.table), self.session_version);
-        let nonce = WriteNonce(self.source.random());
-        let renew = async move {
-            let key = RowKey(format!("sessions/{session}"));
-            let written = match version {
-                Some(version) => replace_resolved(&*table, &key, version, row, nonce).await,
-                None => create_resolved(&*table, &key, row, nonce).await,
-            };
-            let listed = table.list("sessions/", None, MAX_SESSIONS).await;
-            (written, listed)
-        };
-        let renew = renew
-            .into_actor(self)
-            .map(move |(written, listed), actor, context| {
-                if session != actor.core.session() {
-                    return;
-                }
-                let pause = if written.is_ok() {
-                    actor.options.heartbeat
-                } else {
-                    SESSION_RETRY
-                };
-                actor.session_version = written.ok().or(actor.session_version);
-                if let Ok(rows) = listed {
-                    context.notify(SessionsListed(rows));
-                    actor.check_journal(context);
-                }
-                context.run_later(pause, move |actor, context| {
-                    if session == actor.core.session() {
-                        actor.write_session(context);
-                    }
-                });
-            });
-        context.spawn(renew);
-    }
-
-    /// Ends the session, which a successor is sealing or has sealed, and opens another one. Returns the rows that are not
-    /// durable.
-    pub(super) fn surrender(&mut self, context: &mut Context<Self>) -> Vec<AppendRow> {
-        let (rows, actions) = self.core.surrender();
-        for action in actions {
-            self.carry_out(action, context);
-        }
-        self.schedule_wakeup(context);
-        rows
-    }
-
-    /// Looks whether a successor has sealed the journal. An owner without work would not notice otherwise, and would keep
-    /// shards that others serve.
-    fn check_journal(&self, context: &mut Context<Self>) {
-        let report = self.core.report();
-        if report.undurable_bytes > 0 {
-            return;
-        }
-        let (session, durable) = (self.core.session(), report.durable_row);
-        let storage = self.options.storage.clone();
-        let check = async move { storage.has_row(session, durable + 1).await };
-        let check = check.into_actor(self).map(move |is_sealed, actor, context| {
-            let report = actor.core.report();
-            let is_idle = report.undurable_bytes == 0 && report.durable_row == durable;
-            if is_sealed && is_idle && session == actor.core.session() {
-                actor.surrender(context);
-            }
-        });
-        context.spawn(check);
-    }
-
-    /// Hands the live sessions to the core.
-    pub(super) fn publish_sessions(&mut self, context: &mut Context<Self>) {
-        let mut sessions = self.members.live(self.options.lease, self.now());
-        let own = self.core.session();
-        if let Some(session) = sessions.iter_mut().find(|session| session.session == own) {
-            session.is_draining = self.is_draining;
-            session.shards = self
-                .core
-                .serving_shards()
-                .into_iter()
-                .map(|(shard, _)| shard)
-                .collect();
-        }
-        self.handle_event(OwnerEvent::SessionsChanged { sessions }, context);
-    }
-
-    /// Deletes rows of sessions that ended long ago.
-    pub(super) fn delete_abandoned(&self) {
-        for session in self.members.abandoned(self.options.lease, self.now()) {
-            let table = Rc::clone(&self.options.table);
-            actix::spawn(async move {
-                let key = RowKey(format!("sessions/{session}"));
-                if let Ok(Some(row)) = table.read(&key).await {
-                    // Another entry may have deleted it.
-                    let _ = table.delete(&key, row.version).await;
-                }
-            });
-        }
-    }
 }
 
 /// Carries out a storage action; returns the event that reports its outcome, if the core waits for one.
--- a/crates/ebony_entry/src/owner/mod.rs
+++ b/crates/ebony_entry/src/owner/mod.rs
@@ -5,6 +5,7 @@
 mod members;
 mod messages;
 mod open_call;
+mod session;
 mod storage;
 
 pub use actor::{OwnerActor, OwnerOptions, wall_now};
--- /dev/null
+++ b/crates/ebony_entry/src/owner/session.rs
@@ -0,0 +1,140 @@
+//! The session row, the sessions of other entries, and the end of a session.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix::{ActorFutureExt, AsyncContext, Context, WrapFuture};
+use bytes::Bytes;
+use ebony_owner::OwnerEvent;
+use ebony_owner::journal::AppendRow;
+use ebony_platform::table::{create_resolved, replace_resolved};
+use ebony_platform::{RowKey, WriteNonce};
+use rand::Rng;
+
+use super::actor::OwnerActor;
+use super::members::SessionRow;
+use super::messages::SessionsListed;
+
+/// The most session rows that are read at once.
+const MAX_SESSIONS: u32 = 1_000;
+
+/// The pause after a failed write of the session row.
+const SESSION_RETRY: Duration = Duration::from_millis(250);
+
+impl OwnerActor {
+    fn session_row(&self) -> Option<Bytes> {
+        let row = SessionRow {
+            process: self.options.process.clone(),
+            domain: self.options.domain.clone(),
+            is_draining: self.is_draining,
+            shards: self
+                .core
+                .serving_shards()
+                .into_iter()
+                .map(|(shard, _)| shard)
+                .collect(),
+        };
+        serde_json::to_vec(&row).ok().map(Bytes::from)
+    }
+
+    /// Creates or renews the session row, lists all rows, and repeats after a heartbeat.
+    pub(super) fn write_session(&mut self, context: &mut Context<Self>) {
+        let Some(row) = self.session_row() else { return };
+        let session = self.core.session();
+        let (table, version) = (Rc::clone(&self.options.table), self.session_version);
+        let nonce = WriteNonce(self.source.random());
+        let renew = async move {
+            let key = RowKey(format!("sessions/{session}"));
+            let written = match version {
+                Some(version) => replace_resolved(&*table, &key, version, row, nonce).await,
+                None => create_resolved(&*table, &key, row, nonce).await,
+            };
+            let listed = table.list("sessions/", None, MAX_SESSIONS).await;
+            (written, listed)
+        };
+        let renew = renew
+            .into_actor(self)
+            .map(move |(written, listed), actor, context| {
+                if session != actor.core.session() {
+                    return;
+                }
+                let pause = if written.is_ok() {
+                    actor.options.heartbeat
+                } else {
+                    SESSION_RETRY
+                };
+                actor.session_version = written.ok().or(actor.session_version);
+                if let Ok(rows) = listed {
+                    context.notify(SessionsListed(rows));
+                    actor.check_journal(context);
+                }
+                context.run_later(pause, move |actor, context| {
+                    if session == actor.core.session() {
+                        actor.write_session(context);
+                    }
+                });
+            });
+        context.spawn(renew);
+    }
+
+    /// Ends the session, which a successor is sealing or has sealed, and opens another one. Returns the rows that are not
+    /// durable.
+    pub(super) fn surrender(&mut self, context: &mut Context<Self>) -> Vec<AppendRow> {
+        let (rows, actions) = self.core.surrender();
+        for action in actions {
+            self.carry_out(action, context);
+        }
+        self.schedule_wakeup(context);
+        rows
+    }
+
+    /// Looks whether a successor has sealed the journal. An owner without work would not notice otherwise, and would keep
+    /// shards that others serve.
+    fn check_journal(&self, context: &mut Context<Self>) {
+        let report = self.core.report();
+        if report.undurable_bytes > 0 {
+            return;
+        }
+        let (session, durable) = (self.core.session(), report.durable_row);
+        let storage = self.options.storage.clone();
+        let check = async move { storage.has_row(session, durable + 1).await };
+        let check = check.into_actor(self).map(move |is_sealed, actor, context| {
+            let report = actor.core.report();
+            let is_idle = report.undurable_bytes == 0 && report.durable_row == durable;
+            if is_sealed && is_idle && session == actor.core.session() {
+                actor.surrender(context);
+            }
+        });
+        context.spawn(check);
+    }
+
+    /// Hands the live sessions to the core.
+    pub(super) fn publish_sessions(&mut self, context: &mut Context<Self>) {
+        let mut sessions = self.members.live(self.options.lease, self.now());
+        let own = self.core.session();
+        if let Some(session) = sessions.iter_mut().find(|session| session.session == own) {
+            session.is_draining = self.is_draining;
+            session.shards = self
+                .core
+                .serving_shards()
+                .into_iter()
+                .map(|(shard, _)| shard)
+                .collect();
+        }
+        self.handle_event(OwnerEvent::SessionsChanged { sessions }, context);
+    }
+
+    /// Deletes rows of sessions that ended long ago.
+    pub(super) fn delete_abandoned(&self) {
+        for session in self.members.abandoned(self.options.lease, self.now()) {
+            let table = Rc::clone(&self.options.table);
+            actix::spawn(async move {
+                let key = RowKey(format!("sessions/{session}"));
+                if let Ok(Some(row)) = table.read(&key).await {
+                    // Another entry may have deleted it.
+                    let _ = table.delete(&key, row.version).await;
+                }
+            });
+        }
+    }
+}
--- a/crates/ebony_entry/src/peers/mod.rs
+++ b/crates/ebony_entry/src/peers/mod.rs
@@ -4,6 +4,7 @@
 mod config_news;
 mod copies;
 mod crash_news;
+mod handlers;
 mod held_rows;
 mod incoming;
 mod messages;
