--- a/crates/ebony_owner/tests/owner/model/facts.rs
+++ b/crates/ebony_owner/tests/owner/model/facts.rs
@@ -58,7 +58,7 @@
     pub(crate) calls: BTreeMap<CallId, CallFacts>,
     pub(crate) programs: BTreeMap<ProgramId, ProgramFacts>,
     pub(crate) runs: Vec<TargetRun>,
-    fences: BTreeMap<ShardKey, FencingToken>,
+    fences: BTreeMap<ShardKey, (FencingToken, SessionId)>,
     last_dispatch: BTreeMap<(SessionId, ProgramId), CallId>,
     key_calls: BTreeMap<(Option<ProgramId>, String), BTreeSet<CallId>>,
     /// Whether nothing is under way any more, so that no key may be in use.
@@ -89,9 +89,13 @@
             .all(|run| run.program != program || run.session != session || run.is_cancelled);
         assert!(is_alone, "{call} runs beside another call of {program}");
 
-        let fence = self.fences.entry(program.shard()).or_default();
-        let is_accepted = *fence <= token;
-        *fence = (*fence).max(token);
+        let fence = self.fences.entry(program.shard()).or_insert((token, session));
+        assert!(
+            fence.0 != token || fence.1 == session,
+            "two sessions have the token {token:?}"
+        );
+        let is_accepted = fence.0 <= token;
+        *fence = (*fence).max((token, session));
 
         let facts = self.call_mut(call);
         assert_eq!(facts.run, None, "{call} was dispatched twice");
--- a/crates/ebony_owner/tests/owner/model/mod.rs
+++ b/crates/ebony_owner/tests/owner/model/mod.rs
@@ -20,7 +20,7 @@
 const MAX_ROUNDS: u32 = 200;
 
 /// Cases of the model. Each has about 700 steps.
-const CASES: u32 = 200;
+const CASES: u32 = 220;
 
 #[test]
 fn owners_keep_their_promises_under_faults() {
--- a/crates/ebony_owner/tests/owner/programs.rs
+++ b/crates/ebony_owner/tests/owner/programs.rs
@@ -236,6 +236,29 @@
     );
 }
 
+/// Guards against programs that have ended and are only kept to be shown, but keep new ones out.
+#[test]
+fn only_programs_in_progress_take_the_room_of_others() {
+    let settings = OwnerSettings {
+        shard_count: 1,
+        max_programs: 2,
+        ..OwnerSettings::default()
+    };
+    let mut bench = SoloBench::open(session(1), settings);
+    let mut lines = Vec::new();
+    for number in 1..=5 {
+        let mut actions = bench.send(arrived(chat(number, None, &["hi"])));
+        actions.extend(bench.send(finished(call(number), "ok")));
+        actions.extend(bench.pass(SOON));
+        lines.extend(answers(&actions));
+    }
+    for number in 6..=8 {
+        lines.extend(answers(&bench.send(arrived(chat(number, None, &["hi"])))));
+    }
+    insta::assert_debug_snapshot!(lines);
+    assert_eq!(bench.platform.bodies.len(), 0, "bodies go with their programs");
+}
+
 /// Guards the promise of the journal during an outage: model calls run on, nothing is finished or run with a key, the
 /// buffer is bounded, and everything is finished afterwards.
 #[test]
--- a/crates/ebony_owner/tests/owner/takeover.rs
+++ b/crates/ebony_owner/tests/owner/takeover.rs
@@ -3,16 +3,23 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
+use ebony_owner::journal::{
+    AdoptedRecord, BodySpan, EndedRecord, JournalRecord, JournalWriter, OpenedRecord, RecordGroup,
+};
+use ebony_owner::program::ProgramState;
+use ebony_owner::shard::ShardRow;
 use ebony_owner::takeover::{JournalRecovery, RecoveredJournal, RecoveryStep};
 use ebony_owner::{
     LiveSession, OwnerAction, OwnerEvent, OwnerSettings, RequestTicket, StorageReply, StorageRequest,
     WallTime, preferred_session,
 };
-use ebony_types::{ProgramBudget, SessionId, ShardKey};
+use ebony_types::{BudgetUse, ClockTime, FencingToken, ProgramBudget, ProgramId, SessionId, ShardKey};
+use rand_chacha::ChaCha8Rng;
+use rand_chacha::rand_core::SeedableRng;
 
 use crate::harness::bench::{SoloBench, answers};
 use crate::harness::platform::{FakePlatform, Fault};
-use crate::harness::{arrived, call, chat, finished, live, order, program, session};
+use crate::harness::{arrived, call, caller, chat, finished, live, order, program, session};
 
 const SOON: Duration = Duration::from_millis(100);
 
@@ -162,6 +169,56 @@
     assert_eq!(bench.core.report().intent_keys, 0);
 }
 
+fn opened(program: ProgramId, parent: Option<ProgramId>) -> JournalRecord {
+    JournalRecord::Opened(Box::new(OpenedRecord {
+        program,
+        parent,
+        caller: caller("shop-fiji"),
+        budget: ProgramBudget::default(),
+        is_one_call: false,
+        opened: WallTime::from_millis(1),
+        ceiling: BudgetUse::default(),
+    }))
+}
+
+/// Guards against a child that runs on without its parent, because its owner was lost between the records of both ends.
+#[test]
+fn child_of_an_ended_parent_is_cancelled() {
+    let (parent, child) = (program(0, 1), program(0, 2));
+    let adopted = JournalRecord::Adopted(AdoptedRecord {
+        shard: ShardKey(0),
+        epoch: FencingToken(1),
+        state: BodySpan::default(),
+    });
+    let ended = JournalRecord::Ended(EndedRecord {
+        program: parent,
+        state: ProgramState::Finished,
+        ended: WallTime::from_millis(2),
+        spent: BudgetUse::default(),
+        ceiling: BudgetUse::default(),
+    });
+    let records = vec![adopted, opened(parent, None), opened(child, Some(parent)), ended];
+    let mut writer = JournalWriter::open(session(1), Duration::ZERO);
+    writer
+        .push(RecordGroup { records, body: None })
+        .expect("records that fit");
+    let append = writer.flush(
+        ClockTime::default(),
+        WallTime::from_millis(3),
+        &mut ChaCha8Rng::seed_from_u64(1),
+    );
+    let append = append.expect("a row that fits").expect("a row");
+
+    let mut platform = FakePlatform::default();
+    platform.perform(session(1), &OwnerAction::Append(append), Fault::None);
+    let row = ShardRow::owned(session(1), FencingToken(1))
+        .encode()
+        .expect("a shard row");
+    platform.shards.insert(ShardKey(0), (1, 1, row.into()));
+    let mut successor = SoloBench::on_platform(session(2), settings(), platform);
+    assert_eq!(successor.show(child).state, "cancelled");
+}
+
 fn owners(sessions: &[LiveSession]) -> BTreeMap<u16, SessionId> {
     let owner = |shard| preferred_session(ShardKey(shard), sessions).expect("an owner");
     (0..640).map(|shard| (shard, owner(shard))).collect()
