--- a/crates/ebony_fleet/src/fleet.rs
+++ b/crates/ebony_fleet/src/fleet.rs
@@ -53,7 +53,7 @@
     pub models: Vec<String>,
     /// The models of each engine, by its number. Engines without an entry have all models.
     pub engine_models: Vec<Vec<String>>,
-    /// Callers in force besides the usual two, each a group of its own. [`caller_key`] returns their keys.
+    /// Callers in force besides the usual two, each a group of its own. [`crate::caller_key`] returns their keys.
     pub callers: Vec<String>,
     /// The default values of the configuration document, as JSON.
     pub defaults: Value,
