--- a/crates/ebony_owner/tests/owner/takeover.rs
+++ b/crates/ebony_owner/tests/owner/takeover.rs
@@ -132,6 +132,46 @@
     );
 }
 
+/// Guards the state of a released shard: it lies in one object with bodies of other shards, and must not go with them.
+#[test]
+fn released_state_outlives_the_bodies_beside_it() {
+    let settings = OwnerSettings {
+        shard_count: 2,
+        ..settings()
+    };
+    let mut bench = SoloBench::open(session(1), settings.clone());
+    let (moving, staying) = (program(0, 1), program(1, 1));
+    for id in [moving, staying] {
+        bench
+            .open_program(id, None, ProgramBudget::default())
+            .expect("room for a program");
+    }
+    let beside = |other: &u8| vec![live(session(1), "catania-1"), live(session(*other), "catania-1")];
+    let takes_first = |other: &u8| {
+        let owner = |shard| preferred_session(ShardKey(shard), &beside(other));
+        (owner(0), owner(1)) == (Some(session(*other)), Some(session(1)))
+    };
+    let other = (2..50)
+        .find(takes_first)
+        .expect("a session that takes the first shard only");
+
+    bench.platform.is_down = true;
+    for number in 1..=2 {
+        bench.send(arrived(chat(number, Some(staying), &["hi"])));
+        bench.send(finished(call(number), "ok"));
+        bench.send(OwnerEvent::SessionsChanged {
+            sessions: beside(&other),
+        });
+    }
+    bench.platform.is_down = false;
+    bench.fail_waiting(Fault::Refused);
+    bench.pass(SOON);
+    bench.finish(staying, caller("shop-fiji"));
+    bench.pass(Duration::from_secs(700));
+    let mut successor = SoloBench::join(session(other), settings, bench.platform, beside(&other));
+    assert_eq!(successor.show(moving).state, "open");
+}
+
 /// Guards retention against a successor whose clock is ahead: a key that is forgotten early could run twice. Guards the
 /// time budget against one whose clock is behind.
 #[test]
