Admit small and large programs from separate parts of the KV limit

Small programs passed waiting large ones without bound: at four times the load 87% of programs with first prompts above 20,000 tokens were given up, against 36% of all. Small programs now have a reserve beyond the limit, and their use beyond it does not count against large ones, so that neither class can keep the other out.

--- a/crates/ebony_policy/examples/compare/run.rs
+++ b/crates/ebony_policy/examples/compare/run.rs
@@ -125,6 +125,7 @@
 ) -> RunSummary {
     let mut options = options.clone();
     options.latency_weight = deployment.latency_weight;
+    options.admission.enabled &= scenario.is_gated;
     let plans = generate(scenario.load_plan(deployment), engine_speed(), seed);
     let mut simulation = Simulation::open(deployment, scenario, options, plans, seed);
     simulation.run();
--- a/crates/ebony_policy/src/admission/mod.rs
+++ b/crates/ebony_policy/src/admission/mod.rs
@@ -17,7 +17,7 @@
 use self::limit::ConcurrencyLimit;
 pub use self::limit::FirstTokenSample;
 pub use self::options::AdmissionOptions;
-use self::waiting_room::{CallerKey, WaitingProgram, WaitingRoom};
+use self::waiting_room::{CallerKey, SizeClass, WaitingProgram, WaitingRoom};
 use crate::drain_rate::DrainRate;
 
 /// The time constant of the rate at which programs end. Programs take a minute or two.
@@ -26,8 +26,9 @@
 /// The most programs in progress, children and adopted ones included. 330,000 programs over 390 entries are 850.
 pub const MAX_PROGRAMS: usize = 131_072;
 
-/// The share of the KV limit that small programs may use beyond the others, in percent.
-const SMALL_EXTRA_PERCENT: u64 = 25;
+/// What small programs may use beyond the limit on KV memory, in percent of it, and the part of the limit that their
+/// use takes from large ones at most.
+const SMALL_RESERVE_PERCENT: u64 = 25;
 
 /// A program that wants to start.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -78,6 +79,7 @@
 struct ProgramSeat {
     caller: CallerKey,
     kv_tokens: u64,
+    class: SizeClass,
 }
 
 /// The gate that programs enter by.
@@ -108,6 +110,7 @@
     room: WaitingRoom,
     programs: HashMap<ProgramId, ProgramSeat>,
     kv_tokens: u64,
+    small_kv_tokens: u64,
     kv_limit_tokens: Option<u64>,
     kv_percent: u64,
     rate: DrainRate,
@@ -126,6 +129,7 @@
             options,
             programs: HashMap::new(),
             kv_tokens: 0,
+            small_kv_tokens: 0,
             kv_limit_tokens: None,
             rate: DrainRate::open(DRAIN_WINDOW),
         }
@@ -152,7 +156,8 @@
             return AdmissionDecision::Admitted;
         }
         let must_enter = arrival.is_admitted || !self.options.enabled;
-        let may_enter = self.is_small_enough(arrival) || (self.room.len() == 0 && self.has_room());
+        let class = self.class_of(arrival.prompt_tokens);
+        let may_enter = self.room.is_empty(class) && self.has_room(class);
         if self.programs.len() < MAX_PROGRAMS && (must_enter || may_enter) {
             let caller = self.room.enter(&arrival.caller);
             self.seat(arrival.program, caller, arrival.prompt_tokens);
@@ -163,12 +168,11 @@
         }
         let longest = now + Duration::from_millis(2 * u64::from(self.options.max_wait_ms));
         let deadline = arrival.deadline.min(longest);
-        let delay = arrival
-            .prompt_tokens
-            .saturating_mul(u64::from(self.options.delay_per_token_us));
+        let delay = self.size_delay_micros(arrival.prompt_tokens);
         let waiting = WaitingProgram {
             program: arrival.program,
             prompt_tokens: arrival.prompt_tokens,
+            class,
             deadline,
             due_micros: now.as_micros().saturating_add(delay),
         };
@@ -189,14 +193,16 @@
                 decision: refused,
             })
             .collect();
-        while self.has_room()
-            && let Some((caller, waiting)) = self.room.pop()
-        {
-            self.seat(waiting.program, caller, waiting.prompt_tokens);
-            outcomes.push(WaitOutcome {
-                program: waiting.program,
-                decision: AdmissionDecision::Admitted,
-            });
+        for class in [SizeClass::Small, SizeClass::Large] {
+            while self.has_room(class)
+                && let Some((caller, waiting)) = self.room.pop(class)
+            {
+                self.seat(waiting.program, caller, waiting.prompt_tokens);
+                outcomes.push(WaitOutcome {
+                    program: waiting.program,
+                    decision: AdmissionDecision::Admitted,
+                });
+            }
         }
         self.rate.advance(self.room.len() > 0, now);
         outcomes
@@ -206,7 +212,7 @@
     pub fn finish(&mut self, program: ProgramId, now: ClockTime) {
         if let Some(seat) = self.programs.remove(&program) {
             self.room.leave(seat.caller);
-            self.kv_tokens -= seat.kv_tokens;
+            self.discount_memory(&seat);
             self.rate.record(1, self.room.len() > 0, now);
         }
     }
@@ -218,10 +224,13 @@
 
     /// Records the length of a program's history, which its KV cache needs.
     pub fn record_history(&mut self, program: ProgramId, kv_tokens: u64) {
-        if let Some(seat) = self.programs.get_mut(&program) {
-            self.kv_tokens = self.kv_tokens - seat.kv_tokens + kv_tokens;
-            seat.kv_tokens = kv_tokens;
-        }
+        let Some(mut seat) = self.programs.remove(&program) else {
+            return;
+        };
+        self.discount_memory(&seat);
+        seat.kv_tokens = kv_tokens;
+        self.count_memory(&seat);
+        self.programs.insert(program, seat);
     }
 
     /// Sets what the targets have for this entry's programs: tokens of KV cache, and calls at once. With several
@@ -244,27 +253,50 @@
         self.room.set_weight(caller, weight)
     }
 
-    fn has_room(&self) -> bool {
+    fn has_room(&self, class: SizeClass) -> bool {
         if !self.options.enabled {
             return self.programs.len() < MAX_PROGRAMS;
         }
-        let has_memory = self.has_memory(self.kv_percent);
         let limit = (self.limit.programs() as usize).min(MAX_PROGRAMS);
         // One program always runs, whatever its size, so that a wrong limit cannot stop all work.
-        self.programs.is_empty() || (has_memory && self.programs.len() < limit)
+        self.programs.is_empty() || (self.has_memory(class) && self.programs.len() < limit)
     }
 
-    fn has_memory(&self, percent: u64) -> bool {
-        let is_free = |limit: u64| self.kv_tokens < limit / 100 * percent;
-        !self.options.memory_bound || self.kv_limit_tokens.is_none_or(is_free)
+    /// Returns the time by which a waiting program is due later for its size. It is bounded, so that a large program
+    /// has its turn before it is refused.
+    fn size_delay_micros(&self, prompt_tokens: u64) -> u64 {
+        let delay = prompt_tokens.saturating_mul(u64::from(self.options.delay_per_token_us));
+        delay.min(u64::from(self.options.max_wait_ms) * 1_000 / 2)
     }
 
-    /// Returns `true` if a program needs so little memory that waiting behind large ones would be a waste. Small
-    /// programs may use a little more of the KV limit.
-    fn is_small_enough(&self, arrival: &ProgramArrival) -> bool {
-        let is_small = arrival.prompt_tokens <= u64::from(self.options.small_program_tokens);
-        let has_memory = self.has_memory(self.kv_percent + SMALL_EXTRA_PERCENT);
-        is_small && has_memory && self.programs.len() < self.limit.programs() as usize
+    fn class_of(&self, prompt_tokens: u64) -> SizeClass {
+        if prompt_tokens <= u64::from(self.options.small_program_tokens) {
+            SizeClass::Small
+        } else {
+            SizeClass::Large
+        }
+    }
+
+    /// Returns `true` if the KV limit has room for a program of the class.
+    ///
+    /// Small programs may use their reserve beyond the limit, so that they need not wait behind large ones. What they
+    /// use does not count towards the limit beyond their reserve, so that they cannot keep large ones out.
+    fn has_memory(&self, class: SizeClass) -> bool {
+        let Some(limit) = self.memory_limit() else {
+            return true;
+        };
+        let reserve = limit / 100 * SMALL_RESERVE_PERCENT;
+        let large_tokens = self.kv_tokens - self.small_kv_tokens;
+        match class {
+            SizeClass::Small => self.kv_tokens < limit + reserve,
+            SizeClass::Large => large_tokens + self.small_kv_tokens.min(reserve) < limit,
+        }
+    }
+
+    /// Returns the KV tokens that programs in progress may need; `None` if nothing limits them.
+    fn memory_limit(&self) -> Option<u64> {
+        let limit = self.kv_limit_tokens.filter(|_| self.options.memory_bound)?;
+        Some(limit / 100 * self.kv_percent)
     }
 
     /// Returns the retry time if the program is refused at once.
@@ -290,7 +322,26 @@
     }
 
     fn seat(&mut self, program: ProgramId, caller: CallerKey, kv_tokens: u64) {
-        self.programs.insert(program, ProgramSeat { caller, kv_tokens });
-        self.kv_tokens += kv_tokens;
+        let seat = ProgramSeat {
+            caller,
+            kv_tokens,
+            class: self.class_of(kv_tokens),
+        };
+        self.count_memory(&seat);
+        self.programs.insert(program, seat);
+    }
+
+    fn count_memory(&mut self, seat: &ProgramSeat) {
+        self.kv_tokens += seat.kv_tokens;
+        if seat.class == SizeClass::Small {
+            self.small_kv_tokens += seat.kv_tokens;
+        }
+    }
+
+    fn discount_memory(&mut self, seat: &ProgramSeat) {
+        self.kv_tokens -= seat.kv_tokens;
+        if seat.class == SizeClass::Small {
+            self.small_kv_tokens -= seat.kv_tokens;
+        }
     }
 }
