--- a/crates/ebony_policy/examples/compare/scenario.rs
+++ b/crates/ebony_policy/examples/compare/scenario.rs
@@ -126,7 +126,12 @@
     long_sessions: 0.0,
 };
 
-pub(crate) const SCENARIOS: [ScenarioPlan; 15] = [
+pub(crate) const SCENARIOS: [ScenarioPlan; 16] = [
+    ScenarioPlan {
+        name: "quarter-load",
+        load: 0.25,
+        ..MIXED
+    },
     ScenarioPlan {
         name: "half-load",
         load: 0.4,
--- a/crates/ebony_policy/src/admission/limit.rs
+++ b/crates/ebony_policy/src/admission/limit.rs
@@ -1,8 +1,12 @@
 //! The limit on programs in progress, adapted to measured latency.
 //!
 //! The rule is additive increase and multiplicative decrease. Within each window the limit counts calls whose time to
-//! the first token exceeds the target. If more than the allowed share does, the limit falls by a tenth below the
-//! programs in progress; otherwise, if the limit is in use, it grows by a fiftieth and at least one.
+//! the first token exceeds the target. If more than the allowed share does, the limit falls to nine tenths of the
+//! programs in progress; otherwise, if the limit is in use, it grows by a tenth. It never falls below the calls that
+//! the targets run at once.
+//!
+//! The target is that of the 95th percentile, but the limit reacts only when half of all calls exceed it: one long
+//! prompt delays its neighbours on any system, and a limit that reacted to 5% held programs back while engines idled.
 //!
 //! A sample leaves out the prefill of the tokens that the call itself adds: a long first prompt is slow on an idle
 //! system too and says nothing about load. Prefill of a prefix that was evicted counts, because overload causes it.
--- a/crates/ebony_policy/src/admission/mod.rs
+++ b/crates/ebony_policy/src/admission/mod.rs
@@ -41,8 +41,8 @@
     pub deadline: ClockTime,
     /// Tokens of its first prompt.
     pub prompt_tokens: u64,
-    /// Whether it belongs to a program in progress or was adopted from another entry. Such a program always enters:
-    /// it is part of a whole that was admitted.
+    /// Whether it belongs to a program in progress or was adopted from another entry. Such a program enters at any
+    /// load, up to [`MAX_PROGRAMS`]: it is part of a whole that was admitted.
     pub is_admitted: bool,
 }
 
--- a/crates/ebony_policy/src/admission/options.rs
+++ b/crates/ebony_policy/src/admission/options.rs
@@ -33,7 +33,7 @@
     pub max_limit: u32,
     /// Target of the time to the first token at the 95th percentile, in milliseconds.
     pub first_token_target_ms: u32,
-    /// Calls in a thousand that may exceed the target.
+    /// Calls in a thousand that may exceed the target before the limit falls.
     pub slow_permille: u32,
     /// The least time between two changes of the limit, in milliseconds.
     pub window_ms: u32,
--- a/crates/ebony_policy/src/retention/hold_plan.rs
+++ b/crates/ebony_policy/src/retention/hold_plan.rs
@@ -10,8 +10,8 @@
 use super::pause_model::PauseHistogram;
 use crate::speed::{EngineSpeed, duration_of};
 
-/// The length of a pause that just pays for its memory at full pressure and even weights, in seconds of pause for
-/// each second of refill at a capacity of one program.
+/// The length of a pause whose memory is worth as much as the refill, in seconds, when memory is full and the weights
+/// are even.
 const BREAK_EVEN_SECONDS: f64 = 60.0;
 
 /// The state of the target's memory.
