Lose no turn when an owner stops as planned during an outage

Change: a planned stop waits until no record waits for the platform, at most drain_time; copies go to the entry that confirmed the one before; and a holder appends row after row without a pause while the platform takes them.

--- a/crates/ebony_entry/src/owner/handlers.rs
+++ b/crates/ebony_entry/src/owner/handlers.rs
@@ -234,9 +234,11 @@
     type Result = OwnerStatus;
 
     fn handle(&mut self, _: ReadStatus, _: &mut Context<Self>) -> OwnerStatus {
+        let report = self.core.report();
         OwnerStatus {
-            shards: self.core.serving_shards().len(),
+            shards: report.shards_serving,
             calls: self.calls.len(),
+            has_undurable: report.undurable_bytes > 0,
         }
     }
 }
--- a/crates/ebony_entry/src/owner/messages.rs
+++ b/crates/ebony_entry/src/owner/messages.rs
@@ -44,6 +44,8 @@
     pub shards: usize,
     /// Calls that have not been answered.
     pub calls: usize,
+    /// Whether records wait for the platform.
+    pub has_undurable: bool,
 }
 
 /// A result of storage work.
--- a/crates/ebony_entry/src/peers/actor.rs
+++ b/crates/ebony_entry/src/peers/actor.rs
@@ -75,7 +75,8 @@
     pub(super) next_generation: u64,
     pub(super) held: HeldRows,
     pub(super) copy: Option<CopyRow>,
-    pub(super) copy_turn: usize,
+    /// The entry that confirmed the last copy.
+    pub(super) copy_peer: Option<PeerKey>,
     /// Entries that hold copies of this session's rows; rows leave when they are durable.
     pub(super) copied_at: BTreeMap<u64, PeerKey>,
     pub(super) collects: HashMap<u64, oneshot::Sender<Vec<HeldRow>>>,
@@ -97,7 +98,7 @@
             next_generation: 0,
             held: HeldRows::default(),
             copy: None,
-            copy_turn: 0,
+            copy_peer: None,
             copied_at: BTreeMap::new(),
             collects: HashMap::new(),
             next_collect: 0,
--- a/crates/ebony_entry/src/peers/copies.rs
+++ b/crates/ebony_entry/src/peers/copies.rs
@@ -6,6 +6,9 @@
 use ebony_owner::journal::{AppendOutcome, AppendRow};
 use ebony_types::SessionId;
 use ebony_wire::{HeldRow, PeerFrame};
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use rand::seq::IndexedRandom;
 use tokio::sync::oneshot;
 
 use super::actor::PeerActor;
@@ -146,6 +149,7 @@
     pub(super) fn accept_held(&mut self, peer: PeerKey, session: SessionId, sequence: u64) {
         if self.presence.session == Some(session) {
             self.copied_at.insert(sequence, peer);
+            self.copy_peer = Some(peer);
         }
         if self
             .copy
@@ -157,20 +161,25 @@
         self.options.copied.do_send(CopyHeld { session, sequence });
     }
 
-    /// Offers the present copy to the next linked entry.
+    /// Offers the present copy to the entry that holds the one before, so that an entry holds rows without gaps, or to
+    /// another one if it does not confirm.
     pub(super) fn offer_copy(&mut self) {
         let Some(copy) = self.copy.clone() else { return };
-        let peers: Vec<PeerKey> = self
-            .peers
-            .iter()
-            .filter(|(_, record)| record.sender.is_some())
-            .map(|(key, _)| key)
-            .collect();
-        if peers.is_empty() {
+        let linked = |peer: &PeerKey| {
+            self.peers
+                .get(*peer)
+                .is_some_and(|record| record.sender.is_some())
+        };
+        let peers: Vec<PeerKey> = self.peers.keys().filter(linked).collect();
+        let Some(peer) = self
+            .copy_peer
+            .filter(linked)
+            .or_else(|| peers.choose(&mut StdRng::from_os_rng()).copied())
+        else {
             return;
-        }
-        self.copy_turn += 1;
-        let peer = peers[self.copy_turn % peers.len()];
+        };
+        // Stays only if the entry confirms.
+        self.copy_peer = None;
         let held = HeldRow {
             session: copy.session,
             sequence: copy.row.sequence,
@@ -182,26 +191,35 @@
     }
 
     /// Appends held rows on behalf of their owners, and offers a copy again that nobody has taken.
-    pub(super) fn run_copies(&mut self, context: &mut Context<Self>) {
+    fn run_copies(&mut self, context: &mut Context<Self>) {
         self.offer_copy();
         for held in self.held.first_of_each() {
-            let storage = self.options.storage.clone();
-            let (session, sequence) = (held.session, held.sequence);
-            let append = async move {
-                // A gap before the row would hide it from a successor.
-                let has_previous = sequence == 1 || storage.has_row(session, sequence - 1).await;
-                has_previous && storage.append(session, append_of(held)).await != AppendOutcome::Unavailable
-            };
-            let append = append.into_actor(self).map(move |is_over, actor, _| {
-                // Another nonce in the row's place means that the journal was sealed without it.
-                if is_over {
-                    actor.held.drop_up_to(session, sequence);
-                }
-            });
-            context.spawn(append);
+            self.append_held(held, context);
         }
     }
 
+    /// Appends a held row, and the rows behind it as long as the platform takes them.
+    fn append_held(&mut self, held: HeldRow, context: &mut Context<Self>) {
+        let storage = self.options.storage.clone();
+        let (session, sequence) = (held.session, held.sequence);
+        let append = async move {
+            // A gap before the row would hide it from a successor.
+            let has_previous = sequence == 1 || storage.has_row(session, sequence - 1).await;
+            has_previous && storage.append(session, append_of(held)).await != AppendOutcome::Unavailable
+        };
+        let append = append.into_actor(self).map(move |is_over, actor, context| {
+            if !is_over {
+                return;
+            }
+            // Another nonce in the row's place means that the journal was sealed without it.
+            actor.held.drop_up_to(session, sequence);
+            if let Some(next) = actor.held.first_behind(session, sequence) {
+                actor.append_held(next, context);
+            }
+        });
+        context.spawn(append);
+    }
+
     pub(super) fn start_copies(&mut self, context: &mut Context<Self>) {
         context.run_interval(COPY_INTERVAL, PeerActor::run_copies);
     }
--- a/crates/ebony_entry/src/peers/held_rows.rs
+++ b/crates/ebony_entry/src/peers/held_rows.rs
@@ -81,6 +81,14 @@
         fits.map(|(_, row)| row.clone()).collect()
     }
 
+    /// Returns the first copy of a session behind a row.
+    pub(super) fn first_behind(&self, session: SessionId, after: u64) -> Option<HeldRow> {
+        let mut rows = self
+            .rows
+            .range((session, after.saturating_add(1))..=(session, u64::MAX));
+        rows.next().map(|(_, row)| row.clone())
+    }
+
     /// Returns the first copy of each session.
     pub(super) fn first_of_each(&self) -> Vec<HeldRow> {
         let mut firsts: Vec<HeldRow> = Vec::new();
--- a/crates/ebony_entry/src/process/mod.rs
+++ b/crates/ebony_entry/src/process/mod.rs
@@ -251,5 +251,5 @@
     owner
         .send(ReadStatus)
         .await
-        .is_ok_and(|status| status.shards > 0 || status.calls > 0)
+        .is_ok_and(|status| status.shards > 0 || status.calls > 0 || status.has_undurable)
 }
