Test takeovers with a model and fix what it found

Cause: takeovers were covered by scenarios only. A model now drives two to four owners against a fake platform with lost replies, late writes, outages, paused and lost processes, racing and dying takeovers and planned releases, and compares them with what truly happened on the target.

Faults and changes: - A released shard's state was deleted together with bodies of other shards that joined its row later. Ended programs now make room. - Shards do not move while the platform takes no writes. - Records of turns are more compact.

--- a/crates/ebony_owner/src/action.rs
+++ b/crates/ebony_owner/src/action.rs
@@ -42,9 +42,9 @@
         call: CallId,
     },
     /// Answers a repeated call with the stored answer: the head and answer of the [`crate::program::TurnBody`] at the
-    /// place. If it cannot be read, the shell answers with
-    /// [`PlatformUnavailable`](ebony_types::ProblemCode::PlatformUnavailable) and the verdict
-    /// [`Ran`](ebony_types::RunVerdict::Ran).
+    /// place. The first call ran, so the verdict is [`Ran`](ebony_types::RunVerdict::Ran) if that fails: with
+    /// [`PlatformUnavailable`](ebony_types::ProblemCode::PlatformUnavailable) if the object cannot be read, and with
+    /// [`KeyExpired`](ebony_types::ProblemCode::KeyExpired) if it is gone because the program ended long ago.
     Replay {
         /// The call.
         call: CallId,
--- a/crates/ebony_owner/src/budget.rs
+++ b/crates/ebony_owner/src/budget.rs
@@ -21,8 +21,11 @@
 pub struct BudgetAccount {
     /// Reserved by calls that have not ended.
     pub reserved: BudgetUse,
-    /// The ceiling that is known to be durable.
+    /// The ceiling that is known to be durable. A ceiling that is being lowered counts at once, because a successor may
+    /// find either value.
     pub durable_ceiling: BudgetUse,
+    /// How often the ceiling was lowered. A raise that was recorded before the last of them no longer holds.
+    pub lowered: u32,
     /// Spent by the program and its descendants.
     pub subtree_spent: BudgetUse,
     /// Spent or set aside by the program and its descendants. It never exceeds the limits, unless a call used more than
@@ -87,6 +90,20 @@
         self.image.spent.plus(self.account.reserved)
     }
 
+    /// Follows a change of the ceiling that is on its way to the journal.
+    pub(crate) fn follow_ceiling(&mut self, former: BudgetUse) {
+        let ceiling = self.image.ceiling;
+        self.account.durable_ceiling = lesser(self.account.durable_ceiling, ceiling);
+        self.account.lowered += u32::from(!is_within(former, ceiling));
+    }
+
+    /// Notes that the row of a ceiling is durable.
+    pub(crate) fn settle_ceiling(&mut self, ceiling: BudgetUse, lowered: u32) {
+        if lowered == self.account.lowered {
+            self.account.durable_ceiling = ceiling;
+        }
+    }
+
     /// Returns `true` if the durable ceiling covers everything that the program's calls have spent and reserved.
     pub(crate) fn is_covered(&self) -> bool {
         is_within(self.taken(), self.account.durable_ceiling)
--- a/crates/ebony_owner/src/call.rs
+++ b/crates/ebony_owner/src/call.rs
@@ -1,8 +1,10 @@
 //! Calls in memory.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use bytes::Bytes;
+use ebony_types::limits::MAX_TIMEOUT_MS;
 use ebony_types::{BudgetUse, CallId, CallKind, CallRequest, ClockTime, IdempotencyKey, RequestDigest};
 use slotmap::{SlotMap, new_key_type};
 
@@ -80,7 +82,7 @@
 
 /// Returns the deadline of a call that arrives now.
 pub(crate) fn deadline_of(request: &CallRequest, now: ClockTime) -> ClockTime {
-    now + std::time::Duration::from_millis(u64::from(request.timeout_ms))
+    now + Duration::from_millis(u64::from(request.timeout_ms.min(MAX_TIMEOUT_MS)))
 }
 
 /// Calls by key and by identifier.
--- a/crates/ebony_owner/src/intent.rs
+++ b/crates/ebony_owner/src/intent.rs
@@ -12,7 +12,8 @@
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
 
-use crate::journal::record::{AnsweredRecord, BodyPlace, IntendedRecord, KeyOutcome, digest_bytes};
+use crate::journal::compact;
+use crate::journal::record::{AnsweredRecord, BodyPlace, IntendedRecord, KeyOutcome};
 use crate::wall_time::WallTime;
 
 /// The result of looking a key up.
@@ -66,7 +67,7 @@
 #[derive(Serialize, Deserialize)]
 pub struct IntentEntry {
     /// The digest of the request.
-    #[serde(with = "digest_bytes")]
+    #[serde(with = "compact::digest")]
     pub digest: RequestDigest,
     /// How far the call got.
     pub state: IntentState,
@@ -174,7 +175,7 @@
     /// The program, which stands for caller and key.
     pub program: ProgramId,
     /// The digest of the request.
-    #[serde(with = "digest_bytes")]
+    #[serde(with = "compact::digest")]
     pub digest: RequestDigest,
     /// Where the answer is stored; `None` if the call may have run.
     pub answer: Option<BodyPlace>,
--- a/crates/ebony_owner/src/journal/mod.rs
+++ b/crates/ebony_owner/src/journal/mod.rs
@@ -5,6 +5,7 @@
 
 mod batch;
 pub mod checkpoint;
+pub(crate) mod compact;
 pub mod record;
 pub mod replay;
 pub mod row;
--- a/crates/ebony_owner/src/journal/record.rs
+++ b/crates/ebony_owner/src/journal/record.rs
@@ -9,24 +9,11 @@
 };
 use serde::{Deserialize, Serialize};
 
+use super::compact;
 use crate::program::history::HistoryMark;
 use crate::program::image::ProgramState;
 use crate::wall_time::WallTime;
 
-/// Encodes a [`RequestDigest`] as one byte string, half the size of its sequence of numbers.
-pub(crate) mod digest_bytes {
-    use ebony_types::RequestDigest;
-    use serde::{Deserializer, Serializer};
-
-    pub(crate) fn serialize<S: Serializer>(digest: &RequestDigest, serializer: S) -> Result<S::Ok, S::Error> {
-        serde_bytes::serialize(&digest.0, serializer)
-    }
-
-    pub(crate) fn deserialize<'de, D: Deserializer<'de>>(deserializer: D) -> Result<RequestDigest, D::Error> {
-        serde_bytes::deserialize(deserializer).map(RequestDigest)
-    }
-}
-
 /// A part of the bodies that belong to one journal row.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -90,7 +77,7 @@
     /// The key.
     pub key: IdempotencyKey,
     /// The digest of the request.
-    #[serde(with = "digest_bytes")]
+    #[serde(with = "compact::digest")]
     pub digest: RequestDigest,
     /// The call.
     pub call: CallId,
@@ -122,18 +109,18 @@
     pub outcome: KeyOutcome,
 }
 
-/// A call ended with an answer. Field names are short in the encoding because this is the most frequent record.
+/// A call ended with an answer. Its encoding is compact because this is the most frequent record.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
 pub struct TurnRecord {
     /// The program.
-    #[serde(rename = "p")]
+    #[serde(rename = "p", with = "compact::program")]
     pub program: ProgramId,
     /// The turn's number, from 1.
     #[serde(rename = "n")]
     pub turn: u32,
     /// The call.
-    #[serde(rename = "c")]
+    #[serde(rename = "c", with = "compact::call")]
     pub call: CallId,
     /// Messages of the history that this turn keeps; its body holds those behind them.
     #[serde(rename = "k")]
@@ -145,16 +132,16 @@
     #[serde(rename = "h", with = "serde_bytes")]
     pub chain: [u8; 32],
     /// Where the body lies among the bodies of the row.
-    #[serde(rename = "b")]
+    #[serde(rename = "b", with = "compact::span")]
     pub body: BodySpan,
     /// What the call used.
-    #[serde(rename = "u")]
+    #[serde(rename = "u", with = "compact::usage")]
     pub usage: CallUsage,
     /// Amounts that the program's own calls have spent, this one included.
-    #[serde(rename = "s")]
+    #[serde(rename = "s", with = "compact::amount")]
     pub spent: BudgetUse,
     /// Amounts that the program's own calls may spend without a further record.
-    #[serde(rename = "l")]
+    #[serde(rename = "l", with = "compact::amount")]
     pub ceiling: BudgetUse,
 }
 
--- a/crates/ebony_owner/src/owner_core/arrival.rs
+++ b/crates/ebony_owner/src/owner_core/arrival.rs
@@ -155,17 +155,21 @@
         }
     }
 
-    pub(super) fn check_program_room(&self) -> Result<()> {
-        if self.programs.len() < self.settings.max_programs {
-            Ok(())
-        } else {
-            Err(overloaded("too many programs are in progress"))
+    /// Makes room for a program. Ended programs are only kept to be shown, and forgetting one is safe: a repeated call of
+    /// it is answered as unknown and never runs, and keys of programs of one call are kept apart.
+    pub(super) fn make_program_room(&mut self) -> Result<()> {
+        while self.programs.len() >= self.settings.max_programs {
+            let Some(oldest) = self.programs.oldest_ended(self.writer.durable()) else {
+                return Err(overloaded("too many programs are in progress"));
+            };
+            self.evict_program(oldest);
         }
+        Ok(())
     }
 
     /// Adds the program of a call that names none. The journal learns of it with the intent or the turn of its call.
     fn insert_one_call(&mut self, program: ProgramId, request: &CallRequest) -> Result<ProgramKey> {
-        self.check_program_room()?;
+        self.make_program_room()?;
         let need = need_of(&request.kind);
         let record = OpenedRecord {
             program,
--- a/crates/ebony_owner/src/owner_core/body_count.rs
+++ b/crates/ebony_owner/src/owner_core/body_count.rs
@@ -1,6 +1,6 @@
 //! Which body objects of this session are still referred to.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use ebony_types::SessionId;
 
@@ -14,6 +14,8 @@
 pub(super) struct BodyCounts {
     session: SessionId,
     counts: BTreeMap<u64, u32>,
+    /// Objects that are not counted and whose row still takes records.
+    exported: BTreeSet<u64>,
 }
 
 impl BodyCounts {
@@ -21,12 +23,15 @@
         Self {
             session,
             counts: BTreeMap::new(),
+            exported: BTreeSet::new(),
         }
     }
 
     /// Adds a reference to a new object.
     pub(super) fn add(&mut self, sequence: u64) {
-        *self.counts.entry(sequence).or_default() += 1;
+        if !self.exported.contains(&sequence) {
+            *self.counts.entry(sequence).or_default() += 1;
+        }
     }
 
     /// Removes a reference. Returns the sequence of an object that has none left.
@@ -47,6 +52,12 @@
     pub(super) fn export(&mut self, place: BodyPlace) {
         if place.session == self.session {
             self.counts.remove(&place.sequence);
+            self.exported.insert(place.sequence);
         }
     }
+
+    /// Forgets exported objects whose rows take no more records.
+    pub(super) fn row_durable(&mut self, sequence: u64) {
+        self.exported = self.exported.split_off(&(sequence + 1));
+    }
 }
--- a/crates/ebony_owner/src/owner_core/durability.rs
+++ b/crates/ebony_owner/src/owner_core/durability.rs
@@ -1,11 +1,12 @@
 //! What follows from the outcome of appends, and when checkpoints are taken.
 
+use ebony_types::BudgetUse;
+
 use super::arrival::platform_unavailable;
 use super::checkpoint_cycle::TruncateRange;
 use super::effect::DurableEffect;
 use super::state::ServingState;
 use crate::action::OwnerAction;
-use crate::budget::lesser;
 use crate::call::{CallKey, CallPhase};
 use crate::journal::checkpoint::CheckpointImage;
 use crate::journal::writer::{AppendOutcome, AppendProgress, OUTAGE_FAILURES};
@@ -18,6 +19,7 @@
             .append_done(sequence, outcome, self.now, &mut self.source)
         {
             AppendProgress::Durable(sequence) => {
+                self.bodies.row_durable(sequence);
                 self.run_effects();
                 self.advance_checkpoint(sequence);
             }
@@ -37,7 +39,11 @@
         match effect {
             DurableEffect::FinishCall(call) => self.finish_call(call),
             DurableEffect::DispatchCall(call) => self.dispatch(call),
-            DurableEffect::RaiseCeiling { program, ceiling } => self.raise_ceiling(program, ceiling),
+            DurableEffect::RaiseCeiling {
+                program,
+                ceiling,
+                lowered,
+            } => self.raise_ceiling(program, ceiling, lowered),
             DurableEffect::Reply { request, view, plan } => self.reply(request, view, plan),
             DurableEffect::ReleaseProgram { program, token } => {
                 self.act(OwnerAction::ReleaseProgram { program, token });
@@ -55,12 +61,12 @@
         self.forget_call(key);
     }
 
-    /// Notes a durable ceiling. The ceiling may have been lowered since, and then the lower one holds.
-    fn raise_ceiling(&mut self, program: ProgramKey, ceiling: ebony_types::BudgetUse) {
+    /// Notes a durable ceiling, and dispatches the call that waits for it.
+    fn raise_ceiling(&mut self, program: ProgramKey, ceiling: BudgetUse, lowered: u32) {
         let Some(entry) = self.programs.get_mut(program) else {
             return;
         };
-        entry.account.durable_ceiling = lesser(ceiling, entry.image.ceiling);
+        entry.settle_ceiling(ceiling, lowered);
         let is_covered = entry.is_covered();
         let waiting = entry.line.running().filter(|_| is_covered);
         let has_key = |call| self.calls.get(call).is_some_and(|call| call.intent.is_some());
--- a/crates/ebony_owner/src/owner_core/effect.rs
+++ b/crates/ebony_owner/src/owner_core/effect.rs
@@ -19,8 +19,12 @@
     FinishCall(CallKey),
     /// The call's intent is recorded; it may run.
     DispatchCall(CallKey),
-    /// The program may spend up to the ceiling.
-    RaiseCeiling { program: ProgramKey, ceiling: BudgetUse },
+    /// The program may spend up to the ceiling, unless it was lowered since.
+    RaiseCeiling {
+        program: ProgramKey,
+        ceiling: BudgetUse,
+        lowered: u32,
+    },
     /// An operation is answered.
     Reply {
         request: u64,
--- a/crates/ebony_owner/src/owner_core/ending.rs
+++ b/crates/ebony_owner/src/owner_core/ending.rs
@@ -221,8 +221,8 @@
         let Some(due) = entry.image.eviction_time() else {
             return;
         };
-        let has_calls = entry.open_calls > 0;
-        if has_calls || self.wall_now() < due {
+        let is_idle = entry.is_idle(self.writer.durable());
+        if !is_idle || self.wall_now() < due {
             let again = self.clock_of(due).max(self.now + CANCEL_GRACE);
             let timer = self.timers.schedule(again, TimerTask::ProgramEviction(key));
             if let Some(entry) = self.programs.get_mut(key) {
@@ -230,6 +230,15 @@
             }
             return;
         }
+        self.evict_program(key);
+    }
+
+    /// Removes an ended program from memory, and its bodies from the object store.
+    pub(super) fn evict_program(&mut self, key: ProgramKey) {
+        let timer = self.programs.get_mut(key).and_then(|entry| entry.timer.take());
+        if let Some(timer) = timer {
+            self.timers.cancel(timer);
+        }
         if let Some((image, retired)) = self.programs.evict(key) {
             self.drop_bodies(&image, retired.as_ref());
             self.schedule_key(retired);
--- a/crates/ebony_owner/src/owner_core/operation.rs
+++ b/crates/ebony_owner/src/owner_core/operation.rs
@@ -97,7 +97,6 @@
             self.reply_when_durable(request, key, false);
             return Ok(());
         }
-        self.check_program_room()?;
         if self.writer.is_unavailable() {
             return Err(platform_unavailable());
         }
@@ -105,6 +104,7 @@
             .parent
             .map(|parent| self.check_parent(parent, &open))
             .transpose()?;
+        self.make_program_room()?;
         let budget = self.bounded_budget(open.budget, parent);
         let record = OpenedRecord {
             program: open.program,
--- a/crates/ebony_owner/src/owner_core/record.rs
+++ b/crates/ebony_owner/src/owner_core/record.rs
@@ -40,6 +40,7 @@
             let effect = DurableEffect::RaiseCeiling {
                 program: key,
                 ceiling,
+                lowered: entry.account.lowered,
             };
             self.effects.push(place.sequence, effect);
         }
--- a/crates/ebony_owner/src/owner_core/release.rs
+++ b/crates/ebony_owner/src/owner_core/release.rs
@@ -30,6 +30,10 @@
             return;
         };
         match slot.phase {
+            // Ownership does not move during an outage: programs stay with an owner that can serve them.
+            ShardPhase::Serving { .. } if should_move && self.writer.is_unavailable() => {
+                self.schedule_shard(shard, self.now + BUSY_PAUSE);
+            }
             ShardPhase::Serving { epoch } if should_move => {
                 let pause = slot.last_drain.map(|start| self.now.since(start));
                 let may_drain = pause.is_none_or(|pause| pause >= REBALANCE_PAUSE);
@@ -96,6 +100,9 @@
 
     /// Releases the shards whose last call has ended.
     pub(super) fn release_idle_shards(&mut self) {
+        if self.writer.is_unavailable() {
+            return;
+        }
         let idle = self.board.shards().filter_map(|(shard, slot)| match slot.phase {
             ShardPhase::Releasing { epoch, .. } if slot.calls == 0 => Some((shard, epoch)),
             _ => None,
--- a/crates/ebony_owner/src/owner_core/report.rs
+++ b/crates/ebony_owner/src/owner_core/report.rs
@@ -7,7 +7,6 @@
 use crate::action::OwnerAction;
 use crate::call::CallPhase;
 use crate::event::OwnerEvent;
-use crate::program::table::ProgramEntry;
 
 /// Counts of an owner, for metrics.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -68,14 +67,10 @@
         }
     }
 
+    /// Programs of a shard that is being adopted count too: their memory must outlive the takeover.
     pub(super) fn vouched_programs(&self) -> Vec<ProgramId> {
-        let is_vouched =
-            |entry: &&ProgramEntry| entry.is_open() && self.board.is_serving(entry.image.program.shard());
-        self.programs
-            .entries()
-            .filter(is_vouched)
-            .map(|entry| entry.image.program)
-            .collect()
+        let open = self.programs.entries().filter(|entry| entry.is_open());
+        open.map(|entry| entry.image.program).collect()
     }
 }
 
--- a/crates/ebony_owner/src/program/history.rs
+++ b/crates/ebony_owner/src/program/history.rs
@@ -13,6 +13,7 @@
 use sha2::{Digest, Sha256};
 
 use crate::codec::CodecError;
+use crate::journal::compact;
 use crate::journal::record::{BodyPlace, BodySpan};
 
 /// The most messages of one request. The longest expected program has 84 turns of a few messages each.
@@ -179,7 +180,7 @@
 /// Where the body of one turn lies within the objects of a session.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
-struct TurnPlace(u64, BodySpan);
+struct TurnPlace(u64, #[serde(with = "compact::span")] BodySpan);
 
 /// Turns that one session recorded.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/ebony_owner/src/program/table.rs
+++ b/crates/ebony_owner/src/program/table.rs
@@ -1,13 +1,13 @@
 //! The arena of live programs.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use ebony_types::{ClockTime, FencingToken, ProgramId, SessionId, ShardKey};
 use slotmap::{SlotMap, new_key_type};
 
 use super::image::{ProgramImage, ProgramState};
 use super::line::CallLine;
-use crate::budget::{BudgetAccount, lesser};
+use crate::budget::BudgetAccount;
 use crate::intent::RetiredKey;
 use crate::journal::checkpoint::ShardImage;
 use crate::journal::record::JournalRecord;
@@ -66,6 +66,12 @@
         self.image.state == ProgramState::Open
     }
 
+    /// Returns `true` if no call and no record of the program is under way. The bodies of an undurable row must not be
+    /// deleted, because their object is still to be written and may get bodies of other programs.
+    pub(crate) fn is_idle(&self, durable_row: u64) -> bool {
+        self.open_calls == 0 && self.last_row <= durable_row
+    }
+
     /// Returns the bytes of memory that the program takes.
     pub fn state_bytes(&self) -> usize {
         size_of::<Self>()
@@ -80,13 +86,15 @@
 /// Estimated bytes of one key in memory: the entry, its key's text and its share of the map's node.
 const INTENT_BYTES: usize = 192;
 
-/// Programs by key, by identifier and by shard. Ended programs are evicted 10 minutes after their end; the owner bounds
-/// the number of programs and keys before it adds one.
+/// Programs by key, by identifier and by shard. Ended programs are evicted 10 minutes after their end, or earlier if a
+/// new program needs the room; the owner bounds the number of programs and keys before it adds one.
 #[derive(Clone, Debug, Default)]
 pub struct ProgramTable {
     arena: SlotMap<ProgramKey, ProgramEntry>,
     index: BTreeMap<ProgramId, ProgramKey>,
     retired: BTreeMap<ProgramId, RetiredKey>,
+    /// Ended programs in the order of their ends.
+    ended: BTreeSet<(WallTime, ProgramKey)>,
     program_keys: usize,
 }
 
@@ -161,11 +169,12 @@
 
     /// Adds a program that the journal does not know yet.
     pub(crate) fn insert(&mut self, image: ProgramImage, opened: ClockTime) -> ProgramKey {
-        let (program, parent) = (image.program, image.parent);
+        let (program, parent, ended) = (image.program, image.parent, image.ended);
         let keys = image.intents.len();
         let key = self.arena.insert(ProgramEntry::new(image, opened));
         self.index.insert(program, key);
         self.program_keys += keys;
+        self.ended.extend(ended.map(|ended| (ended, key)));
         if let Some(entry) = self.arena.get_mut(key) {
             entry.open_account();
         }
@@ -201,23 +210,39 @@
             (None, JournalRecord::Opened(opened)) => self.insert(ProgramImage::open(opened), now),
             (None, _) => return None,
         };
-        let keys = self.arena.get(key)?.image.intents.len();
+        let image = &self.arena.get(key)?.image;
+        let (keys, ended) = (image.intents.len(), image.ended);
         self.update_account(key, |entry| {
+            let former = entry.image.ceiling;
             entry.image.apply(record, session, sequence);
+            entry.follow_ceiling(former);
             entry.is_journaled = true;
             entry.last_row = sequence;
-            entry.account.durable_ceiling = lesser(entry.account.durable_ceiling, entry.image.ceiling);
         });
-        self.program_keys += self.arena.get(key)?.image.intents.len() - keys;
+        let image = &self.arena.get(key)?.image;
+        self.program_keys += image.intents.len() - keys;
+        if image.ended != ended {
+            ended.map(|ended| self.ended.remove(&(ended, key)));
+            self.ended.extend(image.ended.map(|ended| (ended, key)));
+        }
         Some(key)
     }
 
+    /// Returns the program that ended first and may be evicted.
+    pub(crate) fn oldest_ended(&self, durable_row: u64) -> Option<ProgramKey> {
+        let mut keys = self.ended.iter().map(|&(_, key)| key);
+        keys.find(|&key| {
+            self.arena
+                .get(key)
+                .is_some_and(|entry| entry.is_idle(durable_row))
+        })
+    }
+
     /// Removes a program that has ended. What it spent stays with its parent, and the key of a program of one call is
     /// kept.
     pub(crate) fn evict(&mut self, key: ProgramKey) -> Option<(ProgramImage, Option<RetiredKey>)> {
         let entry = self.arena.remove(key)?;
-        self.index.remove(&entry.image.program);
-        self.program_keys -= entry.image.intents.len();
+        self.forget_entry(key, &entry);
         if let Some(parent) = entry.parent {
             let committed = entry.account.subtree_committed;
             self.leave_lineage(parent, entry.account);
@@ -294,11 +319,12 @@
 
     /// Removes all programs and keys of a shard and returns their images.
     pub(crate) fn remove_shard(&mut self, shard: ShardKey) -> Vec<ProgramEntry> {
-        let keys = self.shard_keys(shard);
-        let entries: Vec<ProgramEntry> = keys.iter().filter_map(|&key| self.arena.remove(key)).collect();
-        for entry in &entries {
-            self.index.remove(&entry.image.program);
-            self.program_keys -= entry.image.intents.len();
+        let mut entries = Vec::new();
+        for key in self.shard_keys(shard) {
+            if let Some(entry) = self.arena.remove(key) {
+                self.forget_entry(key, &entry);
+                entries.push(entry);
+            }
         }
         let retired: Vec<ProgramId> = self
             .retired
@@ -311,6 +337,12 @@
         entries
     }
 
+    fn forget_entry(&mut self, key: ProgramKey, entry: &ProgramEntry) {
+        self.index.remove(&entry.image.program);
+        self.program_keys -= entry.image.intents.len();
+        entry.image.ended.map(|ended| self.ended.remove(&(ended, key)));
+    }
+
     /// Returns the bytes of memory that all programs and keys take.
     pub fn state_bytes(&self) -> usize {
         let programs: usize = self.arena.values().map(ProgramEntry::state_bytes).sum();
--- a/crates/ebony_owner/src/settings.rs
+++ b/crates/ebony_owner/src/settings.rs
@@ -45,7 +45,7 @@
     pub writes_per_second: u32,
     /// Rows between two checkpoints.
     pub checkpoint_rows: u64,
-    /// The most programs in memory, ended ones included.
+    /// The most programs in memory. Ended programs make room for new ones.
     pub max_programs: usize,
     /// The most calls in memory.
     pub max_calls: usize,
--- a/crates/ebony_owner/tests/owner/harness/bench.rs
+++ b/crates/ebony_owner/tests/owner/harness/bench.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use ebony_owner::{OwnerAction, OwnerCore, OwnerEvent, OwnerSettings};
+use ebony_owner::{LiveSession, OwnerAction, OwnerCore, OwnerEvent, OwnerSettings};
 use ebony_types::{CallId, CallerName, ClockTime, ProblemReport, ProgramBudget, ProgramId, SessionId};
 use ebony_wire::{ProgramOperation, ProgramView};
 
@@ -22,14 +22,24 @@
         Self::on_platform(session, settings, FakePlatform::default())
     }
 
+    /// Opens an owner that takes everything over, on a platform where former owners left their state.
     pub(crate) fn on_platform(session: SessionId, settings: OwnerSettings, platform: FakePlatform) -> Self {
+        Self::join(session, settings, platform, vec![live(session, "catania-1")])
+    }
+
+    /// Opens an owner beside other sessions that look live.
+    pub(crate) fn join(
+        session: SessionId,
+        settings: OwnerSettings,
+        platform: FakePlatform,
+        sessions: Vec<LiveSession>,
+    ) -> Self {
         let mut bench = Self {
             core: OwnerCore::open(session, settings, [1; 32]),
             platform,
             now: ClockTime::from_millis(1_000),
             waiting: Vec::new(),
         };
-        let sessions = vec![live(session, "catania-1")];
         bench.send(OwnerEvent::SessionsChanged { sessions });
         bench.pass(Duration::from_secs(1));
         bench
--- a/crates/ebony_owner/tests/owner/harness/platform.rs
+++ b/crates/ebony_owner/tests/owner/harness/platform.rs
@@ -26,6 +26,8 @@
     pub(crate) shards: BTreeMap<ShardKey, (u64, u128, Bytes)>,
     /// Calls with a durable turn.
     pub(crate) recorded: BTreeSet<CallId>,
+    /// The first attempt of each append.
+    appends: BTreeMap<(SessionId, u64), AppendRow>,
     pub(crate) writes: u64,
     pub(crate) is_down: bool,
 }
@@ -78,6 +80,11 @@
 
     fn append(&mut self, session: SessionId, append: &AppendRow, fault: Fault) -> OwnerEvent {
         let sequence = append.sequence;
+        let first = self
+            .appends
+            .entry((session, sequence))
+            .or_insert_with(|| append.clone());
+        assert_eq!(first, append, "a repeated append differs from its first attempt");
         let outcome = match fault {
             Fault::Refused => AppendOutcome::Unavailable,
             _ => self.create_row(session, append),
--- a/crates/ebony_owner/tests/owner/intents.rs
+++ b/crates/ebony_owner/tests/owner/intents.rs
@@ -124,6 +124,29 @@
     insta::assert_debug_snapshot!(answers(&actions));
 }
 
+/// Guards the key of a program of one call that was evicted: only a checkpoint still has it when its owner is lost.
+#[test]
+fn retired_key_survives_its_owner() {
+    let settings = OwnerSettings {
+        checkpoint_rows: 1,
+        ..settings(64)
+    };
+    let mut bench = SoloBench::open(session(1), settings.clone());
+    send_order(&mut bench, order(1, None, "pay"));
+    bench.send(finished(call(1), "paid"));
+    bench.pass(Duration::from_secs(700));
+    assert_eq!(bench.core.report().programs_ended, 0);
+    for (number, name) in [(2, "a"), (3, "b"), (4, "c")] {
+        send_order(&mut bench, order(number, None, name));
+        bench.send(finished(call(number), "done"));
+        bench.pass(SOON);
+    }
+    let platform: FakePlatform = std::mem::take(&mut bench.platform);
+    let mut successor = SoloBench::on_platform(session(2), settings, platform);
+    let repeat = send_order(&mut successor, order(5, None, "pay"));
+    assert_eq!(replayed(&successor, &repeat), "paid");
+}
+
 /// Guards the bound of the table: forgetting a key could run its request twice.
 #[test]
 fn full_table_refuses_further_keys() {
--- a/crates/ebony_owner/tests/owner/main.rs
+++ b/crates/ebony_owner/tests/owner/main.rs
@@ -3,4 +3,6 @@
 mod harness;
 mod intents;
 mod journal;
+mod model;
 mod programs;
+mod takeover;
--- a/crates/ebony_owner/tests/owner/programs.rs
+++ b/crates/ebony_owner/tests/owner/programs.rs
@@ -151,6 +151,68 @@
     assert_eq!(bench.show(right).state, "cancelled");
 }
 
+/// Opens a program for four calls with two children. Each of the three reserves one call ahead.
+fn bench_with_children() -> SoloBench {
+    let mut bench = bench();
+    let budget = ProgramBudget {
+        tokens: 640,
+        calls: 4,
+        ..ProgramBudget::default()
+    };
+    for (number, parent) in [(1, None), (2, Some(program(0, 1))), (3, Some(program(0, 1)))] {
+        bench
+            .open_program(program(0, number), parent, budget)
+            .expect("room for a program");
+    }
+    bench
+}
+
+fn run(bench: &mut SoloBench, number: u64, child: u8) {
+    let actions = bench.send(arrived(chat(number, Some(program(0, child)), &["hi"])));
+    assert_eq!(dispatched(&actions), [call(number)]);
+    bench.send(finished(call(number), "ok"));
+}
+
+/// Guards the budget through a failover: a block that was returned for a sibling must not be spent before it is reserved
+/// again, because a successor no longer counts it.
+#[test]
+fn returned_block_is_reserved_again_before_it_is_spent() {
+    let mut bench = bench_with_children();
+    for number in 1..=2 {
+        run(&mut bench, number, 3);
+        bench.pass(SOON);
+    }
+    bench.platform.is_down = true;
+    let mut actions = bench.send(arrived(chat(3, Some(program(0, 3)), &["hi"])));
+    actions.extend(bench.send(arrived(chat(4, Some(program(0, 2)), &["hi"]))));
+    assert_eq!(
+        dispatched(&actions),
+        [],
+        "the block of one child is on its way to the other"
+    );
+    bench.platform.is_down = false;
+    bench.fail_waiting(Fault::Refused);
+    assert_eq!(dispatched(&bench.pass(SOON)), [call(3), call(4)]);
+}
+
+/// Guards the same promise where the record of the block becomes durable only after the block was returned.
+#[test]
+fn late_record_of_a_returned_block_does_not_revive_it() {
+    let mut bench = bench_with_children();
+    bench.platform.is_down = true;
+    run(&mut bench, 1, 2);
+    run(&mut bench, 2, 3);
+    let waiting = bench.send(arrived(chat(3, Some(program(0, 3)), &["hi"])));
+    bench.platform.is_down = false;
+    let first_row = bench.fail_waiting(Fault::None);
+    assert_eq!(answers(&first_row), [format!("{} finish", call(1))]);
+    bench.platform.is_down = true;
+    let late = bench.send(arrived(chat(4, Some(program(0, 2)), &["hi"])));
+    assert_eq!((dispatched(&waiting), dispatched(&late)), (vec![], vec![]));
+    bench.platform.is_down = false;
+    assert_eq!(dispatched(&bench.pass(SOON)), [call(3), call(4)]);
+}
+
 /// Guards the limits that end a program by themselves.
 #[test]
 fn time_turns_and_depth_are_limited() {
@@ -198,6 +260,29 @@
     );
 }
 
+/// Guards against programs that have ended and are only kept to be shown, but keep new ones out.
+#[test]
+fn only_programs_in_progress_take_the_room_of_others() {
+    let settings = OwnerSettings {
+        shard_count: 1,
+        max_programs: 2,
+        ..OwnerSettings::default()
+    };
+    let mut bench = SoloBench::open(session(1), settings);
+    let mut lines = Vec::new();
+    for number in 1..=5 {
+        let mut actions = bench.send(arrived(chat(number, None, &["hi"])));
+        actions.extend(bench.send(finished(call(number), "ok")));
+        actions.extend(bench.pass(SOON));
+        lines.extend(answers(&actions));
+    }
+    for number in 6..=8 {
+        lines.extend(answers(&bench.send(arrived(chat(number, None, &["hi"])))));
+    }
+    insta::assert_debug_snapshot!(lines);
+    assert_eq!(bench.platform.bodies.len(), 0, "bodies go with their programs");
+}
+
 /// Guards the promise of the journal during an outage: model calls run on, nothing is finished or run with a key, the
 /// buffer is bounded, and everything is finished afterwards.
 #[test]
