Dial a drained host again and let a drain end without a lost entry

Two causes: - A host whose side process had announced its drain was not dialed again once its calls could no longer resume (30 s), because the announcement outlived the process, and failures at its earlier address kept delaying dials at the new one. The announcement now ends with the life of the process, and another address starts anew. The new test failed before in both variants. - A drain took its full 30 s, because the answer of a call whose entry had been replaced was never taken. An answer that no entry asks for now holds a drain for at most 5 s. Ruled out: the configuration itself; no entry had a link to the process.

--- a/crates/ebony_membership/src/dialed_link.rs
+++ b/crates/ebony_membership/src/dialed_link.rs
@@ -179,6 +179,14 @@
         self.phase = LinkPhase::Absent(AbsentLink { lost, dial });
     }
 
+    /// Notes that the host has another address: failures at the earlier one say nothing about it.
+    pub fn moved(&mut self, now: ClockTime) {
+        self.backoff = DialBackoff::default();
+        if let LinkPhase::Absent(absent) = &mut self.phase {
+            absent.dial = DialState::Waiting { until: now };
+        }
+    }
+
     /// Returns what the link needs now. `may_dial` says whether the host should be dialed.
     pub fn tick(&mut self, may_dial: bool, now: ClockTime, source: &mut ChaCha8Rng) -> Option<LinkStep> {
         match self.phase {
--- a/crates/ebony_membership/src/targets/apply.rs
+++ b/crates/ebony_membership/src/targets/apply.rs
@@ -71,7 +71,12 @@
     fn apply_hint(&mut self, hint: HostHint, now: ClockTime) {
         if let Some(member) = self.member_mut(&hint.host) {
             member.is_listed_leaving = hint.is_leaving;
-            member.address = hint.address;
+            if member.address != hint.address {
+                member.address = hint.address;
+                member.link.moved(now);
+                // Another process stands at another address.
+                member.has_announced_drain &= !member.link.is_absent();
+            }
             if member.link.is_absent() {
                 member.domain = hint.domain;
             }
--- a/crates/ebony_membership/src/targets/review.rs
+++ b/crates/ebony_membership/src/targets/review.rs
@@ -64,6 +64,8 @@
             self.needs_plan = true;
         }
         if let Some(incarnation) = member.link.expire_lost(now) {
+            // The announcement was that of the life that is over; a listed host may have a successor.
+            member.has_announced_drain = false;
             self.needs_plan = true;
             self.end_life(key, incarnation, decisions);
         }
--- a/crates/ebony_membership/tests/targets.rs
+++ b/crates/ebony_membership/tests/targets.rs
@@ -395,3 +395,40 @@
     assert!(most <= 24, "{most}");
     assert_eq!(registry.phase(&host(HOSTS + 1), now), SidePhase::Gone);
 }
+
+/// Guards against a host that is never dialed again after its process drained and was gone for longer than calls resume.
+#[test]
+fn a_drained_host_is_dialed_again_for_its_successor() {
+    for has_moved in [false, true] {
+        let mut registry = open_registry();
+        let mut now = ClockTime::from_millis(1_000);
+        let mut listed = hint(1, false);
+        registry.apply(TargetEvent::HostsListed(vec![listed.clone()]), now);
+        registry.apply(TargetEvent::Tick, now);
+        let up = TargetEvent::LinkUp {
+            host: host(1),
+            incarnation: life(1),
+        };
+        registry.apply(up, now);
+        registry.apply(welcome(1, false), now);
+        registry.apply(TargetEvent::DrainAnnounced { host: host(1) }, now);
+        registry.apply(TargetEvent::LinkDown { host: host(1) }, now);
+        if has_moved {
+            listed.address = ([127, 0, 0, 1], 9_999).into();
+        }
+        let mut dials = 0;
+        for _ in 0..400 {
+            now = now + TICK;
+            let list = TargetEvent::HostsListed(vec![listed.clone()]);
+            let mut decisions = registry.apply(list, now);
+            decisions.extend(registry.apply(TargetEvent::Tick, now));
+            for decision in decisions {
+                if let TargetDecision::Dial { host, .. } = decision {
+                    dials += u32::from(now > ClockTime::from_millis(60_000));
+                    registry.apply(TargetEvent::LinkDown { host }, now);
+                }
+            }
+        }
+        assert!(dials > 0, "moved: {has_moved}");
+    }
+}
--- a/crates/ebony_side/src/actor/accept.rs
+++ b/crates/ebony_side/src/actor/accept.rs
@@ -37,7 +37,8 @@
             .links
             .insert(peer.process.clone(), sender, self.drain.is_draining());
         if let Some(older) = older {
-            self.deliveries.lose_link(older);
+            let now = self.now();
+            self.deliveries.lose_link(older, now);
         }
         info!(self.logger, "link from entry opened"; "entry" => peer.process, "is_newer" => older.is_some());
         self.drain.add_stream();
@@ -77,7 +78,8 @@
             self.drain.remove_stream();
             if self.links.remove(event.key) {
                 warn!(self.logger, "link from entry lost");
-                self.deliveries.lose_link(event.key);
+                let now = self.now();
+                self.deliveries.lose_link(event.key, now);
             }
             self.check_drained();
             return;
--- a/crates/ebony_side/src/actor/delivery.rs
+++ b/crates/ebony_side/src/actor/delivery.rs
@@ -6,7 +6,7 @@
 use actix::{AsyncContext, Context};
 use ebony_ledger::{AnswerCursor, CallState, ResumeDecision};
 use ebony_link::LinkError;
-use ebony_types::{CallId, ProblemCode, ProblemReport, RunVerdict};
+use ebony_types::{CallId, ClockTime, ProblemCode, ProblemReport, RunVerdict};
 use ebony_wire::SideFrame;
 
 use super::SideActor;
@@ -15,9 +15,15 @@
 /// The wait before an answer goes on whose link had a full send queue.
 const FULL_QUEUE_WAIT: Duration = Duration::from_millis(10);
 
+/// The longest time for which a draining process keeps an answer that no entry asks for. Its entry was replaced, or it
+/// would have resumed the answer by now.
+const DETACHED_TIME: Duration = Duration::from_secs(5);
+
 struct AnswerDelivery {
     /// `None` while no link has asked for the answer.
     link: Option<LinkKey>,
+    /// Since when no link has asked for it.
+    detached_at: Option<ClockTime>,
     cursor: AnswerCursor,
 }
 
@@ -34,13 +40,22 @@
     pub(super) fn open(&mut self, call: CallId, link: LinkKey) {
         let cursor = AnswerCursor::open(call);
         let link = Some(link);
-        self.deliveries.insert(call, AnswerDelivery { link, cursor });
+        self.deliveries.insert(
+            call,
+            AnswerDelivery {
+                link,
+                detached_at: None,
+                cursor,
+            },
+        );
     }
 
     /// Stops the deliveries on a link until they are resumed.
-    pub(super) fn lose_link(&mut self, link: LinkKey) {
-        for delivery in self.deliveries.values_mut() {
-            delivery.link = delivery.link.filter(|present| *present != link);
+    pub(super) fn lose_link(&mut self, link: LinkKey, now: ClockTime) {
+        let lost = |delivery: &&mut AnswerDelivery| delivery.link == Some(link);
+        for delivery in self.deliveries.values_mut().filter(lost) {
+            delivery.link = None;
+            delivery.detached_at = Some(now);
         }
     }
 
@@ -48,11 +63,12 @@
         self.deliveries.remove(&call)?.link
     }
 
-    /// Returns `true` if every answer was sent to its end.
-    pub(super) fn are_sent(&self) -> bool {
+    /// Returns `true` if every answer was sent to its end, or its entry is gone.
+    pub(super) fn are_sent(&self, now: ClockTime) -> bool {
+        let is_orphan = |since: ClockTime| now.since(since) >= DETACHED_TIME;
         self.deliveries
             .values()
-            .all(|delivery| delivery.cursor.is_ended())
+            .all(|delivery| delivery.cursor.is_ended() || delivery.detached_at.is_some_and(is_orphan))
     }
 }
 
@@ -163,6 +179,7 @@
             ResumeDecision::Continue => {
                 let delivery = AnswerDelivery {
                     link: Some(link),
+                    detached_at: None,
                     cursor: AnswerCursor::resume(call, offset),
                 };
                 self.deliveries.deliveries.insert(call, delivery);
