Leave KV cache to the engine's eviction when its pin ends

A lost edit released it instead, and polling could loop for ever if a due time did not move forward.

--- a/crates/ebony_policy/src/admission/mod.rs
+++ b/crates/ebony_policy/src/admission/mod.rs
@@ -19,6 +19,7 @@
 pub use self::options::AdmissionOptions;
 use self::waiting_room::{CallerKey, SizeClass, WaitingProgram, WaitingRoom};
 use crate::drain_rate::DrainRate;
+use crate::speed::bounded_tokens;
 
 /// The time constant of the rate at which programs end. Programs take a minute or two.
 const DRAIN_WINDOW: Duration = Duration::from_secs(60);
@@ -228,7 +229,7 @@
             return;
         };
         self.discount_memory(&seat);
-        seat.kv_tokens = kv_tokens;
+        seat.kv_tokens = bounded_tokens(kv_tokens);
         self.count_memory(&seat);
         self.programs.insert(program, seat);
     }
@@ -236,7 +237,7 @@
     /// Sets what the targets have for this entry's programs: tokens of KV cache, and calls at once. With several
     /// entries it is this entry's part.
     pub fn set_capacity(&mut self, kv_limit_tokens: u64, slots: u32) {
-        self.kv_limit_tokens = Some(kv_limit_tokens);
+        self.kv_limit_tokens = Some(bounded_tokens(kv_limit_tokens));
         self.limit.set_floor(slots);
     }
 
@@ -322,6 +323,7 @@
     }
 
     fn seat(&mut self, program: ProgramId, caller: CallerKey, kv_tokens: u64) {
+        let kv_tokens = bounded_tokens(kv_tokens);
         let seat = ProgramSeat {
             caller,
             kv_tokens,
--- a/crates/ebony_policy/src/cache_model.rs
+++ b/crates/ebony_policy/src/cache_model.rs
@@ -12,6 +12,7 @@
 use slotmap::SecondaryMap;
 
 use crate::placement::TargetKey;
+use crate::speed::bounded_tokens;
 
 /// Options of a [`CacheModel`].
 #[derive(Clone, Debug, PartialEq)]
@@ -227,6 +228,7 @@
     ) {
         self.forget(program);
         self.next_use += 1;
+        let tokens = bounded_tokens(tokens);
         let entry = PrefixEntry {
             tokens,
             touched,
@@ -252,7 +254,7 @@
     fn count_losses(&mut self, sequence: u64) {
         match self.last_sequence {
             Some(last) if sequence > last => {
-                self.lost_events += sequence - last - 1;
+                self.lost_events = self.lost_events.saturating_add(sequence - last - 1);
                 self.last_sequence = Some(sequence);
             }
             Some(_) => {}
--- a/crates/ebony_policy/src/placement/load_view.rs
+++ b/crates/ebony_policy/src/placement/load_view.rs
@@ -9,7 +9,7 @@
 use ebony_types::ClockTime;
 use ebony_wire::LoadReport;
 
-use crate::speed::EngineSpeed;
+use crate::speed::{EngineSpeed, bounded_tokens};
 
 /// The most changes of one's own that are remembered between two reports; older ones merge into a sum. At 2.7 calls
 /// a second and target, and a report a second, fewer than ten occur.
@@ -186,8 +186,7 @@
     }
 }
 
-/// Converts a number of tokens for sums; the bound keeps sums of malformed reports from overflowing.
+/// Converts a number of tokens for sums.
 fn signed(tokens: u64) -> i64 {
-    const MAX_TOKENS: u64 = 1 << 48;
-    i64::try_from(tokens.min(MAX_TOKENS)).unwrap_or(0)
+    i64::try_from(bounded_tokens(tokens)).unwrap_or(i64::MAX)
 }
--- a/crates/ebony_policy/src/queue/mod.rs
+++ b/crates/ebony_policy/src/queue/mod.rs
@@ -19,6 +19,7 @@
 pub use self::options::{QueueOptions, QueueOrder};
 use self::rank::CallRank;
 use crate::drain_rate::DrainRate;
+use crate::speed::bounded_tokens;
 
 slotmap::new_key_type! {
     /// Names a waiting call.
@@ -153,7 +154,8 @@
     ///
     /// Returns [`QueueRefusal`] if the caller has used up its room or the call would miss its deadline. The call has
     /// not run and will not.
-    pub fn push(&mut self, call: QueuedCall, now: ClockTime) -> Result<QueueKey> {
+    pub fn push(&mut self, mut call: QueuedCall, now: ClockTime) -> Result<QueueKey> {
+        call.cost_tokens = bounded_tokens(call.cost_tokens);
         self.sweep(now);
         self.check_room(&call, now)?;
         self.next_sequence += 1;
@@ -190,7 +192,10 @@
         self.sweep(now);
         let patience = Duration::from_millis(u64::from(self.options.bypass_ms));
         let mut chosen = None;
-        for key in self.flows.first_calls(self.options.bypass_calls + 1) {
+        for key in self
+            .flows
+            .first_calls(self.options.bypass_calls.saturating_add(1))
+        {
             let waiting = &self.calls[key];
             let waited = now.since(waiting.arrived);
             if fits(&waiting.call, waited) {
--- a/crates/ebony_policy/src/retention/held_table.rs
+++ b/crates/ebony_policy/src/retention/held_table.rs
@@ -11,6 +11,8 @@
 use slotmap::SlotMap;
 
 use super::RetentionOptions;
+use crate::speed::bounded_tokens;
+
 use super::held_state::{HeldEntry, HeldState, PendingRelease};
 
 slotmap::new_key_type! {
@@ -141,7 +143,7 @@
             return Vec::new();
         }
         self.change(key, |entry| {
-            entry.tokens = tokens;
+            entry.tokens = bounded_tokens(tokens);
             entry.lease_until = lease_until;
             entry.state = HeldState::Paused {
                 back_at: lease_until,
@@ -273,7 +275,7 @@
             let has_room = self.entries.len() < self.options.held_programs;
             if has_room && !self.by_program.contains_key(&listed.program) {
                 let key = self.entry(listed.program, now);
-                self.change(key, |entry| entry.tokens = listed.tokens);
+                self.change(key, |entry| entry.tokens = bounded_tokens(listed.tokens));
             }
         }
     }
@@ -314,28 +316,45 @@
 
     /// Returns the orders that are due: ends of pins, releases of programs whose lease ended, and repeated releases.
     pub fn poll(&mut self, now: ClockTime) -> Vec<HeldOrder> {
-        let mut orders = Vec::new();
-        while let Some((due, key)) = self.by_due.first().copied()
-            && due <= now
-        {
-            let entry = self.entries[key];
-            match entry.state {
-                // A running call is proof enough that the program lives.
-                HeldState::Running { .. } => {
-                    let lease_until = now + self.lease();
-                    self.change(key, |entry| entry.lease_until = lease_until);
-                }
-                HeldState::Exported {
-                    release: Some(pending),
-                } if entry.lease_until > now => {
-                    let release = Some(self.pending_release(pending.attempts, now));
-                    self.change(key, |entry| entry.state = HeldState::Exported { release });
-                    orders.push(HeldOrder::Release(entry.program));
-                }
-                _ => orders.extend(self.begin_release(key, now)),
+        let due = self.by_due.iter().take_while(|(due, _)| *due <= now);
+        let keys: Vec<HeldKey> = due.map(|(_, key)| *key).collect();
+        keys.into_iter().flat_map(|key| self.attend(key, now)).collect()
+    }
+
+    /// Does what is due for one program.
+    fn attend(&mut self, key: HeldKey, now: ClockTime) -> Vec<HeldOrder> {
+        let HeldEntry {
+            program,
+            state,
+            lease_until,
+            ..
+        } = self.entries[key];
+        let is_leased = lease_until > now;
+        match state {
+            // A running call is proof enough that the program lives.
+            HeldState::Running { .. } => {
+                let lease_until = now + self.lease();
+                self.change(key, |entry| entry.lease_until = lease_until);
+                Vec::new()
             }
+            HeldState::Paused { back_at, .. } if is_leased => {
+                self.change(key, |entry| {
+                    entry.state = HeldState::Paused {
+                        back_at,
+                        pinned_until: None,
+                    };
+                });
+                vec![HeldOrder::Unpin(program)]
+            }
+            HeldState::Exported {
+                release: Some(pending),
+            } if is_leased => {
+                let release = Some(self.pending_release(pending.attempts, now));
+                self.change(key, |entry| entry.state = HeldState::Exported { release });
+                vec![HeldOrder::Release(program)]
+            }
+            _ => self.begin_release(key, now),
         }
-        orders
     }
 
     /// Returns the time at which [`HeldTable::poll`] has something to do.
--- a/crates/ebony_policy/src/speed.rs
+++ b/crates/ebony_policy/src/speed.rs
@@ -72,6 +72,15 @@
     }
 }
 
+/// The most tokens that one figure from outside may say, 540,000 being the longest history. The bound keeps sums of
+/// malformed figures from overflowing.
+const MAX_TOKENS: u64 = 1 << 40;
+
+/// Bounds a number of tokens that comes from outside.
+pub(crate) fn bounded_tokens(tokens: u64) -> u64 {
+    tokens.min(MAX_TOKENS)
+}
+
 /// Converts seconds to a duration; negative and undefined values become zero.
 pub(crate) fn duration_of(seconds: f64) -> Duration {
     Duration::try_from_secs_f64(seconds.max(0.0)).unwrap_or(Duration::MAX)
--- a/crates/ebony_policy/tests/retention.rs
+++ b/crates/ebony_policy/tests/retention.rs
@@ -179,6 +179,24 @@
     assert_eq!(orders, vec![HeldOrder::Release(program(2))]);
 }
 
+/// The end of a pin leaves the KV cache to the engine's eviction; only the end of the lease releases it.
+#[test]
+fn a_pin_ends_before_its_lease() {
+    let mut table = HeldTable::open(RetentionOptions::default());
+    let now = ClockTime::from_millis(0);
+    table.start_call(program(1), now);
+    table.end_call(program(1), 1_000, now);
+    let seconds = Duration::from_secs;
+    assert_eq!(
+        table.retain(program(1), seconds(2), seconds(5), now),
+        [HeldOrder::Pin(program(1))]
+    );
+    assert_eq!(table.poll(now + seconds(6)), [HeldOrder::Unpin(program(1))]);
+    table.vouch(&[program(1)], now + seconds(20));
+    assert_eq!(table.poll(now + seconds(31)), []);
+    assert_eq!(table.poll(now + seconds(51)), [HeldOrder::Release(program(1))]);
+}
+
 /// Memory is made by those that are expected back last, and the program that needs it keeps its own.
 #[test]
 fn room_is_made_by_the_last_to_return() {
