--- a/crates/ebony_policy/src/placement/mod.rs
+++ b/crates/ebony_policy/src/placement/mod.rs
@@ -198,21 +198,21 @@
 
     /// Records that a call was sent to a target.
     pub fn record_dispatch(&mut self, target: TargetKey, work: CallWork, now: ClockTime) {
-        if let Some(load) = self.table.load_mut(target) {
+        if let Some(load) = self.own_account(target) {
             load.record_dispatch(work, now);
         }
     }
 
     /// Records a call's first token, after which its prefill no longer delays others.
     pub fn record_first_token(&mut self, target: TargetKey, uncached_tokens: u64, now: ClockTime) {
-        if let Some(load) = self.table.load_mut(target) {
+        if let Some(load) = self.own_account(target) {
             load.record_first_token(uncached_tokens, now);
         }
     }
 
     /// Records that a call ended, however it ended.
     pub fn record_end(&mut self, target: TargetKey, now: ClockTime) {
-        if let Some(load) = self.table.load_mut(target) {
+        if let Some(load) = self.own_account(target) {
             load.record_end(now);
         }
     }
@@ -238,11 +238,7 @@
 
     /// Applies a load report.
     pub fn apply_report(&mut self, target: TargetKey, report: &LoadReport, now: ClockTime) {
-        let lag = if self.options.optimistic {
-            Duration::from_millis(u64::from(self.options.report_lag_ms))
-        } else {
-            Duration::ZERO
-        };
+        let lag = Duration::from_millis(u64::from(self.options.report_lag_ms));
         if let Some(load) = self.table.load_mut(target) {
             load.apply_report(report, &self.speed, lag, now);
         }
@@ -271,6 +267,12 @@
         Some(estimate_finish(&self.speed, load, size, cached_tokens, pace))
     }
 
+    /// Returns the load of a target for counting own calls; `None` if they do not count.
+    fn own_account(&mut self, target: TargetKey) -> Option<&mut LoadView> {
+        let load = self.table.load_mut(target);
+        load.filter(|_| self.options.optimistic)
+    }
+
     fn place_by_cost(
         &self,
         request: &PlacementRequest<'_>,
--- a/crates/ebony_policy/src/placement/options.rs
+++ b/crates/ebony_policy/src/placement/options.rs
@@ -30,7 +30,7 @@
     pub samples: usize,
     /// Whether the program's last target and the one with its retained KV cache are candidates.
     pub affinity: bool,
-    /// Whether own dispatches count between load reports.
+    /// Whether own calls count between load reports.
     pub optimistic: bool,
     /// Whether the measured pace of a target scales its estimate.
     pub measured_pace: bool,
