--- a/examples/quickstart.rs
+++ b/examples/quickstart.rs
@@ -11,11 +11,9 @@
 use anyhow::{Context, Result, ensure};
 use ebony_entry::EntryProcess;
 use ebony_fleet::caller::{CallReply, CallerClient, chat_body};
-use ebony_fleet::document::{CALLER_KEY, DocumentOptions, fleet_document};
+use ebony_fleet::document::{CALLER_KEY, DocumentOptions, OPERATOR_KEY, fleet_document};
 use ebony_fleet::settings::{FleetTimes, PlatformUrls, TargetPlan, entry_settings, side_settings};
-use ebony_platform::{
-    HostEntry, HostRole, HostState, HttpTable, RequestLimits, RowKey, TableService, WriteNonce,
-};
+use ebony_platform::{HostEntry, HostRole, HostState};
 use ebony_settings::ProcessSettings;
 use ebony_side::SideProcess;
 use ebony_standins::engine::{ChatRequest, EchoAnswer, EngineOptions};
@@ -51,6 +49,7 @@
     // Dropping the guard ends the log.
     _guard: LoggerGuard,
     callers: SocketAddr,
+    administration: SocketAddr,
     metrics: SocketAddr,
 }
 
@@ -59,6 +58,7 @@
     let folder = tempfile::tempdir()?;
     let surroundings = start_surroundings().await?;
     let processes = start_processes(folder.path(), &surroundings).await?;
+    write_configuration(processes.administration).await?;
     wait_ready(processes.metrics).await?;
     println!("1. One entry and two side processes run on loopback, before one engine and one service.");
     println!("   Callers reach the entry at http://{}.", processes.callers);
@@ -88,7 +88,6 @@
         ..ServiceOptions::default()
     };
     let service = standins.add("service", StandinOptions::Service(service))?;
-    write_configuration(&urls.table).await?;
     Ok(Surroundings {
         _standins: standins,
         urls,
@@ -99,18 +98,23 @@
 }
 
 /// Writes the first configuration: which callers, models and services are in force.
-async fn write_configuration(table: &str) -> Result<()> {
+async fn write_configuration(administration: SocketAddr) -> Result<()> {
     let document = fleet_document(&DocumentOptions {
         models: &[MODEL.to_owned()],
         service: SERVICE,
         callers: &[],
         defaults: &json!({}),
     })?;
-    let table = HttpTable::open(table, RequestLimits::for_platform())?;
-    let key = RowKey("config/current".to_owned());
-    table
-        .create(&key, document.encode().into(), WriteNonce(1))
+    let body = json!({"expected": 0, "summary": "first configuration", "document": document}).to_string();
+    let operator = CallerClient::open(administration, OPERATOR_KEY);
+    let reply = operator
+        .send("PUT", "/v1/config", None, None, body.into())
         .await?;
+    ensure!(
+        reply.status == 200,
+        "the first configuration was refused: {}",
+        reply.json()
+    );
     Ok(())
 }
 
@@ -143,6 +147,7 @@
     Ok(Processes {
         _guard: guard,
         callers: addresses.callers,
+        administration: addresses.administration,
         metrics: addresses.metrics,
     })
 }
