Share the code for clocks, names, owner lookup and row copies

Cause: parts that were built side by side hold the same logic twice or more often: the process clock and the time of day (8 places), the type of checked names (3), the wait for a shard's owner (2), the answer to a refused call (2), the read-back after a lost table reply (2), the turn from an append to a held copy (2), and the choice of linked peers (3).

Change: ebony_telemetry::ProcessClock and since_epoch, ebony_types::name_type!, caller_api::routing, CallerState::refuse, table::resolve, copies::held_of and PeerActor::linked_peers serve all of them. Tests are unchanged.

Conclusion: behaviour is unchanged; one place decides what a name may hold and how a time is read.

--- a/crates/ebony_entry/src/burn.rs
+++ b/crates/ebony_entry/src/burn.rs
@@ -1,7 +1,6 @@
 //! Service-level objectives as this entry measures them.
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Instant;
 
 use ebony_burn::objective::ALL_PPM;
 use ebony_burn::{
@@ -9,6 +8,7 @@
     ObjectiveException, SloCatalog,
 };
 use ebony_config::{ConfigDocument, GroupObjective, LatencyObjective};
+use ebony_telemetry::ProcessClock;
 use ebony_types::ClockTime;
 
 /// The counters of this entry. Clones share them.
@@ -21,7 +21,7 @@
     deployment: LabelName,
     ledger: BurnLedger,
     catalog: SloCatalog,
-    started: Instant,
+    clock: ProcessClock,
 }
 
 /// The result of opening the counters.
@@ -41,7 +41,7 @@
             deployment,
             ledger,
             catalog,
-            started: Instant::now(),
+            clock: ProcessClock::start(),
         };
         Ok(Self {
             state: Arc::new(Mutex::new(state)),
@@ -126,6 +126,6 @@
 
 impl BurnState {
     fn now(&self) -> ClockTime {
-        ClockTime::from_micros(u64::try_from(self.started.elapsed().as_micros()).unwrap_or(u64::MAX))
+        self.clock.now()
     }
 }
--- a/crates/ebony_entry/src/caller_api/chat.rs
+++ b/crates/ebony_entry/src/caller_api/chat.rs
@@ -9,7 +9,6 @@
 
 use super::auth::authenticate;
 use super::body::read_body;
-use super::problem::problem_response;
 use super::start::{CallHeaders, run_call};
 use super::state::CallerState;
 
@@ -34,17 +33,8 @@
     payload: Payload,
     state: Data<CallerState>,
 ) -> HttpResponse {
-    match accept(&request, payload, &state).await {
-        Ok(response) => response,
-        Err(problem) => {
-            state
-                .metrics
-                .calls
-                .with_label_values(&["model", problem.code.as_str()])
-                .inc();
-            problem_response(&problem)
-        }
-    }
+    let accepted = accept(&request, payload, &state).await;
+    accepted.unwrap_or_else(|problem| state.refuse("model", &problem))
 }
 
 async fn accept(request: &HttpRequest, payload: Payload, state: &Data<CallerState>) -> Result<HttpResponse> {
--- a/crates/ebony_entry/src/caller_api/mod.rs
+++ b/crates/ebony_entry/src/caller_api/mod.rs
@@ -7,6 +7,7 @@
 mod models;
 mod problem;
 mod program;
+mod routing;
 mod server;
 mod service;
 mod start;
--- a/crates/ebony_entry/src/caller_api/program.rs
+++ b/crates/ebony_entry/src/caller_api/program.rs
@@ -13,6 +13,7 @@
 use super::body::read_body;
 use super::chat::BODY_TIMEOUT;
 use super::problem::problem_response;
+use super::routing::{is_moved, pause, unknown_owner};
 use super::state::CallerState;
 use crate::peers::{ForwardOperation, OperateProgram, ShardRoute};
 
@@ -22,9 +23,6 @@
 /// The longest wait for an operation.
 const OPERATION_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// The least time between two attempts to reach an owner.
-const ROUTE_RETRY: Duration = Duration::from_millis(20);
-
 /// The result of an operation.
 pub(crate) type Result<T, E = ProblemReport> = std::result::Result<T, E>;
 
@@ -153,18 +151,14 @@
     let give_up = Instant::now() + OPERATION_TIMEOUT;
     loop {
         let limit = give_up.saturating_duration_since(Instant::now());
-        let unavailable = || {
-            let detail = "the owner of the program is not known at present";
-            ProblemReport::not_run(ProblemCode::OwnerUnavailable, detail).retry_after(1)
-        };
         let route = state
             .router
             .wait_route(operation.program().shard(), limit)
             .await
-            .ok_or_else(unavailable)?;
+            .ok_or_else(unknown_owner)?;
         match send(state, route, operation.clone(), limit).await {
             Err(problem) if is_moved(&problem) && Instant::now() < give_up => {
-                tokio::time::sleep(ROUTE_RETRY).await;
+                pause().await;
             }
             result => return result,
         }
@@ -197,14 +191,6 @@
     }
 }
 
-fn is_moved(problem: &ProblemReport) -> bool {
-    let is_moving = matches!(
-        problem.code,
-        ProblemCode::OwnerUnavailable | ProblemCode::Draining
-    );
-    is_moving && problem.run.is_safe_to_retry()
-}
-
 fn respond(status: StatusCode, result: Result<Box<ProgramView>>) -> HttpResponse {
     match result {
         Ok(view) => HttpResponse::build(status).json(view_json(&view)),
--- a/crates/ebony_entry/src/caller_api/service.rs
+++ b/crates/ebony_entry/src/caller_api/service.rs
@@ -9,7 +9,6 @@
 use super::auth::authenticate;
 use super::body::read_body;
 use super::chat::BODY_TIMEOUT;
-use super::problem::problem_response;
 use super::start::{CallHeaders, run_call};
 use super::state::CallerState;
 
@@ -40,17 +39,8 @@
 
 /// Handles any method on `/v1/services/{service}/{path}`.
 pub(super) async fn call(request: HttpRequest, payload: Payload, state: Data<CallerState>) -> HttpResponse {
-    match accept(&request, payload, &state).await {
-        Ok(response) => response,
-        Err(problem) => {
-            state
-                .metrics
-                .calls
-                .with_label_values(&["service", problem.code.as_str()])
-                .inc();
-            problem_response(&problem)
-        }
-    }
+    let accepted = accept(&request, payload, &state).await;
+    accepted.unwrap_or_else(|problem| state.refuse("service", &problem))
 }
 
 async fn accept(request: &HttpRequest, payload: Payload, state: &Data<CallerState>) -> Result<HttpResponse> {
--- a/crates/ebony_entry/src/caller_api/start.rs
+++ b/crates/ebony_entry/src/caller_api/start.rs
@@ -13,6 +13,7 @@
 };
 
 use super::answer::{AnswerReader, CallLabels, answer_response, fail};
+use super::routing::{is_moved, pause, unknown_owner};
 use super::state::CallerState;
 use crate::answer::{AnswerPart, AnswerPipe};
 use crate::peers::{ForwardCall, ShardRoute, StartCall};
@@ -20,9 +21,6 @@
 /// The longest wait for the owner of a shard, for example while it moves to another entry.
 const ROUTE_WAIT: Duration = Duration::from_secs(10);
 
-/// The least time between two attempts to reach an owner.
-const ROUTE_RETRY: Duration = Duration::from_millis(20);
-
 /// Time for the owner's own answer to arrive before the receiving entry ends a call at its deadline.
 const DEADLINE_GRACE: Duration = Duration::from_millis(500);
 
@@ -135,11 +133,7 @@
             .saturating_duration_since(Instant::now())
             .min(reader.remaining());
         let Some(route) = state.router.wait_route(program.shard(), limit).await else {
-            let detail = "the owner of the program is not known at present";
-            return Err((
-                reader,
-                ProblemReport::not_run(ProblemCode::OwnerUnavailable, detail).retry_after(1),
-            ));
+            return Err((reader, unknown_owner()));
         };
         request.timeout_ms = u32::try_from(reader.remaining().as_millis())
             .unwrap_or(MAX_TIMEOUT_MS)
@@ -149,7 +143,7 @@
         reader.attach(pipe);
         match reader.next().await {
             AnswerPart::Failed(problem) if is_moved(&problem) && Instant::now() < give_up => {
-                tokio::time::sleep(ROUTE_RETRY).await;
+                pause().await;
             }
             AnswerPart::Failed(problem) => return Err((reader, problem)),
             first => return Ok((reader, first)),
@@ -157,15 +151,6 @@
     }
 }
 
-/// Returns `true` if the call did not run because its shard is moving.
-fn is_moved(problem: &ProblemReport) -> bool {
-    let is_moving = matches!(
-        problem.code,
-        ProblemCode::OwnerUnavailable | ProblemCode::Draining
-    );
-    is_moving && problem.run.is_safe_to_retry()
-}
-
 fn send(state: &CallerState, route: ShardRoute, request: CallRequest, pipe: Arc<AnswerPipe>) {
     let copy = Arc::clone(&pipe);
     let is_sent = match route {
--- a/crates/ebony_entry/src/caller_api/state.rs
+++ b/crates/ebony_entry/src/caller_api/state.rs
@@ -4,14 +4,16 @@
 use std::sync::PoisonError;
 
 use actix::Recipient;
+use actix_web::HttpResponse;
 use ebony_settings::LimitSettings;
 use ebony_telemetry::MetricsRegistry;
-use ebony_types::{CallId, ProgramId, ShardKey};
+use ebony_types::{CallId, ProblemReport, ProgramId, ShardKey};
 use prometheus::{HistogramVec, IntCounterVec, IntGauge};
 use rand::rngs::StdRng;
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 
+use super::problem::problem_response;
 use crate::burn::BurnCell;
 use crate::config::ConfigView;
 use crate::peers::{ForwardCall, ForwardOperation, OperateProgram, ShardRouter, StartCall};
@@ -115,6 +117,13 @@
         }
     }
 
+    /// Counts a call that ended before it started and returns its answer.
+    pub(super) fn refuse(&self, kind: &str, problem: &ProblemReport) -> HttpResponse {
+        let code = problem.code.as_str();
+        self.metrics.calls.with_label_values(&[kind, code]).inc();
+        problem_response(problem)
+    }
+
     /// Returns a new call identifier.
     pub fn new_call(&self) -> CallId {
         CallId::random(&mut *self.source.lock().unwrap_or_else(PoisonError::into_inner))
--- a/crates/ebony_entry/src/config/actor.rs
+++ b/crates/ebony_entry/src/config/actor.rs
@@ -12,6 +12,7 @@
     OfferOutcome, OperatorName, PROPAGATION_DEADLINE, ServingState, VersionSource, WallTime,
 };
 use ebony_platform::{ObjectStore, TableService};
+use ebony_telemetry::ProcessClock;
 use ebony_types::ClockTime;
 use ebony_wire::{ConfigPush, ConfigStatus};
 use rand::SeedableRng;
@@ -89,7 +90,7 @@
     /// The highest version that this process has heard of.
     heard: u64,
     log: ChangeLog,
-    started: Instant,
+    clock: ProcessClock,
     sides: BTreeMap<String, SideStatus>,
 }
 
@@ -109,13 +110,13 @@
             holder: HolderState::Learning { holder, known: 0 },
             heard: 0,
             log: ChangeLog::default(),
-            started: Instant::now(),
+            clock: ProcessClock::start(),
             sides: BTreeMap::new(),
         }
     }
 
     pub(super) fn now(&self) -> ClockTime {
-        ClockTime::from_micros(u64::try_from(self.started.elapsed().as_micros()).unwrap_or(u64::MAX))
+        self.clock.now()
     }
 
     /// Returns the document in force.
--- a/crates/ebony_entry/src/config/mod.rs
+++ b/crates/ebony_entry/src/config/mod.rs
@@ -15,3 +15,4 @@
     SpreadStatus, StatusHeard, SubscribedWatch, WantConfig, WatchEvent, WatchFleet,
 };
 pub use view::ConfigView;
+pub(crate) use view::wall_now;
--- a/crates/ebony_entry/src/config/view.rs
+++ b/crates/ebony_entry/src/config/view.rs
@@ -1,11 +1,11 @@
 //! The configuration as the handlers read it.
 
 use std::sync::{Arc, OnceLock};
-use std::time::{SystemTime, UNIX_EPOCH};
 
 use ebony_config::{
     ConfigCell, ConfigDocument, FleetValues, KeyDigest, OperatorName, ResolveScope, WallTime,
 };
+use ebony_telemetry::since_epoch;
 use ebony_types::{CallerName, ModelName, ProgramBudget, ServiceName};
 
 /// Reads the configuration in force. Clones share it; before the first one is in force, nothing is served.
@@ -14,9 +14,9 @@
     cell: Arc<OnceLock<ConfigCell>>,
 }
 
-pub(super) fn wall_now() -> WallTime {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    WallTime(since.as_secs())
+/// Returns the time of day, by which exceptions expire.
+pub(crate) fn wall_now() -> WallTime {
+    WallTime(since_epoch().as_secs())
 }
 
 impl ConfigView {
--- a/crates/ebony_entry/src/dispatch/actor.rs
+++ b/crates/ebony_entry/src/dispatch/actor.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use actix::{Actor, AsyncContext, Context, Recipient, SpawnHandle};
 use ebony_config::FleetValues;
@@ -10,6 +10,7 @@
 use ebony_membership::{TargetEvent, TargetRegistry};
 use ebony_platform::{HostList, TableService, WeightStore};
 use ebony_policy::{PolicyOptions, RetryBudget, RetryOptions};
+use ebony_telemetry::ProcessClock;
 use ebony_types::{ClockTime, DomainName, HostName, TargetName};
 use ebony_wire::EntryFrame;
 use rand::rngs::StdRng;
@@ -96,7 +97,7 @@
     /// Live entries in the host list.
     pub(super) entry_count: usize,
     pub(super) source: StdRng,
-    started: Instant,
+    clock: ProcessClock,
     wakeup: Option<(ClockTime, SpawnHandle)>,
 }
 
@@ -126,14 +127,14 @@
             has_hosts: false,
             entry_count: 1,
             source,
-            started: Instant::now(),
+            clock: ProcessClock::start(),
             wakeup: None,
             options,
         }
     }
 
     pub(super) fn now(&self) -> ClockTime {
-        ClockTime::from_micros(u64::try_from(self.started.elapsed().as_micros()).unwrap_or(u64::MAX))
+        self.clock.now()
     }
 
     /// Puts the values of a configuration in force.
--- a/crates/ebony_entry/src/dispatch/config_push.rs
+++ b/crates/ebony_entry/src/dispatch/config_push.rs
@@ -1,11 +1,11 @@
 //! The configuration as side processes get it.
 
-use std::time::{SystemTime, UNIX_EPOCH};
-
 use bytes::Bytes;
-use ebony_config::{ConfigDocument, ConfigUpdate, FleetValues, ResolveScope, WallTime};
+use ebony_config::{ConfigDocument, ConfigUpdate, FleetValues, ResolveScope};
 use ebony_wire::ConfigPush;
 
+use crate::config::wall_now;
+
 /// The document in force without callers and operators, which side processes must not know.
 pub(super) struct SideConfig {
     document: Box<ConfigDocument>,
@@ -41,8 +41,6 @@
 
     /// Returns the fleet's values.
     pub(super) fn values(&self) -> FleetValues {
-        let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        self.document
-            .resolve(&ResolveScope::default(), WallTime(since.as_secs()))
+        self.document.resolve(&ResolveScope::default(), wall_now())
     }
 }
--- a/crates/ebony_entry/src/dispatch/crash_rows.rs
+++ b/crates/ebony_entry/src/dispatch/crash_rows.rs
@@ -6,12 +6,13 @@
 
 use std::collections::VecDeque;
 use std::rc::Rc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 use actix::{ActorFutureExt, AsyncContext, Context, WrapFuture};
 use bytes::Bytes;
 use ebony_platform::table::{create_resolved, replace_resolved};
 use ebony_platform::{PlatformError, RowKey, RowRecord, TableService, WriteNonce};
+use ebony_telemetry::since_epoch;
 use ebony_wire::{CrashReport, CrashSite, SiteReport};
 use rand::Rng;
 use serde::{Deserialize, Serialize};
@@ -57,8 +58,7 @@
 }
 
 fn wall_millis() -> u64 {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+    u64::try_from(since_epoch().as_millis()).unwrap_or(u64::MAX)
 }
 
 impl StoredCrashes {
--- a/crates/ebony_entry/src/owner/actor.rs
+++ b/crates/ebony_entry/src/owner/actor.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 use std::rc::Rc;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 use actix::{Addr, AsyncContext, Context, Recipient, SpawnHandle};
 use ebony_owner::journal::{AppendOutcome, BodyPlace};
@@ -10,6 +10,7 @@
 use ebony_owner::storage::{StorageReply, StorageRequest};
 use ebony_owner::{OwnerAction, OwnerCore, OwnerEvent, OwnerSettings, WallTime};
 use ebony_platform::{RowVersion, TableService};
+use ebony_telemetry::{ProcessClock, since_epoch};
 use ebony_types::{
     CallId, CallUsage, ClockTime, DomainName, ProblemCode, ProblemReport, RunVerdict, SessionId,
 };
@@ -68,7 +69,7 @@
     pub(super) is_draining: bool,
     /// Whether other entries may hold copies of rows of this session.
     pub(super) has_copies: bool,
-    started: Instant,
+    clock: ProcessClock,
     pub(super) source: StdRng,
     pub(super) session_version: Option<RowVersion>,
     wakeup: Option<(ClockTime, SpawnHandle)>,
@@ -82,8 +83,7 @@
 
 /// Returns the wall-clock time now, for [`OwnerSettings::wall_start`].
 pub fn wall_now() -> WallTime {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    WallTime::from_millis(u64::try_from(since.as_millis()).unwrap_or(u64::MAX))
+    WallTime::from_millis(u64::try_from(since_epoch().as_millis()).unwrap_or(u64::MAX))
 }
 
 impl OwnerActor {
@@ -101,7 +101,7 @@
             members: MemberBook::default(),
             is_draining: false,
             has_copies: false,
-            started: Instant::now(),
+            clock: ProcessClock::start(),
             source,
             session_version: None,
             wakeup: None,
@@ -109,7 +109,7 @@
     }
 
     pub(super) fn now(&self) -> ClockTime {
-        ClockTime::from_micros(u64::try_from(self.started.elapsed().as_micros()).unwrap_or(u64::MAX))
+        self.clock.now()
     }
 
     /// Hands an event to the core, carries its actions out and sets the next wake-up.
--- a/crates/ebony_entry/src/owner/handlers.rs
+++ b/crates/ebony_entry/src/owner/handlers.rs
@@ -7,7 +7,6 @@
 use ebony_owner::program::MessageList;
 use ebony_types::limits::MAX_ANSWER_BYTES;
 use ebony_types::{CallKind, ProblemCode, ProblemReport, RunVerdict};
-use ebony_wire::HeldRow;
 use tokio::sync::oneshot;
 
 use super::actor::{OwnerActor, OwnerLinks};
@@ -16,7 +15,7 @@
 use crate::answer::{AnswerPart, CancelCall};
 use crate::dispatch::{CallEnded, CallPlaced, VouchPrograms};
 use crate::peers::{
-    CopyHeld, CopyLost, OperateProgram, OperationResult, PeerPresence, StartCall, SurrenderSession,
+    CopyHeld, CopyLost, OperateProgram, OperationResult, PeerPresence, StartCall, SurrenderSession, held_of,
 };
 
 /// The time between two confirmations of programs to side processes.
@@ -113,14 +112,7 @@
             return MessageResult(Vec::new());
         }
         let rows = self.surrender(context);
-        let held = rows.into_iter().map(|row| HeldRow {
-            session,
-            sequence: row.sequence,
-            row: row.row,
-            bodies: row.bodies,
-            nonce: row.nonce.to_be_bytes(),
-        });
-        MessageResult(held.collect())
+        MessageResult(rows.into_iter().map(|row| held_of(session, row)).collect())
     }
 }
 
--- a/crates/ebony_entry/src/owner/session.rs
+++ b/crates/ebony_entry/src/owner/session.rs
@@ -9,6 +9,7 @@
 use ebony_owner::journal::AppendRow;
 use ebony_platform::table::{create_resolved, replace_resolved};
 use ebony_platform::{RowKey, WriteNonce};
+use ebony_types::ShardKey;
 use rand::Rng;
 
 use super::actor::OwnerActor;
@@ -22,17 +23,17 @@
 const SESSION_RETRY: Duration = Duration::from_millis(250);
 
 impl OwnerActor {
+    fn own_shards(&self) -> Vec<ShardKey> {
+        let shards = self.core.serving_shards().into_iter();
+        shards.map(|(shard, _)| shard).collect()
+    }
+
     fn session_row(&self) -> Option<Bytes> {
         let row = SessionRow {
             process: self.options.process.clone(),
             domain: self.options.domain.clone(),
             is_draining: self.is_draining,
-            shards: self
-                .core
-                .serving_shards()
-                .into_iter()
-                .map(|(shard, _)| shard)
-                .collect(),
+            shards: self.own_shards(),
         };
         serde_json::to_vec(&row).ok().map(Bytes::from)
     }
@@ -114,12 +115,7 @@
         let own = self.core.session();
         if let Some(session) = sessions.iter_mut().find(|session| session.session == own) {
             session.is_draining = self.is_draining;
-            session.shards = self
-                .core
-                .serving_shards()
-                .into_iter()
-                .map(|(shard, _)| shard)
-                .collect();
+            session.shards = self.own_shards();
         }
         self.handle_event(OwnerEvent::SessionsChanged { sessions }, context);
     }
--- a/crates/ebony_entry/src/peers/copies.rs
+++ b/crates/ebony_entry/src/peers/copies.rs
@@ -98,6 +98,17 @@
     }
 }
 
+/// Turns an append into the copy that another entry holds.
+pub(crate) fn held_of(session: SessionId, append: AppendRow) -> HeldRow {
+    HeldRow {
+        session,
+        sequence: append.sequence,
+        row: append.row,
+        bodies: append.bodies,
+        nonce: append.nonce.to_be_bytes(),
+    }
+}
+
 impl PeerActor {
     pub(super) fn accept_copy(&mut self, row: HeldRow) -> Option<PeerFrame> {
         let (session, sequence) = (row.session, row.sequence);
@@ -165,28 +176,14 @@
     /// another one if it does not confirm.
     pub(super) fn offer_copy(&mut self) {
         let Some(copy) = self.copy.clone() else { return };
-        let linked = |peer: &PeerKey| {
-            self.peers
-                .get(*peer)
-                .is_some_and(|record| record.sender.is_some())
-        };
-        let peers: Vec<PeerKey> = self.peers.keys().filter(linked).collect();
-        let Some(peer) = self
-            .copy_peer
-            .filter(linked)
-            .or_else(|| peers.choose(&mut StdRng::from_os_rng()).copied())
-        else {
+        let peers: Vec<PeerKey> = self.linked_peers().collect();
+        let last = self.copy_peer.filter(|peer| peers.contains(peer));
+        let Some(peer) = last.or_else(|| peers.choose(&mut StdRng::from_os_rng()).copied()) else {
             return;
         };
         // Stays only if the entry confirms.
         self.copy_peer = None;
-        let held = HeldRow {
-            session: copy.session,
-            sequence: copy.row.sequence,
-            row: copy.row.row,
-            bodies: copy.row.bodies,
-            nonce: copy.row.nonce.to_be_bytes(),
-        };
+        let held = held_of(copy.session, copy.row);
         self.send(peer, &PeerFrame::HoldRow(Box::new(held)));
     }
 
@@ -304,12 +301,7 @@
         let CollectCopies { session, after } = message;
         self.held.close(session);
         let mut rows = self.held.read(session, after);
-        let peers: Vec<PeerKey> = self
-            .peers
-            .iter()
-            .filter(|(_, record)| record.sender.is_some())
-            .map(|(key, _)| key)
-            .collect();
+        let peers: Vec<PeerKey> = self.linked_peers().collect();
         let address = context.address();
         Box::pin(async move {
             for peer in peers {
--- a/crates/ebony_entry/src/peers/held_rows.rs
+++ b/crates/ebony_entry/src/peers/held_rows.rs
@@ -67,26 +67,25 @@
         self.bytes -= size;
     }
 
+    fn behind(&self, session: SessionId, after: u64) -> impl Iterator<Item = &HeldRow> {
+        let first = (session, after.saturating_add(1));
+        self.rows.range(first..=(session, u64::MAX)).map(|(_, row)| row)
+    }
+
     /// Returns the copies of a session behind a row, in order, as many as fit a reply.
     pub(super) fn read(&self, session: SessionId, after: u64) -> Vec<HeldRow> {
         let mut size = 0;
-        let rows = self
-            .rows
-            .range((session, after.saturating_add(1))..=(session, u64::MAX));
-        let fits = rows.take_while(|(_, row)| {
+        let fits = self.behind(session, after).take_while(|row| {
             let is_first = size == 0;
             size += size_of(row);
             is_first || size <= MAX_REPLY_BYTES
         });
-        fits.map(|(_, row)| row.clone()).collect()
+        fits.cloned().collect()
     }
 
     /// Returns the first copy of a session behind a row.
     pub(super) fn first_behind(&self, session: SessionId, after: u64) -> Option<HeldRow> {
-        let mut rows = self
-            .rows
-            .range((session, after.saturating_add(1))..=(session, u64::MAX));
-        rows.next().map(|(_, row)| row.clone())
+        self.behind(session, after).next().cloned()
     }
 
     /// Returns the first copy of each session.
--- a/crates/ebony_entry/src/peers/mod.rs
+++ b/crates/ebony_entry/src/peers/mod.rs
@@ -13,8 +13,8 @@
 
 pub use actor::{PeerActor, PeerOptions};
 pub use config_news::ConfigRecipients;
-pub(crate) use copies::append_of;
 pub use copies::{CollectCopies, CopyHeld, CopyLost, CopyRow, DropCopies, SurrenderSession};
+pub(crate) use copies::{append_of, held_of};
 pub use messages::{
     ForwardCall, ForwardOperation, OperateProgram, OperationResult, PeerPresence, PeersListed,
     PresenceChanged, StartCall,
--- a/crates/ebony_platform/src/table.rs
+++ b/crates/ebony_platform/src/table.rs
@@ -6,6 +6,9 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
+use ebony_types::RunVerdict;
+
+use crate::error::PlatformError;
 pub use crate::error::Result;
 
 /// The key of a row: segments divided by slashes, such as `journal/s-01/000000000007`.
@@ -72,30 +75,22 @@
 ///
 /// # Errors
 ///
-/// Returns [`crate::PlatformError::Unknown`] only if the read fails as well.
+/// Returns [`PlatformError::Unknown`] only if the read fails as well.
 pub async fn create_resolved(
     table: &dyn TableService,
     key: &RowKey,
     value: Bytes,
     nonce: WriteNonce,
 ) -> Result<RowVersion> {
-    match table.create(key, value, nonce).await {
-        Err(error) if error.verdict() == ebony_types::RunVerdict::MayHaveRun => {
-            resolve(table, key, nonce, error).await
-        }
-        // A transparent retransmission can make one's own write look like a conflict.
-        Err(crate::PlatformError::Conflict) => {
-            resolve(table, key, nonce, crate::PlatformError::Conflict).await
-        }
-        result => result,
-    }
+    let written = table.create(key, value, nonce).await;
+    resolve(table, key, nonce, written).await
 }
 
 /// Replaces a row; after a lost reply, reads back whether the write took effect.
 ///
 /// # Errors
 ///
-/// Returns [`crate::PlatformError::Unknown`] only if the read fails as well.
+/// Returns [`PlatformError::Unknown`] only if the read fails as well.
 pub async fn replace_resolved(
     table: &dyn TableService,
     key: &RowKey,
@@ -103,27 +98,27 @@
     value: Bytes,
     nonce: WriteNonce,
 ) -> Result<RowVersion> {
-    match table.replace(key, version, value, nonce).await {
-        Err(error) if error.verdict() == ebony_types::RunVerdict::MayHaveRun => {
-            resolve(table, key, nonce, error).await
-        }
-        Err(crate::PlatformError::Conflict) => {
-            resolve(table, key, nonce, crate::PlatformError::Conflict).await
-        }
-        result => result,
-    }
+    let written = table.replace(key, version, value, nonce).await;
+    resolve(table, key, nonce, written).await
 }
 
+/// Reads back whether a write took effect whose outcome is unknown, or that conflicts: a transparent retransmission can
+/// make one's own write look like a conflict.
 async fn resolve(
     table: &dyn TableService,
     key: &RowKey,
     nonce: WriteNonce,
-    error: crate::PlatformError,
+    written: Result<RowVersion>,
 ) -> Result<RowVersion> {
+    let error = match written {
+        Err(error @ PlatformError::Conflict) => error,
+        Err(error) if error.verdict() == RunVerdict::MayHaveRun => error,
+        settled => return settled,
+    };
     match table.read(key).await? {
         Some(row) if row.nonce == nonce => Ok(row.version),
         // The write may still be on its way, so that an absent row does not prove that it failed.
-        None if error.verdict() == ebony_types::RunVerdict::MayHaveRun => Err(error),
-        _ => Err(crate::PlatformError::Conflict),
+        None if error.verdict() == RunVerdict::MayHaveRun => Err(error),
+        _ => Err(PlatformError::Conflict),
     }
 }
--- a/crates/ebony_side/src/actor/in_force.rs
+++ b/crates/ebony_side/src/actor/in_force.rs
@@ -5,15 +5,15 @@
 use ebony_config::values::AdmissionValues;
 use ebony_config::{
     ConfigAudience, ConfigDocument, ConfigHolder, ConfigUpdate, LearningState, OfferOutcome, ResolveScope,
-    ServingState, VersionSource,
+    ServingState, VersionSource, WallTime,
 };
 use ebony_policy::QueueOptions;
+use ebony_telemetry::since_epoch;
 use ebony_types::{CallKind, CallRequest, CallerName, ClockTime, ModelName, ServiceName, TargetName};
 use ebony_wire::{ConfigPush, ConfigStatus, SideFrame, TargetKind, TargetReport};
 use slog::{info, warn};
 
 use super::SideActor;
-use crate::clock::wall_time;
 use crate::links::LinkKey;
 
 /// The result of offering an update.
@@ -54,7 +54,9 @@
             target: Some(target),
         };
         let document: std::sync::Arc<ConfigDocument> = holder.document();
-        document.resolve(&scope, wall_time()).admission
+        document
+            .resolve(&scope, WallTime(since_epoch().as_secs()))
+            .admission
     }
 
     /// Returns the options of a target's queue.
--- a/crates/ebony_side/src/lib.rs
+++ b/crates/ebony_side/src/lib.rs
@@ -11,7 +11,6 @@
 pub mod target;
 
 mod actor;
-mod clock;
 mod links;
 mod metrics;
 mod run;
--- a/crates/ebony_telemetry/src/lib.rs
+++ b/crates/ebony_telemetry/src/lib.rs
@@ -1,15 +1,17 @@
-//! Logs, metrics and health of a process.
+//! Logs, metrics, health and clocks of a process.
 //!
 //! [`open_logger`] builds the process's `slog` logger, [`MetricsRegistry`] holds its `prometheus` metrics, and
 //! [`HealthServer`] serves `/metrics`, `/healthz` and `/readyz` on a port of its own.
 
+pub mod clock;
 pub mod health;
 pub mod logger;
 pub mod metrics;
 pub mod server;
 
-/// Re-exports the logger, the registry and the server.
+/// Re-exports the logger, the registry, the server and the clocks.
 pub mod prelude {
+    pub use crate::clock::{ProcessClock, since_epoch};
     pub use crate::health::HealthState;
     pub use crate::logger::{LogFormat, LogLevel, LoggerGuard, open_logger};
     pub use crate::metrics::MetricsRegistry;
--- a/crates/ebony_types/src/name.rs
+++ b/crates/ebony_types/src/name.rs
@@ -1,11 +1,5 @@
 //! Names that operators and callers choose.
 
-use std::borrow::Borrow;
-use std::fmt;
-use std::sync::Arc;
-
-use serde::{Deserialize, Deserializer, Serialize, Serializer};
-
 /// The longest name in bytes. It bounds keys of maps and metric labels.
 pub const MAX_NAME_BYTES: usize = 128;
 
@@ -18,7 +12,12 @@
 /// The result of checking a name.
 pub type Result<T, E = NameError> = std::result::Result<T, E>;
 
-fn check(text: &str) -> Result<()> {
+/// Checks a text against the rule of all names.
+///
+/// # Errors
+///
+/// Returns [`NameError`] if the text is empty, too long, or has characters other than visible ASCII.
+pub fn check_name(text: &str) -> Result<()> {
     let is_visible = text.bytes().all(|byte| byte.is_ascii_graphic());
     let is_bounded = !text.is_empty() && text.len() <= MAX_NAME_BYTES;
     if is_visible && is_bounded {
@@ -28,21 +27,40 @@
     }
 }
 
+/// What the expansion of [`crate::name_type`] needs from other crates.
+#[doc(hidden)]
+pub mod expansion {
+    pub use serde::{Deserialize, Deserializer, Serialize, Serializer, de};
+}
+
+/// Defines a type of checked names, with the rule and the encoding that all names share.
+///
+/// ```
+/// ebony_types::name_type! {
+///     /// Names a drum.
+///     DrumName
+/// }
+///
+/// assert_eq!(DrumName::parse("lali")?.as_str(), "lali");
+/// assert!(DrumName::parse("two words").is_err());
+/// # Ok::<(), ebony_types::name::NameError>(())
+/// ```
+#[macro_export]
 macro_rules! name_type {
     ($(#[$meta:meta])* $type:ident) => {
         $(#[$meta])*
         #[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
-        pub struct $type(Arc<str>);
+        pub struct $type(::std::sync::Arc<str>);
 
         impl $type {
             /// Checks and wraps a name.
             ///
             /// # Errors
             ///
-            /// Returns [`NameError`] if the text is empty, too long, or has characters other than visible ASCII.
-            pub fn parse(text: &str) -> Result<Self> {
-                check(text)?;
-                Ok(Self(Arc::from(text)))
+            /// Returns [`NameError`]($crate::name::NameError) if the text is empty, too long, or has characters other than visible ASCII.
+            pub fn parse(text: &str) -> $crate::name::Result<Self> {
+                $crate::name::check_name(text)?;
+                Ok(Self(::std::sync::Arc::from(text)))
             }
 
             /// Returns the name as text.
@@ -51,34 +69,39 @@
             }
         }
 
-        impl Borrow<str> for $type {
+        impl ::std::borrow::Borrow<str> for $type {
             fn borrow(&self) -> &str {
                 &self.0
             }
         }
 
-        impl fmt::Display for $type {
-            fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        impl ::std::fmt::Display for $type {
+            fn fmt(&self, formatter: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
                 formatter.write_str(&self.0)
             }
         }
 
-        impl fmt::Debug for $type {
-            fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        impl ::std::fmt::Debug for $type {
+            fn fmt(&self, formatter: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
                 formatter.write_str(&self.0)
             }
         }
 
-        impl Serialize for $type {
-            fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        impl $crate::name::expansion::Serialize for $type {
+            fn serialize<S: $crate::name::expansion::Serializer>(
+                &self,
+                serializer: S,
+            ) -> ::std::result::Result<S::Ok, S::Error> {
                 serializer.serialize_str(&self.0)
             }
         }
 
-        impl<'de> Deserialize<'de> for $type {
-            fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
-                let text = String::deserialize(deserializer)?;
-                Self::parse(&text).map_err(serde::de::Error::custom)
+        impl<'de> $crate::name::expansion::Deserialize<'de> for $type {
+            fn deserialize<D: $crate::name::expansion::Deserializer<'de>>(
+                deserializer: D,
+            ) -> ::std::result::Result<Self, D::Error> {
+                let text = <String as $crate::name::expansion::Deserialize>::deserialize(deserializer)?;
+                Self::parse(&text).map_err($crate::name::expansion::de::Error::custom)
             }
         }
     };
