--- /dev/null
+++ b/crates/ebony_account/src/lib.rs
@@ -0,0 +1,23 @@
+//! Token accounts of programs: what an entry may hand on, and what it has to ask the store for.
+//!
+//! A program's budget holds over all entries because every token that an entry hands on is covered by a grant that
+//! the program's row in the store records first. [`AccountRecord`] is that row; it only ever grows, by conditional
+//! writes. [`AccountBook`] is the part of one entry: it says how much cover to ask for, and whether the next event of
+//! a stream may be handed on. A grant that a dead process held counts as spent.
+//!
+//! The crate does no I/O and reads no clock.
+
+pub mod book;
+pub mod options;
+pub mod program_account;
+pub mod record;
+
+/// Re-exports the book and the record.
+pub mod prelude {
+    pub use crate::book::{AccountBook, AccountKey, CoverWant, TurnOpening, TurnRequest};
+    pub use crate::options::AccountOptions;
+    pub use crate::program_account::{CoverOutcome, SpendOutcome};
+    pub use crate::record::{AccountRecord, RecordError};
+}
+
+pub use prelude::*;
--- /dev/null
+++ b/crates/ebony_account/src/record.rs
@@ -0,0 +1,65 @@
+//! The row of a program in the store.
+
+use serde::{Deserialize, Serialize};
+
+/// Says why the bytes of a row are no record.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(thiserror::Error)]
+#[error("malformed account record: {0}")]
+pub struct RecordError(String);
+
+/// The result of reading a record.
+pub type Result<T, E = RecordError> = std::result::Result<T, E>;
+
+/// What the store records of a program's budget.
+///
+/// ```
+/// use ebony_account::AccountRecord;
+///
+/// let mut record = AccountRecord::open(1_000);
+/// assert_eq!(record.grant(700), 700);
+/// assert_eq!(record.grant(700), 300);
+/// assert_eq!(record.grant(700), 0);
+/// assert_eq!(AccountRecord::from_bytes(&record.to_bytes())?, record);
+/// # Ok::<(), ebony_account::RecordError>(())
+/// ```
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct AccountRecord {
+    /// Tokens that the program's turns may generate.
+    #[serde(rename = "b")]
+    pub budget: u64,
+    /// Tokens that entries were granted so far. Never more than the budget.
+    #[serde(rename = "g")]
+    pub granted: u64,
+}
+
+impl AccountRecord {
+    /// Creates the record of a program that no entry was granted anything of.
+    pub fn open(budget: u64) -> Self {
+        Self { budget, granted: 0 }
+    }
+
+    /// Grants up to `tokens` and returns how many; 0 if the budget is spent.
+    pub fn grant(&mut self, tokens: u64) -> u64 {
+        let granted = tokens.min(self.budget.saturating_sub(self.granted));
+        self.granted += granted;
+        granted
+    }
+
+    /// Encodes the record as CBOR.
+    pub fn to_bytes(self) -> Vec<u8> {
+        let mut bytes = Vec::new();
+        ciborium::into_writer(&self, &mut bytes).expect("writing to memory does not fail");
+        bytes
+    }
+
+    /// Decodes a record.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`RecordError`] if the bytes are no record.
+    pub fn from_bytes(bytes: &[u8]) -> Result<Self> {
+        ciborium::from_reader(bytes).map_err(|error| RecordError(error.to_string()))
+    }
+}
--- /dev/null
+++ b/crates/ebony_dispatch/src/board.rs
@@ -0,0 +1,262 @@
+//! The targets of the platform's list, with what the entry's own calls showed of them.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use ebony_types::{ClockTime, DomainName, ServiceName, TargetName};
+use slotmap::{SlotMap, new_key_type};
+
+use crate::fault::TargetFault;
+use crate::load::{LoadNotice, TargetLoad};
+use crate::options::DispatchOptions;
+use crate::prompt::{PromptCache, PromptPart};
+
+/// Parts that a target without a stated memory is expected to hold, in tokens.
+const DEFAULT_MEMORY_TOKENS: u64 = 100_000;
+
+new_key_type! {
+    /// A target on the board. A target that comes again under its name gets a new key.
+    pub struct TargetKey;
+    /// A call under way on a target.
+    pub struct RunKey;
+}
+
+/// Whether a target takes new calls.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TargetPhase {
+    /// It takes calls.
+    Ready,
+    /// It finishes what it has.
+    Draining,
+}
+
+/// A target as the platform lists it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct TargetRecord {
+    /// The name, unique among live targets.
+    pub name: TargetName,
+    /// The service that the target serves.
+    pub service: ServiceName,
+    /// The address.
+    pub address: SocketAddr,
+    /// The failure domain.
+    pub domain: DomainName,
+    /// Calls that it runs at once.
+    pub slots: u32,
+    /// Whether it takes new calls.
+    pub phase: TargetPhase,
+    /// How much longer it stays slow after its start.
+    pub warm_up: Duration,
+    /// The time of its start; another value under the same name is another life of the target.
+    pub born: u64,
+}
+
+/// What a new record changed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TargetChange {
+    /// The target is new, or started again.
+    Added(TargetKey),
+    /// The target takes no more calls.
+    Draining(TargetKey),
+    /// Nothing that matters to calls.
+    Unchanged(TargetKey),
+}
+
+/// A target on the board.
+#[derive(Clone, Debug)]
+pub struct TargetEntry {
+    /// What the platform says.
+    pub record: TargetRecord,
+    /// The load.
+    pub load: TargetLoad,
+    /// Failures.
+    pub fault: TargetFault,
+    /// Prompt parts that it is expected to hold.
+    pub cache: PromptCache,
+    /// When the platform's list lost the target; `None` while it is listed.
+    pub lapsed_at: Option<ClockTime>,
+}
+
+#[derive(Clone, Debug)]
+struct TargetRun {
+    target: TargetKey,
+    prefill: u64,
+}
+
+/// The targets that an entry may send calls to.
+///
+/// ```
+/// use std::time::Duration;
+/// use ebony_dispatch::{TargetBoard, TargetChange, TargetPhase, TargetRecord};
+/// use ebony_types::{ClockTime, DomainName, ServiceName, TargetName};
+///
+/// let record = TargetRecord {
+///     name: TargetName::parse("engine-1")?,
+///     service: ServiceName::parse("models")?,
+///     address: "10.0.0.1:8080".parse()?,
+///     domain: DomainName::parse("a")?,
+///     slots: 8,
+///     phase: TargetPhase::Ready,
+///     warm_up: Duration::ZERO,
+///     born: 1,
+/// };
+/// let mut board = TargetBoard::default();
+/// assert!(matches!(board.apply(record.clone()), TargetChange::Added(_)));
+/// let draining = TargetRecord { phase: TargetPhase::Draining, ..record };
+/// assert!(matches!(board.apply(draining), TargetChange::Draining(_)));
+/// # Ok::<(), Box<dyn std::error::Error>>(())
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct TargetBoard {
+    targets: SlotMap<TargetKey, TargetEntry>,
+    names: HashMap<TargetName, TargetKey>,
+    runs: SlotMap<RunKey, TargetRun>,
+}
+
+impl TargetBoard {
+    /// Takes over a record of the platform's list.
+    pub fn apply(&mut self, record: TargetRecord) -> TargetChange {
+        let known = self.names.get(&record.name).copied();
+        let Some(key) = known.filter(|key| self.is_same_life(*key, &record)) else {
+            if let Some(key) = known {
+                self.targets.remove(key);
+            }
+            let name = record.name.clone();
+            let key = self.targets.insert(TargetEntry {
+                record,
+                load: TargetLoad::default(),
+                fault: TargetFault::default(),
+                cache: PromptCache::default(),
+                lapsed_at: None,
+            });
+            self.names.insert(name, key);
+            return TargetChange::Added(key);
+        };
+        let target = &mut self.targets[key];
+        let was_ready = target.record.phase == TargetPhase::Ready;
+        let is_draining = record.phase == TargetPhase::Draining;
+        target.record = record;
+        target.lapsed_at = None;
+        if was_ready && is_draining {
+            TargetChange::Draining(key)
+        } else {
+            TargetChange::Unchanged(key)
+        }
+    }
+
+    /// Removes a target. Calls that it runs go on.
+    pub fn remove(&mut self, name: &TargetName) -> Option<TargetKey> {
+        let key = self.names.remove(name)?;
+        self.targets.remove(key);
+        Some(key)
+    }
+
+    /// Notes that the list lost a target while the platform was away, so that it may come back.
+    pub fn lapse(&mut self, name: &TargetName, now: ClockTime) {
+        if let Some(target) = self.names.get(name).and_then(|key| self.targets.get_mut(*key)) {
+            target.lapsed_at.get_or_insert(now);
+        }
+    }
+
+    /// Removes targets that lapsed longer than `grace` ago, and returns their names.
+    pub fn remove_lapsed(&mut self, grace: Duration, now: ClockTime) -> Vec<TargetName> {
+        let is_over = |target: &TargetEntry| target.lapsed_at.is_some_and(|at| now.since(at) >= grace);
+        let names: Vec<TargetName> = self
+            .targets
+            .values()
+            .filter(|target| is_over(target))
+            .map(|target| target.record.name.clone())
+            .collect();
+        for name in &names {
+            self.remove(name);
+        }
+        names
+    }
+
+    /// Returns a target.
+    pub fn target(&self, key: TargetKey) -> Option<&TargetEntry> {
+        self.targets.get(key)
+    }
+
+    /// Returns all targets.
+    pub fn targets(&self) -> impl Iterator<Item = (TargetKey, &TargetEntry)> {
+        self.targets.iter()
+    }
+
+    /// Returns the names of all targets.
+    pub fn names(&self) -> Vec<TargetName> {
+        self.names.keys().cloned().collect()
+    }
+
+    /// Returns whether the target takes new calls.
+    pub fn is_ready(&self, key: TargetKey) -> bool {
+        let target = self.targets.get(key);
+        target.is_some_and(|target| target.record.phase == TargetPhase::Ready)
+    }
+
+    /// Notes that a call is sent to a target.
+    pub fn begin(&mut self, target: TargetKey, prompt: &[PromptPart], memory_tokens: Option<u64>) -> RunKey {
+        let mut prefill = 0;
+        if let Some(entry) = self.targets.get_mut(target) {
+            let total: u64 = prompt.iter().map(|part| u64::from(part.tokens)).sum();
+            prefill = total.saturating_sub(entry.cache.held_tokens(prompt));
+            entry.load.begin(prefill);
+            entry.cache.record(prompt, memory_tokens.unwrap_or(DEFAULT_MEMORY_TOKENS));
+        }
+        self.runs.insert(TargetRun { target, prefill })
+    }
+
+    /// Notes that the first part of the answer arrived, so that the prompt has been read.
+    pub fn end_prefill(&mut self, run: RunKey) {
+        let Some(run) = self.runs.get_mut(run) else { return };
+        let prefill = std::mem::take(&mut run.prefill);
+        if let Some(target) = self.targets.get_mut(run.target) {
+            target.load.end_prefill(prefill);
+        }
+    }
+
+    /// Notes the end of a call.
+    pub fn end(&mut self, run: RunKey) {
+        self.end_prefill(run);
+        let Some(run) = self.runs.remove(run) else { return };
+        if let Some(target) = self.targets.get_mut(run.target) {
+            target.load.end();
+        }
+    }
+
+    /// Notes what a target said of its load.
+    pub fn record_notice(&mut self, key: TargetKey, notice: LoadNotice, now: ClockTime) {
+        if let Some(target) = self.targets.get_mut(key) {
+            target.load.record_notice(notice, now);
+        }
+    }
+
+    /// Notes a whole answer of a target.
+    pub fn record_success(&mut self, key: TargetKey) {
+        if let Some(target) = self.targets.get_mut(key) {
+            target.fault.record_success();
+        }
+    }
+
+    /// Notes that a call failed on the way to a target, or that its answer broke off.
+    pub fn record_failure(&mut self, key: TargetKey, options: &DispatchOptions, now: ClockTime) {
+        if let Some(target) = self.targets.get_mut(key) {
+            target.fault.record_failure(options, now);
+        }
+    }
+
+    /// Notes that a target turned a call away.
+    pub fn record_full(&mut self, key: TargetKey, options: &DispatchOptions, now: ClockTime) {
+        if let Some(target) = self.targets.get_mut(key) {
+            target.fault.record_full(options, now);
+        }
+    }
+
+    fn is_same_life(&self, key: TargetKey, record: &TargetRecord) -> bool {
+        self.targets.get(key).is_some_and(|target| {
+            let known = &target.record;
+            known.born == record.born && known.address == record.address && known.service == record.service
+        })
+    }
+}
--- /dev/null
+++ b/crates/ebony_gateway/src/channel.rs
@@ -0,0 +1,227 @@
+//! Connections to targets.
+//!
+//! Each connection is in hand: an answer that breaks off is an error, also if it has no length; a connection whose
+//! answer was not read to its end is closed; and bytes that arrive on an idle connection end it.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use ebony_dispatch::TargetKey;
+use ebony_settings::TargetLimits;
+use http::{Request, response};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use slotmap::SecondaryMap;
+use socket2::{SockRef, TcpKeepalive};
+use tokio::net::TcpStream;
+use tokio::task::AbortHandle;
+use tokio::time::{Instant, timeout};
+
+/// The share of a target's own idle time for which a connection is kept. A request on a connection that the target is
+/// closing has an unknown outcome.
+const KEPT_SHARE: f64 = 0.6;
+
+/// The most idle connections to one target.
+const MOST_IDLE: usize = 16;
+
+/// The time between two probes of a silent connection.
+const PROBE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Why a call got no answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(thiserror::Error)]
+pub enum SendFailure {
+    /// Nothing was sent.
+    #[error("not sent: {0}")]
+    NotSent(String),
+    /// The call was sent, or part of it; the target may have run it.
+    #[error("broke off: {0}")]
+    Broken(String),
+}
+
+/// The result of sending a call.
+pub type Result<T, E = SendFailure> = std::result::Result<T, E>;
+
+type CallSender = SendRequest<Full<Bytes>>;
+
+struct IdleChannel {
+    channel: OpenChannel,
+    since: Instant,
+    keep: Duration,
+}
+
+/// A connection; it is closed when it is dropped.
+struct OpenChannel {
+    sender: CallSender,
+    task: AbortHandle,
+}
+
+impl Drop for OpenChannel {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+/// The head of an answer and its body.
+pub(crate) struct OpenAnswer {
+    pub(crate) head: response::Parts,
+    pub(crate) body: Incoming,
+    pub(crate) lease: ChannelLease,
+}
+
+/// Holds the connection of an answer. Dropping it closes the connection, and with it ends the call at the target.
+pub(crate) struct ChannelLease {
+    client: Rc<TargetClient>,
+    target: TargetKey,
+    channel: Option<OpenChannel>,
+}
+
+impl ChannelLease {
+    /// Keeps the connection for further calls, after the answer was read to its end.
+    pub(crate) fn recycle(mut self, target_keeps: Option<Duration>) {
+        let Some(channel) = self.channel.take() else { return };
+        let keep = match target_keeps {
+            Some(idle_time) => idle_time.mul_f64(KEPT_SHARE),
+            None => self.client.limits.keep_idle,
+        };
+        self.client.keep(self.target, channel, keep);
+    }
+}
+
+/// Sends calls to targets.
+pub(crate) struct TargetClient {
+    limits: TargetLimits,
+    idle: RefCell<SecondaryMap<TargetKey, Vec<IdleChannel>>>,
+    opened: prometheus::IntCounter,
+}
+
+impl TargetClient {
+    pub(crate) fn open(limits: TargetLimits, opened: prometheus::IntCounter) -> Rc<Self> {
+        Rc::new(Self {
+            limits,
+            idle: RefCell::default(),
+            opened,
+        })
+    }
+
+    /// Sends a call and returns the head of its answer. Dropping the future ends the call.
+    pub(crate) async fn send(
+        self: &Rc<Self>,
+        target: TargetKey,
+        address: SocketAddr,
+        mut request: Request<Full<Bytes>>,
+    ) -> Result<OpenAnswer> {
+        while let Some(channel) = self.take_idle(target) {
+            match self.send_on(target, channel, request).await {
+                Ok(answer) => return Ok(answer),
+                Err((_, Some(unsent))) => request = unsent,
+                Err((failure, None)) => return Err(failure),
+            }
+        }
+        let channel = self.connect(address).await?;
+        self.send_on(target, channel, request)
+            .await
+            .map_err(|(failure, _)| failure)
+    }
+
+    /// Drops idle connections whose time is over or whose target is gone.
+    pub(crate) fn prune(&self, is_listed: impl Fn(TargetKey) -> bool) {
+        let now = Instant::now();
+        self.idle.borrow_mut().retain(|target, channels| {
+            channels.retain(|idle| now - idle.since < idle.keep && !idle.channel.sender.is_closed());
+            !channels.is_empty() && is_listed(target)
+        });
+    }
+
+    async fn send_on(
+        self: &Rc<Self>,
+        target: TargetKey,
+        mut channel: OpenChannel,
+        request: Request<Full<Bytes>>,
+    ) -> Result<OpenAnswer, (SendFailure, Option<Request<Full<Bytes>>>)> {
+        match channel.sender.try_send_request(request).await {
+            Ok(answer) => {
+                let (head, body) = answer.into_parts();
+                let lease = ChannelLease {
+                    client: Rc::clone(self),
+                    target,
+                    channel: Some(channel),
+                };
+                Ok(OpenAnswer { head, body, lease })
+            }
+            Err(mut failure) => {
+                let unsent = failure.take_message();
+                let detail = failure.into_error().to_string();
+                let failure = match unsent {
+                    Some(_) => SendFailure::NotSent(detail),
+                    None => SendFailure::Broken(detail),
+                };
+                Err((failure, unsent))
+            }
+        }
+    }
+
+    fn take_idle(&self, target: TargetKey) -> Option<OpenChannel> {
+        let mut idle = self.idle.borrow_mut();
+        let channels = idle.get_mut(target)?;
+        let now = Instant::now();
+        // The newest first, so that the others reach the end of their time.
+        while let Some(last) = channels.pop() {
+            if now - last.since < last.keep && last.channel.sender.is_ready() {
+                return Some(last.channel);
+            }
+        }
+        None
+    }
+
+    fn keep(&self, target: TargetKey, channel: OpenChannel, keep: Duration) {
+        if keep.is_zero() || channel.sender.is_closed() {
+            return;
+        }
+        let mut idle = self.idle.borrow_mut();
+        let Some(entry) = idle.entry(target) else { return };
+        let channels = entry.or_default();
+        if channels.len() < MOST_IDLE {
+            channels.push(IdleChannel {
+                channel,
+                since: Instant::now(),
+                keep,
+            });
+        }
+    }
+
+    async fn connect(&self, address: SocketAddr) -> Result<OpenChannel> {
+        let not_sent = |error: String| SendFailure::NotSent(error);
+        let stream = timeout(self.limits.connect_timeout, TcpStream::connect(address))
+            .await
+            .map_err(|_| not_sent("no connection in time".to_owned()))?
+            .map_err(|error| not_sent(error.to_string()))?;
+        self.configure(&stream).map_err(|error| not_sent(error.to_string()))?;
+        let (sender, connection) = http1::handshake(TokioIo::new(stream))
+            .await
+            .map_err(|error| not_sent(error.to_string()))?;
+        // What goes wrong on the connection is reported to the call that uses it.
+        let task = tokio::task::spawn_local(async move { drop(connection.await) });
+        self.opened.inc();
+        Ok(OpenChannel {
+            sender,
+            task: task.abort_handle(),
+        })
+    }
+
+    /// Bounds how long a silent connection is taken for a working one.
+    fn configure(&self, stream: &TcpStream) -> std::io::Result<()> {
+        stream.set_nodelay(true)?;
+        let socket = SockRef::from(stream);
+        socket.set_tcp_user_timeout(Some(self.limits.silence))?;
+        let probes = TcpKeepalive::new()
+            .with_time(PROBE_INTERVAL)
+            .with_interval(PROBE_INTERVAL);
+        socket.set_tcp_keepalive(&probes)
+    }
+}
--- /dev/null
+++ b/crates/ebony_gateway/src/decision_log.rs
@@ -0,0 +1,83 @@
+//! Log lines on calls, bounded in volume.
+
+use std::cell::Cell;
+use std::time::Duration;
+
+use ebony_types::ClockTime;
+use prometheus::IntCounter;
+use slog::Logger;
+
+use crate::gateway::GatewayClock;
+
+/// Lines on calls that went well, a second. A host takes 80 calls a second at today's peak.
+const PLAIN_LINES: u32 = 200;
+
+/// Lines on calls that were refused or failed, a second.
+const FAILED_LINES: u32 = 400;
+
+/// The time over which lines are counted.
+const WINDOW: Duration = Duration::from_secs(1);
+
+/// How much a line matters.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum LineKind {
+    /// The call went well.
+    Plain,
+    /// The call was refused or failed.
+    Failed,
+}
+
+/// Lets a bounded number of lines a second pass and counts the others.
+pub(crate) struct DecisionLog {
+    pub(crate) logger: Logger,
+    clock: GatewayClock,
+    window_start: Cell<ClockTime>,
+    plain_lines: Cell<u32>,
+    failed_lines: Cell<u32>,
+    dropped: IntCounter,
+    dropped_in_window: Cell<u32>,
+}
+
+impl DecisionLog {
+    pub(crate) fn open(logger: Logger, clock: GatewayClock, dropped: IntCounter) -> Self {
+        Self {
+            logger,
+            clock,
+            window_start: Cell::new(clock.now()),
+            plain_lines: Cell::default(),
+            failed_lines: Cell::default(),
+            dropped,
+            dropped_in_window: Cell::default(),
+        }
+    }
+
+    /// Returns whether the next line of this kind is written. A line that is not is counted.
+    pub(crate) fn admits(&self, kind: LineKind) -> bool {
+        self.turn_window();
+        let (lines, most) = match kind {
+            LineKind::Plain => (&self.plain_lines, PLAIN_LINES),
+            LineKind::Failed => (&self.failed_lines, FAILED_LINES),
+        };
+        if lines.get() < most {
+            lines.set(lines.get() + 1);
+            return true;
+        }
+        self.dropped.inc();
+        self.dropped_in_window.set(self.dropped_in_window.get() + 1);
+        false
+    }
+
+    fn turn_window(&self) {
+        let now = self.clock.now();
+        if now.since(self.window_start.get()) < WINDOW {
+            return;
+        }
+        let dropped = self.dropped_in_window.replace(0);
+        if dropped > 0 {
+            slog::warn!(self.logger, "lines on calls were left out"; "lines" => dropped);
+        }
+        self.window_start.set(now);
+        self.plain_lines.set(0);
+        self.failed_lines.set(0);
+    }
+}
--- /dev/null
+++ b/crates/ebony_gateway/src/events.rs
@@ -0,0 +1,95 @@
+//! Streams of events, cut into whole events.
+
+use bytes::{Bytes, BytesMut};
+
+/// The field that numbers an event.
+const ID_FIELD: &[u8] = b"id:";
+
+/// One event with the blank line that ends it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StreamEvent {
+    /// The event as the target sent it.
+    pub bytes: Bytes,
+    /// Its number, if it has one.
+    pub number: Option<u64>,
+}
+
+/// Cuts a stream of bytes into events. The bytes of all events and of the rest are those that were pushed.
+///
+/// ```
+/// use ebony_gateway::events::EventSplitter;
+///
+/// let mut splitter = EventSplitter::default();
+/// splitter.push(b"id: 1\ndata: a\n\nid: 2\nda");
+/// assert_eq!(splitter.next_event().and_then(|event| event.number), Some(1));
+/// assert_eq!(splitter.next_event(), None);
+/// splitter.push(b"ta: b\n\n");
+/// assert_eq!(splitter.next_event().and_then(|event| event.number), Some(2));
+/// assert!(splitter.take_rest().is_empty());
+/// ```
+#[derive(Debug, Default)]
+pub struct EventSplitter {
+    buffer: BytesMut,
+    searched: usize,
+}
+
+impl EventSplitter {
+    /// Adds bytes of the stream.
+    pub fn push(&mut self, bytes: &[u8]) {
+        self.buffer.extend_from_slice(bytes);
+    }
+
+    /// Returns the bytes that were pushed and not taken.
+    pub fn len(&self) -> usize {
+        self.buffer.len()
+    }
+
+    /// Returns whether there are no such bytes.
+    pub fn is_empty(&self) -> bool {
+        self.buffer.is_empty()
+    }
+
+    /// Returns whether a whole event was pushed.
+    pub fn has_event(&mut self) -> bool {
+        self.find_end().is_some()
+    }
+
+    /// Returns the next whole event.
+    pub fn next_event(&mut self) -> Option<StreamEvent> {
+        let end = self.find_end()?;
+        let bytes = self.buffer.split_to(end).freeze();
+        self.searched = 0;
+        let number = event_number(&bytes);
+        Some(StreamEvent { bytes, number })
+    }
+
+    /// Returns the bytes behind the last whole event.
+    pub fn take_rest(&mut self) -> Bytes {
+        self.searched = 0;
+        self.buffer.split().freeze()
+    }
+
+    /// Returns the end of the first blank line.
+    fn find_end(&mut self) -> Option<usize> {
+        for start in self.searched..self.buffer.len() {
+            let rest = &self.buffer[start..];
+            if rest.starts_with(b"\n\n") {
+                self.searched = start;
+                return Some(start + 2);
+            }
+            if rest.starts_with(b"\n\r\n") {
+                self.searched = start;
+                return Some(start + 3);
+            }
+        }
+        // A blank line may be split behind its first two bytes.
+        self.searched = self.buffer.len().saturating_sub(2);
+        None
+    }
+}
+
+fn event_number(event: &[u8]) -> Option<u64> {
+    let mut lines = event.split(|byte| *byte == b'\n');
+    let value = lines.find_map(|line| line.strip_prefix(ID_FIELD))?;
+    std::str::from_utf8(value).ok()?.trim().parse().ok()
+}
--- /dev/null
+++ b/crates/ebony_gateway/src/gateway.rs
@@ -0,0 +1,138 @@
+//! What all calls of a gateway share.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+
+use ebony_dialect::{CallDialect, RecordDialect};
+use ebony_dispatch::{DispatchOptions, PlacementRule, TargetBoard};
+use ebony_platform::{RowFeed, TableService};
+use ebony_routing::RoutingTable;
+use ebony_settings::GatewaySettings;
+use ebony_telemetry::{BootClock, HealthState, MetricsRegistry};
+use ebony_types::{ClockTime, DomainName};
+use slog::Logger;
+
+use crate::accounts::AccountDesk;
+use crate::channel::TargetClient;
+use crate::decision_log::DecisionLog;
+use crate::metrics::GatewayMetrics;
+
+/// A protocol that covers calls and records.
+pub trait GatewayDialect: CallDialect + RecordDialect {}
+
+impl<D: CallDialect + RecordDialect> GatewayDialect for D {}
+
+/// A store that covers accounts and feeds.
+pub trait GatewayStore: TableService + RowFeed {}
+
+impl<S: TableService + RowFeed> GatewayStore for S {}
+
+/// The clock of a gateway. It goes on while the host is suspended, so that deadlines pass meanwhile.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct GatewayClock(BootClock);
+
+impl GatewayClock {
+    pub(crate) fn start() -> Self {
+        Self(BootClock::start())
+    }
+
+    pub(crate) fn now(self) -> ClockTime {
+        self.0.now()
+    }
+}
+
+/// What all calls of a gateway share. It lives on one thread.
+pub(crate) struct Gateway {
+    pub(crate) dialect: Rc<dyn GatewayDialect>,
+    pub(crate) store: Rc<dyn GatewayStore>,
+    pub(crate) clock: GatewayClock,
+    pub(crate) domain: DomainName,
+    pub(crate) options: DispatchOptions,
+    /// The configuration in force; `None` until the first one was read.
+    pub(crate) routing: RefCell<Option<Rc<RoutingTable>>>,
+    pub(crate) board: RefCell<TargetBoard>,
+    /// Whether the list of targets was read.
+    pub(crate) has_targets: Cell<bool>,
+    pub(crate) accounts: Rc<AccountDesk>,
+    pub(crate) client: Rc<TargetClient>,
+    pub(crate) health: HealthState,
+    pub(crate) is_draining: Cell<bool>,
+    pub(crate) open_calls: Cell<usize>,
+    pub(crate) metrics: GatewayMetrics,
+    pub(crate) decisions: DecisionLog,
+    pub(crate) logger: Logger,
+}
+
+impl Gateway {
+    pub(crate) fn open(
+        settings: &GatewaySettings,
+        dialect: Rc<dyn GatewayDialect>,
+        store: Rc<dyn GatewayStore>,
+        registry: &MetricsRegistry,
+        health: HealthState,
+        logger: Logger,
+    ) -> anyhow::Result<Rc<Self>> {
+        let clock = GatewayClock::start();
+        let metrics = GatewayMetrics::register(registry)?;
+        let rule = PlacementRule::from_name(&settings.policy.placement).unwrap_or_default();
+        let client = TargetClient::open(settings.targets, metrics.connections.clone());
+        Ok(Rc::new(Self {
+            dialect,
+            accounts: AccountDesk::open(Rc::clone(&store) as Rc<dyn TableService>, clock, logger.clone()),
+            store,
+            clock,
+            domain: settings.failure_domain.clone(),
+            options: DispatchOptions {
+                rule,
+                ..DispatchOptions::default()
+            },
+            routing: RefCell::default(),
+            board: RefCell::default(),
+            has_targets: Cell::default(),
+            client,
+            health,
+            is_draining: Cell::default(),
+            open_calls: Cell::default(),
+            decisions: DecisionLog::open(logger.clone(), clock, metrics.dropped_lines.clone()),
+            metrics,
+            logger,
+        }))
+    }
+
+    pub(crate) fn routing(&self) -> Option<Rc<RoutingTable>> {
+        self.routing.borrow().clone()
+    }
+
+    /// Notes that the process can serve if the configuration and the targets are known and it is not stopping.
+    pub(crate) fn update_health(&self) {
+        let is_ready =
+            self.routing.borrow().is_some() && self.has_targets.get() && !self.is_draining.get();
+        if is_ready != self.health.is_ready() {
+            slog::info!(self.logger, "readiness changed"; "ready" => is_ready);
+            self.health.set_ready(is_ready);
+        }
+    }
+
+    /// Returns the time until a deadline, or `None` if it has passed.
+    pub(crate) fn time_left(&self, deadline: ClockTime) -> Option<Duration> {
+        let left = deadline.since(self.clock.now());
+        (!left.is_zero()).then_some(left)
+    }
+}
+
+/// Counts a call while it is open.
+pub(crate) struct OpenCallGuard(Rc<Gateway>);
+
+impl OpenCallGuard {
+    pub(crate) fn open(gateway: &Rc<Gateway>) -> Self {
+        gateway.open_calls.set(gateway.open_calls.get() + 1);
+        Self(Rc::clone(gateway))
+    }
+}
+
+impl Drop for OpenCallGuard {
+    fn drop(&mut self) {
+        self.0.open_calls.set(self.0.open_calls.get() - 1);
+    }
+}
--- /dev/null
+++ b/crates/ebony_gateway/src/intake.rs
@@ -0,0 +1,183 @@
+//! What a caller sent, checked before anything is decided.
+
+use std::cell::Cell;
+use std::time::Duration;
+
+use actix_web::http::header as caller_header;
+use actix_web::web::Payload;
+use actix_web::HttpRequest;
+use bytes::{Bytes, BytesMut};
+use ebony_routing::CallerLimits;
+use ebony_types::ProblemCode;
+use futures_util::StreamExt;
+use http::header::{HeaderMap, HeaderName, HeaderValue};
+use http::{Method, Uri};
+use tokio::time::timeout;
+
+use crate::refusal::{CallRefusal, Result};
+
+/// The longest wait for the rest of a body that has begun.
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Fields that concern one connection, besides those that `Connection` names.
+const CONNECTION_FIELDS: [&str; 9] = [
+    "connection",
+    "content-length",
+    "expect",
+    "keep-alive",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// The state of a caller's connection.
+#[derive(Debug, Default)]
+pub(crate) struct CallerConnection {
+    /// Whether the end of an earlier request is in doubt, so that what follows it may not be a request.
+    is_poisoned: Cell<bool>,
+}
+
+/// The head of a request, without the fields of its connection.
+#[derive(Clone, Debug)]
+pub(crate) struct RequestHead {
+    pub(crate) method: Method,
+    /// Path and query, as the caller sent them.
+    pub(crate) uri: Uri,
+    /// The host that the caller named.
+    pub(crate) host: String,
+    pub(crate) headers: HeaderMap,
+}
+
+impl RequestHead {
+    pub(crate) fn path(&self) -> &str {
+        self.uri.path()
+    }
+}
+
+/// Checks the framing and the head of a request.
+///
+/// # Errors
+///
+/// Fails if the end of the request cannot be told for certain, or if the head is malformed.
+pub(crate) fn read_head(request: &HttpRequest) -> Result<RequestHead> {
+    check_framing(request)?;
+    let malformed = || bad_request("malformed request head");
+    let method = Method::from_bytes(request.method().as_str().as_bytes()).map_err(|_| malformed())?;
+    let target = request.uri().path_and_query().map_or("/", |target| target.as_str());
+    let uri: Uri = target.parse().map_err(|_| malformed())?;
+    let headers = passed_headers(request).map_err(|_| malformed())?;
+    let host = headers
+        .get(http::header::HOST)
+        .and_then(|host| host.to_str().ok())
+        .or_else(|| request.uri().host())
+        .ok_or_else(|| bad_request("the request names no host"))?
+        .to_owned();
+    Ok(RequestHead {
+        method,
+        uri,
+        host,
+        headers,
+    })
+}
+
+/// Checks the size of a head.
+///
+/// # Errors
+///
+/// Fails if the head is larger than callers may send.
+pub(crate) fn check_size(head: &RequestHead, limits: CallerLimits) -> Result<()> {
+    let fields = head.headers.iter();
+    let bytes: usize = fields
+        .map(|(name, value)| name.as_str().len() + value.len() + ": \r\n".len())
+        .sum();
+    if bytes + head.uri.to_string().len() > limits.head_bytes {
+        return Err(CallRefusal::not_run(
+            ProblemCode::HeadTooLarge,
+            "the request head is too large",
+        ));
+    }
+    Ok(())
+}
+
+/// Reads the body of a request as a whole.
+///
+/// # Errors
+///
+/// Fails if the body is larger than callers may send, or ends early.
+pub(crate) async fn read_body(mut payload: Payload, limits: CallerLimits) -> Result<Bytes> {
+    let reading = async {
+        let mut body = BytesMut::new();
+        while let Some(chunk) = payload.next().await {
+            let chunk = chunk.map_err(|_| bad_request("the body ended early"))?;
+            if body.len() + chunk.len() > limits.body_bytes {
+                return Err(CallRefusal::not_run(
+                    ProblemCode::BodyTooLarge,
+                    "the body is too large",
+                ));
+            }
+            body.extend_from_slice(&chunk);
+        }
+        Ok(body.freeze())
+    };
+    let too_slow = CallRefusal::not_run(ProblemCode::RequestTimeout, "the body did not arrive in time");
+    timeout(BODY_TIMEOUT, reading).await.unwrap_or(Err(too_slow))
+}
+
+fn bad_request(detail: &'static str) -> CallRefusal {
+    CallRefusal::not_run(ProblemCode::BadRequest, detail)
+}
+
+/// A request with both a length and chunks, or with another encoding, may end elsewhere than it seems. Neither it nor
+/// what follows on its connection is passed on.
+fn check_framing(request: &HttpRequest) -> Result<()> {
+    let connection = request.conn_data::<CallerConnection>();
+    if connection.is_some_and(|connection| connection.is_poisoned.get()) {
+        return Err(bad_request("an earlier request on the connection was malformed"));
+    }
+    let headers = request.headers();
+    let encoding = headers.get(caller_header::TRANSFER_ENCODING);
+    let is_plain = match encoding {
+        None => true,
+        Some(encoding) => {
+            encoding.as_bytes().trim_ascii().eq_ignore_ascii_case(b"chunked")
+                && !headers.contains_key(caller_header::CONTENT_LENGTH)
+        }
+    };
+    if is_plain {
+        return Ok(());
+    }
+    if let Some(connection) = connection {
+        connection.is_poisoned.set(true);
+    }
+    Err(bad_request("the length of the body is ambiguous"))
+}
+
+fn passed_headers(request: &HttpRequest) -> Result<HeaderMap, http::Error> {
+    let mut headers = HeaderMap::with_capacity(request.headers().len());
+    let named = connection_options(request);
+    for (name, value) in request.headers() {
+        let name = name.as_str();
+        if CONNECTION_FIELDS.contains(&name) || named.iter().any(|option| option == name) {
+            continue;
+        }
+        let name = HeaderName::from_bytes(name.as_bytes())?;
+        headers.append(name, HeaderValue::from_bytes(value.as_bytes())?);
+    }
+    Ok(headers)
+}
+
+/// Returns the fields that the caller declared as concerning the connection.
+fn connection_options(request: &HttpRequest) -> Vec<String> {
+    let values = request.headers().get_all(caller_header::CONNECTION);
+    let options = values
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','));
+    options.map(|option| option.trim().to_ascii_lowercase()).collect()
+}
+
+/// Returns whether a target's field is passed on to the caller.
+pub(crate) fn is_passed_back(name: &HeaderName) -> bool {
+    !CONNECTION_FIELDS.contains(&name.as_str())
+}
--- /dev/null
+++ b/crates/ebony_gateway/src/metrics.rs
@@ -0,0 +1,87 @@
+//! Metrics of a gateway. Label values come from fixed sets.
+
+use ebony_telemetry::MetricsRegistry;
+use ebony_telemetry::metrics::Result;
+use prometheus::{Histogram, IntCounter, IntCounterVec, IntGauge};
+
+/// The metrics of a gateway.
+pub(crate) struct GatewayMetrics {
+    /// Calls that ended, by outcome and verdict.
+    pub(crate) calls: IntCounterVec,
+    /// Calls that the gateway answered itself, by code.
+    pub(crate) refusals: IntCounterVec,
+    /// Attempts at targets, by outcome.
+    pub(crate) attempts: IntCounterVec,
+    /// Seconds from the call to its first target.
+    pub(crate) queue_time: Histogram,
+    /// Seconds from the call to the first bytes of its answer.
+    pub(crate) first_bytes: Histogram,
+    /// Requests to the store, by duty and outcome.
+    pub(crate) store_calls: IntCounterVec,
+    /// Connections opened to targets.
+    pub(crate) connections: IntCounter,
+    /// Calls under way.
+    pub(crate) open_calls: IntGauge,
+    /// Accounts of programs.
+    pub(crate) accounts: IntGauge,
+    /// Targets on the board.
+    pub(crate) targets: IntGauge,
+    /// The version of the configuration in force.
+    pub(crate) routing_version: IntGauge,
+    /// Milliseconds since the store last answered, by duty.
+    pub(crate) feed_age: prometheus::IntGaugeVec,
+    /// Log lines that were left out.
+    pub(crate) dropped_lines: IntCounter,
+}
+
+impl GatewayMetrics {
+    pub(crate) fn register(registry: &MetricsRegistry) -> Result<Self> {
+        Ok(Self {
+            calls: registry.counter_family(
+                "gateway_calls_total",
+                "Calls that ended, by outcome and verdict.",
+                &["outcome", "run"],
+            )?,
+            refusals: registry.counter_family(
+                "gateway_refusals_total",
+                "Calls that the gateway answered itself, by code.",
+                &["code"],
+            )?,
+            attempts: registry.counter_family(
+                "gateway_attempts_total",
+                "Attempts at targets, by outcome.",
+                &["outcome"],
+            )?,
+            queue_time: registry.latency(
+                "gateway_queue_seconds",
+                "Seconds from a call to its first target.",
+            )?,
+            first_bytes: registry.latency(
+                "gateway_first_bytes_seconds",
+                "Seconds from a call to the first bytes of its answer.",
+            )?,
+            store_calls: registry.counter_family(
+                "gateway_store_calls_total",
+                "Requests to the store, by duty and outcome.",
+                &["duty", "outcome"],
+            )?,
+            connections: registry.counter(
+                "gateway_target_connections_total",
+                "Connections opened to targets.",
+            )?,
+            open_calls: registry.gauge("gateway_open_calls", "Calls under way.")?,
+            accounts: registry.gauge("gateway_accounts", "Accounts of programs.")?,
+            targets: registry.gauge("gateway_targets", "Targets on the board.")?,
+            routing_version: registry.gauge(
+                "gateway_routing_version",
+                "The version of the configuration in force.",
+            )?,
+            feed_age: registry.gauge_family(
+                "gateway_feed_age_milliseconds",
+                "Milliseconds since the store last answered, by duty.",
+                &["duty"],
+            )?,
+            dropped_lines: registry.counter("gateway_log_lines_dropped_total", "Log lines that were left out.")?,
+        })
+    }
+}
--- /dev/null
+++ b/crates/ebony_gateway/src/process.rs
@@ -0,0 +1,135 @@
+//! The gateway as a process: bound, serving, drained.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use ebony_settings::GatewaySettings;
+use ebony_telemetry::{HealthServer, HealthState, MetricsRegistry};
+use serde_json::json;
+use slog::{Logger, info};
+use tokio::time::{Instant, sleep};
+
+use crate::gateway::{Gateway, GatewayDialect, GatewayStore};
+use crate::listener::{BoundPort, CallerListener};
+use crate::watch;
+
+/// How long a draining gateway goes on accepting: the balancer asks each second and needs two misses to turn new
+/// callers away.
+const BALANCER_NOTICE: Duration = Duration::from_millis(3_000);
+
+/// How long before the end of the planned stop connections are closed, so that none is cut by the end itself.
+const CLOSING_TIME: Duration = Duration::from_millis(400);
+
+/// The pause between two looks at the calls under way.
+const DRAIN_PAUSE: Duration = Duration::from_millis(50);
+
+/// The result of starting a gateway.
+pub type Result<T, E = anyhow::Error> = std::result::Result<T, E>;
+
+/// The addresses that a gateway listens on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct GatewayAddresses {
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For metrics and health.
+    pub metrics: SocketAddr,
+}
+
+impl GatewayAddresses {
+    /// Returns the addresses as one line of JSON.
+    pub fn to_json(&self) -> String {
+        json!({ "callers": self.callers, "metrics": self.metrics }).to_string()
+    }
+}
+
+/// A gateway whose ports are bound.
+pub struct GatewayProcess {
+    gateway: Rc<Gateway>,
+    port: BoundPort,
+    health_server: HealthServer,
+    addresses: GatewayAddresses,
+    drain_time: Duration,
+}
+
+impl GatewayProcess {
+    /// Binds the ports. Must be called within an actix system.
+    ///
+    /// # Errors
+    ///
+    /// Fails if an address cannot be bound.
+    pub fn bind(
+        settings: &GatewaySettings,
+        dialect: Rc<dyn GatewayDialect>,
+        store: Rc<dyn GatewayStore>,
+        logger: Logger,
+    ) -> Result<Self> {
+        let registry = MetricsRegistry::default();
+        let health = HealthState::default();
+        let port = BoundPort::bind(settings.callers.clone())?;
+        let health_server = HealthServer::bind(settings.metrics.listen, registry.clone(), health.clone())?;
+        let addresses = GatewayAddresses {
+            callers: port.address()?,
+            metrics: health_server.address(),
+        };
+        Ok(Self {
+            gateway: Gateway::open(settings, dialect, store, &registry, health, logger)?,
+            port,
+            health_server,
+            addresses,
+            drain_time: settings.drain_time,
+        })
+    }
+
+    /// Returns the addresses.
+    pub fn addresses(&self) -> GatewayAddresses {
+        self.addresses
+    }
+
+    /// Follows the store and serves callers.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the HTTP service does not start.
+    pub async fn serve(self) -> Result<ServingGateway> {
+        let gateway = self.gateway;
+        tokio::task::spawn_local(watch::watch_routing(Rc::clone(&gateway)));
+        tokio::task::spawn_local(watch::watch_targets(Rc::clone(&gateway)));
+        tokio::task::spawn_local(watch::tidy(Rc::clone(&gateway)));
+        let listener = self.port.serve(Rc::clone(&gateway)).await?;
+        Ok(ServingGateway {
+            gateway,
+            listener,
+            health_server: self.health_server,
+            drain_time: self.drain_time,
+        })
+    }
+}
+
+/// A gateway that serves.
+pub struct ServingGateway {
+    gateway: Rc<Gateway>,
+    listener: CallerListener,
+    health_server: HealthServer,
+    drain_time: Duration,
+}
+
+impl ServingGateway {
+    /// Stops as planned: is not ready at once, goes on accepting until the balancer has noticed, and ends when no call
+    /// is under way or the time for a planned stop is over.
+    pub async fn drain(self) {
+        let start = Instant::now();
+        self.gateway.is_draining.set(true);
+        self.gateway.update_health();
+        sleep(BALANCER_NOTICE.min(self.drain_time / 2)).await;
+        let limit = start + self.drain_time.saturating_sub(CLOSING_TIME);
+        while self.gateway.open_calls.get() > 0 && Instant::now() < limit {
+            sleep(DRAIN_PAUSE).await;
+        }
+        self.listener.close_connections();
+        sleep(CLOSING_TIME / 2).await;
+        info!(self.gateway.logger, "drained";
+            "calls_left" => self.gateway.open_calls.get(), "took_ms" => start.elapsed().as_millis() as u64);
+        self.health_server.stop().await;
+    }
+}
--- /dev/null
+++ b/crates/ebony_gateway/src/refusal.rs
@@ -0,0 +1,75 @@
+//! Answers of the gateway itself.
+
+use std::time::Duration;
+
+use actix_web::HttpResponse;
+use actix_web::http::StatusCode;
+use actix_web::http::header::{HeaderName, HeaderValue, RETRY_AFTER};
+use ebony_dialect::CallDialect;
+use ebony_types::{ProblemCode, ProblemReport, RunVerdict};
+
+/// Why a call is not answered by a target, with a verdict on whether it may have run.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(thiserror::Error)]
+#[error("{report}")]
+pub struct CallRefusal {
+    /// The problem.
+    pub report: ProblemReport,
+    /// When the call has a chance; set only if it has not run.
+    pub come_back: Option<Duration>,
+}
+
+/// The result of a step of a call.
+pub type Result<T, E = CallRefusal> = std::result::Result<T, E>;
+
+impl CallRefusal {
+    /// Creates a refusal of a call that no target ran and none will.
+    ///
+    /// ```
+    /// use ebony_gateway::refusal::CallRefusal;
+    /// use ebony_types::{ProblemCode, RunVerdict};
+    ///
+    /// let refusal = CallRefusal::not_run(ProblemCode::NotFound, "no route");
+    /// assert_eq!(refusal.report.run, RunVerdict::NotRun);
+    /// ```
+    pub fn not_run(code: ProblemCode, detail: &'static str) -> Self {
+        Self {
+            report: ProblemReport::not_run(code, detail),
+            come_back: None,
+        }
+    }
+
+    /// Creates a refusal of a call that may have run.
+    pub fn may_have_run(code: ProblemCode, detail: &'static str) -> Self {
+        Self {
+            report: ProblemReport::may_have_run(code, detail),
+            come_back: None,
+        }
+    }
+
+    /// Sets when the call has a chance.
+    #[must_use]
+    pub fn come_back(mut self, after: Duration) -> Self {
+        debug_assert_eq!(self.report.run, RunVerdict::NotRun);
+        self.come_back = Some(after);
+        self
+    }
+
+    /// Returns the answer to the caller.
+    pub(crate) fn into_response(self, call: Option<&str>, dialect: &dyn CallDialect) -> HttpResponse {
+        let status =
+            StatusCode::from_u16(self.report.status()).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+        let mut response = HttpResponse::build(status);
+        if let Some(after) = self.come_back {
+            response.insert_header((RETRY_AFTER, format!("{:.3}", after.as_secs_f64())));
+        }
+        if let Some((name, value)) = call.and_then(|call| dialect.encode_mark(call)) {
+            let name = HeaderName::from_bytes(name.as_str().as_bytes());
+            let value = HeaderValue::from_bytes(value.as_bytes());
+            if let (Ok(name), Ok(value)) = (name, value) {
+                response.insert_header((name, value));
+            }
+        }
+        response.json(self.report.to_json())
+    }
+}
--- /dev/null
+++ b/crates/ebony_gateway/src/story.rs
@@ -0,0 +1,192 @@
+//! The story of one call: what was decided and why, in one log line at its end.
+
+use std::fmt::Write as _;
+use std::rc::Rc;
+
+use ebony_types::{ClockTime, ProblemCode, RunVerdict};
+
+use crate::decision_log::LineKind;
+use crate::gateway::Gateway;
+
+/// How an attempt at a target ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum AttemptOutcome {
+    /// The target answered.
+    Answered,
+    /// The target did not run the call.
+    NotRun,
+    /// Nothing was sent.
+    NotSent,
+    /// The connection or the answer broke off.
+    Broken,
+    /// The answer belongs to another call, or nobody vouches for it.
+    Foreign,
+    /// No answer within the time.
+    TimedOut,
+}
+
+impl AttemptOutcome {
+    pub(crate) fn as_str(self) -> &'static str {
+        match self {
+            Self::Answered => "answered",
+            Self::NotRun => "not_run",
+            Self::NotSent => "not_sent",
+            Self::Broken => "broken",
+            Self::Foreign => "foreign",
+            Self::TimedOut => "timed_out",
+        }
+    }
+}
+
+/// How a call ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum CallOutcome {
+    /// The target's whole answer was handed on.
+    Answered {
+        /// The target's status.
+        status: u16,
+    },
+    /// The gateway answered itself.
+    Refused {
+        /// The code of the answer.
+        code: ProblemCode,
+        /// Whether the call may have run.
+        run: RunVerdict,
+    },
+    /// The answer broke off after its first bytes were handed on.
+    BrokenOff {
+        /// Why.
+        cause: &'static str,
+    },
+    /// The caller closed the connection first.
+    CallerLeft,
+}
+
+/// What is known of a call so far. A call whose story is dropped before its end was left by its caller.
+pub(crate) struct CallStory {
+    gateway: Rc<Gateway>,
+    call: String,
+    program: String,
+    route: String,
+    routing_version: u64,
+    arrived: ClockTime,
+    first_sent: Option<ClockTime>,
+    first_bytes: Option<ClockTime>,
+    /// Target and outcome of each attempt.
+    attempts: String,
+    events: u32,
+    has_ended: bool,
+}
+
+impl CallStory {
+    pub(crate) fn open(gateway: &Rc<Gateway>, call: &str, program: &str, arrived: ClockTime) -> Self {
+        Self {
+            gateway: Rc::clone(gateway),
+            call: call.to_owned(),
+            program: program.to_owned(),
+            route: String::new(),
+            routing_version: 0,
+            arrived,
+            first_sent: None,
+            first_bytes: None,
+            attempts: String::new(),
+            events: 0,
+            has_ended: false,
+        }
+    }
+
+    pub(crate) fn set_route(&mut self, route: &str, routing_version: u64) {
+        route.clone_into(&mut self.route);
+        self.routing_version = routing_version;
+    }
+
+    pub(crate) fn record_send(&mut self) {
+        if self.first_sent.is_none() {
+            let now = self.gateway.clock.now();
+            let queued = now.since(self.arrived);
+            self.gateway.metrics.queue_time.observe(queued.as_secs_f64());
+            self.first_sent = Some(now);
+        }
+    }
+
+    pub(crate) fn record_attempt(&mut self, target: &str, outcome: AttemptOutcome) {
+        let outcome = outcome.as_str();
+        self.gateway.metrics.attempts.with_label_values(&[outcome]).inc();
+        if !self.attempts.is_empty() {
+            self.attempts.push(' ');
+        }
+        // Writing to a string does not fail.
+        let _ = write!(self.attempts, "{target}:{outcome}");
+    }
+
+    pub(crate) fn record_first_bytes(&mut self) {
+        if self.first_bytes.is_none() {
+            let now = self.gateway.clock.now();
+            let waited = now.since(self.arrived);
+            self.gateway.metrics.first_bytes.observe(waited.as_secs_f64());
+            self.first_bytes = Some(now);
+        }
+    }
+
+    pub(crate) fn record_event(&mut self) {
+        self.events += 1;
+    }
+
+    pub(crate) fn end(&mut self, outcome: CallOutcome) {
+        if std::mem::replace(&mut self.has_ended, true) {
+            return;
+        }
+        let (name, detail, run, kind) = match outcome {
+            CallOutcome::Answered { status } => {
+                ("answered", status.to_string(), RunVerdict::Ran, LineKind::Plain)
+            }
+            CallOutcome::Refused { code, run } => {
+                self.gateway.metrics.refusals.with_label_values(&[code.as_str()]).inc();
+                ("refused", code.as_str().to_owned(), run, LineKind::Failed)
+            }
+            CallOutcome::BrokenOff { cause } => {
+                ("broken_off", cause.to_owned(), RunVerdict::Ran, LineKind::Failed)
+            }
+            CallOutcome::CallerLeft => {
+                let run = if self.first_sent.is_some() {
+                    RunVerdict::MayHaveRun
+                } else {
+                    RunVerdict::NotRun
+                };
+                ("caller_left", String::new(), run, LineKind::Failed)
+            }
+        };
+        let labels = [name, run.as_str()];
+        self.gateway.metrics.calls.with_label_values(&labels).inc();
+        if self.gateway.decisions.admits(kind) {
+            self.write_line(name, &detail, run);
+        }
+    }
+
+    fn write_line(&self, outcome: &str, detail: &str, run: RunVerdict) {
+        let millis = |time: Option<ClockTime>| match time {
+            Some(time) => time.since(self.arrived).as_millis() as i64,
+            None => -1,
+        };
+        slog::info!(self.gateway.decisions.logger, "call ended";
+            "call" => &self.call,
+            "program" => &self.program,
+            "route" => &self.route,
+            "routing_version" => self.routing_version,
+            "attempts" => &self.attempts,
+            "events" => self.events,
+            "outcome" => outcome,
+            "detail" => detail,
+            "run" => run.as_str(),
+            "sent_ms" => millis(self.first_sent),
+            "first_bytes_ms" => millis(self.first_bytes),
+            "total_ms" => millis(Some(self.gateway.clock.now())),
+        );
+    }
+}
+
+impl Drop for CallStory {
+    fn drop(&mut self) {
+        self.end(CallOutcome::CallerLeft);
+    }
+}
--- /dev/null
+++ b/crates/ebony_gateway/src/watch.rs
@@ -0,0 +1,273 @@
+//! Following the configuration and the list of targets in the platform's store.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use ebony_dispatch::TargetChange;
+use ebony_platform::{FeedPage, FeedRow, PlatformError, RowVersion};
+use ebony_types::{ClockTime, TargetName};
+use slog::{info, warn};
+use tokio::time::sleep;
+
+use crate::gateway::Gateway;
+
+/// The longest time that the store holds a request for changes. Short enough that a silent connection is noticed well
+/// within the time that an accepted configuration has to be in force.
+const FEED_WAIT: Duration = Duration::from_millis(900);
+
+/// The pause between two requests for changes of the list of targets, which changes with every heartbeat of each. A
+/// draining target has to be noticed within 2 s.
+const TARGET_PAUSE: Duration = Duration::from_millis(250);
+
+/// The pause before the store is asked again after a failure.
+const FAILURE_PAUSE: Duration = Duration::from_millis(150);
+
+/// How long an entry that lapsed while the store was away may take to come back: two seconds, and the pause between
+/// two reads.
+const LAPSE_GRACE: Duration = Duration::from_millis(2_200);
+
+/// The result of reading the store.
+type Result<T, E = PlatformError> = std::result::Result<T, E>;
+
+/// A table that is followed.
+struct TableWatch {
+    gateway: Rc<Gateway>,
+    table: &'static str,
+    duty: &'static str,
+    cursor: Option<RowVersion>,
+    last_answer: ClockTime,
+    is_lost: bool,
+}
+
+/// What a read returned.
+enum TableNews {
+    /// All rows of the table.
+    Snapshot(Vec<FeedRow>),
+    /// Rows that changed.
+    Changes(Vec<FeedRow>),
+}
+
+impl TableWatch {
+    fn open(gateway: &Rc<Gateway>, table: &'static str, duty: &'static str) -> Self {
+        Self {
+            gateway: Rc::clone(gateway),
+            table,
+            duty,
+            cursor: None,
+            last_answer: gateway.clock.now(),
+            is_lost: false,
+        }
+    }
+
+    /// Waits for news.
+    async fn next(&mut self) -> TableNews {
+        loop {
+            let is_snapshot = self.cursor.is_none();
+            match self.read().await {
+                Ok(page) => {
+                    self.record_answer();
+                    self.cursor = Some(page.version);
+                    if is_snapshot {
+                        return TableNews::Snapshot(page.rows);
+                    }
+                    if !page.rows.is_empty() {
+                        return TableNews::Changes(page.rows);
+                    }
+                }
+                Err(PlatformError::HistoryLost) => {
+                    self.count("history_lost");
+                    warn!(self.gateway.logger, "the store lost its history; the table is read as a whole";
+                        "table" => self.table);
+                    self.cursor = None;
+                }
+                Err(error) => {
+                    self.record_failure(&error);
+                    sleep(FAILURE_PAUSE).await;
+                }
+            }
+        }
+    }
+
+    async fn read(&self) -> Result<FeedPage> {
+        match self.cursor {
+            None => self.gateway.store.snapshot(self.table).await,
+            Some(version) => self.gateway.store.changes(self.table, version, FEED_WAIT).await,
+        }
+    }
+
+    fn record_answer(&mut self) {
+        self.count("answered");
+        let now = self.gateway.clock.now();
+        if std::mem::take(&mut self.is_lost) {
+            info!(self.gateway.logger, "the store is back";
+                "table" => self.table, "away_ms" => now.since(self.last_answer).as_millis() as u64);
+        }
+        self.last_answer = now;
+        self.gateway.metrics.feed_age.with_label_values(&[self.duty]).set(0);
+    }
+
+    fn record_failure(&mut self, error: &PlatformError) {
+        self.count("failed");
+        let age = self.gateway.clock.now().since(self.last_answer);
+        let age_ms = i64::try_from(age.as_millis()).unwrap_or(i64::MAX);
+        self.gateway.metrics.feed_age.with_label_values(&[self.duty]).set(age_ms);
+        if !std::mem::replace(&mut self.is_lost, true) {
+            warn!(self.gateway.logger, "the store does not answer";
+                "table" => self.table, "error" => %error);
+        }
+    }
+
+    fn count(&self, outcome: &str) {
+        let labels = [self.duty, outcome];
+        self.gateway.metrics.store_calls.with_label_values(&labels).inc();
+    }
+}
+
+/// Follows the configuration.
+pub(crate) async fn watch_routing(gateway: Rc<Gateway>) {
+    let (table, key) = gateway.dialect.routing_row();
+    let mut watch = TableWatch::open(&gateway, table, "routing");
+    loop {
+        let (TableNews::Snapshot(rows) | TableNews::Changes(rows)) = watch.next().await;
+        let values = rows.iter().filter(|row| row.key == key);
+        for value in values.filter_map(|row| row.value.as_deref()) {
+            apply_routing(&gateway, value);
+        }
+    }
+}
+
+/// Puts a configuration in force, unless a newer one is.
+fn apply_routing(gateway: &Gateway, value: &[u8]) {
+    let table = match gateway.dialect.decode_routing(value) {
+        Ok(table) => table,
+        Err(error) => {
+            warn!(gateway.logger, "a configuration cannot be read"; "error" => %error);
+            return;
+        }
+    };
+    let version = table.version();
+    let current = gateway.routing().map(|routing| routing.version());
+    if current.is_some_and(|current| current >= version) {
+        info!(gateway.logger, "an older configuration was left out";
+            "version" => version.0, "in_force" => current.unwrap_or_default().0);
+        return;
+    }
+    info!(gateway.logger, "configuration in force";
+        "version" => version.0, "before" => current.unwrap_or_default().0, "routes" => table.routes().count());
+    gateway.metrics.routing_version.set(i64::try_from(version.0).unwrap_or(i64::MAX));
+    *gateway.routing.borrow_mut() = Some(Rc::new(table));
+    gateway.update_health();
+}
+
+/// Follows the list of targets.
+pub(crate) async fn watch_targets(gateway: Rc<Gateway>) {
+    let mut watch = TableWatch::open(&gateway, gateway.dialect.target_table(), "targets");
+    let list = TargetList {
+        gateway: Rc::clone(&gateway),
+        store_back: Cell::new(gateway.clock.now()),
+    };
+    loop {
+        let was_lost = watch.is_lost;
+        let news = watch.next().await;
+        if was_lost || watch.last_answer.since(list.store_back.get()).is_zero() {
+            list.store_back.set(gateway.clock.now());
+        }
+        match news {
+            TableNews::Snapshot(rows) => list.replace(&rows),
+            TableNews::Changes(rows) => list.apply_all(&rows),
+        }
+        gateway.has_targets.set(true);
+        gateway.update_health();
+        sleep(TARGET_PAUSE).await;
+    }
+}
+
+/// Applies the platform's list to the board.
+struct TargetList {
+    gateway: Rc<Gateway>,
+    /// When the store answered again after it was away.
+    store_back: Cell<ClockTime>,
+}
+
+impl TargetList {
+    /// Takes over the whole list. A target that it lacks may have lapsed while the store was away.
+    fn replace(&self, rows: &[FeedRow]) {
+        self.store_back.set(self.gateway.clock.now());
+        let names = self.gateway.board.borrow().names();
+        for name in names {
+            if !rows.iter().any(|row| row.key == name.as_str()) {
+                self.lose(&name);
+            }
+        }
+        self.apply_all(rows);
+    }
+
+    fn apply_all(&self, rows: &[FeedRow]) {
+        for row in rows {
+            self.apply(row);
+        }
+        let targets = self.gateway.board.borrow().names().len();
+        self.gateway.metrics.targets.set(i64::try_from(targets).unwrap_or(i64::MAX));
+    }
+
+    fn apply(&self, row: &FeedRow) {
+        let logger = &self.gateway.logger;
+        let Ok(name) = TargetName::parse(&row.key) else {
+            warn!(logger, "a target has no usable name"; "key" => &row.key);
+            return;
+        };
+        let Some(value) = &row.value else {
+            self.lose(&name);
+            return;
+        };
+        let record = match self.gateway.dialect.decode_target(name, value) {
+            Ok(record) => record,
+            Err(error) => {
+                warn!(logger, "the entry of a target cannot be read"; "target" => &row.key, "error" => %error);
+                return;
+            }
+        };
+        let (service, domain) = (record.service.clone(), record.domain.clone());
+        let change = self.gateway.board.borrow_mut().apply(record);
+        match change {
+            TargetChange::Added(_) => info!(logger, "target added";
+                "target" => &row.key, "service" => service.as_str(), "domain" => domain.as_str()),
+            TargetChange::Draining(_) => info!(logger, "target is draining"; "target" => &row.key),
+            TargetChange::Unchanged(_) => {}
+        }
+    }
+
+    /// Removes a target; shortly after an outage of the store, gives it time to come back.
+    fn lose(&self, name: &TargetName) {
+        let now = self.gateway.clock.now();
+        let mut board = self.gateway.board.borrow_mut();
+        if now.since(self.store_back.get()) < LAPSE_GRACE {
+            info!(self.gateway.logger, "target lapsed"; "target" => name.as_str());
+            board.lapse(name, now);
+        } else if board.remove(name).is_some() {
+            info!(self.gateway.logger, "target removed"; "target" => name.as_str());
+        }
+    }
+}
+
+/// Removes targets that lapsed and did not come back, and drops what is no longer used.
+pub(crate) async fn tidy(gateway: Rc<Gateway>) {
+    /// The pause between two rounds.
+    const PAUSE: Duration = Duration::from_millis(250);
+    loop {
+        sleep(PAUSE).await;
+        let now = gateway.clock.now();
+        let removed = gateway.board.borrow_mut().remove_lapsed(LAPSE_GRACE, now);
+        for name in removed {
+            info!(gateway.logger, "target removed"; "target" => name.as_str());
+        }
+        gateway
+            .client
+            .prune(|target| gateway.board.borrow().is_ready(target));
+        gateway.accounts.evict_idle();
+        let gauge = |count: usize| i64::try_from(count).unwrap_or(i64::MAX);
+        gateway.metrics.accounts.set(gauge(gateway.accounts.len()));
+        gateway.metrics.open_calls.set(gauge(gateway.open_calls.get()));
+    }
+}
--- a/crates/ebony_membership/src/lib.rs
+++ b/crates/ebony_membership/src/lib.rs
@@ -11,7 +11,7 @@
 pub mod dialed_link;
 pub mod entries;
 pub mod host_hint;
-pub mod rendezvous;
+pub use ebony_types::rendezvous;
 pub mod subset;
 pub mod targets;
 
--- a/crates/ebony_platform/src/error.rs
+++ b/crates/ebony_platform/src/error.rs
@@ -9,6 +9,9 @@
     /// A conditional write lost: the row exists, or has another version.
     #[error("the row exists or has another version")]
     Conflict,
+    /// The changes that were asked for are no longer kept; the rows have to be read as a whole.
+    #[error("the history is no longer kept")]
+    HistoryLost,
     /// The system refused the request or could not be reached; the request did not run.
     #[error("refused: {0}")]
     Refused(String),
@@ -30,7 +33,7 @@
     /// Returns whether the request may have run.
     pub fn verdict(&self) -> RunVerdict {
         match self {
-            Self::Conflict | Self::Refused(_) | Self::Fenced { .. } => RunVerdict::NotRun,
+            Self::Conflict | Self::HistoryLost | Self::Refused(_) | Self::Fenced { .. } => RunVerdict::NotRun,
             Self::Unknown(_) | Self::Malformed(_) => RunVerdict::MayHaveRun,
         }
     }
--- /dev/null
+++ b/crates/ebony_platform/src/feed.rs
@@ -0,0 +1,39 @@
+//! Rows of a table as they change.
+
+use std::time::Duration;
+
+use async_trait::async_trait;
+use bytes::Bytes;
+
+pub use crate::error::Result;
+use crate::table::RowVersion;
+
+/// A row as the feed tells of it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct FeedRow {
+    /// The key within the table.
+    pub key: String,
+    /// The value; `None` if the row was removed.
+    pub value: Option<Bytes>,
+}
+
+/// Rows, and the version of the store that they show.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct FeedPage {
+    /// The rows, in the order of their changes or of their keys.
+    pub rows: Vec<FeedRow>,
+    /// The version to continue from.
+    pub version: RowVersion,
+}
+
+/// Reads a table as a whole and then its changes.
+#[async_trait(?Send)]
+pub trait RowFeed {
+    /// Reads all rows of a table.
+    async fn snapshot(&self, table: &str) -> Result<FeedPage>;
+
+    /// Waits up to `wait` for changes of a table behind a version. The page is empty if there were none.
+    ///
+    /// [`crate::PlatformError::HistoryLost`] means that changes are missing and the table has to be read as a whole.
+    async fn changes(&self, table: &str, after: RowVersion, wait: Duration) -> Result<FeedPage>;
+}
--- a/crates/ebony_platform/src/lib.rs
+++ b/crates/ebony_platform/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod engine;
 pub mod error;
+pub mod feed;
 pub mod host_list;
 pub mod http;
 pub mod object_store;
@@ -20,6 +21,7 @@
         CacheNotice, EngineAnswer, EngineCall, EngineLoad, EngineOrder, EngineTarget, HeldProgram,
     };
     pub use crate::error::PlatformError;
+    pub use crate::feed::{FeedPage, FeedRow, RowFeed};
     pub use crate::host_list::{HostEntry, HostList, HostRole, HostState};
     pub use crate::http::{
         HttpEngine, HttpHosts, HttpObjects, HttpService, HttpTable, HttpWeights, RequestLimits,
--- /dev/null
+++ b/crates/ebony_routing/src/lib.rs
@@ -0,0 +1,17 @@
+//! Routes, services and limits that operators configure for calls to direct targets.
+//!
+//! A [`RoutingTable`] is one version of that configuration. It is immutable: a newer version replaces it as a whole.
+//! The crate does no I/O and knows no encoding.
+
+pub mod route;
+pub mod service;
+pub mod table;
+
+/// Re-exports the table and its parts.
+pub mod prelude {
+    pub use crate::route::{CallNature, ProgramRule, RouteRule, ServiceShare};
+    pub use crate::service::{EngineRule, ServiceRule};
+    pub use crate::table::{CallerLimits, RoutingTable, RoutingVersion};
+}
+
+pub use prelude::*;
--- /dev/null
+++ b/crates/ebony_settings/src/gateway_settings.rs
@@ -0,0 +1,98 @@
+//! The settings of a gateway.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use ebony_types::{DomainName, HostName};
+use serde::Deserialize;
+
+use crate::base_url::BaseUrl;
+use crate::settings::{LogSettings, MetricsSettings};
+
+/// The settings of a gateway, checked as a whole.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct GatewaySettings {
+    /// The name of the process.
+    pub process: String,
+    /// The role, always `gateway`.
+    pub role: String,
+    /// The host.
+    pub host: HostName,
+    /// The region of the host.
+    pub region: String,
+    /// The failure domain of the host.
+    pub failure_domain: DomainName,
+    /// The callers' HTTP interface.
+    pub callers: CallerPort,
+    /// Links from other gateways.
+    pub links: ListenSettings,
+    /// Metrics and health over HTTP.
+    pub metrics: MetricsSettings,
+    /// The platform's store.
+    pub store: StoreSettings,
+    /// Connections to targets.
+    pub targets: TargetLimits,
+    /// The log.
+    pub log: LogSettings,
+    /// The longest planned stop.
+    pub drain_time: Duration,
+    /// The choice of targets.
+    pub policy: GatewayPolicy,
+}
+
+/// The callers' HTTP interface.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct CallerPort {
+    /// The address for callers.
+    pub listen: SocketAddr,
+    /// The most open connections.
+    pub connections: usize,
+    /// A connection without a request for this long is closed.
+    pub idle_time: Duration,
+}
+
+/// An address to listen on.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ListenSettings {
+    /// The address.
+    pub listen: SocketAddr,
+}
+
+/// The platform's store.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct StoreSettings {
+    /// The base URL.
+    pub url: BaseUrl,
+    /// The longest wait for a reply.
+    pub timeout: Duration,
+}
+
+/// Limits on connections to targets.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct TargetLimits {
+    /// The longest wait for a connection.
+    pub connect_timeout: Duration,
+    /// A connection whose peer acknowledges nothing for this long is given up.
+    pub silence: Duration,
+    /// The longest time that an unused connection is kept if the target does not say how long it keeps it.
+    pub keep_idle: Duration,
+}
+
+/// The choice of targets.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct GatewayPolicy {
+    /// The placement rule, as [`GatewayPolicy::placement`] spells it in the file.
+    pub placement: String,
+}
--- a/crates/ebony_settings/src/lib.rs
+++ b/crates/ebony_settings/src/lib.rs
@@ -9,6 +9,7 @@
 
 pub mod base_url;
 pub mod entry_settings;
+pub mod gateway_settings;
 pub mod issue;
 pub mod key_source;
 mod open;
@@ -24,8 +25,12 @@
 pub mod prelude {
     pub use crate::base_url::{BaseUrl, UrlError};
     pub use crate::entry_settings::{CallerSettings, CallerTls, EntrySettings, OwnershipSettings};
+    pub use crate::gateway_settings::{
+        CallerPort, GatewayPolicy, GatewaySettings, ListenSettings, StoreSettings, TargetLimits,
+    };
     pub use crate::issue::{IssueKind, SettingsIssue, SettingsReport};
     pub use crate::key_source::{KeyError, KeySource};
+    pub use crate::open::is_gateway_file;
     pub use crate::position::TextPosition;
     pub use crate::schema::{KeyReference, settings_reference};
     pub use crate::settings::{
--- a/crates/ebony_settings/src/open.rs
+++ b/crates/ebony_settings/src/open.rs
@@ -9,7 +9,8 @@
 use crate::position::TextPosition;
 use crate::reader::{CheckedFile, CheckedLeaf};
 use crate::rules;
-use crate::schema::ValueKind;
+use crate::gateway_settings::GatewaySettings;
+use crate::schema::{GATEWAY_ROOT, ROOT, ValueKind};
 use crate::settings::ProcessSettings;
 
 /// The largest settings file in bytes. It bounds what a wrong path can read into memory.
@@ -23,11 +24,7 @@
     /// Returns a [`SettingsReport`] with everything that is wrong.
     pub fn open(path: impl AsRef<Path>) -> Result<Self> {
         let path = path.as_ref();
-        let name = path.display().to_string();
-        let text = read_text(path).map_err(|error| {
-            let message = format!("the file cannot be read: {error}");
-            SettingsReport::new(&name, vec![file_issue(message)])
-        })?;
+        let (name, text) = read_named(path)?;
         let folder = path.parent().unwrap_or(Path::new(""));
         let mut file = check(&text, &name)?;
         let issues = file
@@ -58,8 +55,67 @@
     }
 }
 
+impl GatewaySettings {
+    /// Reads and checks the settings file of a gateway.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`SettingsReport`] with everything that is wrong.
+    pub fn open(path: impl AsRef<Path>) -> Result<Self> {
+        let (name, text) = read_named(path.as_ref())?;
+        Self::parse(&text, &name)
+    }
+
+    /// Checks the text of a gateway's settings file.
+    ///
+    /// ```
+    /// use ebony_settings::GatewaySettings;
+    ///
+    /// let report = GatewaySettings::parse("{ \"role\": \"gatewy\" }", "gateway.jsonc").unwrap_err();
+    /// assert!(report.to_string().contains("did you mean `gateway`?"));
+    /// ```
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`SettingsReport`] with everything that is wrong.
+    pub fn parse(text: &str, file_name: &str) -> Result<Self> {
+        let report = |issues| SettingsReport::new(file_name, issues);
+        let mut file = CheckedFile::read(text, &GATEWAY_ROOT).map_err(|issue| report(vec![issue]))?;
+        let issues = rules::check_gateway(&file);
+        file.issues.extend(issues);
+        if !file.issues.is_empty() {
+            return Err(report(file.issues));
+        }
+        serde_json::from_value(file.into_root()).map_err(|error| {
+            let message = format!("the schema and the settings' types disagree: {error}");
+            report(vec![file_issue(message)])
+        })
+    }
+}
+
+/// Returns whether a settings file names the role of a gateway. A file that is no object names none.
+///
+/// # Errors
+///
+/// Returns a [`SettingsReport`] if the file cannot be read.
+pub fn is_gateway_file(path: impl AsRef<Path>) -> Result<bool> {
+    let (_, text) = read_named(path.as_ref())?;
+    let file = CheckedFile::read(&text, &GATEWAY_ROOT);
+    let is_gateway = |file: CheckedFile| file.leaf("role").and_then(CheckedLeaf::text) == Some("gateway");
+    Ok(file.is_ok_and(is_gateway))
+}
+
+fn read_named(path: &Path) -> Result<(String, String)> {
+    let name = path.display().to_string();
+    let text = read_text(path).map_err(|error| {
+        let message = format!("the file cannot be read: {error}");
+        SettingsReport::new(&name, vec![file_issue(message)])
+    })?;
+    Ok((name, text))
+}
+
 fn check(text: &str, file_name: &str) -> Result<CheckedFile> {
-    let mut file = CheckedFile::read(text).map_err(|issue| SettingsReport::new(file_name, vec![issue]))?;
+    let mut file = CheckedFile::read(text, &ROOT).map_err(|issue| SettingsReport::new(file_name, vec![issue]))?;
     let issues = rules::check_all(&file);
     file.issues.extend(issues);
     Ok(file)
--- a/crates/ebony_settings/src/reader/mod.rs
+++ b/crates/ebony_settings/src/reader/mod.rs
@@ -16,7 +16,7 @@
 
 use crate::issue::{IssueKind, SettingsIssue};
 use crate::position::{LineIndex, TextPosition};
-use crate::schema::{ROOT, ValueKind};
+use crate::schema::{ROOT, SectionSpec, ValueKind};
 use crate::settings::ProcessRole;
 use section::{SectionPlace, SectionReader};
 
@@ -86,12 +86,12 @@
 }
 
 impl CheckedFile {
-    /// Parses and checks a text.
+    /// Parses a text and checks it by the keys of the file.
     ///
     /// # Errors
     ///
     /// Returns the issue if the text has no syntax tree; other issues are collected in the file.
-    pub(crate) fn read(text: &str) -> Result<Self, SettingsIssue> {
+    pub(crate) fn read(text: &str, root_spec: &'static SectionSpec) -> Result<Self, SettingsIssue> {
         let index = LineIndex::new(text);
         let tree = parse_to_ast(text, &CollectOptions::default(), &PARSE_OPTIONS)
             .map_err(|error| syntax_issue(&index, error.range().start, error.kind().to_string()))?;
@@ -108,7 +108,7 @@
             .and_then(|lit| ProcessRole::from_name(&lit.value));
         let place = SectionPlace::root(index.position(root.range.start));
         let mut reader = SectionReader::new(index, role);
-        let root = reader.read_section(&ROOT, Some(&root), &place);
+        let root = reader.read_section(root_spec, Some(&root), &place);
         Ok(Self {
             role,
             leaves: reader.leaves,
@@ -127,6 +127,11 @@
         self.leaf(path)?.decode()
     }
 
+    /// Returns the whole file as it was read.
+    pub(crate) fn into_root(self) -> serde_json::Value {
+        serde_json::Value::Object(self.root)
+    }
+
     /// Returns the whole file in the form that [`crate::ProcessSettings`] decodes: the keys of the role stand below
     /// `role` under the role's name.
     pub(crate) fn into_value(self) -> serde_json::Value {
--- a/crates/ebony_settings/src/rules.rs
+++ b/crates/ebony_settings/src/rules.rs
@@ -36,6 +36,13 @@
     issues
 }
 
+/// Returns the violations of the rules for the settings of a gateway.
+pub(crate) fn check_gateway(file: &CheckedFile) -> Vec<SettingsIssue> {
+    let mut issues = Vec::new();
+    check_listeners(file, &mut issues);
+    issues
+}
+
 /// One of the key's sources is set, and an inline key stays on its host.
 fn check_key_source(file: &CheckedFile) -> Option<SettingsIssue> {
     let section = file.leaf("links.cluster_key").filter(|leaf| leaf.is_valid())?;
--- /dev/null
+++ b/crates/ebony_settings/src/schema/gateway_keys.rs
@@ -0,0 +1,134 @@
+//! The keys of a gateway's settings file.
+
+use super::keys::{LOG, METRICS, MINUTE, REQUEST_TIMEOUT, SECOND, count, duration, listener};
+use super::{AddressUse, KeySpec, SectionSpec, ValueKind};
+
+/// The whole file.
+pub(crate) static GATEWAY_ROOT: SectionSpec = SectionSpec {
+    keys: &[
+        KeySpec::required(
+            "process",
+            ValueKind::Name,
+            "The name of the process, unique in the deployment.",
+        ),
+        KeySpec::required("role", ValueKind::Choice(&["gateway"]), "What the process does."),
+        KeySpec::required("host", ValueKind::Name, "The host."),
+        KeySpec::required("region", ValueKind::Name, "The region of the host."),
+        KeySpec::required(
+            "failure_domain",
+            ValueKind::Name,
+            "The failure domain of the host.",
+        ),
+        KeySpec::required(
+            "callers",
+            ValueKind::Section(&CALLERS),
+            "The callers' HTTP interface.",
+        ),
+        KeySpec::required("links", ValueKind::Section(&LINKS), "Links from other gateways."),
+        KeySpec::required(
+            "metrics",
+            ValueKind::Section(&METRICS),
+            "Metrics and health over HTTP.",
+        ),
+        KeySpec::required("store", ValueKind::Section(&STORE), "The platform's store."),
+        KeySpec::defaults_to(
+            "{}",
+            "targets",
+            ValueKind::Section(&TARGETS),
+            "Connections to targets.",
+        ),
+        KeySpec::defaults_to(
+            "{}",
+            "log",
+            ValueKind::Section(&LOG),
+            "The log on standard output.",
+        ),
+        KeySpec::defaults_to(
+            "8s",
+            "drain_time",
+            duration(SECOND, 10 * MINUTE),
+            "The longest planned stop. Requests that run longer are ended.",
+        ),
+        KeySpec::defaults_to(
+            "{}",
+            "policy",
+            ValueKind::Section(&POLICY),
+            "The choice of targets.",
+        ),
+    ],
+};
+
+static CALLERS: SectionSpec = SectionSpec {
+    keys: &[
+        KeySpec::required(
+            "listen",
+            ValueKind::Address(AddressUse::Listener { takes_wildcard: true }),
+            "The address for callers.",
+        ),
+        // The largest number of descriptors of today's smallest host, less those for targets and files.
+        KeySpec::defaults_to(
+            "3000",
+            "connections",
+            count(1, 65_536),
+            "The most open connections of callers. Further ones are closed.",
+        ),
+        KeySpec::defaults_to(
+            "60s",
+            "idle_time",
+            duration(SECOND, 10 * MINUTE),
+            "A connection without a request for this long is closed. Must exceed what the configuration allows callers.",
+        ),
+    ],
+};
+
+static LINKS: SectionSpec = SectionSpec {
+    keys: &[KeySpec::required(
+        "listen",
+        listener(),
+        "The address for links from other gateways.",
+    )],
+};
+
+static STORE: SectionSpec = SectionSpec {
+    keys: &[
+        KeySpec::required("url", ValueKind::Url, "The base URL."),
+        KeySpec::defaults_to(
+            "1s",
+            "timeout",
+            REQUEST_TIMEOUT,
+            "The longest wait for a reply, besides the time that the store is asked to wait for changes.",
+        ),
+    ],
+};
+
+static TARGETS: SectionSpec = SectionSpec {
+    keys: &[
+        KeySpec::defaults_to(
+            "400ms",
+            "connect_timeout",
+            duration(10, 30 * SECOND),
+            "The longest wait for a connection to a target.",
+        ),
+        KeySpec::defaults_to(
+            "2s",
+            "silence",
+            duration(100, 5 * MINUTE),
+            "A connection whose peer acknowledges nothing for this long is given up.",
+        ),
+        KeySpec::defaults_to(
+            "1s",
+            "keep_idle",
+            duration(0, 5 * MINUTE),
+            "The longest time that an unused connection is kept if the target does not say how long it keeps it.",
+        ),
+    ],
+};
+
+static POLICY: SectionSpec = SectionSpec {
+    keys: &[KeySpec::defaults_to(
+        "estimated_delay",
+        "placement",
+        ValueKind::Choice(&["least_own_load", "home_target", "estimated_delay"]),
+        "How the target of a call is chosen. The first two are baselines.",
+    )],
+};
--- a/crates/ebony_settings/src/schema/keys.rs
+++ b/crates/ebony_settings/src/schema/keys.rs
@@ -5,22 +5,22 @@
 use super::{AddressUse, KeySpec, SectionSpec, ValueKind};
 use crate::settings::ProcessRole;
 
-const SECOND: u64 = 1_000;
-const MINUTE: u64 = 60 * SECOND;
-const HOUR: u64 = 60 * MINUTE;
-const KIB: u64 = 1 << 10;
-const MIB: u64 = 1 << 20;
+pub(super) const SECOND: u64 = 1_000;
+pub(super) const MINUTE: u64 = 60 * SECOND;
+pub(super) const HOUR: u64 = 60 * MINUTE;
+pub(super) const KIB: u64 = 1 << 10;
+pub(super) const MIB: u64 = 1 << 20;
 const GIB: u64 = 1 << 30;
 
-const fn duration(min: u64, max: u64) -> ValueKind {
+pub(super) const fn duration(min: u64, max: u64) -> ValueKind {
     ValueKind::Duration { min, max }
 }
 
-const fn size(min: u64, max: u64) -> ValueKind {
+pub(super) const fn size(min: u64, max: u64) -> ValueKind {
     ValueKind::Size { min, max }
 }
 
-const fn count(min: u64, max: u64) -> ValueKind {
+pub(super) const fn count(min: u64, max: u64) -> ValueKind {
     ValueKind::Count { min, max }
 }
 
@@ -28,14 +28,14 @@
     ValueKind::List { item, min, max }
 }
 
-const fn listener() -> ValueKind {
+pub(super) const fn listener() -> ValueKind {
     ValueKind::Address(AddressUse::Listener {
         takes_wildcard: false,
     })
 }
 
 /// A request to the platform may take this long, in milliseconds.
-const REQUEST_TIMEOUT: ValueKind = duration(10, MINUTE);
+pub(super) const REQUEST_TIMEOUT: ValueKind = duration(10, MINUTE);
 
 /// The whole file.
 pub(crate) static ROOT: SectionSpec = SectionSpec {
@@ -216,7 +216,7 @@
     ],
 };
 
-static METRICS: SectionSpec = SectionSpec {
+pub(super) static METRICS: SectionSpec = SectionSpec {
     keys: &[KeySpec::required(
         "listen",
         listener(),
@@ -268,7 +268,7 @@
     ],
 };
 
-static LOG: SectionSpec = SectionSpec {
+pub(super) static LOG: SectionSpec = SectionSpec {
     keys: &[
         KeySpec::defaults_to(
             "info",
--- a/crates/ebony_settings/src/schema/mod.rs
+++ b/crates/ebony_settings/src/schema/mod.rs
@@ -2,15 +2,17 @@
 //!
 //! The reader checks files against these tables, and the reference page lists them, so that both agree.
 
+mod gateway_keys;
 mod keys;
 mod reference;
 mod value_kind;
 
 use crate::settings::ProcessRole;
 
-pub use reference::{KeyReference, settings_reference};
+pub use reference::{KeyReference, gateway_reference, settings_reference};
 pub use value_kind::{AddressUse, ValueKind};
 
+pub(crate) use gateway_keys::GATEWAY_ROOT;
 pub(crate) use keys::ROOT;
 pub(crate) use value_kind::MIN_KEY_BYTES;
 
--- a/crates/ebony_settings/src/schema/reference.rs
+++ b/crates/ebony_settings/src/schema/reference.rs
@@ -1,6 +1,6 @@
 //! The schema as rows of the reference page.
 
-use super::{KeyPresence, KeySpec, ROOT, SectionSpec, ValueKind};
+use super::{GATEWAY_ROOT, KeyPresence, KeySpec, ROOT, SectionSpec, ValueKind};
 
 /// One key as the reference page lists it.
 ///
@@ -67,6 +67,19 @@
     rows
 }
 
+/// Returns every key of a gateway's settings file, sections before their keys.
+///
+/// ```
+/// use ebony_settings::schema::gateway_reference;
+///
+/// assert!(gateway_reference().iter().any(|row| row.path == "store.url"));
+/// ```
+pub fn gateway_reference() -> Vec<KeyReference> {
+    let mut rows = Vec::new();
+    add_section("", &GATEWAY_ROOT, &mut rows);
+    rows
+}
+
 fn add_section(prefix: &str, section: &SectionSpec, rows: &mut Vec<KeyReference>) {
     for spec in section.keys {
         let path = if prefix.is_empty() {
--- a/crates/ebony_telemetry/src/clock.rs
+++ b/crates/ebony_telemetry/src/clock.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use ebony_types::ClockTime;
+use rustix::time::{ClockId, clock_gettime};
 
 /// Counts from its start. Copies count from the same start.
 ///
@@ -33,6 +34,39 @@
     }
 }
 
+/// Counts from its start, also while the host is suspended. Copies count from the same start.
+///
+/// ```
+/// use ebony_telemetry::BootClock;
+///
+/// let clock = BootClock::start();
+/// let earlier = clock.now();
+/// assert!(clock.now() >= earlier);
+/// ```
+#[derive(Clone, Copy, Debug)]
+pub struct BootClock {
+    start: Duration,
+}
+
+impl BootClock {
+    /// Starts to count.
+    pub fn start() -> Self {
+        Self { start: since_boot() }
+    }
+
+    /// Returns the time since the start.
+    pub fn now(self) -> ClockTime {
+        let micros = since_boot().saturating_sub(self.start).as_micros();
+        ClockTime::from_micros(u64::try_from(micros).unwrap_or(u64::MAX))
+    }
+}
+
+fn since_boot() -> Duration {
+    let time = clock_gettime(ClockId::Boottime);
+    let seconds = u64::try_from(time.tv_sec).unwrap_or_default();
+    Duration::from_secs(seconds) + Duration::from_nanos(u64::try_from(time.tv_nsec).unwrap_or_default())
+}
+
 /// Returns the time of day as the duration since 1970-01-01 00:00 UTC; zero if the host's clock is set before that.
 pub fn since_epoch() -> Duration {
     SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default()
--- a/crates/ebony_telemetry/src/logger.rs
+++ b/crates/ebony_telemetry/src/logger.rs
@@ -67,14 +67,41 @@
     role: &'static str,
     format: LogFormat,
     level: LogLevel,
+) -> (Logger, LoggerGuard) {
+    open_logger_to(io::stderr(), process, role, format, level)
+}
+
+/// Opens the logger of a process whose records are collected from its standard output.
+///
+/// ```
+/// use ebony_telemetry::{LogFormat, LogLevel, open_output_logger};
+///
+/// let (logger, _guard) = open_output_logger("gateway-1", "gateway", LogFormat::Json, LogLevel::default());
+/// slog::info!(logger, "process started");
+/// ```
+pub fn open_output_logger(
+    process: &str,
+    role: &'static str,
+    format: LogFormat,
+    level: LogLevel,
+) -> (Logger, LoggerGuard) {
+    open_logger_to(io::stdout(), process, role, format, level)
+}
+
+fn open_logger_to<W: io::Write + Send + 'static>(
+    output: W,
+    process: &str,
+    role: &'static str,
+    format: LogFormat,
+    level: LogLevel,
 ) -> (Logger, LoggerGuard) {
     let (drain, guard) = match format {
         LogFormat::Json => {
-            let drain = slog_json::Json::new(io::stderr()).add_default_keys().build();
+            let drain = slog_json::Json::new(output).add_default_keys().build();
             open_async(LevelFilter::new(drain, level.to_slog()).fuse())
         }
         LogFormat::Terminal => {
-            let decorator = slog_term::PlainSyncDecorator::new(io::stderr());
+            let decorator = slog_term::PlainSyncDecorator::new(output);
             let drain = slog_term::FullFormat::new(decorator).build();
             open_async(LevelFilter::new(drain, level.to_slog()).fuse())
         }
--- a/crates/ebony_types/src/lib.rs
+++ b/crates/ebony_types/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod limits;
 pub mod name;
 pub mod problem;
+pub mod rendezvous;
 pub mod verdict;
 
 /// Re-exports the types that most crates need.
@@ -19,7 +20,7 @@
     pub use crate::clock_time::ClockTime;
     pub use crate::id::{CallId, FencingToken, ProcessIncarnation, ProgramId, SessionId, ShardKey};
     pub use crate::name::{
-        CallerName, DomainName, HostName, IdempotencyKey, ModelName, ServiceName, TargetName,
+        CallerName, DomainName, HostName, IdempotencyKey, ModelName, ProgramName, ServiceName, TargetName,
     };
     pub use crate::problem::{ProblemCode, ProblemReport};
     pub use crate::verdict::RunVerdict;
--- a/crates/ebony_types/src/name.rs
+++ b/crates/ebony_types/src/name.rs
@@ -141,3 +141,8 @@
     /// The key under which a caller's non-idempotent call runs at most once. It is scoped to its caller.
     IdempotencyKey
 }
+
+name_type! {
+    /// Names an agent program, as its caller does.
+    ProgramName
+}
--- a/crates/ebony_types/src/problem.rs
+++ b/crates/ebony_types/src/problem.rs
@@ -42,6 +42,8 @@
     BadRequest = 400, "bad_request";
     /// The bearer key is missing or unknown.
     Unauthorized = 401, "unauthorized";
+    /// The program's budget of tokens is spent.
+    TokensSpent = 402, "tokens_spent";
     /// The program belongs to another caller, or the operation needs other credentials.
     Forbidden = 403, "forbidden";
     /// No such route, model, service or program.
@@ -74,6 +76,8 @@
     CrashingRequest = 422, "crashing_request";
     /// The program's budget of tokens, calls, time or depth is spent.
     BudgetExhausted = 429, "budget_exhausted";
+    /// The request head is larger than the limit.
+    HeadTooLarge = 431, "head_too_large";
     /// Too many calls of one program wait for their turn.
     TooManyCalls = 429, "too_many_calls";
     /// The system admits no further program at present.
--- a/crates/ebony_membership/src/rendezvous.rs
+++ b/crates/ebony_types/src/rendezvous.rs
@@ -6,7 +6,7 @@
 /// Returns the weight of a candidate for a chooser. The highest weight wins.
 ///
 /// ```
-/// use ebony_membership::rendezvous::rendezvous_weight;
+/// use ebony_types::rendezvous::rendezvous_weight;
 ///
 /// assert_eq!(rendezvous_weight("entry-1", "host-1"), rendezvous_weight("entry-1", "host-1"));
 /// assert_ne!(rendezvous_weight("entry-1", "host-1"), rendezvous_weight("entry-2", "host-1"));
--- a/src/command.rs
+++ b/src/command.rs
@@ -5,7 +5,8 @@
 use clap::{CommandFactory, Parser, Subcommand};
 use clap_complete::Shell;
 
-/// Schedules agent programs: runs as an entry process in front of callers, or as a side process beside a target.
+/// Schedules agent programs: runs as an entry process in front of callers, as a side process beside a target, or as a
+/// gateway that reaches targets directly.
 #[derive(Debug)]
 #[derive(Parser)]
 #[command(name = "ebonyswitch", version, about, long_about = None)]
@@ -35,6 +36,12 @@
         #[arg(value_name = "FILE")]
         settings: PathBuf,
     },
+    /// Runs a gateway: forwards calls to direct targets, without side processes.
+    Gateway {
+        /// The settings file, JSON with comments. docs/settings.md describes every key.
+        #[arg(value_name = "FILE")]
+        settings: PathBuf,
+    },
     /// Checks settings files and prints everything that is wrong with them; exits with 2 if anything is.
     Check {
         /// The settings files.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,6 +17,7 @@
         RoleCommand::Check { files } => run::check(&files),
         RoleCommand::Entry { settings } => run::entry(&settings),
         RoleCommand::Side { settings } => run::side(&settings),
+        RoleCommand::Gateway { settings } => run::gateway(&settings),
         RoleCommand::Completions { shell } => {
             command::print_completions(shell);
             ExitCode::SUCCESS
@@ -29,5 +30,5 @@
 /// Examples that start whole deployments call it first and then start themselves with these arguments.
 pub fn run_as_daemon() -> Option<ExitCode> {
     let role = std::env::args().nth(1)?;
-    matches!(role.as_str(), "entry" | "side").then(main_from_arguments)
+    matches!(role.as_str(), "entry" | "side" | "gateway").then(main_from_arguments)
 }
--- a/src/run.rs
+++ b/src/run.rs
@@ -3,12 +3,18 @@
 use std::future::Future;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
+use std::rc::Rc;
 
 use anyhow::Context;
+use ebony_adapter::{PlatformDialect, PlatformStore};
 use ebony_entry::EntryProcess;
-use ebony_settings::{LogSettings, ProcessRole, ProcessSettings};
+use ebony_gateway::GatewayProcess;
+use ebony_platform::RequestLimits;
+use ebony_settings::{
+    GatewaySettings, LogSettings, ProcessRole, ProcessSettings, SettingsReport, is_gateway_file,
+};
 use ebony_side::SideProcess;
-use ebony_telemetry::{LogFormat, LogLevel, open_logger};
+use ebony_telemetry::{LogFormat, LogLevel, open_logger, open_output_logger};
 use slog::{Logger, error, info, warn};
 
 use crate::stop::StopSignals;
@@ -23,8 +29,8 @@
 pub fn check(files: &[PathBuf]) -> ExitCode {
     let mut code = ExitCode::SUCCESS;
     for file in files {
-        match ProcessSettings::open(file) {
-            Ok(settings) => println!("{}: ok ({})", file.display(), settings.role.role()),
+        match checked_role(file) {
+            Ok(role) => println!("{}: ok ({role})", file.display()),
             Err(report) => {
                 eprint!("{report}");
                 code = ExitCode::from(EXIT_SETTINGS);
@@ -34,6 +40,36 @@
     code
 }
 
+/// Checks a settings file and returns its role.
+fn checked_role(file: &Path) -> Result<String, SettingsReport> {
+    if is_gateway_file(file)? {
+        return GatewaySettings::open(file).map(|settings| settings.role);
+    }
+    ProcessSettings::open(file).map(|settings| settings.role.role().to_string())
+}
+
+/// Runs a gateway until it is stopped.
+pub fn gateway(file: &Path) -> ExitCode {
+    let settings = match GatewaySettings::open(file) {
+        Ok(settings) => settings,
+        Err(report) => return wrong_settings(&report),
+    };
+    let (format, level) = log_options(settings.log);
+    let (logger, guard) = open_output_logger(&settings.process, "gateway", format, level);
+    let code = run_system(&logger, async |signals| {
+        let limits = RequestLimits::for_platform().with_answer_timeout(settings.store.timeout);
+        let store = PlatformStore::open(&settings.store.url.to_string(), limits)?;
+        let dialect = Rc::new(PlatformDialect);
+        let process = GatewayProcess::bind(&settings, dialect, Rc::new(store), logger.clone())?;
+        announce(&logger, &process.addresses().to_json());
+        let serving = process.serve().await?;
+        signals.next().await;
+        stop_or_abort(&logger, signals, serving.drain()).await
+    });
+    drop(guard);
+    code
+}
+
 /// Runs an entry process until it is stopped.
 pub fn entry(file: &Path) -> ExitCode {
     run(file, ProcessRole::Entry, async |settings, logger, signals| {
@@ -99,10 +135,7 @@
 ) -> ExitCode {
     let settings = match ProcessSettings::open(file) {
         Ok(settings) => settings,
-        Err(report) => {
-            eprint!("{report}");
-            return ExitCode::from(EXIT_SETTINGS);
-        }
+        Err(report) => return wrong_settings(&report),
     };
     if settings.role.role() != role {
         eprintln!(
@@ -114,18 +147,28 @@
     }
     let (format, level) = log_options(settings.log);
     let (logger, guard) = open_logger(&settings.process, role.as_str(), format, level);
+    let code = run_system(&logger, async |signals| body(settings, logger.clone(), signals).await);
+    drop(guard);
+    code
+}
+
+/// Runs a process in an actix system of its own.
+fn run_system(logger: &Logger, body: impl AsyncFnOnce(&mut StopSignals) -> Result<()>) -> ExitCode {
     let result = actix_rt::System::new().block_on(async {
         let mut signals = StopSignals::open().context("cannot take over signals")?;
-        body(settings, logger.clone(), &mut signals).await
+        body(&mut signals).await
     });
-    let code = match result {
+    match result {
         Ok(()) => ExitCode::SUCCESS,
         Err(failure) => {
             error!(logger, "process failed"; "error" => format!("{failure:#}"));
             eprintln!("ebonyswitch: {failure:#}");
             ExitCode::FAILURE
         }
-    };
-    drop(guard);
-    code
+    }
+}
+
+fn wrong_settings(report: &SettingsReport) -> ExitCode {
+    eprint!("{report}");
+    ExitCode::from(EXIT_SETTINGS)
 }
