Grant tokens by events in place of shares of the budget

Ruled out: budgets that are too small (the largest use was 45%). Change: a grant covers 16 events of each open turn, at least a sixteenth of the budget, and further cover is asked for when 8 events are left.

--- a/crates/ebony_account/src/book.rs
+++ b/crates/ebony_account/src/book.rs
@@ -66,8 +66,8 @@
 /// // Nothing is handed on before the store recorded a grant.
 /// assert_eq!(book.spend(account, 7), SpendOutcome::Uncovered);
 /// let want = book.cover_wanted(account).expect("the account has no cover");
-/// assert_eq!(want.tokens, 500);
-/// book.settle_cover(account, CoverOutcome::Granted { tokens: 500, left: 500 });
+/// assert_eq!(want.tokens, 112);
+/// book.settle_cover(account, CoverOutcome::Granted { tokens: 112, left: 888 });
 /// assert_eq!(book.spend(account, 7), SpendOutcome::Spent);
 /// # Ok::<(), ebony_types::name::NameError>(())
 /// ```
@@ -114,33 +114,28 @@
         }
         account.last_used = now;
         account.open_turns += 1;
-        account.outstanding += turn.most_tokens;
         TurnOpening::Open(key)
     }
 
-    /// Ends a turn that was opened with `most_tokens`.
-    pub fn close_turn(&mut self, key: AccountKey, most_tokens: u64, now: ClockTime) {
+    /// Ends a turn.
+    pub fn close_turn(&mut self, key: AccountKey, now: ClockTime) {
         if let Some(account) = self.accounts.get_mut(key) {
             account.last_used = now;
             account.open_turns = account.open_turns.saturating_sub(1);
-            account.outstanding = account.outstanding.saturating_sub(most_tokens);
         }
     }
 
     /// Returns the request for cover that is due, if any, and notes that it is under way.
     pub fn cover_wanted(&mut self, key: AccountKey) -> Option<CoverWant> {
         let account = self.accounts.get_mut(key)?;
-        let is_low = account.free() < account.outstanding;
+        let turn_events = u64::from(account.open_turns) * account.event_tokens;
+        let is_low = account.free() < turn_events * self.options.low_water_events;
         if account.is_asking || account.is_exhausted() || !is_low {
             return None;
         }
         account.is_asking = true;
-        let divisor = if account.covered == 0 {
-            self.options.first_grant_divisor
-        } else {
-            self.options.next_grant_divisor
-        };
-        let tokens = (account.budget / divisor.max(1)).max(account.outstanding - account.free());
+        let share = account.budget / self.options.grant_divisor.max(1);
+        let tokens = share.max(turn_events * self.options.grant_events);
         Some(CoverWant {
             program: account.program.clone(),
             budget: account.budget,
@@ -194,7 +189,12 @@
         if self.accounts.len() >= self.options.max_accounts {
             return None;
         }
-        let key = self.accounts.insert(ProgramAccount::open(turn.program.clone(), turn.budget, now));
+        let key = self.accounts.insert(ProgramAccount::open(
+            turn.program.clone(),
+            turn.budget,
+            turn.event_tokens,
+            now,
+        ));
         self.programs.insert(turn.program.clone(), key);
         Some(key)
     }
--- a/crates/ebony_account/src/options.rs
+++ b/crates/ebony_account/src/options.rs
@@ -5,11 +5,14 @@
 /// Options of an [`crate::AccountBook`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct AccountOptions {
-    /// The first grant is the budget divided by this. Half a budget covers most programs with one write, and leaves
-    /// the other half for entries that the program moves to.
-    pub first_grant_divisor: u64,
-    /// Each further grant is the budget divided by this.
-    pub next_grant_divisor: u64,
+    /// A grant is at least the budget divided by this. A program reaches up to nine entries and uses up to half of its
+    /// budget, so that grants which dead or idle entries hold unspent must stay below the other half.
+    pub grant_divisor: u64,
+    /// A grant covers at least this many events of each open turn, about the length of a turn.
+    pub grant_events: u64,
+    /// Further cover is asked for when the open turns have less than this many events each, so that it arrives before
+    /// it is needed: at 24 ms an event, the store has 190 ms.
+    pub low_water_events: u64,
     /// The most accounts that an entry keeps. At 330,000 open programs over 390 nodes an entry holds about 850.
     pub max_accounts: usize,
     /// How long an account without a turn is kept.
@@ -19,8 +22,9 @@
 impl Default for AccountOptions {
     fn default() -> Self {
         Self {
-            first_grant_divisor: 2,
-            next_grant_divisor: 4,
+            grant_divisor: 16,
+            grant_events: 16,
+            low_water_events: 8,
             max_accounts: 16_384,
             retention: Duration::from_secs(90),
         }
--- a/crates/ebony_account/src/program_account.rs
+++ b/crates/ebony_account/src/program_account.rs
@@ -36,8 +36,8 @@
     pub(crate) covered: u64,
     /// Tokens that were handed on.
     pub(crate) spent: u64,
-    /// The most tokens that all open turns together may still generate.
-    pub(crate) outstanding: u64,
+    /// Tokens that one event stands for.
+    pub(crate) event_tokens: u64,
     /// Turns under way.
     pub(crate) open_turns: u32,
     /// What the store has left for grants, as far as known.
@@ -48,13 +48,13 @@
 }
 
 impl ProgramAccount {
-    pub(crate) fn open(program: ProgramName, budget: u64, now: ClockTime) -> Self {
+    pub(crate) fn open(program: ProgramName, budget: u64, event_tokens: u64, now: ClockTime) -> Self {
         Self {
             program,
             budget,
             covered: 0,
             spent: 0,
-            outstanding: 0,
+            event_tokens,
             open_turns: 0,
             left: None,
             is_asking: false,
@@ -77,7 +77,11 @@
     /// An entry that was granted the whole budget knows what is left of it. Otherwise another entry may hold an unspent
     /// grant, and the turn starts as long as one event can be handed on.
     pub(crate) fn refuses(&self, most: u64, event_tokens: u64) -> bool {
-        let needed = if self.covered >= self.budget { most } else { event_tokens };
+        let needed = if self.covered >= self.budget {
+            most
+        } else {
+            event_tokens
+        };
         self.is_exhausted() && self.free() < needed.max(1)
     }
 }
--- a/crates/ebony_dispatch/src/board.rs
+++ b/crates/ebony_dispatch/src/board.rs
@@ -202,7 +202,9 @@
             let total: u64 = prompt.iter().map(|part| u64::from(part.tokens)).sum();
             prefill = total.saturating_sub(entry.cache.held_tokens(prompt));
             entry.load.begin(prefill);
-            entry.cache.record(prompt, memory_tokens.unwrap_or(DEFAULT_MEMORY_TOKENS));
+            entry
+                .cache
+                .record(prompt, memory_tokens.unwrap_or(DEFAULT_MEMORY_TOKENS));
         }
         self.runs.insert(TargetRun { target, prefill })
     }
--- a/crates/ebony_dispatch/src/placement.rs
+++ b/crates/ebony_dispatch/src/placement.rs
@@ -101,7 +101,8 @@
         .iter()
         .max_by_key(|(_, target)| affinity_weight(target, call))
         .map(|(key, _)| *key);
-    let cost = |(key, target): &Candidate<'_>| estimated_delay(target, Some(*key) == home, call, options, now);
+    let cost =
+        |(key, target): &Candidate<'_>| estimated_delay(target, Some(*key) == home, call, options, now);
     candidates
         .iter()
         .map(|candidate| (cost(candidate), candidate.0))
--- a/crates/ebony_gateway/src/accounts.rs
+++ b/crates/ebony_gateway/src/accounts.rs
@@ -6,8 +6,8 @@
 
 use bytes::Bytes;
 use ebony_account::{
-    AccountBook, AccountKey, AccountOptions, AccountRecord, CoverOutcome, CoverWant, SpendOutcome, TurnOpening,
-    TurnRequest,
+    AccountBook, AccountKey, AccountOptions, AccountRecord, CoverOutcome, CoverWant, SpendOutcome,
+    TurnOpening, TurnRequest,
 };
 use ebony_platform::table::{create_resolved, replace_resolved};
 use ebony_platform::{PlatformError, RowKey, RowVersion, TableService, WriteNonce};
@@ -89,7 +89,6 @@
         Ok(OpenTurn {
             desk: Rc::clone(self),
             account,
-            most_tokens: turn.most_tokens,
         })
     }
 
@@ -148,7 +147,9 @@
             }
             match self.write(&key, known.map(|row| row.version), record).await {
                 Ok(version) => {
-                    self.rows.borrow_mut().insert(account, KnownRow { record, version });
+                    self.rows
+                        .borrow_mut()
+                        .insert(account, KnownRow { record, version });
                     return Ok(CoverOutcome::Granted { tokens, left });
                 }
                 Err(PlatformError::Conflict) => {}
@@ -200,7 +201,6 @@
 pub(crate) struct OpenTurn {
     desk: Rc<AccountDesk>,
     account: AccountKey,
-    most_tokens: u64,
 }
 
 impl OpenTurn {
@@ -211,7 +211,10 @@
             let waiting = news.notified();
             let outcome = self.desk.book.borrow_mut().spend(self.account, tokens);
             match outcome {
-                SpendOutcome::Spent => return Ok(()),
+                SpendOutcome::Spent => {
+                    self.desk.ask_if_low(self.account);
+                    return Ok(());
+                }
                 SpendOutcome::Exhausted => return Err(BudgetSpent),
                 SpendOutcome::Uncovered => {}
             }
@@ -232,9 +235,6 @@
 impl Drop for OpenTurn {
     fn drop(&mut self) {
         let now = self.desk.clock.now();
-        self.desk
-            .book
-            .borrow_mut()
-            .close_turn(self.account, self.most_tokens, now);
+        self.desk.book.borrow_mut().close_turn(self.account, now);
     }
 }
--- a/crates/ebony_gateway/src/call.rs
+++ b/crates/ebony_gateway/src/call.rs
@@ -77,7 +77,11 @@
 }
 
 /// Answers a caller's request.
-pub(crate) async fn serve(gateway: Data<Rc<Gateway>>, request: HttpRequest, payload: Payload) -> HttpResponse {
+pub(crate) async fn serve(
+    gateway: Data<Rc<Gateway>>,
+    request: HttpRequest,
+    payload: Payload,
+) -> HttpResponse {
     let gateway = Rc::clone(&gateway);
     let arrived = gateway.clock.now();
     let guard = OpenCallGuard::open(&gateway);
@@ -111,11 +115,14 @@
 ) -> HttpResponse {
     let head = gateway.dialect.decode_call(&request.headers);
     let mark = head.call.clone();
-    let program = head.program.as_ref().map_or("", |program| program.program.as_str());
+    let program = head
+        .program
+        .as_ref()
+        .map_or("", |program| program.program.as_str());
     let mut story = CallStory::open(gateway, mark.as_deref().unwrap_or_default(), program, arrived);
     let outcome = async {
         let call = route(gateway, request, head, payload, arrived, &mut story).await?;
-        let turn = open_turn(&call)?;
+        let turn = open_turn(&call, &mut story)?;
         run(&call, &mut story).await.map(|answer| (call, turn, answer))
     };
     match outcome.await {
@@ -149,7 +156,9 @@
     // The configuration may have changed while the body arrived.
     let routing = gateway.routing().ok_or_else(unavailable)?;
     let no_route = || CallRefusal::not_run(ProblemCode::NotFound, "no route for the host and path");
-    let route = routing.route(&request.host, request.path()).ok_or_else(no_route)?;
+    let route = routing
+        .route(&request.host, request.path())
+        .ok_or_else(no_route)?;
     story.set_route(&route.name, routing.version().0);
     let service = route
         .service_for(rendezvous_weight(affinity(&head), &route.name))
@@ -178,7 +187,7 @@
 }
 
 /// Opens the turn of a program with a budget.
-fn open_turn(call: &RoutedCall) -> Result<Option<OpenTurn>> {
+fn open_turn(call: &RoutedCall, story: &mut CallStory) -> Result<Option<OpenTurn>> {
     let (Some(program), Some(engine)) = (&call.head.program, call.engine) else {
         return Ok(None);
     };
@@ -193,6 +202,7 @@
         most_tokens: most_output.unwrap_or(event_tokens).max(event_tokens),
         event_tokens,
     };
+    story.set_budget(turn.budget, turn.most_tokens);
     call.gateway.accounts.open_turn(&turn).map(Some)
 }
 
@@ -270,7 +280,12 @@
             prompt: &self.call.head.prompt,
             tried: &self.tried,
         };
-        place(&gateway.board.borrow(), &shape, &gateway.options, gateway.clock.now())
+        place(
+            &gateway.board.borrow(),
+            &shape,
+            &gateway.options,
+            gateway.clock.now(),
+        )
     }
 
     /// Sends the call to a target and waits for the head of the answer.
@@ -280,7 +295,11 @@
     ) -> Result<(TargetRun, Result<(OpenAnswer, AnswerHead), AttemptOutcome>)> {
         let gateway = &self.call.gateway;
         let gone = || self.give_up(ProblemCode::NoTarget, "the target left");
-        let record = gateway.board.borrow().target(target).map(|entry| entry.record.clone());
+        let record = gateway
+            .board
+            .borrow()
+            .target(target)
+            .map(|entry| entry.record.clone());
         let record = record.ok_or_else(gone)?;
         let late = || self.give_up(ProblemCode::DeadlineExceeded, "the deadline passed");
         let time_left = gateway.time_left(self.call.deadline).ok_or_else(late)?;
@@ -369,7 +388,10 @@
                 Err(self.give_up(ProblemCode::DeadlineExceeded, "the target did not answer in time"))
             }
             _ if may_go_on => Ok(()),
-            _ => Err(self.give_up(ProblemCode::TargetFailed, "the target broke off before its answer")),
+            _ => Err(self.give_up(
+                ProblemCode::TargetFailed,
+                "the target broke off before its answer",
+            )),
         }
     }
 
--- a/crates/ebony_gateway/src/channel.rs
+++ b/crates/ebony_gateway/src/channel.rs
@@ -84,7 +84,9 @@
 impl ChannelLease {
     /// Keeps the connection for further calls, after the answer was read to its end.
     pub(crate) fn recycle(mut self, target_keeps: Option<Duration>) {
-        let Some(channel) = self.channel.take() else { return };
+        let Some(channel) = self.channel.take() else {
+            return;
+        };
         let keep = match target_keeps {
             Some(idle_time) => idle_time.mul_f64(KEPT_SHARE),
             None => self.client.limits.keep_idle,
@@ -201,7 +203,8 @@
             .await
             .map_err(|_| not_sent("no connection in time".to_owned()))?
             .map_err(|error| not_sent(error.to_string()))?;
-        self.configure(&stream).map_err(|error| not_sent(error.to_string()))?;
+        self.configure(&stream)
+            .map_err(|error| not_sent(error.to_string()))?;
         let (sender, connection) = http1::handshake(TokioIo::new(stream))
             .await
             .map_err(|error| not_sent(error.to_string()))?;
--- a/crates/ebony_gateway/src/gateway.rs
+++ b/crates/ebony_gateway/src/gateway.rs
@@ -106,8 +106,7 @@
 
     /// Notes that the process can serve if the configuration and the targets are known and it is not stopping.
     pub(crate) fn update_health(&self) {
-        let is_ready =
-            self.routing.borrow().is_some() && self.has_targets.get() && !self.is_draining.get();
+        let is_ready = self.routing.borrow().is_some() && self.has_targets.get() && !self.is_draining.get();
         if is_ready != self.health.is_ready() {
             slog::info!(self.logger, "readiness changed"; "ready" => is_ready);
             self.health.set_ready(is_ready);
--- a/crates/ebony_gateway/src/intake.rs
+++ b/crates/ebony_gateway/src/intake.rs
@@ -3,9 +3,9 @@
 use std::cell::Cell;
 use std::time::Duration;
 
+use actix_web::HttpRequest;
 use actix_web::http::header as caller_header;
 use actix_web::web::Payload;
-use actix_web::HttpRequest;
 use bytes::{Bytes, BytesMut};
 use ebony_routing::CallerLimits;
 use ebony_types::ProblemCode;
@@ -65,7 +65,10 @@
     check_framing(request)?;
     let malformed = || bad_request("malformed request head");
     let method = Method::from_bytes(request.method().as_str().as_bytes()).map_err(|_| malformed())?;
-    let target = request.uri().path_and_query().map_or("/", |target| target.as_str());
+    let target = request
+        .uri()
+        .path_and_query()
+        .map_or("/", |target| target.as_str());
     let uri: Uri = target.parse().map_err(|_| malformed())?;
     let headers = passed_headers(request).map_err(|_| malformed())?;
     let host = headers
--- a/crates/ebony_gateway/src/listener.rs
+++ b/crates/ebony_gateway/src/listener.rs
@@ -73,7 +73,12 @@
                 },
             ));
         let service = http_service(app, self.settings.idle_time, is_closing).await?;
-        let accepting = accept(self.listener, service, self.settings.connections, gateway.logger.clone());
+        let accepting = accept(
+            self.listener,
+            service,
+            self.settings.connections,
+            gateway.logger.clone(),
+        );
         Ok(CallerListener {
             closing,
             _task: tokio::task::spawn_local(accepting),
--- a/crates/ebony_gateway/src/metrics.rs
+++ b/crates/ebony_gateway/src/metrics.rs
@@ -81,7 +81,8 @@
                 "Milliseconds since the store last answered, by duty.",
                 &["duty"],
             )?,
-            dropped_lines: registry.counter("gateway_log_lines_dropped_total", "Log lines that were left out.")?,
+            dropped_lines: registry
+                .counter("gateway_log_lines_dropped_total", "Log lines that were left out.")?,
         })
     }
 }
--- a/crates/ebony_gateway/src/refusal.rs
+++ b/crates/ebony_gateway/src/refusal.rs
@@ -57,8 +57,7 @@
 
     /// Returns the answer to the caller.
     pub(crate) fn into_response(self, call: Option<&str>, dialect: &dyn CallDialect) -> HttpResponse {
-        let status =
-            StatusCode::from_u16(self.report.status()).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+        let status = StatusCode::from_u16(self.report.status()).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
         let mut response = HttpResponse::build(status);
         if let Some(after) = self.come_back {
             response.insert_header((RETRY_AFTER, format!("{:.3}", after.as_secs_f64())));
--- a/crates/ebony_gateway/src/story.rs
+++ b/crates/ebony_gateway/src/story.rs
@@ -69,6 +69,8 @@
     program: String,
     route: String,
     routing_version: u64,
+    /// The turn's budget and its most tokens, if it has any.
+    budget: Option<(u64, u64)>,
     arrived: ClockTime,
     first_sent: Option<ClockTime>,
     first_bytes: Option<ClockTime>,
@@ -86,6 +88,7 @@
             program: program.to_owned(),
             route: String::new(),
             routing_version: 0,
+            budget: None,
             arrived,
             first_sent: None,
             first_bytes: None,
@@ -100,6 +103,10 @@
         self.routing_version = routing_version;
     }
 
+    pub(crate) fn set_budget(&mut self, budget: u64, most_tokens: u64) {
+        self.budget = Some((budget, most_tokens));
+    }
+
     pub(crate) fn record_send(&mut self) {
         if self.first_sent.is_none() {
             let now = self.gateway.clock.now();
@@ -141,7 +148,11 @@
                 ("answered", status.to_string(), RunVerdict::Ran, LineKind::Plain)
             }
             CallOutcome::Refused { code, run } => {
-                self.gateway.metrics.refusals.with_label_values(&[code.as_str()]).inc();
+                self.gateway
+                    .metrics
+                    .refusals
+                    .with_label_values(&[code.as_str()])
+                    .inc();
                 ("refused", code.as_str().to_owned(), run, LineKind::Failed)
             }
             CallOutcome::BrokenOff { cause } => {
@@ -173,6 +184,8 @@
             "program" => &self.program,
             "route" => &self.route,
             "routing_version" => self.routing_version,
+            "budget" => self.budget.map(|(budget, _)| budget),
+            "most_tokens" => self.budget.map(|(_, most)| most),
             "attempts" => &self.attempts,
             "events" => self.events,
             "outcome" => outcome,
--- a/crates/ebony_gateway/src/watch.rs
+++ b/crates/ebony_gateway/src/watch.rs
@@ -104,14 +104,22 @@
                 "table" => self.table, "away_ms" => now.since(self.last_answer).as_millis() as u64);
         }
         self.last_answer = now;
-        self.gateway.metrics.feed_age.with_label_values(&[self.duty]).set(0);
+        self.gateway
+            .metrics
+            .feed_age
+            .with_label_values(&[self.duty])
+            .set(0);
     }
 
     fn record_failure(&mut self, error: &PlatformError) {
         self.count("failed");
         let age = self.gateway.clock.now().since(self.last_answer);
         let age_ms = i64::try_from(age.as_millis()).unwrap_or(i64::MAX);
-        self.gateway.metrics.feed_age.with_label_values(&[self.duty]).set(age_ms);
+        self.gateway
+            .metrics
+            .feed_age
+            .with_label_values(&[self.duty])
+            .set(age_ms);
         if !std::mem::replace(&mut self.is_lost, true) {
             warn!(self.gateway.logger, "the store does not answer";
                 "table" => self.table, "error" => %error);
@@ -155,7 +163,10 @@
     }
     info!(gateway.logger, "configuration in force";
         "version" => version.0, "before" => current.unwrap_or_default().0, "routes" => table.routes().count());
-    gateway.metrics.routing_version.set(i64::try_from(version.0).unwrap_or(i64::MAX));
+    gateway
+        .metrics
+        .routing_version
+        .set(i64::try_from(version.0).unwrap_or(i64::MAX));
     *gateway.routing.borrow_mut() = Some(Rc::new(table));
     gateway.update_health();
 }
@@ -208,7 +219,10 @@
             self.apply(row);
         }
         let targets = self.gateway.board.borrow().names().len();
-        self.gateway.metrics.targets.set(i64::try_from(targets).unwrap_or(i64::MAX));
+        self.gateway
+            .metrics
+            .targets
+            .set(i64::try_from(targets).unwrap_or(i64::MAX));
     }
 
     fn apply(&self, row: &FeedRow) {
--- a/crates/ebony_routing/src/table.rs
+++ b/crates/ebony_routing/src/table.rs
@@ -85,7 +85,10 @@
         Self {
             version,
             routes: by_host,
-            services: services.into_iter().map(|rule| (rule.name.clone(), rule)).collect(),
+            services: services
+                .into_iter()
+                .map(|rule| (rule.name.clone(), rule))
+                .collect(),
             limits,
         }
     }
--- a/crates/ebony_settings/src/open.rs
+++ b/crates/ebony_settings/src/open.rs
@@ -4,12 +4,12 @@
 use std::io::{self, Read};
 use std::path::Path;
 
+use crate::gateway_settings::GatewaySettings;
 use crate::issue::{IssueKind, Result, SettingsIssue, SettingsReport};
 use crate::key_source::load_key_file;
 use crate::position::TextPosition;
 use crate::reader::{CheckedFile, CheckedLeaf};
 use crate::rules;
-use crate::gateway_settings::GatewaySettings;
 use crate::schema::{GATEWAY_ROOT, ROOT, ValueKind};
 use crate::settings::ProcessSettings;
 
@@ -115,7 +115,8 @@
 }
 
 fn check(text: &str, file_name: &str) -> Result<CheckedFile> {
-    let mut file = CheckedFile::read(text, &ROOT).map_err(|issue| SettingsReport::new(file_name, vec![issue]))?;
+    let mut file =
+        CheckedFile::read(text, &ROOT).map_err(|issue| SettingsReport::new(file_name, vec![issue]))?;
     let issues = rules::check_all(&file);
     file.issues.extend(issues);
     Ok(file)
--- a/src/run.rs
+++ b/src/run.rs
@@ -147,7 +147,9 @@
     }
     let (format, level) = log_options(settings.log);
     let (logger, guard) = open_logger(&settings.process, role.as_str(), format, level);
-    let code = run_system(&logger, async |signals| body(settings, logger.clone(), signals).await);
+    let code = run_system(&logger, async |signals| {
+        body(settings, logger.clone(), signals).await
+    });
     drop(guard);
     code
 }
