Secure the cover of a turn before its first event; serve on an allowance while the store is away

Change: a turn sets its most tokens aside before it is sent, or before its first event for a program that is new to the entry; what was not spent goes back to the row when little is left. While the store does not answer, a turn draws on an allowance that is bounded over all registered gateways, and programs that were granted a quarter of their budget are marked for all gateways and get none.

--- a/crates/ebony_account/src/book.rs
+++ b/crates/ebony_account/src/book.rs
@@ -6,7 +6,7 @@
 use slotmap::{SlotMap, new_key_type};
 
 use crate::options::AccountOptions;
-use crate::program_account::{CoverOutcome, ProgramAccount, SpendOutcome};
+use crate::program_account::{CoverOutcome, ProgramAccount, SecureOutcome, SpendOutcome};
 
 new_key_type! {
     /// The account of a program.
@@ -29,15 +29,31 @@
 /// Whether a turn may start.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum TurnOpening {
-    /// The turn may be sent to a target. [`AccountBook::close_turn`] ends it.
-    Open(AccountKey),
-    /// The budget does not hold the turn.
-    Exhausted,
+    /// The turn has an account. [`AccountBook::close_turn`] ends it.
+    Open(TurnCover),
     /// All accounts are in use.
     Full,
 }
 
-/// A request for cover.
+/// The cover of one turn.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct TurnCover {
+    account: AccountKey,
+    most_tokens: u64,
+    event_tokens: u64,
+    /// Tokens that are set aside for the turn.
+    reserved: u64,
+    is_waiting: bool,
+}
+
+impl TurnCover {
+    /// Returns the account.
+    pub fn account(&self) -> AccountKey {
+        self.account
+    }
+}
+
+/// A request to the store.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct CoverWant {
     /// The program.
@@ -46,12 +62,18 @@
     pub budget: u64,
     /// The tokens to ask for.
     pub tokens: u64,
+    /// Tokens that were handed on without a grant.
+    pub debt: u64,
+    /// Tokens of earlier grants to give back.
+    pub given_back: u64,
+    /// The program becomes heavy if the record exceeds this many tokens.
+    pub heavy_above: u64,
 }
 
 /// The accounts of all programs at one entry.
 ///
 /// ```
-/// use ebony_account::{AccountBook, AccountOptions, CoverOutcome, SpendOutcome, TurnOpening, TurnRequest};
+/// use ebony_account::{AccountBook, AccountOptions, CoverOutcome, SecureOutcome, SpendOutcome, TurnOpening, TurnRequest};
 /// use ebony_types::{ClockTime, ProgramName};
 ///
 /// let now = ClockTime::default();
@@ -62,13 +84,14 @@
 ///     most_tokens: 100,
 ///     event_tokens: 7,
 /// };
-/// let TurnOpening::Open(account) = book.open_turn(&turn, now) else { unreachable!() };
+/// let TurnOpening::Open(mut cover) = book.open_turn(&turn, now) else { unreachable!() };
 /// // Nothing is handed on before the store recorded a grant.
-/// assert_eq!(book.spend(account, 7), SpendOutcome::Uncovered);
-/// let want = book.cover_wanted(account).expect("the account has no cover");
-/// assert_eq!(want.tokens, 112);
-/// book.settle_cover(account, CoverOutcome::Granted { tokens: 112, left: 888 });
-/// assert_eq!(book.spend(account, 7), SpendOutcome::Spent);
+/// assert_eq!(book.secure(&mut cover), SecureOutcome::Waiting);
+/// let want = book.cover_wanted(cover.account()).expect("the turn has no cover");
+/// assert_eq!(want.tokens, 100);
+/// book.settle_cover(cover.account(), CoverOutcome::Granted { tokens: 100, left: 900 });
+/// assert_eq!(book.secure(&mut cover), SecureOutcome::Secured);
+/// assert_eq!(book.spend(&mut cover, 7), SpendOutcome::Spent);
 /// # Ok::<(), ebony_types::name::NameError>(())
 /// ```
 #[derive(Debug)]
@@ -103,47 +126,163 @@
         self.accounts.contains_key(key)
     }
 
-    /// Starts a turn, or says why it may not start.
+    /// Returns whether the store said what is left of the program's budget.
+    pub fn is_known(&self, key: AccountKey) -> bool {
+        self.accounts
+            .get(key)
+            .is_some_and(|account| account.left.is_some())
+    }
+
+    /// Opens the account of a turn.
     pub fn open_turn(&mut self, turn: &TurnRequest, now: ClockTime) -> TurnOpening {
         let Some(key) = self.account_of(turn, now) else {
             return TurnOpening::Full;
         };
+        let recheck = self.options.recheck;
         let account = &mut self.accounts[key];
-        if account.refuses(turn.most_tokens, turn.event_tokens) {
-            return TurnOpening::Exhausted;
+        // Another entry may have given something back since the store had nothing left.
+        if account.left == Some(0) && account.open_turns == 0 && now.since(account.last_used) >= recheck {
+            account.left = None;
         }
         account.last_used = now;
         account.open_turns += 1;
-        TurnOpening::Open(key)
+        account.turn_tokens = turn.most_tokens;
+        TurnOpening::Open(TurnCover {
+            account: key,
+            most_tokens: turn.most_tokens,
+            event_tokens: turn.event_tokens,
+            reserved: 0,
+            is_waiting: false,
+        })
+    }
+
+    /// Sets tokens aside for the whole turn, if they are covered.
+    pub fn secure(&mut self, turn: &mut TurnCover) -> SecureOutcome {
+        let Some(account) = self.accounts.get_mut(turn.account) else {
+            return SecureOutcome::Exhausted;
+        };
+        let missing = turn.most_tokens.saturating_sub(turn.reserved);
+        if account.free() >= missing {
+            account.reserved += missing;
+            turn.reserved += missing;
+            stop_waiting(account, turn);
+            return SecureOutcome::Secured;
+        }
+        if account.is_exhausted() {
+            stop_waiting(account, turn);
+            return SecureOutcome::Exhausted;
+        }
+        if !turn.is_waiting {
+            turn.is_waiting = true;
+            account.wanted += turn.most_tokens;
+        }
+        SecureOutcome::Waiting
+    }
+
+    /// Sets tokens aside for a turn while the store does not answer, from an allowance that needs no record.
+    ///
+    /// Over `entries` entries that all do so, the allowances and the quarter of the budget that a program without the
+    /// mark of a heavy one was granted stay within the budget and one turn. Returns `false` if the allowance does not
+    /// hold a turn of ordinary length.
+    pub fn secure_by_allowance(&mut self, turn: &mut TurnCover, entries: u64, is_heavy: bool) -> bool {
+        let Some(account) = self.accounts.get_mut(turn.account) else {
+            return false;
+        };
+        let light_part = account.budget / self.options.heavy_divisor;
+        let shared = account.budget - light_part + turn.most_tokens;
+        let is_light = account
+            .left
+            .is_none_or(|left| left >= account.budget - light_part);
+        let allowance = if is_heavy || !is_light {
+            0
+        } else {
+            shared / entries.max(1)
+        };
+        let missing = turn.most_tokens.saturating_sub(turn.reserved + account.free());
+        let drawn = missing.min(allowance.saturating_sub(account.debt));
+        let tokens = (account.free() + drawn).min(turn.most_tokens - turn.reserved);
+        let least = (self.options.allowance_events * turn.event_tokens).min(turn.most_tokens);
+        if turn.reserved + tokens < least {
+            return false;
+        }
+        account.covered += drawn;
+        account.debt += drawn;
+        account.reserved += tokens;
+        turn.reserved += tokens;
+        stop_waiting(account, turn);
+        true
+    }
+
+    /// Spends tokens of a turn that are about to be handed on.
+    pub fn spend(&mut self, turn: &mut TurnCover, tokens: u64) -> SpendOutcome {
+        let Some(account) = self.accounts.get_mut(turn.account) else {
+            return SpendOutcome::Exhausted;
+        };
+        let from_turn = tokens.min(turn.reserved);
+        if tokens - from_turn <= account.free() {
+            turn.reserved -= from_turn;
+            account.reserved -= from_turn;
+            account.spent += tokens;
+            return SpendOutcome::Spent;
+        }
+        if account.is_exhausted() {
+            return SpendOutcome::Exhausted;
+        }
+        if !turn.is_waiting {
+            turn.is_waiting = true;
+            account.wanted += turn.most_tokens;
+        }
+        SpendOutcome::Uncovered
     }
 
     /// Ends a turn.
-    pub fn close_turn(&mut self, key: AccountKey, now: ClockTime) {
-        if let Some(account) = self.accounts.get_mut(key) {
+    pub fn close_turn(&mut self, turn: &mut TurnCover, now: ClockTime) {
+        if let Some(account) = self.accounts.get_mut(turn.account) {
             account.last_used = now;
             account.open_turns = account.open_turns.saturating_sub(1);
+            account.reserved -= std::mem::take(&mut turn.reserved);
+            stop_waiting(account, turn);
         }
     }
 
-    /// Returns the request for cover that is due, if any, and notes that it is under way.
+    /// Returns the request to the store that is due, if any, and notes that it is under way.
     pub fn cover_wanted(&mut self, key: AccountKey) -> Option<CoverWant> {
         let account = self.accounts.get_mut(key)?;
-        let turn_events = u64::from(account.open_turns) * account.event_tokens;
-        let is_low = account.free() < turn_events * self.options.low_water_events;
-        if account.is_asking || account.is_exhausted() || !is_low {
+        if account.is_asking {
+            return None;
+        }
+        let free = account.free();
+        let is_ample = account
+            .left
+            .is_some_and(|left| left >= account.turn_tokens * self.options.ample_turns);
+        let mut tokens = account.wanted.saturating_sub(free);
+        if account.left == Some(0) {
+            tokens = 0;
+        } else if is_ample && account.open_turns > 0 {
+            tokens = tokens.max((account.wanted + account.turn_tokens).saturating_sub(free));
+        }
+        let is_idle = account.open_turns == 0 && account.left.is_some() && !is_ample;
+        let given_back = if is_idle {
+            free.saturating_sub(account.debt)
+        } else {
+            0
+        };
+        if tokens == 0 && account.debt == 0 && given_back == 0 {
             return None;
         }
         account.is_asking = true;
-        let share = account.budget / self.options.grant_divisor.max(1);
-        let tokens = share.max(turn_events * self.options.grant_events);
+        account.covered -= given_back;
         Some(CoverWant {
             program: account.program.clone(),
             budget: account.budget,
             tokens,
+            debt: account.debt,
+            given_back,
+            heavy_above: account.budget / self.options.heavy_divisor,
         })
     }
 
-    /// Notes what became of the request for cover.
+    /// Notes what became of the request to the store.
     pub fn settle_cover(&mut self, key: AccountKey, outcome: CoverOutcome) {
         let Some(account) = self.accounts.get_mut(key) else {
             return;
@@ -155,18 +294,10 @@
         }
     }
 
-    /// Spends tokens that are about to be handed on.
-    pub fn spend(&mut self, key: AccountKey, tokens: u64) -> SpendOutcome {
-        let Some(account) = self.accounts.get_mut(key) else {
-            return SpendOutcome::Exhausted;
-        };
-        if account.free() >= tokens {
-            account.spent += tokens;
-            SpendOutcome::Spent
-        } else if account.is_exhausted() {
-            SpendOutcome::Exhausted
-        } else {
-            SpendOutcome::Uncovered
+    /// Notes that the debt of a request was recorded.
+    pub fn settle_debt(&mut self, key: AccountKey, debt: u64) {
+        if let Some(account) = self.accounts.get_mut(key) {
+            account.debt = account.debt.saturating_sub(debt);
         }
     }
 
@@ -174,7 +305,7 @@
     pub fn evict_idle(&mut self, now: ClockTime) {
         let retention = self.options.retention;
         self.accounts
-            .retain(|_, account| account.open_turns > 0 || now.since(account.last_used) < retention);
+            .retain(|_, account| account.is_in_use() || now.since(account.last_used) < retention);
         let accounts = &self.accounts;
         self.programs.retain(|_, key| accounts.contains_key(*key));
     }
@@ -189,13 +320,15 @@
         if self.accounts.len() >= self.options.max_accounts {
             return None;
         }
-        let key = self.accounts.insert(ProgramAccount::open(
-            turn.program.clone(),
-            turn.budget,
-            turn.event_tokens,
-            now,
-        ));
+        let account = ProgramAccount::open(turn.program.clone(), turn.budget, now);
+        let key = self.accounts.insert(account);
         self.programs.insert(turn.program.clone(), key);
         Some(key)
     }
 }
+
+fn stop_waiting(account: &mut ProgramAccount, turn: &mut TurnCover) {
+    if std::mem::take(&mut turn.is_waiting) {
+        account.wanted = account.wanted.saturating_sub(turn.most_tokens);
+    }
+}
--- a/crates/ebony_account/src/lib.rs
+++ b/crates/ebony_account/src/lib.rs
@@ -14,9 +14,9 @@
 
 /// Re-exports the book and the record.
 pub mod prelude {
-    pub use crate::book::{AccountBook, AccountKey, CoverWant, TurnOpening, TurnRequest};
+    pub use crate::book::{AccountBook, AccountKey, CoverWant, TurnCover, TurnOpening, TurnRequest};
     pub use crate::options::AccountOptions;
-    pub use crate::program_account::{CoverOutcome, SpendOutcome};
+    pub use crate::program_account::{CoverOutcome, SecureOutcome, SpendOutcome};
     pub use crate::record::{AccountRecord, RecordError};
 }
 
--- a/crates/ebony_account/src/options.rs
+++ b/crates/ebony_account/src/options.rs
@@ -5,26 +5,28 @@
 /// Options of an [`crate::AccountBook`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct AccountOptions {
-    /// A grant is at least the budget divided by this. A program reaches up to nine entries and uses up to half of its
-    /// budget, so that grants which dead or idle entries hold unspent must stay below the other half.
-    pub grant_divisor: u64,
-    /// A grant covers at least this many events of each open turn, about the length of a turn.
-    pub grant_events: u64,
-    /// Further cover is asked for when the open turns have less than this many events each, so that it arrives before
-    /// it is needed: at 24 ms an event, the store has 190 ms.
-    pub low_water_events: u64,
+    /// While the store has this many turns of a program's budget left, cover for the next turn is asked for ahead. Below,
+    /// an entry without a turn gives back what it did not spend, so that other entries find it.
+    pub ample_turns: u64,
+    /// A turn without full cover starts on an allowance of at least this many events, about the length of a turn.
+    pub allowance_events: u64,
+    /// A program is heavy once the budget divided by this was granted. Typical programs use 15% of their budget.
+    pub heavy_divisor: u64,
+    /// How long an entry takes the store's word that nothing is left. Until then turns are refused without a request.
+    pub recheck: Duration,
     /// The most accounts that an entry keeps. At 330,000 open programs over 390 nodes an entry holds about 850.
     pub max_accounts: usize,
-    /// How long an account without a turn is kept.
+    /// How long an account without a turn is kept: the time in which a stopped program may come back, and a half.
     pub retention: Duration,
 }
 
 impl Default for AccountOptions {
     fn default() -> Self {
         Self {
-            grant_divisor: 16,
-            grant_events: 16,
-            low_water_events: 8,
+            ample_turns: 8,
+            allowance_events: 16,
+            heavy_divisor: 4,
+            recheck: Duration::from_millis(500),
             max_accounts: 16_384,
             retention: Duration::from_secs(90),
         }
--- a/crates/ebony_account/src/program_account.rs
+++ b/crates/ebony_account/src/program_account.rs
@@ -5,7 +5,7 @@
 /// What became of a request for cover.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CoverOutcome {
-    /// The store recorded a grant.
+    /// The store recorded the request.
     Granted {
         /// The tokens of the grant; 0 if the budget is spent.
         tokens: u64,
@@ -16,6 +16,17 @@
     Unavailable,
 }
 
+/// Whether a turn is covered to its end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SecureOutcome {
+    /// Every event of the turn may be handed on.
+    Secured,
+    /// The cover waits for a grant.
+    Waiting,
+    /// The budget does not hold the turn.
+    Exhausted,
+}
+
 /// Whether an event may be handed on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum SpendOutcome {
@@ -32,29 +43,38 @@
 pub(crate) struct ProgramAccount {
     pub(crate) program: ProgramName,
     pub(crate) budget: u64,
-    /// Tokens that the store granted to this entry.
+    /// Tokens that this entry may hand on: its grants and its allowance.
     pub(crate) covered: u64,
     /// Tokens that were handed on.
     pub(crate) spent: u64,
-    /// Tokens that one event stands for.
-    pub(crate) event_tokens: u64,
+    /// Tokens that are set aside for turns under way.
+    pub(crate) reserved: u64,
+    /// The part of the cover that no grant stands for yet.
+    pub(crate) debt: u64,
+    /// Tokens that turns wait for.
+    pub(crate) wanted: u64,
+    /// The most tokens of a turn, by the latest one.
+    pub(crate) turn_tokens: u64,
     /// Turns under way.
     pub(crate) open_turns: u32,
     /// What the store has left for grants, as far as known.
     pub(crate) left: Option<u64>,
-    /// Whether a request for cover is under way.
+    /// Whether a request to the store is under way.
     pub(crate) is_asking: bool,
     pub(crate) last_used: ClockTime,
 }
 
 impl ProgramAccount {
-    pub(crate) fn open(program: ProgramName, budget: u64, event_tokens: u64, now: ClockTime) -> Self {
+    pub(crate) fn open(program: ProgramName, budget: u64, now: ClockTime) -> Self {
         Self {
             program,
             budget,
             covered: 0,
             spent: 0,
-            event_tokens,
+            reserved: 0,
+            debt: 0,
+            wanted: 0,
+            turn_tokens: 0,
             open_turns: 0,
             left: None,
             is_asking: false,
@@ -62,26 +82,18 @@
         }
     }
 
-    /// Returns the covered tokens that were not handed on.
+    /// Returns the covered tokens that were neither handed on nor set aside.
     pub(crate) fn free(&self) -> u64 {
-        self.covered.saturating_sub(self.spent)
+        self.covered.saturating_sub(self.spent + self.reserved)
     }
 
-    /// Returns whether the store has nothing left to grant.
-    pub(crate) fn is_exhausted(&self) -> bool {
-        self.left == Some(0)
+    /// Returns whether dropping the account would lose a turn or a debt.
+    pub(crate) fn is_in_use(&self) -> bool {
+        self.open_turns > 0 || self.debt > 0 || self.is_asking
     }
 
-    /// Returns whether a turn of up to `most` tokens has to be refused.
-    ///
-    /// An entry that was granted the whole budget knows what is left of it. Otherwise another entry may hold an unspent
-    /// grant, and the turn starts as long as one event can be handed on.
-    pub(crate) fn refuses(&self, most: u64, event_tokens: u64) -> bool {
-        let needed = if self.covered >= self.budget {
-            most
-        } else {
-            event_tokens
-        };
-        self.is_exhausted() && self.free() < needed.max(1)
+    /// Returns whether the store has nothing left to grant and no request is under way that could bring some back.
+    pub(crate) fn is_exhausted(&self) -> bool {
+        self.left == Some(0) && !self.is_asking
     }
 }
--- a/crates/ebony_account/src/record.rs
+++ b/crates/ebony_account/src/record.rs
@@ -20,6 +20,8 @@
 /// assert_eq!(record.grant(700), 700);
 /// assert_eq!(record.grant(700), 300);
 /// assert_eq!(record.grant(700), 0);
+/// record.give_back(100);
+/// assert_eq!(record.left(), 100);
 /// assert_eq!(AccountRecord::from_bytes(&record.to_bytes())?, record);
 /// # Ok::<(), ebony_account::RecordError>(())
 /// ```
@@ -29,7 +31,7 @@
     /// Tokens that the program's turns may generate.
     #[serde(rename = "b")]
     pub budget: u64,
-    /// Tokens that entries were granted so far. Never more than the budget.
+    /// Tokens that entries were granted and did not give back.
     #[serde(rename = "g")]
     pub granted: u64,
 }
@@ -40,13 +42,28 @@
         Self { budget, granted: 0 }
     }
 
+    /// Returns the tokens that are left for grants.
+    pub fn left(self) -> u64 {
+        self.budget.saturating_sub(self.granted)
+    }
+
     /// Grants up to `tokens` and returns how many; 0 if the budget is spent.
     pub fn grant(&mut self, tokens: u64) -> u64 {
-        let granted = tokens.min(self.budget.saturating_sub(self.granted));
+        let granted = tokens.min(self.left());
         self.granted += granted;
         granted
     }
 
+    /// Records tokens that were handed on without a grant. They count even beyond the budget.
+    pub fn record_debt(&mut self, tokens: u64) {
+        self.granted += tokens;
+    }
+
+    /// Takes back tokens of a grant that were not handed on.
+    pub fn give_back(&mut self, tokens: u64) {
+        self.granted = self.granted.saturating_sub(tokens);
+    }
+
     /// Encodes the record as CBOR.
     pub fn to_bytes(self) -> Vec<u8> {
         let mut bytes = Vec::new();
--- a/crates/ebony_gateway/src/call.rs
+++ b/crates/ebony_gateway/src/call.rs
@@ -12,11 +12,12 @@
 use ebony_routing::{CallNature, EngineRule, RouteRule};
 use ebony_types::rendezvous::rendezvous_weight;
 use ebony_types::{ClockTime, ProblemCode, ServiceName, TargetName};
+use futures_util::future::try_join;
 use http::Request;
 use http_body_util::Full;
 use tokio::time::{sleep, timeout};
 
-use crate::accounts::OpenTurn;
+use crate::accounts::{CoverError, OpenTurn};
 use crate::answer::{self, BegunAnswer};
 use crate::channel::{OpenAnswer, SendFailure};
 use crate::gateway::{Gateway, OpenCallGuard};
@@ -123,7 +124,8 @@
     let outcome = async {
         let call = route(gateway, request, head, payload, arrived, &mut story).await?;
         let turn = open_turn(&call, &mut story)?;
-        run(&call, &mut story).await.map(|answer| (call, turn, answer))
+        let answer = run_covered(&call, turn.as_ref(), &mut story).await?;
+        Ok::<_, CallRefusal>((call, turn, answer))
     };
     match outcome.await {
         Ok((call, turn, answer)) => answer::hand_on(call, turn, answer, story, guard),
@@ -206,6 +208,42 @@
     call.gateway.accounts.open_turn(&turn).map(Some)
 }
 
+/// Runs a call whose tokens are covered. The grant for a program that is new to this entry is awaited while the target
+/// reads the prompt; no event is handed on before it is there.
+async fn run_covered(
+    call: &RoutedCall,
+    turn: Option<&OpenTurn>,
+    story: &mut CallStory,
+) -> Result<BegunAnswer> {
+    let Some(turn) = turn else {
+        return run(call, story).await;
+    };
+    if turn.is_known() {
+        turn.secure().await.map_err(CoverError::into_refusal)?;
+        return run(call, story).await;
+    }
+    let securing = async { turn.secure().await.map_err(RunError::Uncovered) };
+    let running = async { run(call, story).await.map_err(RunError::Refused) };
+    match try_join(securing, running).await {
+        Ok(((), answer)) => Ok(answer),
+        Err(RunError::Refused(refusal)) => Err(refusal),
+        Err(RunError::Uncovered(error)) if story.was_sent() => {
+            let detail = match error {
+                CoverError::Spent => "the program's token budget was spent when the turn began",
+                CoverError::StoreAway => "the store of budgets does not answer",
+            };
+            Err(CallRefusal::may_have_run(ProblemCode::TargetFailed, detail))
+        }
+        Err(RunError::Uncovered(error)) => Err(error.into_refusal()),
+    }
+}
+
+/// Why a call with a budget got no answer.
+enum RunError {
+    Refused(CallRefusal),
+    Uncovered(CoverError),
+}
+
 /// Sends the call to targets until one of them answers it.
 async fn run(call: &RoutedCall, story: &mut CallStory) -> Result<BegunAnswer> {
     let mut attempts = AttemptSeries::open(call);
--- a/crates/ebony_gateway/src/gateway.rs
+++ b/crates/ebony_gateway/src/gateway.rs
@@ -16,6 +16,7 @@
 use crate::accounts::AccountDesk;
 use crate::channel::TargetClient;
 use crate::decision_log::DecisionLog;
+use crate::fleet::FleetView;
 use crate::metrics::GatewayMetrics;
 
 /// A protocol that covers calls and records.
@@ -54,6 +55,7 @@
     pub(crate) board: RefCell<TargetBoard>,
     /// Whether the list of targets was read.
     pub(crate) has_targets: Cell<bool>,
+    pub(crate) fleet: Rc<FleetView>,
     pub(crate) accounts: Rc<AccountDesk>,
     pub(crate) client: Rc<TargetClient>,
     pub(crate) health: HealthState,
@@ -76,10 +78,13 @@
         let clock = GatewayClock::start();
         let metrics = GatewayMetrics::register(registry)?;
         let rule = PlacementRule::from_name(&settings.policy.placement).unwrap_or_default();
+        let table = Rc::clone(&store) as Rc<dyn TableService>;
+        let fleet = FleetView::open(Rc::clone(&table), logger.clone());
         let client = TargetClient::open(settings.targets, metrics.connections.clone());
         Ok(Rc::new(Self {
             dialect,
-            accounts: AccountDesk::open(Rc::clone(&store) as Rc<dyn TableService>, clock, logger.clone()),
+            accounts: AccountDesk::open(table, Rc::clone(&fleet), clock, logger.clone()),
+            fleet,
             store,
             clock,
             domain: settings.failure_domain.clone(),
--- a/crates/ebony_gateway/src/lib.rs
+++ b/crates/ebony_gateway/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod channel;
 pub mod decision_log;
 pub mod events;
+pub mod fleet;
 pub mod gateway;
 pub mod intake;
 pub mod listener;
--- a/crates/ebony_gateway/src/process.rs
+++ b/crates/ebony_gateway/src/process.rs
@@ -50,6 +50,7 @@
     health_server: HealthServer,
     addresses: GatewayAddresses,
     drain_time: Duration,
+    process: String,
 }
 
 impl GatewayProcess {
@@ -78,6 +79,7 @@
             health_server,
             addresses,
             drain_time: settings.drain_time,
+            process: settings.process.clone(),
         })
     }
 
@@ -95,6 +97,8 @@
         let gateway = self.gateway;
         tokio::task::spawn_local(watch::watch_routing(Rc::clone(&gateway)));
         tokio::task::spawn_local(watch::watch_targets(Rc::clone(&gateway)));
+        tokio::task::spawn_local(watch::watch_fleet(Rc::clone(&gateway)));
+        tokio::task::spawn_local(Rc::clone(&gateway.fleet).register(self.process));
         tokio::task::spawn_local(watch::tidy(Rc::clone(&gateway)));
         let listener = self.port.serve(Rc::clone(&gateway)).await?;
         Ok(ServingGateway {
--- a/crates/ebony_gateway/src/story.rs
+++ b/crates/ebony_gateway/src/story.rs
@@ -116,6 +116,11 @@
         }
     }
 
+    /// Returns whether the call was sent to a target.
+    pub(crate) fn was_sent(&self) -> bool {
+        self.first_sent.is_some()
+    }
+
     pub(crate) fn record_attempt(&mut self, target: &str, outcome: AttemptOutcome) {
         let outcome = outcome.as_str();
         self.gateway.metrics.attempts.with_label_values(&[outcome]).inc();
--- a/crates/ebony_gateway/src/watch.rs
+++ b/crates/ebony_gateway/src/watch.rs
@@ -10,6 +10,7 @@
 use slog::{info, warn};
 use tokio::time::sleep;
 
+use crate::fleet;
 use crate::gateway::Gateway;
 
 /// The longest time that the store holds a request for changes. Short enough that a silent connection is noticed well
@@ -194,6 +195,17 @@
     }
 }
 
+/// Follows what gateways tell each other.
+pub(crate) async fn watch_fleet(gateway: Rc<Gateway>) {
+    let mut watch = TableWatch::open(&gateway, fleet::TABLE, "fleet");
+    loop {
+        match watch.next().await {
+            TableNews::Snapshot(rows) => gateway.fleet.replace(&rows),
+            TableNews::Changes(rows) => gateway.fleet.apply(&rows),
+        }
+    }
+}
+
 /// Applies the platform's list to the board.
 struct TargetList {
     gateway: Rc<Gateway>,
