Cover turns from the owner of their program, over links

Allowances per entry were drawn while other entries still recorded grants up to the budget, and unrecorded tokens were lost with their process. Ruled out: the record itself (it never exceeded the budget). Change: one entry owns each program (the same at all by hashing over the registered ones); it alone records grants and hands on what is not recorded, has a peer record for it where it does not reach the store itself, and lends to others.

--- /dev/null
+++ b/crates/ebony_account/src/allowance.rs
@@ -0,0 +1,32 @@
+//! What the owner of a program may hand on while the store does not answer.
+
+use crate::program_account::ProgramAccount;
+
+/// How much of a program's budget needs no record for now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ProgramAllowance {
+    /// Another entry may reach the store and record grants up to the budget. The rule leaves one turn beyond it.
+    OneTurn,
+    /// No entry reaches the store, so that no grant is recorded meanwhile.
+    Unrecorded,
+}
+
+impl ProgramAllowance {
+    /// Returns the tokens that may be handed on without a grant.
+    ///
+    /// What is handed on without a grant is lost if the owner dies. A program whose beginning the owner saw has no row
+    /// then, and [`unseen_tokens`] are recorded when a later turn meets no row, so that half of the budget is safe.
+    /// The row of any other program grants its whole budget, and one turn is all that may come on top.
+    pub(crate) fn tokens(self, account: &ProgramAccount, turn_tokens: u64) -> u64 {
+        let is_new = account.is_witnessed && account.left.is_none();
+        match self {
+            Self::Unrecorded if is_new => unseen_tokens(account.budget),
+            _ => turn_tokens,
+        }
+    }
+}
+
+/// Returns the tokens that earlier turns of a program may have generated that has no row in the store.
+pub(crate) fn unseen_tokens(budget: u64) -> u64 {
+    budget / 2
+}
--- a/crates/ebony_account/src/book.rs
+++ b/crates/ebony_account/src/book.rs
@@ -3,8 +3,10 @@
 use std::collections::HashMap;
 
 use ebony_types::{ClockTime, ProgramName};
+use serde::{Deserialize, Serialize};
 use slotmap::{SlotMap, new_key_type};
 
+use crate::allowance::{ProgramAllowance, unseen_tokens};
 use crate::options::AccountOptions;
 use crate::program_account::{CoverOutcome, ProgramAccount, SecureOutcome, SpendOutcome};
 
@@ -24,6 +26,8 @@
     pub most_tokens: u64,
     /// Tokens that one event stands for.
     pub event_tokens: u64,
+    /// Whether the turn's prompt shows earlier turns of the program.
+    pub has_history: bool,
 }
 
 /// Whether a turn may start.
@@ -55,6 +59,7 @@
 
 /// A request to the store.
 #[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct CoverWant {
     /// The program.
     pub program: ProgramName,
@@ -64,10 +69,8 @@
     pub tokens: u64,
     /// Tokens that were handed on without a grant.
     pub debt: u64,
-    /// Tokens of earlier grants to give back.
-    pub given_back: u64,
-    /// The program becomes heavy if the record exceeds this many tokens.
-    pub heavy_above: u64,
+    /// Tokens that earlier turns may have generated, for a program that the store does not know.
+    pub unseen: u64,
 }
 
 /// The accounts of all programs at one entry.
@@ -83,6 +86,7 @@
 ///     budget: 1_000,
 ///     most_tokens: 100,
 ///     event_tokens: 7,
+///     has_history: false,
 /// };
 /// let TurnOpening::Open(mut cover) = book.open_turn(&turn, now) else { unreachable!() };
 /// // Nothing is handed on before the store recorded a grant.
@@ -126,11 +130,13 @@
         self.accounts.contains_key(key)
     }
 
-    /// Returns whether the store said what is left of the program's budget.
-    pub fn is_known(&self, key: AccountKey) -> bool {
-        self.accounts
-            .get(key)
-            .is_some_and(|account| account.left.is_some())
+    /// Returns whether little is left of the program's budget, so that a turn is better covered before it is sent.
+    pub fn is_scarce(&self, key: AccountKey) -> bool {
+        let Some(account) = self.accounts.get(key) else {
+            return false;
+        };
+        let scarce = account.turn_tokens * self.options.scarce_turns;
+        account.left.is_some_and(|left| left < scarce)
     }
 
     /// Opens the account of a turn.
@@ -181,25 +187,15 @@
 
     /// Sets tokens aside for a turn while the store does not answer, from an allowance that needs no record.
     ///
-    /// Over `entries` entries that all do so, the allowances and the quarter of the budget that a program without the
-    /// mark of a heavy one was granted stay within the budget and one turn. Returns `false` if the allowance does not
-    /// hold a turn of ordinary length.
-    pub fn secure_by_allowance(&mut self, turn: &mut TurnCover, entries: u64, is_heavy: bool) -> bool {
+    /// Only the owner of a program calls this, so that one entry alone hands on what is not recorded. Returns `false` if
+    /// the allowance does not hold a turn of ordinary length.
+    pub fn secure_by_allowance(&mut self, turn: &mut TurnCover, allowance: ProgramAllowance) -> bool {
         let Some(account) = self.accounts.get_mut(turn.account) else {
             return false;
         };
-        let light_part = account.budget / self.options.heavy_divisor;
-        let shared = account.budget - light_part + turn.most_tokens;
-        let is_light = account
-            .left
-            .is_none_or(|left| left >= account.budget - light_part);
-        let allowance = if is_heavy || !is_light {
-            0
-        } else {
-            shared / entries.max(1)
-        };
+        let allowed = allowance.tokens(account, turn.most_tokens);
         let missing = turn.most_tokens.saturating_sub(turn.reserved + account.free());
-        let drawn = missing.min(allowance.saturating_sub(account.debt));
+        let drawn = missing.min(allowed.saturating_sub(account.debt));
         let tokens = (account.free() + drawn).min(turn.most_tokens - turn.reserved);
         let least = (self.options.allowance_events * turn.event_tokens).min(turn.most_tokens);
         if turn.reserved + tokens < least {
@@ -213,6 +209,61 @@
         true
     }
 
+    /// Sets aside what is covered for a turn, up to all of it.
+    pub fn secure_partly(&mut self, turn: &mut TurnCover) {
+        let Some(account) = self.accounts.get_mut(turn.account) else {
+            return;
+        };
+        let tokens = account.free().min(turn.most_tokens.saturating_sub(turn.reserved));
+        account.reserved += tokens;
+        turn.reserved += tokens;
+        stop_waiting(account, turn);
+    }
+
+    /// Gives the cover of a turn to another entry, which will hand on the tokens. Returns how many.
+    pub fn hand_over(&mut self, turn: &mut TurnCover) -> u64 {
+        let tokens = std::mem::take(&mut turn.reserved);
+        if let Some(account) = self.accounts.get_mut(turn.account) {
+            account.reserved -= tokens;
+            account.spent += tokens;
+        }
+        tokens
+    }
+
+    /// Notes that another entry, the owner of the program, found the budget spent.
+    pub fn record_exhausted(&mut self, key: AccountKey) {
+        if let Some(account) = self.accounts.get_mut(key) {
+            account.left = Some(0);
+        }
+    }
+
+    /// Takes the cover that no turn needs, if no turn is under way, so that it can be given back.
+    pub fn take_free(&mut self, key: AccountKey) -> u64 {
+        let Some(account) = self.accounts.get_mut(key) else {
+            return 0;
+        };
+        if account.open_turns > 0 || account.debt > 0 {
+            return 0;
+        }
+        let free = account.free();
+        account.covered -= free;
+        free
+    }
+
+    /// Takes back cover that another entry did not need.
+    pub fn take_back(&mut self, program: &ProgramName, tokens: u64) {
+        if let Some(key) = self.programs.get(program) {
+            self.add_cover(*key, tokens);
+        }
+    }
+
+    /// Adds cover that another entry gave.
+    pub fn add_cover(&mut self, key: AccountKey, tokens: u64) {
+        if let Some(account) = self.accounts.get_mut(key) {
+            account.covered += tokens;
+        }
+    }
+
     /// Spends tokens of a turn that are about to be handed on.
     pub fn spend(&mut self, turn: &mut TurnCover, tokens: u64) -> SpendOutcome {
         let Some(account) = self.accounts.get_mut(turn.account) else {
@@ -246,39 +297,34 @@
     }
 
     /// Returns the request to the store that is due, if any, and notes that it is under way.
-    pub fn cover_wanted(&mut self, key: AccountKey) -> Option<CoverWant> {
+    ///
+    /// The owner of the program asks for a block at once, from which it covers turns of all entries.
+    pub fn cover_wanted(&mut self, key: AccountKey, is_owner: bool) -> Option<CoverWant> {
         let account = self.accounts.get_mut(key)?;
         if account.is_asking {
             return None;
         }
-        let free = account.free();
-        let is_ample = account
-            .left
-            .is_some_and(|left| left >= account.turn_tokens * self.options.ample_turns);
-        let mut tokens = account.wanted.saturating_sub(free);
+        let mut tokens = account.wanted.saturating_sub(account.free());
         if account.left == Some(0) {
             tokens = 0;
-        } else if is_ample && account.open_turns > 0 {
-            tokens = tokens.max((account.wanted + account.turn_tokens).saturating_sub(free));
+        } else if tokens > 0 && is_owner {
+            let block = account.budget / self.options.block_divisor;
+            tokens = tokens.max(block.min(account.left.unwrap_or(account.budget) / 4));
         }
-        let is_idle = account.open_turns == 0 && account.left.is_some() && !is_ample;
-        let given_back = if is_idle {
-            free.saturating_sub(account.debt)
-        } else {
-            0
-        };
-        if tokens == 0 && account.debt == 0 && given_back == 0 {
+        if tokens == 0 && account.debt == 0 {
             return None;
         }
         account.is_asking = true;
-        account.covered -= given_back;
         Some(CoverWant {
             program: account.program.clone(),
             budget: account.budget,
             tokens,
             debt: account.debt,
-            given_back,
-            heavy_above: account.budget / self.options.heavy_divisor,
+            unseen: if account.is_witnessed {
+                0
+            } else {
+                unseen_tokens(account.budget)
+            },
         })
     }
 
@@ -320,7 +366,7 @@
         if self.accounts.len() >= self.options.max_accounts {
             return None;
         }
-        let account = ProgramAccount::open(turn.program.clone(), turn.budget, now);
+        let account = ProgramAccount::open(turn.program.clone(), turn.budget, !turn.has_history, now);
         let key = self.accounts.insert(account);
         self.programs.insert(turn.program.clone(), key);
         Some(key)
--- a/crates/ebony_account/src/options.rs
+++ b/crates/ebony_account/src/options.rs
@@ -5,13 +5,13 @@
 /// Options of an [`crate::AccountBook`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct AccountOptions {
-    /// While the store has this many turns of a program's budget left, cover for the next turn is asked for ahead. Below,
-    /// an entry without a turn gives back what it did not spend, so that other entries find it.
-    pub ample_turns: u64,
+    /// Below this many turns of what is left, a turn is covered before it is sent.
+    pub scarce_turns: u64,
+    /// The owner of a program asks for the budget divided by this at once, if a quarter of what is left allows it. Typical
+    /// programs use 15% of their budget, so that most need one or two requests.
+    pub block_divisor: u64,
     /// A turn without full cover starts on an allowance of at least this many events, about the length of a turn.
     pub allowance_events: u64,
-    /// A program is heavy once the budget divided by this was granted. Typical programs use 15% of their budget.
-    pub heavy_divisor: u64,
     /// How long an entry takes the store's word that nothing is left. Until then turns are refused without a request.
     pub recheck: Duration,
     /// The most accounts that an entry keeps. At 330,000 open programs over 390 nodes an entry holds about 850.
@@ -23,9 +23,9 @@
 impl Default for AccountOptions {
     fn default() -> Self {
         Self {
-            ample_turns: 8,
+            scarce_turns: 4,
+            block_divisor: 8,
             allowance_events: 16,
-            heavy_divisor: 4,
             recheck: Duration::from_millis(500),
             max_accounts: 16_384,
             retention: Duration::from_secs(90),
--- a/crates/ebony_account/src/program_account.rs
+++ b/crates/ebony_account/src/program_account.rs
@@ -53,6 +53,8 @@
     pub(crate) debt: u64,
     /// Tokens that turns wait for.
     pub(crate) wanted: u64,
+    /// Whether this entry saw the program's first turn.
+    pub(crate) is_witnessed: bool,
     /// The most tokens of a turn, by the latest one.
     pub(crate) turn_tokens: u64,
     /// Turns under way.
@@ -65,7 +67,7 @@
 }
 
 impl ProgramAccount {
-    pub(crate) fn open(program: ProgramName, budget: u64, now: ClockTime) -> Self {
+    pub(crate) fn open(program: ProgramName, budget: u64, is_witnessed: bool, now: ClockTime) -> Self {
         Self {
             program,
             budget,
@@ -74,6 +76,7 @@
             reserved: 0,
             debt: 0,
             wanted: 0,
+            is_witnessed,
             turn_tokens: 0,
             open_turns: 0,
             left: None,
--- a/crates/ebony_account/src/record.rs
+++ b/crates/ebony_account/src/record.rs
@@ -20,8 +20,6 @@
 /// assert_eq!(record.grant(700), 700);
 /// assert_eq!(record.grant(700), 300);
 /// assert_eq!(record.grant(700), 0);
-/// record.give_back(100);
-/// assert_eq!(record.left(), 100);
 /// assert_eq!(AccountRecord::from_bytes(&record.to_bytes())?, record);
 /// # Ok::<(), ebony_account::RecordError>(())
 /// ```
@@ -31,7 +29,7 @@
     /// Tokens that the program's turns may generate.
     #[serde(rename = "b")]
     pub budget: u64,
-    /// Tokens that entries were granted and did not give back.
+    /// Tokens that entries were granted.
     #[serde(rename = "g")]
     pub granted: u64,
 }
@@ -54,16 +52,19 @@
         granted
     }
 
+    /// Creates the record of a program that may have generated `unseen` tokens without a record.
+    pub fn open_behind(budget: u64, unseen: u64) -> Self {
+        Self {
+            budget,
+            granted: unseen,
+        }
+    }
+
     /// Records tokens that were handed on without a grant. They count even beyond the budget.
     pub fn record_debt(&mut self, tokens: u64) {
         self.granted += tokens;
     }
 
-    /// Takes back tokens of a grant that were not handed on.
-    pub fn give_back(&mut self, tokens: u64) {
-        self.granted = self.granted.saturating_sub(tokens);
-    }
-
     /// Encodes the record as CBOR.
     pub fn to_bytes(self) -> Vec<u8> {
         let mut bytes = Vec::new();
--- a/crates/ebony_gateway/src/accounts.rs
+++ b/crates/ebony_gateway/src/accounts.rs
@@ -6,8 +6,8 @@
 
 use bytes::Bytes;
 use ebony_account::{
-    AccountBook, AccountKey, AccountOptions, AccountRecord, CoverOutcome, CoverWant, SecureOutcome,
-    SpendOutcome, TurnCover, TurnOpening, TurnRequest,
+    AccountBook, AccountKey, AccountOptions, AccountRecord, CoverOutcome, CoverWant, ProgramAllowance,
+    SecureOutcome, SpendOutcome, TurnCover, TurnOpening, TurnRequest,
 };
 use ebony_platform::table::{create_resolved, replace_resolved};
 use ebony_platform::{PlatformError, RowKey, RowVersion, TableService, WriteNonce};
@@ -22,6 +22,7 @@
 
 use crate::fleet::FleetView;
 use crate::gateway::GatewayClock;
+use crate::links::{Lending, PeerLinks};
 use crate::refusal::CallRefusal;
 
 /// The table of accounts in the store.
@@ -35,7 +36,10 @@
 
 /// How long a turn waits for the store before it draws on the allowance. The store answers in 4 to 10 ms; the time to
 /// the first event of a turn has room for this once.
-const GRANT_PATIENCE: Duration = Duration::from_millis(120);
+const GRANT_PATIENCE: Duration = Duration::from_millis(80);
+
+/// How long a request of another entry waits for the store.
+const RELAY_PATIENCE: Duration = Duration::from_millis(80);
 
 /// Conditional writes of one grant that may lose to other entries before the request counts as failed.
 const MOST_CONFLICTS: u32 = 8;
@@ -60,6 +64,7 @@
     news: RefCell<SecondaryMap<AccountKey, Rc<Notify>>>,
     store: Rc<dyn TableService>,
     fleet: Rc<FleetView>,
+    links: Rc<PeerLinks>,
     /// Whether the last request to the store failed.
     is_store_lost: Cell<bool>,
     clock: GatewayClock,
@@ -71,6 +76,7 @@
     pub(crate) fn open(
         store: Rc<dyn TableService>,
         fleet: Rc<FleetView>,
+        links: Rc<PeerLinks>,
         clock: GatewayClock,
         logger: Logger,
     ) -> Rc<Self> {
@@ -80,6 +86,7 @@
             news: RefCell::default(),
             store,
             fleet,
+            links,
             is_store_lost: Cell::default(),
             clock,
             random: RefCell::new(StdRng::from_os_rng()),
@@ -93,7 +100,7 @@
         match opening {
             TurnOpening::Open(cover) => Ok(OpenTurn {
                 desk: Rc::clone(self),
-                program: turn.program.clone(),
+                turn: turn.clone(),
                 cover: RefCell::new(cover),
             }),
             TurnOpening::Full => {
@@ -103,6 +110,20 @@
         }
     }
 
+    /// Covers a turn of another entry, as the owner of its program. Returns the tokens that the entry may hand on.
+    pub(crate) async fn lend(self: &Rc<Self>, turn: &TurnRequest) -> Lending {
+        let Ok(open) = self.open_turn(turn) else {
+            return Lending::StoreAway;
+        };
+        match open.secure_as_owner().await {
+            Ok(()) => Lending::Lent {
+                tokens: self.book.borrow_mut().hand_over(&mut open.cover.borrow_mut()),
+            },
+            Err(CoverError::Spent) => Lending::Exhausted,
+            Err(CoverError::StoreAway) => Lending::StoreAway,
+        }
+    }
+
     /// Drops accounts that were not used for long.
     pub(crate) fn evict_idle(&self) {
         let mut book = self.book.borrow_mut();
@@ -116,8 +137,33 @@
         self.book.borrow().len()
     }
 
-    fn ask_if_due(self: &Rc<Self>, account: AccountKey) {
-        let want = self.book.borrow_mut().cover_wanted(account);
+    /// Takes back cover that another entry did not need.
+    pub(crate) fn take_back(&self, program: &ProgramName, tokens: u64) {
+        self.book.borrow_mut().take_back(program, tokens);
+    }
+
+    /// Returns whether this entry reaches the store, as far as it knows.
+    pub(crate) fn reaches_store(&self) -> bool {
+        !self.is_store_lost.get()
+    }
+
+    /// Notes that the store answered another request of this entry.
+    pub(crate) fn note_store_back(&self) {
+        if self.is_store_lost.replace(false) {
+            info!(self.logger, "accounts are recorded again");
+        }
+    }
+
+    /// Notes that the store did not answer.
+    pub(crate) fn note_store_lost(&self, cause: &str) {
+        if !self.is_store_lost.replace(true) {
+            warn!(self.logger, "accounts are not recorded"; "cause" => cause);
+        }
+    }
+
+    fn ask_if_due(self: &Rc<Self>, account: AccountKey, program: &ProgramName) {
+        let is_owner = self.fleet.owner(program).is_none();
+        let want = self.book.borrow_mut().cover_wanted(account, is_owner);
         if let Some(want) = want {
             let desk = Rc::clone(self);
             tokio::task::spawn_local(async move { desk.ask(account, want).await });
@@ -125,28 +171,57 @@
     }
 
     async fn ask(self: Rc<Self>, account: AccountKey, want: CoverWant) {
-        let outcome = match self.record(account, &want).await {
-            Ok(outcome) => {
-                if self.is_store_lost.replace(false) {
-                    info!(self.logger, "accounts are recorded again");
-                }
-                self.book.borrow_mut().settle_debt(account, want.debt);
-                outcome
-            }
-            Err(error) => {
-                if !self.is_store_lost.replace(true) {
-                    warn!(self.logger, "accounts are not recorded";
-                        "program" => want.program.as_str(), "tokens" => want.tokens, "error" => %error);
-                }
+        let outcome = self.record_or_relay(account, &want).await;
+        match outcome {
+            CoverOutcome::Granted { .. } => self.book.borrow_mut().settle_debt(account, want.debt),
+            CoverOutcome::Unavailable => {
                 self.rows.borrow_mut().remove(account);
                 self.notify(account);
                 sleep(RETRY_PAUSE).await;
-                CoverOutcome::Unavailable
             }
-        };
+        }
         self.book.borrow_mut().settle_cover(account, outcome);
         self.notify(account);
-        self.ask_if_due(account);
+        self.ask_if_due(account, &want.program);
+    }
+
+    /// Records a request in the store, or has another entry record it that reaches the store.
+    async fn record_or_relay(&self, account: AccountKey, want: &CoverWant) -> CoverOutcome {
+        if self.reaches_store() {
+            match self.record(Some(account), want).await {
+                Ok(outcome) => return outcome,
+                Err(error) => self.note_store_lost(&error.to_string()),
+            }
+        }
+        self.rows.borrow_mut().remove(account);
+        match self.links.record(want).await {
+            Some(outcome) => outcome,
+            None => match self.record(Some(account), want).await {
+                Ok(outcome) => {
+                    self.note_store_back();
+                    outcome
+                }
+                Err(_) => CoverOutcome::Unavailable,
+            },
+        }
+    }
+
+    /// Records a request of another entry. `None` if the store does not answer this entry either.
+    pub(crate) async fn record_for(&self, want: &CoverWant) -> Option<CoverOutcome> {
+        if !self.reaches_store() {
+            return None;
+        }
+        match timeout(RELAY_PATIENCE, self.record(None, want)).await {
+            Ok(Ok(outcome)) => Some(outcome),
+            Ok(Err(error)) => {
+                self.note_store_lost(&error.to_string());
+                None
+            }
+            Err(_) => {
+                self.note_store_lost("no answer in time");
+                None
+            }
+        }
     }
 
     fn notify(&self, account: AccountKey) {
@@ -156,15 +231,21 @@
     }
 
     /// Records a request in the store.
-    async fn record(&self, account: AccountKey, want: &CoverWant) -> Result<CoverOutcome, PlatformError> {
+    async fn record(
+        &self,
+        account: Option<AccountKey>,
+        want: &CoverWant,
+    ) -> Result<CoverOutcome, PlatformError> {
         let key = row_key(&want.program);
-        let mut known = self.rows.borrow().get(account).copied();
+        let mut known = account.and_then(|account| self.rows.borrow().get(account).copied());
         for attempt in 0..MOST_CONFLICTS {
             if attempt > 0 {
                 known = self.read(&key).await?;
             }
-            let mut record = known.map_or(AccountRecord::open(want.budget), |row| row.record);
-            record.give_back(want.given_back);
+            let mut record = match known {
+                Some(row) => row.record,
+                None => AccountRecord::open_behind(want.budget, want.unseen),
+            };
             record.record_debt(want.debt);
             let tokens = record.grant(want.tokens);
             let outcome = CoverOutcome::Granted {
@@ -174,14 +255,12 @@
             if known.is_some_and(|row| row.record == record) {
                 return Ok(outcome);
             }
-            if record.granted > want.heavy_above {
-                self.fleet.mark_heavy(&want.program).await?;
-            }
             match self.write(&key, known.map(|row| row.version), record).await {
                 Ok(version) => {
-                    self.rows
-                        .borrow_mut()
-                        .insert(account, KnownRow { record, version });
+                    if let Some(account) = account {
+                        let row = KnownRow { record, version };
+                        self.rows.borrow_mut().insert(account, row);
+                    }
                     return Ok(outcome);
                 }
                 Err(PlatformError::Conflict) => {}
@@ -254,29 +333,73 @@
 /// A turn under way. Dropping it ends the turn.
 pub(crate) struct OpenTurn {
     desk: Rc<AccountDesk>,
-    program: ProgramName,
+    turn: TurnRequest,
     cover: RefCell<TurnCover>,
 }
 
 impl OpenTurn {
-    /// Returns whether the store said what is left of the budget, so that the cover can be had before the turn is sent.
-    pub(crate) fn is_known(&self) -> bool {
-        self.desk.book.borrow().is_known(self.account())
+    /// Returns whether the turn is better covered before it is sent.
+    pub(crate) fn is_scarce(&self) -> bool {
+        self.desk.book.borrow().is_scarce(self.account())
     }
 
     /// Waits until the whole turn is covered.
     pub(crate) async fn secure(&self) -> Result<(), CoverError> {
-        if self.desk.is_store_lost.get() && self.secure_by_allowance() {
-            return Ok(());
+        let Some(owner) = self.owner() else {
+            return self.secure_as_owner().await;
+        };
+        match self.try_secure() {
+            SecureOutcome::Secured => return Ok(()),
+            SecureOutcome::Exhausted => return Err(CoverError::Spent),
+            SecureOutcome::Waiting => {}
         }
-        match timeout(GRANT_PATIENCE, self.secure_by_grant()).await {
-            Ok(result) => result,
-            Err(_) if self.secure_by_allowance() => Ok(()),
-            Err(_) if self.desk.is_store_lost.get() => Err(CoverError::StoreAway),
-            Err(_) => self.secure_by_grant().await,
+        match self.desk.links.lend(&owner, &self.turn).await {
+            Some(Lending::Lent { tokens }) => {
+                self.desk.book.borrow_mut().add_cover(self.account(), tokens);
+                // What the owner lends for a turn covers at least its ordinary length.
+                self.desk
+                    .book
+                    .borrow_mut()
+                    .secure_partly(&mut self.cover.borrow_mut());
+                Ok(())
+            }
+            Some(Lending::Exhausted) => {
+                self.desk.book.borrow_mut().record_exhausted(self.account());
+                Err(CoverError::Spent)
+            }
+            Some(Lending::StoreAway) => Err(CoverError::StoreAway),
+            // The owner is out of reach. Its account is in the store.
+            None => self.secure_by_patient_grant().await,
         }
     }
 
+    /// Waits until the whole turn is covered, as the owner of the program.
+    async fn secure_as_owner(&self) -> Result<(), CoverError> {
+        match self.secure_by_patient_grant().await {
+            Err(CoverError::StoreAway) => self.secure_by_allowance(),
+            settled => settled,
+        }
+    }
+
+    /// Waits for a grant for as long as the store usually takes.
+    async fn secure_by_patient_grant(&self) -> Result<(), CoverError> {
+        let patience = match self.desk.reaches_store() || self.desk.links.reaches_store() {
+            true => GRANT_PATIENCE,
+            false => Duration::ZERO,
+        };
+        timeout(patience, self.secure_by_grant())
+            .await
+            .unwrap_or(Err(CoverError::StoreAway))
+    }
+
+    fn try_secure(&self) -> SecureOutcome {
+        self.desk.book.borrow_mut().secure(&mut self.cover.borrow_mut())
+    }
+
+    fn owner(&self) -> Option<String> {
+        self.desk.fleet.owner(&self.turn.program)
+    }
+
     /// Waits until the tokens of the next event are covered, and spends them.
     pub(crate) async fn spend(&self, tokens: u64) -> Result<(), CoverError> {
         loop {
@@ -292,7 +415,7 @@
                 SpendOutcome::Exhausted => return Err(CoverError::Spent),
                 SpendOutcome::Uncovered => {}
             }
-            self.desk.ask_if_due(self.account());
+            self.desk.ask_if_due(self.account(), &self.turn.program);
             waiting.await;
         }
     }
@@ -301,8 +424,8 @@
         loop {
             let news = self.news();
             let waiting = news.notified();
-            let outcome = self.desk.book.borrow_mut().secure(&mut self.cover.borrow_mut());
-            self.desk.ask_if_due(self.account());
+            let outcome = self.try_secure();
+            self.desk.ask_if_due(self.account(), &self.turn.program);
             match outcome {
                 SecureOutcome::Secured => return Ok(()),
                 SecureOutcome::Exhausted => return Err(CoverError::Spent),
@@ -311,17 +434,24 @@
         }
     }
 
-    fn secure_by_allowance(&self) -> bool {
-        let fleet = &self.desk.fleet;
-        let is_heavy = fleet.is_heavy(&self.program);
-        let is_secured = self.desk.book.borrow_mut().secure_by_allowance(
-            &mut self.cover.borrow_mut(),
-            fleet.entries(),
-            is_heavy,
-        );
+    /// Covers the turn by the program's allowance.
+    fn secure_by_allowance(&self) -> Result<(), CoverError> {
+        let allowance = match self.desk.links.is_store_lost_to_all() {
+            true => ProgramAllowance::Unrecorded,
+            false => ProgramAllowance::OneTurn,
+        };
+        let is_secured = self
+            .desk
+            .book
+            .borrow_mut()
+            .secure_by_allowance(&mut self.cover.borrow_mut(), allowance);
         // The debt is recorded as soon as the store answers.
-        self.desk.ask_if_due(self.account());
-        is_secured
+        self.desk.ask_if_due(self.account(), &self.turn.program);
+        if is_secured {
+            Ok(())
+        } else {
+            Err(CoverError::StoreAway)
+        }
     }
 
     fn account(&self) -> AccountKey {
@@ -340,10 +470,12 @@
 impl Drop for OpenTurn {
     fn drop(&mut self) {
         let now = self.desk.clock.now();
-        self.desk
-            .book
-            .borrow_mut()
-            .close_turn(&mut self.cover.borrow_mut(), now);
-        self.desk.ask_if_due(self.account());
+        let mut book = self.desk.book.borrow_mut();
+        book.close_turn(&mut self.cover.borrow_mut(), now);
+        let Some(owner) = self.owner() else { return };
+        let tokens = book.take_free(self.account());
+        if tokens > 0 {
+            self.desk.links.give_back(&owner, &self.turn.program, tokens);
+        }
     }
 }
--- a/crates/ebony_gateway/src/call.rs
+++ b/crates/ebony_gateway/src/call.rs
@@ -34,6 +34,9 @@
 /// The share of the latency objective that a call waits for a target to take it.
 const WAITING_SHARE: f64 = 0.5;
 
+/// Parts of a program's first prompt: one that programs share, and its own. Each later turn adds parts.
+const FIRST_TURN_PARTS: usize = 2;
+
 /// A call whose route is known.
 pub(crate) struct RoutedCall {
     pub(crate) gateway: Rc<Gateway>,
@@ -203,13 +206,14 @@
         budget,
         most_tokens: most_output.unwrap_or(event_tokens).max(event_tokens),
         event_tokens,
+        has_history: call.head.prompt.len() > FIRST_TURN_PARTS,
     };
     story.set_budget(turn.budget, turn.most_tokens);
     call.gateway.accounts.open_turn(&turn).map(Some)
 }
 
-/// Runs a call whose tokens are covered. The grant for a program that is new to this entry is awaited while the target
-/// reads the prompt; no event is handed on before it is there.
+/// Runs a call whose tokens are covered. The cover is awaited while the target reads the prompt, unless little is left of
+/// the budget; no event is handed on before it is there.
 async fn run_covered(
     call: &RoutedCall,
     turn: Option<&OpenTurn>,
@@ -218,7 +222,7 @@
     let Some(turn) = turn else {
         return run(call, story).await;
     };
-    if turn.is_known() {
+    if turn.is_scarce() {
         turn.secure().await.map_err(CoverError::into_refusal)?;
         return run(call, story).await;
     }
--- a/crates/ebony_gateway/src/fleet.rs
+++ b/crates/ebony_gateway/src/fleet.rs
@@ -1,16 +1,22 @@
-//! What gateways know of each other, through a table of the store: which of them there are, and which programs are
-//! heavy.
+//! What gateways know of each other, through a table of the store: which of them there are, where they take links, and
+//! the key for links.
 //!
-//! Both bound what a gateway may hand on while the store does not answer; see [`ebony_account`].
+//! All of them derive the owner of a program from the same list; see [`ebony_account`].
 
 use std::cell::RefCell;
-use std::collections::HashSet;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
+use ebony_platform::table::{create_resolved, replace_resolved};
 use ebony_platform::{FeedRow, PlatformError, RowKey, TableService, WriteNonce};
 use ebony_types::ProgramName;
+use ebony_types::rendezvous::rendezvous_weight;
+use ebony_wire::ClusterKey;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
 use slog::{Logger, info, warn};
 use tokio::time::sleep;
 
@@ -18,7 +24,12 @@
 pub(crate) const TABLE: &str = "fleet";
 
 const ENTRY_PREFIX: &str = "entry:";
-const HEAVY_PREFIX: &str = "heavy:";
+
+/// The row with the key for links.
+const KEY_ROW: &str = "link-key";
+
+/// Bytes of the key for links.
+const KEY_BYTES: usize = 32;
 
 /// The pause before the store is asked again after a failure.
 const RETRY_PAUSE: Duration = Duration::from_millis(300);
@@ -29,57 +40,89 @@
 /// What this gateway knows of the others.
 pub(crate) struct FleetView {
     store: Rc<dyn TableService>,
-    entries: RefCell<HashSet<String>>,
-    heavy: RefCell<HashSet<ProgramName>>,
+    process: String,
+    link: SocketAddr,
+    /// Link addresses of all registered gateways, this one among them.
+    entries: RefCell<BTreeMap<String, SocketAddr>>,
+    cluster_key: RefCell<Option<ClusterKey>>,
     logger: Logger,
 }
 
 impl FleetView {
-    pub(crate) fn open(store: Rc<dyn TableService>, logger: Logger) -> Rc<Self> {
+    pub(crate) fn open(
+        store: Rc<dyn TableService>,
+        process: String,
+        link: SocketAddr,
+        logger: Logger,
+    ) -> Rc<Self> {
         Rc::new(Self {
             store,
+            process,
+            link,
             entries: RefCell::default(),
-            heavy: RefCell::default(),
+            cluster_key: RefCell::default(),
             logger,
         })
     }
 
     /// Registers this gateway, and tries until it is registered.
-    pub(crate) async fn register(self: Rc<Self>, process: String) {
-        let key = RowKey(format!("{TABLE}//{ENTRY_PREFIX}{process}"));
-        while let Err(error) = self.create(&key).await {
+    pub(crate) async fn register(self: Rc<Self>) {
+        while let Err(error) = self.try_register().await {
             warn!(self.logger, "the gateway is not registered yet"; "error" => %error);
             sleep(RETRY_PAUSE).await;
         }
-        info!(self.logger, "the gateway is registered");
+        info!(self.logger, "the gateway is registered"; "link" => %self.link);
     }
 
-    /// Marks a program as heavy, for all gateways.
-    pub(crate) async fn mark_heavy(&self, program: &ProgramName) -> Result<()> {
-        if self.is_heavy(program) {
-            return Ok(());
+    /// Writes the row of this gateway, and a key for links unless there is one.
+    async fn try_register(&self) -> Result<()> {
+        let mut source = StdRng::from_os_rng();
+        let key: [u8; KEY_BYTES] = source.random();
+        self.create(&row_key(KEY_ROW), Bytes::copy_from_slice(&key))
+            .await?;
+        let row = row_key(&format!("{ENTRY_PREFIX}{}", self.process));
+        let address = Bytes::from(self.link.to_string());
+        let nonce = WriteNonce(source.random());
+        match self.store.read(&row).await? {
+            Some(known) if known.value == address => Ok(()),
+            Some(known) => replace_resolved(&*self.store, &row, known.version, address, nonce)
+                .await
+                .map(drop),
+            None => create_resolved(&*self.store, &row, address, nonce)
+                .await
+                .map(drop),
         }
-        let key = RowKey(format!("{TABLE}//{HEAVY_PREFIX}{program}"));
-        self.create(&key).await?;
-        self.heavy.borrow_mut().insert(program.clone());
-        info!(self.logger, "a program is heavy"; "program" => program.as_str());
-        Ok(())
     }
 
-    /// Returns whether a program is marked as heavy.
-    pub(crate) fn is_heavy(&self, program: &ProgramName) -> bool {
-        self.heavy.borrow().contains(program)
+    /// Returns the name of this gateway.
+    pub(crate) fn process(&self) -> &str {
+        &self.process
+    }
+
+    /// Returns the key for links, once it is known.
+    pub(crate) fn cluster_key(&self) -> Option<ClusterKey> {
+        self.cluster_key.borrow().clone()
+    }
+
+    /// Returns the link addresses of the other gateways.
+    pub(crate) fn peers(&self) -> Vec<(String, SocketAddr)> {
+        let entries = self.entries.borrow();
+        let others = entries.iter().filter(|(name, _)| **name != self.process);
+        others.map(|(name, address)| (name.clone(), *address)).collect()
     }
 
-    /// Returns how many gateways are registered; at least one.
-    pub(crate) fn entries(&self) -> u64 {
-        self.entries.borrow().len().max(1) as u64
+    /// Returns the gateway that owns a program: the same at every gateway, whether it is alive or not.
+    pub(crate) fn owner(&self, program: &ProgramName) -> Option<String> {
+        let entries = self.entries.borrow();
+        let owner = entries
+            .keys()
+            .max_by_key(|name| rendezvous_weight(program.as_str(), name))?;
+        (*owner != self.process).then(|| owner.clone())
     }
 
     /// Takes over all rows of the table.
     pub(crate) fn replace(&self, rows: &[FeedRow]) {
         self.entries.borrow_mut().clear();
-        self.heavy.borrow_mut().clear();
         self.apply(rows);
     }
 
@@ -87,30 +130,36 @@
     pub(crate) fn apply(&self, rows: &[FeedRow]) {
         for row in rows {
             if let Some(entry) = row.key.strip_prefix(ENTRY_PREFIX) {
-                set(
-                    &mut self.entries.borrow_mut(),
-                    entry.to_owned(),
-                    row.value.is_some(),
-                );
-            } else if let Some(Ok(program)) = row.key.strip_prefix(HEAVY_PREFIX).map(ProgramName::parse) {
-                set(&mut self.heavy.borrow_mut(), program, row.value.is_some());
+                self.apply_entry(entry, row.value.as_deref());
+            } else if row.key == KEY_ROW {
+                let key = row.value.as_deref().map(ClusterKey::from_bytes);
+                *self.cluster_key.borrow_mut() = key.and_then(std::result::Result::ok);
+            }
+        }
+    }
+
+    fn apply_entry(&self, name: &str, value: Option<&[u8]>) {
+        let address = value.map(|value| String::from_utf8_lossy(value).parse());
+        match address {
+            Some(Ok(address)) => {
+                self.entries.borrow_mut().insert(name.to_owned(), address);
+            }
+            Some(Err(_)) => warn!(self.logger, "the row of a gateway cannot be read"; "gateway" => name),
+            None => {
+                self.entries.borrow_mut().remove(name);
             }
         }
     }
 
     /// Creates a row; one that exists already serves as well.
-    async fn create(&self, key: &RowKey) -> Result<()> {
-        match self.store.create(key, Bytes::new(), WriteNonce(0)).await {
+    async fn create(&self, key: &RowKey, value: Bytes) -> Result<()> {
+        match self.store.create(key, value, WriteNonce(0)).await {
             Ok(_) | Err(PlatformError::Conflict) => Ok(()),
             Err(error) => Err(error),
         }
     }
 }
 
-fn set<T: std::hash::Hash + Eq>(items: &mut HashSet<T>, item: T, is_present: bool) {
-    if is_present {
-        items.insert(item);
-    } else {
-        items.remove(&item);
-    }
+fn row_key(name: &str) -> RowKey {
+    RowKey(format!("{TABLE}//{name}"))
 }
--- a/crates/ebony_gateway/src/gateway.rs
+++ b/crates/ebony_gateway/src/gateway.rs
@@ -17,6 +17,7 @@
 use crate::channel::TargetClient;
 use crate::decision_log::DecisionLog;
 use crate::fleet::FleetView;
+use crate::links::PeerLinks;
 use crate::metrics::GatewayMetrics;
 
 /// A protocol that covers calls and records.
@@ -56,6 +57,7 @@
     /// Whether the list of targets was read.
     pub(crate) has_targets: Cell<bool>,
     pub(crate) fleet: Rc<FleetView>,
+    pub(crate) links: Rc<PeerLinks>,
     pub(crate) accounts: Rc<AccountDesk>,
     pub(crate) client: Rc<TargetClient>,
     pub(crate) health: HealthState,
@@ -79,12 +81,19 @@
         let metrics = GatewayMetrics::register(registry)?;
         let rule = PlacementRule::from_name(&settings.policy.placement).unwrap_or_default();
         let table = Rc::clone(&store) as Rc<dyn TableService>;
-        let fleet = FleetView::open(Rc::clone(&table), logger.clone());
+        let fleet = FleetView::open(
+            Rc::clone(&table),
+            settings.process.clone(),
+            settings.links.listen,
+            logger.clone(),
+        );
+        let links = PeerLinks::open(Rc::clone(&fleet), logger.clone());
         let client = TargetClient::open(settings.targets, metrics.connections.clone());
         Ok(Rc::new(Self {
             dialect,
-            accounts: AccountDesk::open(table, Rc::clone(&fleet), clock, logger.clone()),
+            accounts: AccountDesk::open(table, Rc::clone(&fleet), Rc::clone(&links), clock, logger.clone()),
             fleet,
+            links,
             store,
             clock,
             domain: settings.failure_domain.clone(),
--- a/crates/ebony_gateway/src/lib.rs
+++ b/crates/ebony_gateway/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod fleet;
 pub mod gateway;
 pub mod intake;
+pub mod links;
 pub mod listener;
 pub mod metrics;
 pub mod process;
--- a/crates/ebony_gateway/src/process.rs
+++ b/crates/ebony_gateway/src/process.rs
@@ -11,6 +11,7 @@
 use tokio::time::{Instant, sleep};
 
 use crate::gateway::{Gateway, GatewayDialect, GatewayStore};
+use crate::links;
 use crate::listener::{BoundPort, CallerListener};
 use crate::watch;
 
@@ -50,7 +51,7 @@
     health_server: HealthServer,
     addresses: GatewayAddresses,
     drain_time: Duration,
-    process: String,
+    link: SocketAddr,
 }
 
 impl GatewayProcess {
@@ -79,7 +80,7 @@
             health_server,
             addresses,
             drain_time: settings.drain_time,
-            process: settings.process.clone(),
+            link: settings.links.listen,
         })
     }
 
@@ -98,7 +99,9 @@
         tokio::task::spawn_local(watch::watch_routing(Rc::clone(&gateway)));
         tokio::task::spawn_local(watch::watch_targets(Rc::clone(&gateway)));
         tokio::task::spawn_local(watch::watch_fleet(Rc::clone(&gateway)));
-        tokio::task::spawn_local(Rc::clone(&gateway.fleet).register(self.process));
+        tokio::task::spawn_local(Rc::clone(&gateway.fleet).register());
+        tokio::task::spawn_local(links::serve(Rc::clone(&gateway), self.link));
+        tokio::task::spawn_local(Rc::clone(&gateway.links).keep_dialed());
         tokio::task::spawn_local(watch::tidy(Rc::clone(&gateway)));
         let listener = self.port.serve(Rc::clone(&gateway)).await?;
         Ok(ServingGateway {
--- a/crates/ebony_gateway/src/watch.rs
+++ b/crates/ebony_gateway/src/watch.rs
@@ -100,6 +100,7 @@
     fn record_answer(&mut self) {
         self.count("answered");
         let now = self.gateway.clock.now();
+        self.gateway.accounts.note_store_back();
         if std::mem::take(&mut self.is_lost) {
             info!(self.gateway.logger, "the store is back";
                 "table" => self.table, "away_ms" => now.since(self.last_answer).as_millis() as u64);
@@ -121,6 +122,7 @@
             .feed_age
             .with_label_values(&[self.duty])
             .set(age_ms);
+        self.gateway.accounts.note_store_lost("a feed failed");
         if !std::mem::replace(&mut self.is_lost, true) {
             warn!(self.gateway.logger, "the store does not answer";
                 "table" => self.table, "error" => %error);
