Treat a program that was recorded never as new

An account whose budget was spent forgot so after 500 ms, and then counted as new in an outage, which allowed half of the budget again. Ruled out: two owners, lost debts (no process died before). Change: a flag that only rises.

--- a/crates/ebony_account/src/allowance.rs
+++ b/crates/ebony_account/src/allowance.rs
@@ -18,7 +18,7 @@
     /// then, and [`unseen_tokens`] are recorded when a later turn meets no row, so that half of the budget is safe.
     /// The row of any other program grants its whole budget, and one turn is all that may come on top.
     pub(crate) fn tokens(self, account: &ProgramAccount, turn_tokens: u64) -> u64 {
-        let is_new = account.is_witnessed && account.left.is_none();
+        let is_new = account.is_witnessed && !account.is_recorded;
         match self {
             Self::Unrecorded if is_new => unseen_tokens(account.budget),
             _ => turn_tokens,
--- a/crates/ebony_account/src/book.rs
+++ b/crates/ebony_account/src/book.rs
@@ -234,6 +234,7 @@
     pub fn record_exhausted(&mut self, key: AccountKey) {
         if let Some(account) = self.accounts.get_mut(key) {
             account.left = Some(0);
+            account.is_recorded = true;
         }
     }
 
@@ -252,15 +253,20 @@
 
     /// Takes back cover that another entry did not need.
     pub fn take_back(&mut self, program: &ProgramName, tokens: u64) {
-        if let Some(key) = self.programs.get(program) {
-            self.add_cover(*key, tokens);
+        let account = self
+            .programs
+            .get(program)
+            .and_then(|key| self.accounts.get_mut(*key));
+        if let Some(account) = account {
+            account.covered += tokens;
         }
     }
 
-    /// Adds cover that another entry gave.
+    /// Adds cover that the owner of the program gave.
     pub fn add_cover(&mut self, key: AccountKey, tokens: u64) {
         if let Some(account) = self.accounts.get_mut(key) {
             account.covered += tokens;
+            account.is_recorded = true;
         }
     }
 
@@ -337,6 +343,7 @@
         if let CoverOutcome::Granted { tokens, left } = outcome {
             account.covered += tokens;
             account.left = Some(left);
+            account.is_recorded = true;
         }
     }
 
--- a/crates/ebony_account/src/program_account.rs
+++ b/crates/ebony_account/src/program_account.rs
@@ -55,6 +55,8 @@
     pub(crate) wanted: u64,
     /// Whether this entry saw the program's first turn.
     pub(crate) is_witnessed: bool,
+    /// Whether the program may have a row in the store, as far as this entry knows.
+    pub(crate) is_recorded: bool,
     /// The most tokens of a turn, by the latest one.
     pub(crate) turn_tokens: u64,
     /// Turns under way.
@@ -77,6 +79,7 @@
             debt: 0,
             wanted: 0,
             is_witnessed,
+            is_recorded: false,
             turn_tokens: 0,
             open_turns: 0,
             left: None,
