Count in placement what the next turn has to read again

Change: another target than the home one is charged with the whole prompt once more, unless it holds the program's earlier turns.

--- a/crates/ebony_dispatch/src/placement.rs
+++ b/crates/ebony_dispatch/src/placement.rs
@@ -10,6 +10,9 @@
 use crate::options::{DispatchOptions, PlacementRule};
 use crate::prompt::PromptPart;
 
+/// Parts at the start of a prompt that many programs share, and that say nothing of where a program ran.
+const SHARED_PARTS: usize = 1;
+
 /// What placement needs to know of a call.
 #[derive(Clone, Copy, Debug)]
 pub struct CallShape<'a> {
@@ -128,20 +131,25 @@
         // Spreads calls over equal targets before their slots fill up.
         return queue_delay + domain_delay + calls / slots * options.domain_delay_ms * 2.0;
     }
-    let unread = unread_tokens(target, is_home, call);
-    let prefill_delay = unread as f64 / options.prefill_tokens_per_ms;
+    let reading = reading_tokens(target, is_home, call) as f64 / options.prefill_tokens_per_ms;
     let backlog_delay = target.load.own_prefill() as f64 / options.prefill_tokens_per_ms;
     // Chunks of the prompt are read between the steps of the calls that run, and hold up each of them.
     let running = calls.min(slots);
-    queue_delay + domain_delay + backlog_delay + prefill_delay * (1.0 + running) + running
+    queue_delay + domain_delay + backlog_delay + reading * (1.0 + running) + running
 }
 
-/// Returns the prompt tokens that the target would have to read. The home target is taken to hold a program's prompt
-/// that this entry has not seen, because other entries send the program there.
-fn unread_tokens(target: &TargetEntry, is_home: bool, call: &CallShape<'_>) -> u64 {
+/// Returns the prompt tokens that the choice of the target makes engines read, now and by the program's next turn.
+///
+/// The home target is taken to hold a program's earlier turns, because other entries send them there. Another target
+/// without them has to read them, and so has the home target when the program comes back to it.
+fn reading_tokens(target: &TargetEntry, is_home: bool, call: &CallShape<'_>) -> u64 {
     let total: u64 = call.prompt.iter().map(|part| u64::from(part.tokens)).sum();
-    let held = target.cache.held_tokens(call.prompt);
     let last = call.prompt.last().map_or(0, |part| u64::from(part.tokens));
-    let expected = if is_home { total - last } else { 0 };
-    total - held.max(expected)
+    let unread = total - target.cache.held_tokens(call.prompt);
+    if is_home {
+        return unread.min(last);
+    }
+    let earlier_parts = call.prompt.len().saturating_sub(1);
+    let holds_earlier = earlier_parts > SHARED_PARTS && target.cache.held_parts(call.prompt) >= earlier_parts;
+    if holds_earlier { unread } else { unread + total }
 }
