Withhold one turn from owners that did not see a program's beginning

An owner that restarted in the outage drew one turn without a grant again, after its earlier life had lost such a turn in the kill; and a gateway that had not read the list of gateways took itself for the owner of every program. Change: ownership is unknown until the list is read; an owner that neither saw the beginning nor reached the row draws nothing, and the row keeps one turn back from it. Safe calls go to a second target once their objective has passed.

--- a/crates/ebony_account/src/book.rs
+++ b/crates/ebony_account/src/book.rs
@@ -71,6 +71,8 @@
     pub debt: u64,
     /// Tokens that earlier turns may have generated, for a program that the store does not know.
     pub unseen: u64,
+    /// Tokens that are not granted, because an earlier owner may have handed them on and died before it recorded them.
+    pub withheld: u64,
 }
 
 /// The accounts of all programs at one entry.
@@ -234,7 +236,7 @@
     pub fn record_exhausted(&mut self, key: AccountKey) {
         if let Some(account) = self.accounts.get_mut(key) {
             account.left = Some(0);
-            account.is_recorded = true;
+            account.is_witnessed = false;
         }
     }
 
@@ -266,7 +268,7 @@
     pub fn add_cover(&mut self, key: AccountKey, tokens: u64) {
         if let Some(account) = self.accounts.get_mut(key) {
             account.covered += tokens;
-            account.is_recorded = true;
+            account.is_witnessed = false;
         }
     }
 
--- a/crates/ebony_account/src/options.rs
+++ b/crates/ebony_account/src/options.rs
@@ -8,7 +8,7 @@
     /// Below this many turns of what is left, a turn is covered before it is sent.
     pub scarce_turns: u64,
     /// The owner of a program asks for the budget divided by this at once, if a quarter of what is left allows it. Typical
-    /// programs use 15% of their budget, so that most need one or two requests.
+    /// programs use 15% of their budget, so that most need one request and go on while the store does not answer.
     pub block_divisor: u64,
     /// A turn without full cover starts on an allowance of at least this many events, about the length of a turn.
     pub allowance_events: u64,
@@ -24,7 +24,7 @@
     fn default() -> Self {
         Self {
             scarce_turns: 4,
-            block_divisor: 8,
+            block_divisor: 4,
             allowance_events: 16,
             recheck: Duration::from_millis(500),
             max_accounts: 16_384,
--- a/crates/ebony_gateway/src/accounts.rs
+++ b/crates/ebony_gateway/src/accounts.rs
@@ -20,7 +20,7 @@
 use tokio::sync::Notify;
 use tokio::time::{sleep, timeout};
 
-use crate::fleet::FleetView;
+use crate::fleet::{FleetView, ProgramOwner};
 use crate::gateway::GatewayClock;
 use crate::links::{Lending, PeerLinks};
 use crate::refusal::CallRefusal;
@@ -115,10 +115,15 @@
         let Ok(open) = self.open_turn(turn) else {
             return Lending::StoreAway;
         };
+        if self.fleet.owner(&turn.program) != ProgramOwner::Own {
+            return Lending::StoreAway;
+        }
         match open.secure_as_owner().await {
-            Ok(()) => Lending::Lent {
-                tokens: self.book.borrow_mut().hand_over(&mut open.cover.borrow_mut()),
-            },
+            Ok(()) => {
+                let tokens = self.book.borrow_mut().hand_over(&mut open.cover.borrow_mut());
+                info!(self.logger, "tokens lent"; "program" => turn.program.as_str(), "tokens" => tokens);
+                Lending::Lent { tokens }
+            }
             Err(CoverError::Spent) => Lending::Exhausted,
             Err(CoverError::StoreAway) => Lending::StoreAway,
         }
@@ -162,7 +167,7 @@
     }
 
     fn ask_if_due(self: &Rc<Self>, account: AccountKey, program: &ProgramName) {
-        let is_owner = self.fleet.owner(program).is_none();
+        let is_owner = self.fleet.owner(program) == ProgramOwner::Own;
         let want = self.book.borrow_mut().cover_wanted(account, is_owner);
         if let Some(want) = want {
             let desk = Rc::clone(self);
@@ -173,7 +178,11 @@
     async fn ask(self: Rc<Self>, account: AccountKey, want: CoverWant) {
         let outcome = self.record_or_relay(account, &want).await;
         match outcome {
-            CoverOutcome::Granted { .. } => self.book.borrow_mut().settle_debt(account, want.debt),
+            CoverOutcome::Granted { tokens, left } => {
+                info!(self.logger, "tokens granted"; "program" => want.program.as_str(),
+                    "asked" => want.tokens, "tokens" => tokens, "debt" => want.debt, "left" => left);
+                self.book.borrow_mut().settle_debt(account, want.debt);
+            }
             CoverOutcome::Unavailable => {
                 self.rows.borrow_mut().remove(account);
                 self.notify(account);
@@ -247,10 +256,10 @@
                 None => AccountRecord::open_behind(want.budget, want.unseen),
             };
             record.record_debt(want.debt);
-            let tokens = record.grant(want.tokens);
+            let tokens = record.grant(want.tokens, want.withheld);
             let outcome = CoverOutcome::Granted {
                 tokens,
-                left: record.left(),
+                left: record.left().saturating_sub(want.withheld),
             };
             if known.is_some_and(|row| row.record == record) {
                 return Ok(outcome);
@@ -340,13 +349,16 @@
 impl OpenTurn {
     /// Returns whether the turn is better covered before it is sent.
     pub(crate) fn is_scarce(&self) -> bool {
-        self.desk.book.borrow().is_scarce(self.account())
+        let is_store_away = !self.desk.reaches_store() && !self.desk.links.reaches_store();
+        is_store_away || self.desk.book.borrow().is_scarce(self.account())
     }
 
     /// Waits until the whole turn is covered.
     pub(crate) async fn secure(&self) -> Result<(), CoverError> {
-        let Some(owner) = self.owner() else {
-            return self.secure_as_owner().await;
+        let owner = match self.owner() {
+            ProgramOwner::Own => return self.secure_as_owner().await,
+            ProgramOwner::Unknown => return self.secure_by_patient_grant().await,
+            ProgramOwner::Peer(owner) => owner,
         };
         match self.try_secure() {
             SecureOutcome::Secured => return Ok(()),
@@ -396,7 +408,7 @@
         self.desk.book.borrow_mut().secure(&mut self.cover.borrow_mut())
     }
 
-    fn owner(&self) -> Option<String> {
+    fn owner(&self) -> ProgramOwner {
         self.desk.fleet.owner(&self.turn.program)
     }
 
@@ -445,6 +457,8 @@
             .book
             .borrow_mut()
             .secure_by_allowance(&mut self.cover.borrow_mut(), allowance);
+        info!(self.desk.logger, "turn without a grant"; "program" => self.turn.program.as_str(),
+            "is_covered" => is_secured, "allowance" => format!("{allowance:?}"));
         // The debt is recorded as soon as the store answers.
         self.desk.ask_if_due(self.account(), &self.turn.program);
         if is_secured {
@@ -472,7 +486,9 @@
         let now = self.desk.clock.now();
         let mut book = self.desk.book.borrow_mut();
         book.close_turn(&mut self.cover.borrow_mut(), now);
-        let Some(owner) = self.owner() else { return };
+        let ProgramOwner::Peer(owner) = self.owner() else {
+            return;
+        };
         let tokens = book.take_free(self.account());
         if tokens > 0 {
             self.desk.links.give_back(&owner, &self.turn.program, tokens);
--- a/crates/ebony_gateway/src/call.rs
+++ b/crates/ebony_gateway/src/call.rs
@@ -358,7 +358,9 @@
             run: run_key,
         };
         let sending = gateway.client.send(target, record.address, request);
-        let result = match timeout(time_left, sending).await {
+        let patience = self.attempt_patience(time_left);
+        let result = match timeout(patience, sending).await {
+            Err(_) if patience < time_left => Err(AttemptOutcome::Silent),
             Err(_) => Err(AttemptOutcome::TimedOut),
             Ok(Err(SendFailure::NotSent(_))) => Err(AttemptOutcome::NotSent),
             Ok(Err(SendFailure::Broken(_))) => Err(AttemptOutcome::Broken),
@@ -374,6 +376,17 @@
         Ok((run, result))
     }
 
+    /// Returns how long a target may take to begin its answer. Another target gets a call that may run again once the
+    /// latency objective has passed: an answer that was lost never comes.
+    fn attempt_patience(&self, time_left: Duration) -> Duration {
+        let route = &self.call.route;
+        let has_next = self.reached + 1 < route.most_targets;
+        if route.nature == CallNature::Idempotent && has_next {
+            return time_left.min(route.objective);
+        }
+        time_left
+    }
+
     fn request(&self, target: &TargetName, time_left: Duration) -> Request<Full<Bytes>> {
         let call = self.call;
         let dialect = &call.gateway.dialect;
@@ -426,7 +439,8 @@
         self.reached += 1;
         let may_go_on = self.call.route.nature.is_repeatable() && self.reached < self.call.route.most_targets;
         match outcome {
-            AttemptOutcome::TimedOut => {
+            AttemptOutcome::Silent if may_go_on => Ok(()),
+            AttemptOutcome::TimedOut | AttemptOutcome::Silent => {
                 Err(self.give_up(ProblemCode::DeadlineExceeded, "the target did not answer in time"))
             }
             _ if may_go_on => Ok(()),
--- a/crates/ebony_gateway/src/fleet.rs
+++ b/crates/ebony_gateway/src/fleet.rs
@@ -37,6 +37,17 @@
 /// The result of a request to the store.
 type Result<T, E = PlatformError> = std::result::Result<T, E>;
 
+/// Which gateway owns a program.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum ProgramOwner {
+    /// This one.
+    Own,
+    /// Another one.
+    Peer(String),
+    /// The list of gateways is not known yet, or lacks this one.
+    Unknown,
+}
+
 /// What this gateway knows of the others.
 pub(crate) struct FleetView {
     store: Rc<dyn TableService>,
@@ -111,13 +122,19 @@
         others.map(|(name, address)| (name.clone(), *address)).collect()
     }
 
-    /// Returns the gateway that owns a program: the same at every gateway, whether it is alive or not.
-    pub(crate) fn owner(&self, program: &ProgramName) -> Option<String> {
+    /// Returns the owner of a program: the same at every gateway, whether the owner is alive or not.
+    pub(crate) fn owner(&self, program: &ProgramName) -> ProgramOwner {
         let entries = self.entries.borrow();
+        if !entries.contains_key(&self.process) {
+            return ProgramOwner::Unknown;
+        }
         let owner = entries
             .keys()
-            .max_by_key(|name| rendezvous_weight(program.as_str(), name))?;
-        (*owner != self.process).then(|| owner.clone())
+            .max_by_key(|name| rendezvous_weight(program.as_str(), name));
+        match owner {
+            Some(owner) if *owner != self.process => ProgramOwner::Peer(owner.clone()),
+            _ => ProgramOwner::Own,
+        }
     }
 
     /// Takes over all rows of the table.
--- a/crates/ebony_gateway/src/story.rs
+++ b/crates/ebony_gateway/src/story.rs
@@ -21,7 +21,9 @@
     Broken,
     /// The answer belongs to another call, or nobody vouches for it.
     Foreign,
-    /// No answer within the time.
+    /// No answer within the latency objective, and another target is asked.
+    Silent,
+    /// No answer within the time of the call.
     TimedOut,
 }
 
@@ -33,6 +35,7 @@
             Self::NotSent => "not_sent",
             Self::Broken => "broken",
             Self::Foreign => "foreign",
+            Self::Silent => "silent",
             Self::TimedOut => "timed_out",
         }
     }
