--- a/crates/ebony_account/src/book.rs
+++ b/crates/ebony_account/src/book.rs
@@ -328,10 +328,13 @@
             budget: account.budget,
             tokens,
             debt: account.debt,
-            unseen: if account.is_witnessed {
-                0
-            } else {
-                unseen_tokens(account.budget)
+            unseen: match account.is_witnessed {
+                true => 0,
+                false => unseen_tokens(account.budget),
+            },
+            withheld: match account.is_witnessed {
+                true => 0,
+                false => account.turn_tokens,
             },
         })
     }
