Refuse calls that a stopping gateway might not finish; notice a silent store sooner

Change: calls are refused from 3 s after the start of a stop; feeds wait for 0.6 s and answers for 0.7 s; nothing is withheld any more, since an owner that did not see the beginning draws nothing; placement weighs later reading by the mean batch. Tests: budget_model, book, placement, routes, store, watch, decode, names.

--- a/crates/ebony_account/src/allowance.rs
+++ b/crates/ebony_account/src/allowance.rs
@@ -16,13 +16,13 @@
     ///
     /// What is handed on without a grant is lost if the owner dies. A program whose beginning the owner saw has no row
     /// then, and [`unseen_tokens`] are recorded when a later turn meets no row, so that half of the budget is safe. The
-    /// row of any other program grants its whole budget, and one turn is all that may come on top. An owner that neither
-    /// saw the beginning nor reached the row yet does not know whether an earlier owner used that turn.
+    /// row of any other program grants its whole budget, and one turn is all that may come on top. An owner that did not see
+    /// the beginning does not know whether an earlier owner used that turn, and gets nothing.
     pub(crate) fn tokens(self, account: &ProgramAccount, turn_tokens: u64) -> u64 {
         let is_new = account.is_witnessed && !account.is_recorded;
         match self {
             Self::Unrecorded if is_new => unseen_tokens(account.budget),
-            _ if account.is_witnessed || account.is_recorded => turn_tokens,
+            _ if account.is_witnessed => turn_tokens,
             _ => 0,
         }
     }
--- a/crates/ebony_account/src/book.rs
+++ b/crates/ebony_account/src/book.rs
@@ -71,8 +71,6 @@
     pub debt: u64,
     /// Tokens that earlier turns may have generated, for a program that the store does not know.
     pub unseen: u64,
-    /// Tokens that are not granted, because an earlier owner may have handed them on and died before it recorded them.
-    pub withheld: u64,
 }
 
 /// The accounts of all programs at one entry.
@@ -93,9 +91,9 @@
 /// let TurnOpening::Open(mut cover) = book.open_turn(&turn, now) else { unreachable!() };
 /// // Nothing is handed on before the store recorded a grant.
 /// assert_eq!(book.secure(&mut cover), SecureOutcome::Waiting);
-/// let want = book.cover_wanted(cover.account()).expect("the turn has no cover");
-/// assert_eq!(want.tokens, 100);
-/// book.settle_cover(cover.account(), CoverOutcome::Granted { tokens: 100, left: 900 });
+/// let want = book.cover_wanted(cover.account(), true).expect("the turn has no cover");
+/// assert_eq!(want.tokens, 250);
+/// book.settle_cover(cover.account(), CoverOutcome::Granted { tokens: 250, left: 750 });
 /// assert_eq!(book.secure(&mut cover), SecureOutcome::Secured);
 /// assert_eq!(book.spend(&mut cover, 7), SpendOutcome::Spent);
 /// # Ok::<(), ebony_types::name::NameError>(())
@@ -332,10 +330,6 @@
                 true => 0,
                 false => unseen_tokens(account.budget),
             },
-            withheld: match account.is_witnessed {
-                true => 0,
-                false => account.turn_tokens,
-            },
         })
     }
 
--- a/crates/ebony_account/src/record.rs
+++ b/crates/ebony_account/src/record.rs
@@ -17,9 +17,9 @@
 /// use ebony_account::AccountRecord;
 ///
 /// let mut record = AccountRecord::open(1_000);
-/// assert_eq!(record.grant(700, 0), 700);
-/// assert_eq!(record.grant(700, 100), 200);
-/// assert_eq!(record.grant(700, 100), 0);
+/// assert_eq!(record.grant(700), 700);
+/// assert_eq!(record.grant(700), 300);
+/// assert_eq!(record.grant(700), 0);
 /// assert_eq!(AccountRecord::from_bytes(&record.to_bytes())?, record);
 /// # Ok::<(), ebony_account::RecordError>(())
 /// ```
@@ -45,9 +45,9 @@
         self.budget.saturating_sub(self.granted)
     }
 
-    /// Grants up to `tokens`, keeps `withheld` tokens back, and returns how many; 0 if the budget is spent.
-    pub fn grant(&mut self, tokens: u64, withheld: u64) -> u64 {
-        let granted = tokens.min(self.left().saturating_sub(withheld));
+    /// Grants up to `tokens` and returns how many; 0 if the budget is spent.
+    pub fn grant(&mut self, tokens: u64) -> u64 {
+        let granted = tokens.min(self.left());
         self.granted += granted;
         granted
     }
--- /dev/null
+++ b/crates/ebony_account/tests/book.rs
@@ -0,0 +1,149 @@
+//! The account book step by step.
+
+use ebony_account::{
+    AccountBook, AccountOptions, CoverOutcome, ProgramAllowance, SecureOutcome, TurnCover, TurnOpening, TurnRequest,
+};
+use ebony_types::{ClockTime, ProgramName};
+
+const NOW: ClockTime = ClockTime::from_millis(0);
+
+fn turn(budget: u64, has_history: bool) -> TurnRequest {
+    TurnRequest {
+        program: ProgramName::parse("p").expect("a name"),
+        budget,
+        most_tokens: 280,
+        event_tokens: 7,
+        has_history,
+    }
+}
+
+fn opened(book: &mut AccountBook, turn: &TurnRequest) -> TurnCover {
+    match book.open_turn(turn, NOW) {
+        TurnOpening::Open(cover) => cover,
+        TurnOpening::Full => panic!("the book is full"),
+    }
+}
+
+#[test]
+fn an_owner_asks_for_a_block_and_another_entry_for_what_it_needs() {
+    let wants = [true, false].map(|is_owner| {
+        let mut book = AccountBook::open(AccountOptions::default());
+        let mut cover = opened(&mut book, &turn(4_800, false));
+        book.secure(&mut cover);
+        book.cover_wanted(cover.account(), is_owner).expect("the turn has no cover")
+    });
+    insta::assert_debug_snapshot!(wants);
+}
+
+#[test]
+fn one_block_covers_several_turns() {
+    let mut book = AccountBook::open(AccountOptions::default());
+    let mut cover = opened(&mut book, &turn(4_800, false));
+    book.secure(&mut cover);
+    book.cover_wanted(cover.account(), true).expect("the turn has no cover");
+    let granted = CoverOutcome::Granted {
+        tokens: 1_200,
+        left: 3_600,
+    };
+    book.settle_cover(cover.account(), granted);
+    for _ in 0..12 {
+        assert_eq!(book.secure(&mut cover), SecureOutcome::Secured);
+        for _ in 0..10 {
+            book.spend(&mut cover, 7);
+        }
+        book.close_turn(&mut cover, NOW);
+        assert_eq!(book.cover_wanted(cover.account(), true), None);
+        cover = opened(&mut book, &turn(4_800, true));
+    }
+}
+
+#[test]
+fn cover_that_was_not_needed_comes_back() {
+    let mut lender = AccountBook::open(AccountOptions::default());
+    let mut lent = opened(&mut lender, &turn(600, false));
+    lender.secure(&mut lent);
+    lender.cover_wanted(lent.account(), true).expect("the turn has no cover");
+    let granted = CoverOutcome::Granted { tokens: 280, left: 320 };
+    lender.settle_cover(lent.account(), granted);
+    lender.secure(&mut lent);
+    let tokens = lender.hand_over(&mut lent);
+    lender.close_turn(&mut lent, NOW);
+
+    let mut borrower = AccountBook::open(AccountOptions::default());
+    let mut cover = opened(&mut borrower, &turn(600, false));
+    borrower.add_cover(cover.account(), tokens);
+    borrower.secure_partly(&mut cover);
+    borrower.spend(&mut cover, 70);
+    assert_eq!(borrower.take_free(cover.account()), 0, "the turn is under way");
+    borrower.close_turn(&mut cover, NOW);
+    let free = borrower.take_free(cover.account());
+    assert_eq!(free, 210);
+    assert_eq!(borrower.take_free(cover.account()), 0);
+
+    lender.take_back(&turn(600, true).program, free);
+    let mut next = opened(&mut lender, &turn(600, true));
+    assert_eq!(lender.secure(&mut next), SecureOutcome::Waiting);
+    let want = lender.cover_wanted(next.account(), true).expect("70 tokens are missing");
+    assert_eq!(want.tokens, 80);
+}
+
+#[test]
+fn allowances_while_the_store_is_away() {
+    let allowed = |has_history: bool, is_recorded: bool, allowance: ProgramAllowance| {
+        let mut book = AccountBook::open(AccountOptions::default());
+        let turn = turn(2_000, has_history);
+        if is_recorded {
+            let mut first = opened(&mut book, &turn);
+            book.secure(&mut first);
+            book.cover_wanted(first.account(), true).expect("the turn has no cover");
+            let granted = CoverOutcome::Granted { tokens: 0, left: 2_000 };
+            book.settle_cover(first.account(), granted);
+            book.close_turn(&mut first, NOW);
+        }
+        let mut turns = 0;
+        while turns < 100 {
+            let mut cover = opened(&mut book, &turn);
+            if !book.secure_by_allowance(&mut cover, allowance) {
+                break;
+            }
+            for _ in 0..10 {
+                book.spend(&mut cover, 7);
+            }
+            book.close_turn(&mut cover, NOW);
+            turns += 1;
+        }
+        turns
+    };
+    let mut rows = Vec::new();
+    for has_history in [false, true] {
+        for is_recorded in [false, true] {
+            for allowance in [ProgramAllowance::OneTurn, ProgramAllowance::Unrecorded] {
+                let turns = allowed(has_history, is_recorded, allowance);
+                rows.push(format!(
+                    "history {has_history}, recorded {is_recorded}, {allowance:?}: {turns} turns of 70 tokens"
+                ));
+            }
+        }
+    }
+    insta::assert_debug_snapshot!(rows);
+}
+
+#[test]
+fn accounts_are_bounded_and_evicted() {
+    let options = AccountOptions {
+        max_accounts: 2,
+        ..AccountOptions::default()
+    };
+    let mut book = AccountBook::open(options);
+    let named = |name: &str| TurnRequest {
+        program: ProgramName::parse(name).expect("a name"),
+        ..turn(600, false)
+    };
+    let mut first = opened(&mut book, &named("a"));
+    opened(&mut book, &named("b"));
+    assert_eq!(book.open_turn(&named("c"), NOW), TurnOpening::Full);
+    book.close_turn(&mut first, NOW);
+    let later = NOW + options.retention;
+    assert!(matches!(book.open_turn(&named("c"), later), TurnOpening::Open(_)));
+    assert!(!book.contains(first.account()));
+}
--- /dev/null
+++ b/crates/ebony_account/tests/budget_model.rs
@@ -0,0 +1,148 @@
+//! Random lives of one program: turns, grants, lost answers, outages and kills of its owner. Whatever happens, the tokens
+//! that were handed on stay within the budget and the most of one turn.
+
+use arbitrary::Unstructured;
+use ebony_account::{
+    AccountBook, AccountOptions, AccountRecord, CoverOutcome, CoverWant, ProgramAllowance, SecureOutcome, SpendOutcome,
+    TurnCover, TurnOpening, TurnRequest,
+};
+use ebony_testkit::check_seeds;
+use ebony_types::{ClockTime, ProgramName};
+
+const MOST_TOKENS: u64 = 280;
+const EVENT_TOKENS: u64 = 7;
+/// Events that are handed on in one step.
+const EVENTS_AT_ONCE: u32 = 8;
+
+const NOW: ClockTime = ClockTime::from_millis(0);
+
+/// The owner's process, the store, and what callers got.
+struct World {
+    budget: u64,
+    book: AccountBook,
+    /// Turns under way; only secured ones hand events on.
+    turns: Vec<(TurnCover, bool)>,
+    /// A request under way.
+    want: Option<(ebony_account::AccountKey, CoverWant)>,
+    row: Option<AccountRecord>,
+    is_store_away: bool,
+    turns_opened: u32,
+    handed_on: u64,
+}
+
+impl World {
+    fn open(budget: u64) -> Self {
+        Self {
+            budget,
+            book: AccountBook::open(AccountOptions::default()),
+            turns: Vec::new(),
+            want: None,
+            row: None,
+            is_store_away: false,
+            turns_opened: 0,
+            handed_on: 0,
+        }
+    }
+
+    fn open_turn(&mut self) {
+        let turn = TurnRequest {
+            program: ProgramName::parse("p").expect("a name"),
+            budget: self.budget,
+            most_tokens: MOST_TOKENS,
+            event_tokens: EVENT_TOKENS,
+            has_history: self.turns_opened > 0,
+        };
+        self.turns_opened += 1;
+        if let TurnOpening::Open(cover) = self.book.open_turn(&turn, NOW) {
+            self.turns.push((cover, false));
+        }
+    }
+
+    fn secure(&mut self, at: usize) {
+        let Some((cover, is_secured)) = self.turns.get_mut(at) else { return };
+        match self.book.secure(cover) {
+            SecureOutcome::Secured => *is_secured = true,
+            SecureOutcome::Waiting if self.is_store_away => {
+                *is_secured = self.book.secure_by_allowance(cover, ProgramAllowance::Unrecorded);
+            }
+            SecureOutcome::Waiting | SecureOutcome::Exhausted => {}
+        }
+        let account = cover.account();
+        if self.want.is_none() {
+            self.want = self.book.cover_wanted(account, true).map(|want| (account, want));
+        }
+    }
+
+    fn hand_on(&mut self, at: usize) {
+        let Some((cover, true)) = self.turns.get_mut(at) else { return };
+        if self.book.spend(cover, EVENT_TOKENS) == SpendOutcome::Spent {
+            self.handed_on += EVENT_TOKENS;
+        }
+    }
+
+    fn close_turn(&mut self, at: usize) {
+        if at < self.turns.len() {
+            let (mut cover, _) = self.turns.swap_remove(at);
+            self.book.close_turn(&mut cover, NOW);
+        }
+    }
+
+    /// The store takes the request under way, or does not; the answer arrives, or does not.
+    fn settle(&mut self, is_answer_lost: bool) {
+        let Some((account, want)) = self.want.take() else { return };
+        if self.is_store_away {
+            self.book.settle_cover(account, CoverOutcome::Unavailable);
+            return;
+        }
+        let mut record = match self.row {
+            Some(record) => record,
+            None => AccountRecord::open_behind(want.budget, want.unseen),
+        };
+        record.record_debt(want.debt);
+        let tokens = record.grant(want.tokens);
+        self.row = Some(record);
+        if is_answer_lost {
+            self.book.settle_cover(account, CoverOutcome::Unavailable);
+            return;
+        }
+        let left = record.left();
+        self.book.settle_debt(account, want.debt);
+        self.book.settle_cover(account, CoverOutcome::Granted { tokens, left });
+    }
+
+    fn kill(&mut self) {
+        self.book = AccountBook::open(AccountOptions::default());
+        self.turns.clear();
+        self.want = None;
+    }
+}
+
+fn live(input: &mut Unstructured<'_>, budget: u64) -> arbitrary::Result<u64> {
+    let mut world = World::open(budget);
+    while !input.is_empty() {
+        let at = usize::from(input.int_in_range(0..=4_u8)?);
+        match input.arbitrary::<u8>()? {
+            0..=15 => world.open_turn(),
+            16..=79 => world.secure(at),
+            80..=191 => (0..EVENTS_AT_ONCE).for_each(|_| world.hand_on(at)),
+            192..=199 => world.close_turn(at),
+            200..=239 => world.settle(false),
+            240..=241 => world.settle(true),
+            242..=251 => world.is_store_away = !world.is_store_away,
+            252..=254 => world.kill(),
+            255 => {}
+        }
+    }
+    Ok(world.handed_on)
+}
+
+#[test]
+fn the_budget_and_one_turn_hold_over_kills_and_outages() {
+    for budget in [560, 860, 2_300, 10_800] {
+        check_seeds(300, 4_000, |input| {
+            let handed_on = live(input, budget)?;
+            assert!(handed_on <= budget + MOST_TOKENS, "{handed_on} of {budget}");
+            Ok(())
+        });
+    }
+}
--- a/crates/ebony_dispatch/src/placement.rs
+++ b/crates/ebony_dispatch/src/placement.rs
@@ -104,8 +104,15 @@
         .iter()
         .max_by_key(|(_, target)| affinity_weight(target, call))
         .map(|(key, _)| *key);
-    let cost =
-        |(key, target): &Candidate<'_>| estimated_delay(target, Some(*key) == home, call, options, now);
+    let running = candidates
+        .iter()
+        .map(|(_, target)| running_calls(target, options, now));
+    let mean_running = running.sum::<f64>() / candidates.len().max(1) as f64;
+    let cost = |(key, target): &Candidate<'_>| {
+        let is_home = Some(*key) == home;
+        let delay = estimated_delay(target, is_home, call, options, now);
+        delay + later_delay(target, is_home, call, mean_running, options)
+    };
     candidates
         .iter()
         .map(|candidate| (cost(candidate), candidate.0))
@@ -131,25 +138,43 @@
         // Spreads calls over equal targets before their slots fill up.
         return queue_delay + domain_delay + calls / slots * options.domain_delay_ms * 2.0;
     }
-    let reading = reading_tokens(target, is_home, call) as f64 / options.prefill_tokens_per_ms;
+    let reading_delay = unread_tokens(target, is_home, call) as f64 / options.prefill_tokens_per_ms;
     let backlog_delay = target.load.own_prefill() as f64 / options.prefill_tokens_per_ms;
     // Chunks of the prompt are read between the steps of the calls that run, and hold up each of them.
-    let running = calls.min(slots);
-    queue_delay + domain_delay + backlog_delay + reading * (1.0 + running) + running
+    let running = running_calls(target, options, now);
+    queue_delay + domain_delay + backlog_delay + reading_delay * (1.0 + running) + running
 }
 
-/// Returns the prompt tokens that the choice of the target makes engines read, now and by the program's next turn.
-///
-/// The home target is taken to hold a program's earlier turns, because other entries send them there. Another target
-/// without them has to read them, and so has the home target when the program comes back to it.
-fn reading_tokens(target: &TargetEntry, is_home: bool, call: &CallShape<'_>) -> u64 {
-    let total: u64 = call.prompt.iter().map(|part| u64::from(part.tokens)).sum();
-    let last = call.prompt.last().map_or(0, |part| u64::from(part.tokens));
-    let unread = total - target.cache.held_tokens(call.prompt);
-    if is_home {
-        return unread.min(last);
-    }
+/// Returns the estimated calls in the target's batch.
+fn running_calls(target: &TargetEntry, options: &DispatchOptions, now: ClockTime) -> f64 {
+    target.load.calls(options, now).min(f64::from(target.record.slots.max(1)))
+}
+
+/// Returns the delay in milliseconds that the program's next turn has and causes if it finds its prompt elsewhere. A
+/// target that holds the program's earlier turns goes on, and so does the home target; another one starts a detour.
+fn later_delay(
+    target: &TargetEntry,
+    is_home: bool,
+    call: &CallShape<'_>,
+    mean_running: f64,
+    options: &DispatchOptions,
+) -> f64 {
     let earlier_parts = call.prompt.len().saturating_sub(1);
     let holds_earlier = earlier_parts > SHARED_PARTS && target.cache.held_parts(call.prompt) >= earlier_parts;
-    if holds_earlier { unread } else { unread + total }
+    if call.prompt.is_empty() || is_home || holds_earlier {
+        return 0.0;
+    }
+    prompt_tokens(call) as f64 / options.prefill_tokens_per_ms * (1.0 + mean_running)
+}
+
+/// Returns the prompt tokens that the target has to read. The home target is taken to hold a program's earlier turns,
+/// because other entries send them there.
+fn unread_tokens(target: &TargetEntry, is_home: bool, call: &CallShape<'_>) -> u64 {
+    let unread = prompt_tokens(call) - target.cache.held_tokens(call.prompt);
+    let last = call.prompt.last().map_or(0, |part| u64::from(part.tokens));
+    if is_home { unread.min(last) } else { unread }
+}
+
+fn prompt_tokens(call: &CallShape<'_>) -> u64 {
+    call.prompt.iter().map(|part| u64::from(part.tokens)).sum()
 }
--- /dev/null
+++ b/crates/ebony_dispatch/tests/placement.rs
@@ -0,0 +1,235 @@
+//! The choice of a target under the loads that it answers.
+
+use std::time::Duration;
+
+use ebony_dispatch::load::LoadNotice;
+use ebony_dispatch::{
+    CallShape, DispatchOptions, PlacementRule, PromptPart, TargetBoard, TargetChange, TargetKey, TargetPhase,
+    TargetRecord, place,
+};
+use ebony_types::{ClockTime, DomainName, ServiceName, TargetName};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+/// The shared part at the start of every prompt.
+const SHARED: PromptPart = PromptPart { part: 1, tokens: 512 };
+const MEMORY_TOKENS: u64 = 60_000;
+
+
+fn record(number: usize, domain: &str) -> TargetRecord {
+    TargetRecord {
+        name: TargetName::parse(&format!("engine-{number}")).expect("a name"),
+        service: ServiceName::parse("models").expect("a name"),
+        address: ([10, 0, 0, number as u8], 80).into(),
+        domain: DomainName::parse(domain).expect("a name"),
+        slots: 8,
+        phase: TargetPhase::Ready,
+        warm_up: Duration::ZERO,
+        born: 1,
+    }
+}
+
+struct Entry {
+    board: TargetBoard,
+    keys: Vec<TargetKey>,
+    options: DispatchOptions,
+    service: ServiceName,
+    domain: DomainName,
+}
+
+impl Entry {
+    fn open(targets: usize, rule: PlacementRule) -> Self {
+        let mut board = TargetBoard::default();
+        let keys = (0..targets).map(|number| match board.apply(record(number, "a")) {
+            TargetChange::Added(key) => key,
+            change => panic!("{change:?}"),
+        });
+        Self {
+            keys: keys.collect(),
+            board,
+            options: DispatchOptions {
+                rule,
+                ..DispatchOptions::default()
+            },
+            service: ServiceName::parse("models").expect("a name"),
+            domain: DomainName::parse("a").expect("a name"),
+        }
+    }
+
+    fn place(&self, affinity: &str, prompt: &[PromptPart], tried: &[TargetKey], now: ClockTime) -> Option<TargetKey> {
+        let shape = CallShape {
+            service: &self.service,
+            domain: &self.domain,
+            affinity,
+            prompt,
+            tried,
+        };
+        place(&self.board, &shape, &self.options, now)
+    }
+}
+
+const NOW: ClockTime = ClockTime::from_millis(1_000);
+
+/// Plays programs of four turns whose turns reach changing entries, as retries and callers that move bring them, and
+/// returns the prompt tokens that the engines read.
+fn tokens_read(rule: PlacementRule, calls_under_way: usize) -> u64 {
+    let mut source = ChaCha8Rng::seed_from_u64(7);
+    let mut entries: Vec<Entry> = (0..3).map(|_| Entry::open(6, rule)).collect();
+    // What the engines really hold, whichever entry sent it.
+    let mut engines = vec![ebony_dispatch::prompt::PromptCache::default(); 6];
+    let mut under_way = std::collections::VecDeque::new();
+    let mut read = 0;
+    for program in 0..200_u64 {
+        let mut prompt = vec![SHARED];
+        for turn in 0..4 {
+            prompt.push(PromptPart {
+                part: 1_000 + program * 10 + turn,
+                tokens: 400,
+            });
+            let at_entry = source.random_range(0..3);
+            let entry = &mut entries[at_entry];
+            let name = format!("program-{program}");
+            let key = entry.place(&name, &prompt, &[], NOW).expect("a target is ready");
+            let run = entry.board.begin(key, &prompt, Some(MEMORY_TOKENS));
+            entry.board.end_prefill(run);
+            let at = entry.keys.iter().position(|found| *found == key).expect("the key is known");
+            let total: u64 = prompt.iter().map(|part| u64::from(part.tokens)).sum();
+            read += total - engines[at].held_tokens(&prompt);
+            engines[at].record(&prompt, MEMORY_TOKENS);
+            under_way.push_back((at_entry, run));
+            if under_way.len() > calls_under_way
+                && let Some((at_entry, run)) = under_way.pop_front()
+            {
+                entries[at_entry].board.end(run);
+            }
+        }
+    }
+    read
+}
+
+/// Each part is read once at the least, and the shared part once by each engine.
+const LEAST_READ: u64 = 200 * 4 * 400 + 6 * 512;
+
+#[test]
+fn a_program_finds_its_prompt_again_whichever_entry_its_turns_reach() {
+    // One call for each engine at a time.
+    let by_delay = tokens_read(PlacementRule::EstimatedDelay, 6);
+    assert!(by_delay <= LEAST_READ * 11 / 10, "{by_delay} against {LEAST_READ}");
+}
+
+#[test]
+fn half_of_the_prompts_that_the_least_load_reads_suffice_when_half_of_the_slots_are_taken() {
+    let by_delay = tokens_read(PlacementRule::EstimatedDelay, 24);
+    let by_load = tokens_read(PlacementRule::LeastOwnLoad, 24);
+    assert!(by_load >= 2 * by_delay, "{by_load} against {by_delay}");
+}
+
+#[test]
+fn a_busy_home_target_gives_its_programs_away() {
+    let mut entry = Entry::open(4, PlacementRule::EstimatedDelay);
+    let prompt = [SHARED, PromptPart { part: 9, tokens: 300 }];
+    let home = entry.place("p", &prompt, &[], NOW).expect("a target is ready");
+    let notice = LoadNotice {
+        running: 8,
+        waiting: 40,
+        slots: 8,
+    };
+    entry.board.record_notice(home, notice, NOW);
+    let other = entry.place("p", &prompt, &[], NOW).expect("a target is ready");
+    assert_ne!(other, home);
+    // The notice ages, and the home target takes its programs again.
+    let later = NOW + entry.options.report_half_life * 10;
+    assert_eq!(entry.place("p", &prompt, &[], later), Some(home));
+}
+
+#[test]
+fn targets_that_failed_or_are_full_come_last_but_are_not_lost() {
+    let mut entry = Entry::open(2, PlacementRule::EstimatedDelay);
+    let [first, second] = entry.keys[..] else { panic!("two targets") };
+    let options = entry.options;
+    entry.board.record_failure(first, &options, NOW);
+    assert_eq!(entry.place("p", &[], &[], NOW), Some(second));
+    assert_eq!(entry.place("p", &[], &[second], NOW), Some(first));
+    entry.board.record_full(second, &options, NOW);
+    assert_eq!(entry.place("p", &[], &[], NOW), Some(second), "full goes before failed");
+    assert_eq!(entry.place("p", &[], &[first, second], NOW), None);
+}
+
+#[test]
+fn draining_targets_and_other_services_get_no_calls() {
+    let mut entry = Entry::open(2, PlacementRule::EstimatedDelay);
+    let draining = TargetRecord {
+        phase: TargetPhase::Draining,
+        ..record(0, "a")
+    };
+    let moved = TargetRecord {
+        service: ServiceName::parse("stock").expect("a name"),
+        ..record(1, "a")
+    };
+    entry.board.apply(draining);
+    entry.board.apply(moved);
+    assert_eq!(entry.place("p", &[], &[], NOW), None);
+}
+
+#[test]
+fn plain_calls_spread_over_equal_targets_and_prefer_the_own_domain() {
+    let mut entry = Entry::open(3, PlacementRule::EstimatedDelay);
+    entry.board.apply(record(9, "b"));
+    let mut counts = std::collections::BTreeMap::new();
+    for number in 0..12 {
+        let key = entry.place(&format!("c-{number}"), &[], &[], NOW).expect("a target is ready");
+        entry.board.begin(key, &[], None);
+        let name = entry.board.target(key).expect("the target is listed").record.name.clone();
+        *counts.entry(name).or_insert(0) += 1;
+    }
+    insta::assert_debug_snapshot!(counts);
+}
+
+#[test]
+fn baselines_choose_as_they_are_described() {
+    let mut entry = Entry::open(3, PlacementRule::HomeTarget);
+    let prompt = [SHARED];
+    let home = entry.place("p", &prompt, &[], NOW).expect("a target is ready");
+    for _ in 0..entry.options.home_allowance {
+        entry.board.begin(home, &prompt, None);
+    }
+    assert_eq!(entry.place("p", &prompt, &[], NOW), Some(home), "within the allowance");
+    entry.board.begin(home, &prompt, None);
+    assert_ne!(entry.place("p", &prompt, &[], NOW), Some(home), "beyond it");
+    entry.options.rule = PlacementRule::LeastOwnLoad;
+    assert_ne!(entry.place("p", &prompt, &[], NOW), Some(home));
+}
+
+#[test]
+fn a_new_life_of_a_target_holds_nothing_and_starts_without_faults() {
+    let mut entry = Entry::open(1, PlacementRule::EstimatedDelay);
+    let key = entry.keys[0];
+    let options = entry.options;
+    entry.board.begin(key, &[SHARED], None);
+    entry.board.record_failure(key, &options, NOW);
+    let reborn = TargetRecord {
+        born: 2,
+        ..record(0, "a")
+    };
+    let TargetChange::Added(new) = entry.board.apply(reborn) else {
+        panic!("another life is another target")
+    };
+    let target = entry.board.target(new).expect("the target is listed");
+    assert_eq!(target.load.own_calls(), 0);
+    assert_eq!(target.cache.held_tokens(&[SHARED]), 0);
+    assert!(!target.fault.is_avoided(NOW));
+    assert!(entry.board.target(key).is_none());
+}
+
+#[test]
+fn lapsed_targets_are_kept_for_the_grace_time() {
+    let mut entry = Entry::open(2, PlacementRule::EstimatedDelay);
+    let name = TargetName::parse("engine-0").expect("a name");
+    let grace = Duration::from_secs(2);
+    entry.board.lapse(&name, NOW);
+    assert!(entry.board.remove_lapsed(grace, NOW + grace / 2).is_empty());
+    entry.board.apply(record(0, "a"));
+    assert!(entry.board.remove_lapsed(grace, NOW + grace).is_empty(), "it came back");
+    entry.board.lapse(&name, NOW);
+    assert_eq!(entry.board.remove_lapsed(grace, NOW + grace), [name]);
+}
--- a/crates/ebony_gateway/src/accounts.rs
+++ b/crates/ebony_gateway/src/accounts.rs
@@ -256,10 +256,10 @@
                 None => AccountRecord::open_behind(want.budget, want.unseen),
             };
             record.record_debt(want.debt);
-            let tokens = record.grant(want.tokens, want.withheld);
+            let tokens = record.grant(want.tokens);
             let outcome = CoverOutcome::Granted {
                 tokens,
-                left: record.left().saturating_sub(want.withheld),
+                left: record.left(),
             };
             if known.is_some_and(|row| row.record == record) {
                 return Ok(outcome);
--- a/crates/ebony_gateway/src/call.rs
+++ b/crates/ebony_gateway/src/call.rs
@@ -31,6 +31,9 @@
 /// The time after which a call that found no target may come back: a heartbeat of the list of targets.
 const NO_TARGET_PAUSE: Duration = Duration::from_millis(500);
 
+/// The time after which a call that meets a stopping gateway may come back: another gateway takes it at once.
+const STOPPING_PAUSE: Duration = Duration::from_millis(10);
+
 /// The share of the latency objective that a call waits for a target to take it.
 const WAITING_SHARE: f64 = 0.5;
 
@@ -154,6 +157,10 @@
         let refusal = CallRefusal::not_run(ProblemCode::PlatformUnavailable, "no configuration is known yet");
         refusal.come_back(NO_TARGET_PAUSE)
     };
+    if gateway.is_closing.get() {
+        let refusal = CallRefusal::not_run(ProblemCode::Draining, "the gateway is stopping");
+        return Err(refusal.come_back(STOPPING_PAUSE));
+    }
     let routing = gateway.routing().ok_or_else(unavailable)?;
     intake::check_size(&request, routing.limits())?;
     let limits = routing.limits();
--- a/crates/ebony_gateway/src/gateway.rs
+++ b/crates/ebony_gateway/src/gateway.rs
@@ -62,6 +62,8 @@
     pub(crate) client: Rc<TargetClient>,
     pub(crate) health: HealthState,
     pub(crate) is_draining: Cell<bool>,
+    /// Whether new calls are refused, because their answers might not end before the process does.
+    pub(crate) is_closing: Cell<bool>,
     pub(crate) open_calls: Cell<usize>,
     pub(crate) metrics: GatewayMetrics,
     pub(crate) decisions: DecisionLog,
@@ -107,6 +109,7 @@
             client,
             health,
             is_draining: Cell::default(),
+            is_closing: Cell::default(),
             open_calls: Cell::default(),
             decisions: DecisionLog::open(logger.clone(), clock, metrics.dropped_lines.clone()),
             metrics,
--- a/crates/ebony_gateway/src/process.rs
+++ b/crates/ebony_gateway/src/process.rs
@@ -15,7 +15,7 @@
 use crate::listener::{BoundPort, CallerListener};
 use crate::watch;
 
-/// How long a draining gateway goes on accepting: the balancer asks each second and needs two misses to turn new
+/// How long a draining gateway goes on taking calls: the balancer asks each second and needs two misses to turn new
 /// callers away.
 const BALANCER_NOTICE: Duration = Duration::from_millis(3_000);
 
@@ -122,13 +122,14 @@
 }
 
 impl ServingGateway {
-    /// Stops as planned: is not ready at once, goes on accepting until the balancer has noticed, and ends when no call
-    /// is under way or the time for a planned stop is over.
+    /// Stops as planned: is not ready at once, takes calls until the balancer has noticed, refuses further ones, and ends
+    /// when no call is under way or the time for a planned stop is over.
     pub async fn drain(self) {
         let start = Instant::now();
         self.gateway.is_draining.set(true);
         self.gateway.update_health();
         sleep(BALANCER_NOTICE.min(self.drain_time / 2)).await;
+        self.gateway.is_closing.set(true);
         let limit = start + self.drain_time.saturating_sub(CLOSING_TIME);
         while self.gateway.open_calls.get() > 0 && Instant::now() < limit {
             sleep(DRAIN_PAUSE).await;
--- a/crates/ebony_gateway/src/watch.rs
+++ b/crates/ebony_gateway/src/watch.rs
@@ -13,13 +13,16 @@
 use crate::fleet;
 use crate::gateway::Gateway;
 
-/// The longest time that the store holds a request for changes. Short enough that a silent connection is noticed well
-/// within the time that an accepted configuration has to be in force.
-const FEED_WAIT: Duration = Duration::from_millis(900);
+/// The longest time that the store holds a request for changes of the configuration or of the list of targets. With the
+/// time for an answer, a silent connection is noticed within 1.3 s; a draining target and a new configuration have to be
+/// noticed within 2 s.
+const FEED_WAIT: Duration = Duration::from_millis(600);
 
-/// The pause between two requests for changes of the list of targets, which changes with every heartbeat of each. A
-/// draining target has to be noticed within 2 s.
-const TARGET_PAUSE: Duration = Duration::from_millis(250);
+/// The longest time that the store holds a request for changes of the list of gateways, which change rarely.
+const FLEET_WAIT: Duration = Duration::from_millis(2_000);
+
+/// The pause between two requests for changes of the list of targets, so that several of them come at once.
+const TARGET_PAUSE: Duration = Duration::from_millis(150);
 
 /// The pause before the store is asked again after a failure.
 const FAILURE_PAUSE: Duration = Duration::from_millis(150);
@@ -36,6 +39,7 @@
     gateway: Rc<Gateway>,
     table: &'static str,
     duty: &'static str,
+    wait: Duration,
     cursor: Option<RowVersion>,
     last_answer: ClockTime,
     is_lost: bool,
@@ -50,11 +54,12 @@
 }
 
 impl TableWatch {
-    fn open(gateway: &Rc<Gateway>, table: &'static str, duty: &'static str) -> Self {
+    fn open(gateway: &Rc<Gateway>, table: &'static str, duty: &'static str, wait: Duration) -> Self {
         Self {
             gateway: Rc::clone(gateway),
             table,
             duty,
+            wait,
             cursor: None,
             last_answer: gateway.clock.now(),
             is_lost: false,
@@ -93,7 +98,7 @@
     async fn read(&self) -> Result<FeedPage> {
         match self.cursor {
             None => self.gateway.store.snapshot(self.table).await,
-            Some(version) => self.gateway.store.changes(self.table, version, FEED_WAIT).await,
+            Some(version) => self.gateway.store.changes(self.table, version, self.wait).await,
         }
     }
 
@@ -138,7 +143,7 @@
 /// Follows the configuration.
 pub(crate) async fn watch_routing(gateway: Rc<Gateway>) {
     let (table, key) = gateway.dialect.routing_row();
-    let mut watch = TableWatch::open(&gateway, table, "routing");
+    let mut watch = TableWatch::open(&gateway, table, "routing", FEED_WAIT);
     loop {
         let (TableNews::Snapshot(rows) | TableNews::Changes(rows)) = watch.next().await;
         let values = rows.iter().filter(|row| row.key == key);
@@ -176,7 +181,7 @@
 
 /// Follows the list of targets.
 pub(crate) async fn watch_targets(gateway: Rc<Gateway>) {
-    let mut watch = TableWatch::open(&gateway, gateway.dialect.target_table(), "targets");
+    let mut watch = TableWatch::open(&gateway, gateway.dialect.target_table(), "targets", FEED_WAIT);
     let list = TargetList {
         gateway: Rc::clone(&gateway),
         store_back: Cell::new(gateway.clock.now()),
@@ -199,7 +204,7 @@
 
 /// Follows what gateways tell each other.
 pub(crate) async fn watch_fleet(gateway: Rc<Gateway>) {
-    let mut watch = TableWatch::open(&gateway, fleet::TABLE, "fleet");
+    let mut watch = TableWatch::open(&gateway, fleet::TABLE, "fleet", FLEET_WAIT);
     loop {
         match watch.next().await {
             TableNews::Snapshot(rows) => gateway.fleet.replace(&rows),
--- a/crates/ebony_settings/src/schema/gateway_keys.rs
+++ b/crates/ebony_settings/src/schema/gateway_keys.rs
@@ -93,7 +93,7 @@
     keys: &[
         KeySpec::required("url", ValueKind::Url, "The base URL."),
         KeySpec::defaults_to(
-            "1s",
+            "700ms",
             "timeout",
             REQUEST_TIMEOUT,
             "The longest wait for a reply, besides the time that the store is asked to wait for changes.",
