--- a/crates/ebony_account/tests/book.rs
+++ b/crates/ebony_account/tests/book.rs
@@ -1,7 +1,8 @@
 //! The account book step by step.
 
 use ebony_account::{
-    AccountBook, AccountOptions, CoverOutcome, ProgramAllowance, SecureOutcome, TurnCover, TurnOpening, TurnRequest,
+    AccountBook, AccountOptions, CoverOutcome, ProgramAllowance, SecureOutcome, TurnCover, TurnOpening,
+    TurnRequest,
 };
 use ebony_types::{ClockTime, ProgramName};
 
@@ -30,7 +31,8 @@
         let mut book = AccountBook::open(AccountOptions::default());
         let mut cover = opened(&mut book, &turn(4_800, false));
         book.secure(&mut cover);
-        book.cover_wanted(cover.account(), is_owner).expect("the turn has no cover")
+        book.cover_wanted(cover.account(), is_owner)
+            .expect("the turn has no cover")
     });
     insta::assert_debug_snapshot!(wants);
 }
@@ -40,7 +42,8 @@
     let mut book = AccountBook::open(AccountOptions::default());
     let mut cover = opened(&mut book, &turn(4_800, false));
     book.secure(&mut cover);
-    book.cover_wanted(cover.account(), true).expect("the turn has no cover");
+    book.cover_wanted(cover.account(), true)
+        .expect("the turn has no cover");
     let granted = CoverOutcome::Granted {
         tokens: 1_200,
         left: 3_600,
@@ -62,8 +65,13 @@
     let mut lender = AccountBook::open(AccountOptions::default());
     let mut lent = opened(&mut lender, &turn(600, false));
     lender.secure(&mut lent);
-    lender.cover_wanted(lent.account(), true).expect("the turn has no cover");
-    let granted = CoverOutcome::Granted { tokens: 280, left: 320 };
+    lender
+        .cover_wanted(lent.account(), true)
+        .expect("the turn has no cover");
+    let granted = CoverOutcome::Granted {
+        tokens: 280,
+        left: 320,
+    };
     lender.settle_cover(lent.account(), granted);
     lender.secure(&mut lent);
     let tokens = lender.hand_over(&mut lent);
@@ -83,7 +91,9 @@
     lender.take_back(&turn(600, true).program, free);
     let mut next = opened(&mut lender, &turn(600, true));
     assert_eq!(lender.secure(&mut next), SecureOutcome::Waiting);
-    let want = lender.cover_wanted(next.account(), true).expect("70 tokens are missing");
+    let want = lender
+        .cover_wanted(next.account(), true)
+        .expect("70 tokens are missing");
     assert_eq!(want.tokens, 80);
 }
 
@@ -95,8 +105,12 @@
         if is_recorded {
             let mut first = opened(&mut book, &turn);
             book.secure(&mut first);
-            book.cover_wanted(first.account(), true).expect("the turn has no cover");
-            let granted = CoverOutcome::Granted { tokens: 0, left: 2_000 };
+            book.cover_wanted(first.account(), true)
+                .expect("the turn has no cover");
+            let granted = CoverOutcome::Granted {
+                tokens: 0,
+                left: 2_000,
+            };
             book.settle_cover(first.account(), granted);
             book.close_turn(&mut first, NOW);
         }
--- a/crates/ebony_account/tests/budget_model.rs
+++ b/crates/ebony_account/tests/budget_model.rs
@@ -3,8 +3,8 @@
 
 use arbitrary::Unstructured;
 use ebony_account::{
-    AccountBook, AccountOptions, AccountRecord, CoverOutcome, CoverWant, ProgramAllowance, SecureOutcome, SpendOutcome,
-    TurnCover, TurnOpening, TurnRequest,
+    AccountBook, AccountOptions, AccountRecord, CoverOutcome, CoverWant, ProgramAllowance, SecureOutcome,
+    SpendOutcome, TurnCover, TurnOpening, TurnRequest,
 };
 use ebony_testkit::check_seeds;
 use ebony_types::{ClockTime, ProgramName};
@@ -59,7 +59,9 @@
     }
 
     fn secure(&mut self, at: usize) {
-        let Some((cover, is_secured)) = self.turns.get_mut(at) else { return };
+        let Some((cover, is_secured)) = self.turns.get_mut(at) else {
+            return;
+        };
         match self.book.secure(cover) {
             SecureOutcome::Secured => *is_secured = true,
             SecureOutcome::Waiting if self.is_store_away => {
@@ -74,7 +76,9 @@
     }
 
     fn hand_on(&mut self, at: usize) {
-        let Some((cover, true)) = self.turns.get_mut(at) else { return };
+        let Some((cover, true)) = self.turns.get_mut(at) else {
+            return;
+        };
         if self.book.spend(cover, EVENT_TOKENS) == SpendOutcome::Spent {
             self.handed_on += EVENT_TOKENS;
         }
@@ -89,7 +93,9 @@
 
     /// The store takes the request under way, or does not; the answer arrives, or does not.
     fn settle(&mut self, is_answer_lost: bool) {
-        let Some((account, want)) = self.want.take() else { return };
+        let Some((account, want)) = self.want.take() else {
+            return;
+        };
         if self.is_store_away {
             self.book.settle_cover(account, CoverOutcome::Unavailable);
             return;
@@ -107,7 +113,8 @@
         }
         let left = record.left();
         self.book.settle_debt(account, want.debt);
-        self.book.settle_cover(account, CoverOutcome::Granted { tokens, left });
+        self.book
+            .settle_cover(account, CoverOutcome::Granted { tokens, left });
     }
 
     fn kill(&mut self) {
--- a/crates/ebony_dispatch/src/placement.rs
+++ b/crates/ebony_dispatch/src/placement.rs
@@ -147,7 +147,10 @@
 
 /// Returns the estimated calls in the target's batch.
 fn running_calls(target: &TargetEntry, options: &DispatchOptions, now: ClockTime) -> f64 {
-    target.load.calls(options, now).min(f64::from(target.record.slots.max(1)))
+    target
+        .load
+        .calls(options, now)
+        .min(f64::from(target.record.slots.max(1)))
 }
 
 /// Returns the delay in milliseconds that the program's next turn has and causes if it finds its prompt elsewhere. A
--- a/crates/ebony_dispatch/tests/placement.rs
+++ b/crates/ebony_dispatch/tests/placement.rs
@@ -15,7 +15,6 @@
 const SHARED: PromptPart = PromptPart { part: 1, tokens: 512 };
 const MEMORY_TOKENS: u64 = 60_000;
 
-
 fn record(number: usize, domain: &str) -> TargetRecord {
     TargetRecord {
         name: TargetName::parse(&format!("engine-{number}")).expect("a name"),
@@ -56,7 +55,13 @@
         }
     }
 
-    fn place(&self, affinity: &str, prompt: &[PromptPart], tried: &[TargetKey], now: ClockTime) -> Option<TargetKey> {
+    fn place(
+        &self,
+        affinity: &str,
+        prompt: &[PromptPart],
+        tried: &[TargetKey],
+        now: ClockTime,
+    ) -> Option<TargetKey> {
         let shape = CallShape {
             service: &self.service,
             domain: &self.domain,
@@ -92,7 +97,11 @@
             let key = entry.place(&name, &prompt, &[], NOW).expect("a target is ready");
             let run = entry.board.begin(key, &prompt, Some(MEMORY_TOKENS));
             entry.board.end_prefill(run);
-            let at = entry.keys.iter().position(|found| *found == key).expect("the key is known");
+            let at = entry
+                .keys
+                .iter()
+                .position(|found| *found == key)
+                .expect("the key is known");
             let total: u64 = prompt.iter().map(|part| u64::from(part.tokens)).sum();
             read += total - engines[at].held_tokens(&prompt);
             engines[at].record(&prompt, MEMORY_TOKENS);
@@ -114,7 +123,10 @@
 fn a_program_finds_its_prompt_again_whichever_entry_its_turns_reach() {
     // One call for each engine at a time.
     let by_delay = tokens_read(PlacementRule::EstimatedDelay, 6);
-    assert!(by_delay <= LEAST_READ * 11 / 10, "{by_delay} against {LEAST_READ}");
+    assert!(
+        by_delay <= LEAST_READ * 11 / 10,
+        "{by_delay} against {LEAST_READ}"
+    );
 }
 
 #[test]
@@ -145,13 +157,19 @@
 #[test]
 fn targets_that_failed_or_are_full_come_last_but_are_not_lost() {
     let mut entry = Entry::open(2, PlacementRule::EstimatedDelay);
-    let [first, second] = entry.keys[..] else { panic!("two targets") };
+    let [first, second] = entry.keys[..] else {
+        panic!("two targets")
+    };
     let options = entry.options;
     entry.board.record_failure(first, &options, NOW);
     assert_eq!(entry.place("p", &[], &[], NOW), Some(second));
     assert_eq!(entry.place("p", &[], &[second], NOW), Some(first));
     entry.board.record_full(second, &options, NOW);
-    assert_eq!(entry.place("p", &[], &[], NOW), Some(second), "full goes before failed");
+    assert_eq!(
+        entry.place("p", &[], &[], NOW),
+        Some(second),
+        "full goes before failed"
+    );
     assert_eq!(entry.place("p", &[], &[first, second], NOW), None);
 }
 
@@ -177,9 +195,17 @@
     entry.board.apply(record(9, "b"));
     let mut counts = std::collections::BTreeMap::new();
     for number in 0..12 {
-        let key = entry.place(&format!("c-{number}"), &[], &[], NOW).expect("a target is ready");
+        let key = entry
+            .place(&format!("c-{number}"), &[], &[], NOW)
+            .expect("a target is ready");
         entry.board.begin(key, &[], None);
-        let name = entry.board.target(key).expect("the target is listed").record.name.clone();
+        let name = entry
+            .board
+            .target(key)
+            .expect("the target is listed")
+            .record
+            .name
+            .clone();
         *counts.entry(name).or_insert(0) += 1;
     }
     insta::assert_debug_snapshot!(counts);
@@ -193,7 +219,11 @@
     for _ in 0..entry.options.home_allowance {
         entry.board.begin(home, &prompt, None);
     }
-    assert_eq!(entry.place("p", &prompt, &[], NOW), Some(home), "within the allowance");
+    assert_eq!(
+        entry.place("p", &prompt, &[], NOW),
+        Some(home),
+        "within the allowance"
+    );
     entry.board.begin(home, &prompt, None);
     assert_ne!(entry.place("p", &prompt, &[], NOW), Some(home), "beyond it");
     entry.options.rule = PlacementRule::LeastOwnLoad;
@@ -229,7 +259,10 @@
     entry.board.lapse(&name, NOW);
     assert!(entry.board.remove_lapsed(grace, NOW + grace / 2).is_empty());
     entry.board.apply(record(0, "a"));
-    assert!(entry.board.remove_lapsed(grace, NOW + grace).is_empty(), "it came back");
+    assert!(
+        entry.board.remove_lapsed(grace, NOW + grace).is_empty(),
+        "it came back"
+    );
     entry.board.lapse(&name, NOW);
     assert_eq!(entry.board.remove_lapsed(grace, NOW + grace), [name]);
 }
--- a/crates/ebony_gateway/src/call.rs
+++ b/crates/ebony_gateway/src/call.rs
@@ -73,7 +73,7 @@
     pub(crate) fn record_failure(&self) {
         let now = self.gateway.clock.now();
         let mut board = self.gateway.board.borrow_mut();
-        board.record_failure(self.target, &self.gateway.options, now);
+        board.record_failure(self.target, &self.gateway.options.get(), now);
     }
 }
 
@@ -332,7 +332,7 @@
         place(
             &gateway.board.borrow(),
             &shape,
-            &gateway.options,
+            &gateway.options.get(),
             gateway.clock.now(),
         )
     }
@@ -436,7 +436,7 @@
         if outcome == AttemptOutcome::NotRun {
             let now = gateway.clock.now();
             let mut board = gateway.board.borrow_mut();
-            board.record_full(run.target, &gateway.options, now);
+            board.record_full(run.target, &gateway.options.get(), now);
             return Ok(());
         }
         run.record_failure();
--- a/crates/ebony_gateway/src/gateway.rs
+++ b/crates/ebony_gateway/src/gateway.rs
@@ -8,7 +8,7 @@
 use ebony_dispatch::{DispatchOptions, PlacementRule, TargetBoard};
 use ebony_platform::{RowFeed, TableService};
 use ebony_routing::RoutingTable;
-use ebony_settings::GatewaySettings;
+use ebony_settings::{GatewayPolicy, GatewaySettings};
 use ebony_telemetry::{BootClock, HealthState, MetricsRegistry};
 use ebony_types::{ClockTime, DomainName};
 use slog::Logger;
@@ -50,7 +50,8 @@
     pub(crate) store: Rc<dyn GatewayStore>,
     pub(crate) clock: GatewayClock,
     pub(crate) domain: DomainName,
-    pub(crate) options: DispatchOptions,
+    /// Follow the settings; see [`crate::ServingGateway::apply`].
+    pub(crate) options: Cell<DispatchOptions>,
     /// The configuration in force; `None` until the first one was read.
     pub(crate) routing: RefCell<Option<Rc<RoutingTable>>>,
     pub(crate) board: RefCell<TargetBoard>,
@@ -81,7 +82,6 @@
     ) -> anyhow::Result<Rc<Self>> {
         let clock = GatewayClock::start();
         let metrics = GatewayMetrics::register(registry)?;
-        let rule = PlacementRule::from_name(&settings.policy.placement).unwrap_or_default();
         let table = Rc::clone(&store) as Rc<dyn TableService>;
         let fleet = FleetView::open(
             Rc::clone(&table),
@@ -99,10 +99,7 @@
             store,
             clock,
             domain: settings.failure_domain.clone(),
-            options: DispatchOptions {
-                rule,
-                ..DispatchOptions::default()
-            },
+            options: Cell::new(dispatch_options(&settings.policy)),
             routing: RefCell::default(),
             board: RefCell::default(),
             has_targets: Cell::default(),
@@ -137,6 +134,15 @@
     }
 }
 
+/// Returns the options that the settings ask for.
+pub(crate) fn dispatch_options(policy: &GatewayPolicy) -> DispatchOptions {
+    DispatchOptions {
+        // The schema of the settings admits only rules that exist.
+        rule: PlacementRule::from_name(&policy.placement).unwrap_or_default(),
+        ..DispatchOptions::default()
+    }
+}
+
 /// Counts a call while it is open.
 pub(crate) struct OpenCallGuard(Rc<Gateway>);
 
--- a/crates/ebony_gateway/src/process.rs
+++ b/crates/ebony_gateway/src/process.rs
@@ -7,10 +7,10 @@
 use ebony_settings::GatewaySettings;
 use ebony_telemetry::{HealthServer, HealthState, MetricsRegistry};
 use serde_json::json;
-use slog::{Logger, info};
+use slog::{Logger, info, warn};
 use tokio::time::{Instant, sleep};
 
-use crate::gateway::{Gateway, GatewayDialect, GatewayStore};
+use crate::gateway::{Gateway, GatewayDialect, GatewayStore, dispatch_options};
 use crate::links;
 use crate::listener::{BoundPort, CallerListener};
 use crate::watch;
@@ -39,7 +39,7 @@
 
 impl GatewayAddresses {
     /// Returns the addresses as one line of JSON.
-    pub fn to_json(&self) -> String {
+    pub fn to_json(self) -> String {
         json!({ "callers": self.callers, "metrics": self.metrics }).to_string()
     }
 }
@@ -52,6 +52,7 @@
     addresses: GatewayAddresses,
     drain_time: Duration,
     link: SocketAddr,
+    settings: GatewaySettings,
 }
 
 impl GatewayProcess {
@@ -81,6 +82,7 @@
             addresses,
             drain_time: settings.drain_time,
             link: settings.links.listen,
+            settings: settings.clone(),
         })
     }
 
@@ -109,6 +111,7 @@
             listener,
             health_server: self.health_server,
             drain_time: self.drain_time,
+            settings: self.settings,
         })
     }
 }
@@ -119,9 +122,29 @@
     listener: CallerListener,
     health_server: HealthServer,
     drain_time: Duration,
+    settings: GatewaySettings,
 }
 
 impl ServingGateway {
+    /// Puts changed settings in force: the policy and the time of a planned stop. All others keep their values until the
+    /// process starts again, which the log says.
+    pub fn apply(&mut self, settings: GatewaySettings) {
+        let logger = &self.gateway.logger;
+        let applied = GatewaySettings {
+            policy: settings.policy.clone(),
+            drain_time: settings.drain_time,
+            ..self.settings.clone()
+        };
+        if applied != settings {
+            warn!(logger, "some changed settings need a restart of the process");
+        }
+        self.gateway.options.set(dispatch_options(&applied.policy));
+        self.drain_time = applied.drain_time;
+        info!(logger, "settings reloaded";
+            "placement" => &applied.policy.placement, "drain_ms" => applied.drain_time.as_millis() as u64);
+        self.settings = applied;
+    }
+
     /// Stops as planned: is not ready at once, takes calls until the balancer has noticed, refuses further ones, and ends
     /// when no call is under way or the time for a planned stop is over.
     pub async fn drain(self) {
--- a/crates/ebony_routing/tests/routes.rs
+++ b/crates/ebony_routing/tests/routes.rs
@@ -37,7 +37,11 @@
 
 #[test]
 fn the_longest_prefix_of_the_host_wins() {
-    let routes = vec![rule("a", "/a/", &[]), rule("a-b", "/a/b/", &[]), rule("root", "/", &[])];
+    let routes = vec![
+        rule("a", "/a/", &[]),
+        rule("a-b", "/a/b/", &[]),
+        rule("root", "/", &[]),
+    ];
     let table = table(routes);
     let paths = ["/a/b/c", "/a/b", "/a/x/b/", "/A/b/", "/", "/ab"];
     let found = paths.map(|path| {
--- a/crates/ebonyctl/src/command.rs
+++ b/crates/ebonyctl/src/command.rs
@@ -79,6 +79,8 @@
     Report(ReportCommand),
     /// Replays a recorded trace against callers' addresses of entries and checks its stated outcomes.
     Replay(ReplayArguments),
+    /// Tells the story of a call or a program from the logs of gateways, without asking any process.
+    Explain(ExplainArguments),
     /// Prints a completion script for a shell.
     Completions {
         /// The shell.
@@ -101,6 +103,18 @@
     pub complete: bool,
 }
 
+/// A story from logs.
+#[derive(Clone, Debug)]
+#[derive(Args)]
+pub struct ExplainArguments {
+    /// The name of the call or of the program, as its caller gave it.
+    #[arg(value_name = "ID")]
+    pub id: String,
+    /// Log files with one JSON object a line. Lines that are none are passed over and counted.
+    #[arg(value_name = "FILE", required = true)]
+    pub files: Vec<PathBuf>,
+}
+
 /// Who is faster wins: a change is accepted only if the version that it starts from is still the newest.
 #[derive(Clone, Debug, Default)]
 #[derive(Args)]
--- a/crates/ebonyctl/src/lib.rs
+++ b/crates/ebonyctl/src/lib.rs
@@ -16,7 +16,7 @@
 
 use crate::command::{ControlCommand, ControlTopic};
 use crate::error::Result;
-use crate::run::{Session, run_replay};
+use crate::run::{Session, explain_command, run_replay};
 
 /// Runs the command by the arguments of this process.
 pub fn main_from_arguments() -> ExitCode {
@@ -40,6 +40,10 @@
     if let ControlTopic::Replay(arguments) = &command.topic {
         return run_replay(&command.access, arguments, &mut std::io::stdout()).await;
     }
+    if let ControlTopic::Explain(arguments) = &command.topic {
+        print!("{}", explain_command(arguments)?);
+        return Ok(ExitCode::SUCCESS);
+    }
     let mut session = Session::open(&command.access, std::io::stdout())?;
     session.run(&command.topic).await?;
     Ok(ExitCode::SUCCESS)
--- a/crates/ebonyctl/src/run/mod.rs
+++ b/crates/ebonyctl/src/run/mod.rs
@@ -3,6 +3,7 @@
 mod burn;
 mod config;
 mod exceptions;
+mod explain;
 mod fleet;
 mod replay;
 mod watch;
@@ -16,6 +17,7 @@
 use crate::client::{AdminClient, AdminRequest};
 use crate::command::{AccessOptions, ControlTopic, KEY_VARIABLE, ReportCommand};
 use crate::error::{ControlError, Result};
+pub use explain::{LogStory, explain_command};
 pub use replay::{replay_command, run_replay};
 
 /// The largest file that is read, in bytes; a document is below it.
@@ -57,7 +59,7 @@
             ControlTopic::Programs(command) => self.programs(command).await,
             ControlTopic::Report(ReportCommand::Burn { html }) => self.burn(html.as_deref()).await,
             // These need no session; `main_from_arguments` carries them out.
-            ControlTopic::Replay(_) | ControlTopic::Completions { .. } => Ok(()),
+            ControlTopic::Replay(_) | ControlTopic::Explain(_) | ControlTopic::Completions { .. } => Ok(()),
         }
     }
 
--- /dev/null
+++ b/crates/ebonyctl/tests/explain.rs
@@ -0,0 +1,56 @@
+//! Stories from logs, without any process.
+
+use ebonyctl::command::{ControlCommand, ControlTopic};
+use ebonyctl::error::ControlError;
+use ebonyctl::run::{LogStory, explain_command};
+
+use clap::Parser;
+
+const FIRST_LOG: &str = r#"
+collector 12:00 {"ts":"2026-01-01T00:00:00Z","process":"g-1","msg":"configuration in force","version":3}
+{"ts":"2026-01-01T00:00:01Z","process":"g-1","msg":"configuration in force","version":5}
+{"ts":"2026-01-01T00:00:02Z","process":"g-1","msg":"tokens granted","program":"p1","tokens":500,"left":100}
+{"ts":"2026-01-01T00:00:03Z","process":"g-1","msg":"call ended","call":"c1","program":"p1","outcome":"answered","attempts":"i-1:not_run i-2:answered","detail":""}
+{"ts":"2026-01-01T00:00:04Z","process":"g-1","msg":"lines on calls were left out","lines":12}
+{"ts":"2026-01-01T00:00:09Z","process":"g-1","msg":"the store is back"}
+torn {"ts":"2026-01-01T00
+"#;
+
+const SECOND_LOG: &str = r#"
+{"ts":"2026-01-01T00:00:04Z","process":"g-2","msg":"the store does not answer","table":"op"}
+{"ts":"2026-01-01T00:00:05Z","process":"g-2","msg":"call ended","call":"c2","program":"p1","outcome":"refused","detail":"tokens_spent","run":"not_run"}
+{"ts":"2026-01-01T00:00:06Z","process":"g-2","msg":"call ended","call":"c3","program":"p2","outcome":"answered"}
+{"ts":"2026-01-01T00:00:04Z","process":"g-3","msg":"the store does not answer","table":"op"}
+"#;
+
+/// Guards against a story out of order, without what its processes believed, or silent on what the log lacks.
+#[test]
+fn a_program_is_told_over_several_processes() {
+    insta::assert_snapshot!(LogStory::read("p1", [SECOND_LOG, FIRST_LOG]).to_text());
+}
+
+#[test]
+fn a_call_is_told_by_itself() {
+    insta::assert_snapshot!(LogStory::read("c2", [FIRST_LOG, SECOND_LOG]).to_text());
+}
+
+#[test]
+fn files_are_read_and_unknown_names_are_reported() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let file = folder.path().join("g-2.log");
+    std::fs::write(&file, SECOND_LOG).expect("a file");
+    let explain = |id: &str| {
+        let line = ["ebonyctl", "explain", id, file.to_str().expect("a text")];
+        let command = ControlCommand::try_parse_from(line).expect("the arguments are right");
+        match command.topic {
+            ControlTopic::Explain(arguments) => explain_command(&arguments),
+            topic => panic!("{topic:?}"),
+        }
+    };
+    assert!(
+        explain("c3")
+            .expect("the call is there")
+            .contains("outcome=answered")
+    );
+    assert!(matches!(explain("c9"), Err(ControlError::Usage(_))));
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod command;
 pub mod run;
 
+mod reload;
 mod stop;
 
 use std::process::ExitCode;
--- a/src/run.rs
+++ b/src/run.rs
@@ -17,6 +17,7 @@
 use ebony_telemetry::{LogFormat, LogLevel, open_logger, open_output_logger};
 use slog::{Logger, error, info, warn};
 
+use crate::reload::SettingsWatch;
 use crate::stop::StopSignals;
 
 /// The exit code for wrong settings.
@@ -62,8 +63,11 @@
         let dialect = Rc::new(PlatformDialect);
         let process = GatewayProcess::bind(&settings, dialect, Rc::new(store), logger.clone())?;
         announce(&logger, &process.addresses().to_json());
-        let serving = process.serve().await?;
-        signals.next().await;
+        let mut serving = process.serve().await?;
+        let mut watch = SettingsWatch::open(file);
+        while let Some(settings) = watch.next(signals, &logger).await {
+            serving.apply(settings);
+        }
         stop_or_abort(&logger, signals, serving.drain()).await
     });
     drop(guard);
