Give removed targets time to come back only after an outage of the store

Ruled out: slow feeds (all other gateways removed the target within 5 ms). Change: the grace time applies only after the store was away. Test: a removed target gets no further call right after the start; it fails without the change.

--- a/crates/ebony_gateway/src/watch.rs
+++ b/crates/ebony_gateway/src/watch.rs
@@ -184,13 +184,13 @@
     let mut watch = TableWatch::open(&gateway, gateway.dialect.target_table(), "targets", FEED_WAIT);
     let list = TargetList {
         gateway: Rc::clone(&gateway),
-        store_back: Cell::new(gateway.clock.now()),
+        store_back: Cell::default(),
     };
     loop {
         let was_lost = watch.is_lost;
         let news = watch.next().await;
-        if was_lost || watch.last_answer.since(list.store_back.get()).is_zero() {
-            list.store_back.set(gateway.clock.now());
+        if was_lost {
+            list.store_back.set(Some(gateway.clock.now()));
         }
         match news {
             TableNews::Snapshot(rows) => list.replace(&rows),
@@ -216,14 +216,13 @@
 /// Applies the platform's list to the board.
 struct TargetList {
     gateway: Rc<Gateway>,
-    /// When the store answered again after it was away.
-    store_back: Cell<ClockTime>,
+    /// When the store answered again after it was away; `None` as long as it never was.
+    store_back: Cell<Option<ClockTime>>,
 }
 
 impl TargetList {
     /// Takes over the whole list. A target that it lacks may have lapsed while the store was away.
     fn replace(&self, rows: &[FeedRow]) {
-        self.store_back.set(self.gateway.clock.now());
         let names = self.gateway.board.borrow().names();
         for name in names {
             if !rows.iter().any(|row| row.key == name.as_str()) {
@@ -275,7 +274,8 @@
     fn lose(&self, name: &TargetName) {
         let now = self.gateway.clock.now();
         let mut board = self.gateway.board.borrow_mut();
-        if now.since(self.store_back.get()) < LAPSE_GRACE {
+        let was_away = self.store_back.get().is_some_and(|back| now.since(back) < LAPSE_GRACE);
+        if was_away {
             info!(self.gateway.logger, "target lapsed"; "target" => name.as_str());
             board.lapse(name, now);
         } else if board.remove(name).is_some() {
