--- a/crates/ebony_gateway/src/watch.rs
+++ b/crates/ebony_gateway/src/watch.rs
@@ -43,6 +43,8 @@
     cursor: Option<RowVersion>,
     last_answer: ClockTime,
     is_lost: bool,
+    /// When the store answered again after it was away; `None` as long as it never was.
+    back_at: Option<ClockTime>,
 }
 
 /// What a read returned.
@@ -63,6 +65,7 @@
             cursor: None,
             last_answer: gateway.clock.now(),
             is_lost: false,
+            back_at: None,
         }
     }
 
@@ -107,6 +110,7 @@
         let now = self.gateway.clock.now();
         self.gateway.accounts.note_store_back();
         if std::mem::take(&mut self.is_lost) {
+            self.back_at = Some(now);
             info!(self.gateway.logger, "the store is back";
                 "table" => self.table, "away_ms" => now.since(self.last_answer).as_millis() as u64);
         }
@@ -187,11 +191,8 @@
         store_back: Cell::default(),
     };
     loop {
-        let was_lost = watch.is_lost;
         let news = watch.next().await;
-        if was_lost {
-            list.store_back.set(Some(gateway.clock.now()));
-        }
+        list.store_back.set(watch.back_at);
         match news {
             TableNews::Snapshot(rows) => list.replace(&rows),
             TableNews::Changes(rows) => list.apply_all(&rows),
@@ -274,7 +275,10 @@
     fn lose(&self, name: &TargetName) {
         let now = self.gateway.clock.now();
         let mut board = self.gateway.board.borrow_mut();
-        let was_away = self.store_back.get().is_some_and(|back| now.since(back) < LAPSE_GRACE);
+        let was_away = self
+            .store_back
+            .get()
+            .is_some_and(|back| now.since(back) < LAPSE_GRACE);
         if was_away {
             info!(self.gateway.logger, "target lapsed"; "target" => name.as_str());
             board.lapse(name, now);
