--- a/crates/ebony_gateway/src/call.rs
+++ b/crates/ebony_gateway/src/call.rs
@@ -139,6 +139,7 @@
             story.end(CallOutcome::Refused {
                 code: refusal.report.code,
                 run: refusal.report.run,
+                cause: refusal.report.detail.to_string(),
             });
             refusal.into_response(mark.as_deref(), &*gateway.dialect)
         }
--- a/crates/ebony_gateway/src/story.rs
+++ b/crates/ebony_gateway/src/story.rs
@@ -42,7 +42,7 @@
 }
 
 /// How a call ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum CallOutcome {
     /// The target's whole answer was handed on.
     Answered {
@@ -55,6 +55,8 @@
         code: ProblemCode,
         /// Whether the call may have run.
         run: RunVerdict,
+        /// Why, in words.
+        cause: String,
     },
     /// The answer broke off after its first bytes were handed on.
     BrokenOff {
@@ -155,13 +157,18 @@
             CallOutcome::Answered { status } => {
                 ("answered", status.to_string(), RunVerdict::Ran, LineKind::Plain)
             }
-            CallOutcome::Refused { code, run } => {
+            CallOutcome::Refused { code, run, cause } => {
                 self.gateway
                     .metrics
                     .refusals
                     .with_label_values(&[code.as_str()])
                     .inc();
-                ("refused", code.as_str().to_owned(), run, LineKind::Failed)
+                (
+                    "refused",
+                    format!("{}: {cause}", code.as_str()),
+                    run,
+                    LineKind::Failed,
+                )
             }
             CallOutcome::BrokenOff { cause } => {
                 ("broken_off", cause.to_owned(), RunVerdict::Ran, LineKind::Failed)
