Count the grace time of lapsed targets from the end of the outage

Ruled out: slow feeds (the other gateways removed it within 100 ms). Change: lapsed targets go 1.9 s after the end of the outage, checked every 100 ms.

--- a/crates/ebony_dispatch/src/board.rs
+++ b/crates/ebony_dispatch/src/board.rs
@@ -74,8 +74,8 @@
     pub fault: TargetFault,
     /// Prompt parts that it is expected to hold.
     pub cache: PromptCache,
-    /// When the platform's list lost the target; `None` while it is listed.
-    pub lapsed_at: Option<ClockTime>,
+    /// Until when a target that the platform's list lost may come back; `None` while it is listed.
+    pub lapses_at: Option<ClockTime>,
 }
 
 #[derive(Clone, Debug)]
@@ -128,7 +128,7 @@
                 load: TargetLoad::default(),
                 fault: TargetFault::default(),
                 cache: PromptCache::default(),
-                lapsed_at: None,
+                lapses_at: None,
             });
             self.names.insert(name, key);
             return TargetChange::Added(key);
@@ -137,7 +137,7 @@
         let was_ready = target.record.phase == TargetPhase::Ready;
         let is_draining = record.phase == TargetPhase::Draining;
         target.record = record;
-        target.lapsed_at = None;
+        target.lapses_at = None;
         if was_ready && is_draining {
             TargetChange::Draining(key)
         } else {
@@ -152,22 +152,19 @@
         Some(key)
     }
 
-    /// Notes that the list lost a target while the platform was away, so that it may come back.
-    pub fn lapse(&mut self, name: &TargetName, now: ClockTime) {
-        if let Some(target) = self.names.get(name).and_then(|key| self.targets.get_mut(*key)) {
-            target.lapsed_at.get_or_insert(now);
+    /// Notes that the list lost a target, which may come back until a time.
+    pub fn lapse(&mut self, name: &TargetName, until: ClockTime) {
+        let key = self.names.get(name);
+        if let Some(target) = key.and_then(|key| self.targets.get_mut(*key)) {
+            target.lapses_at.get_or_insert(until);
         }
     }
 
-    /// Removes targets that lapsed longer than `grace` ago, and returns their names.
-    pub fn remove_lapsed(&mut self, grace: Duration, now: ClockTime) -> Vec<TargetName> {
-        let is_over = |target: &TargetEntry| target.lapsed_at.is_some_and(|at| now.since(at) >= grace);
-        let names: Vec<TargetName> = self
-            .targets
-            .values()
-            .filter(|target| is_over(target))
-            .map(|target| target.record.name.clone())
-            .collect();
+    /// Removes targets that did not come back in time, and returns their names.
+    pub fn remove_lapsed(&mut self, now: ClockTime) -> Vec<TargetName> {
+        let is_over = |target: &TargetEntry| target.lapses_at.is_some_and(|until| now >= until);
+        let over = self.targets.values().filter(|target| is_over(target));
+        let names: Vec<TargetName> = over.map(|target| target.record.name.clone()).collect();
         for name in &names {
             self.remove(name);
         }
--- a/crates/ebony_dispatch/tests/placement.rs
+++ b/crates/ebony_dispatch/tests/placement.rs
@@ -255,14 +255,13 @@
 fn lapsed_targets_are_kept_for_the_grace_time() {
     let mut entry = Entry::open(2, PlacementRule::EstimatedDelay);
     let name = TargetName::parse("engine-0").expect("a name");
-    let grace = Duration::from_secs(2);
-    entry.board.lapse(&name, NOW);
-    assert!(entry.board.remove_lapsed(grace, NOW + grace / 2).is_empty());
+    let until = NOW + Duration::from_secs(2);
+    entry.board.lapse(&name, until);
+    // A second loss does not prolong the time.
+    entry.board.lapse(&name, until + Duration::from_secs(2));
+    assert!(entry.board.remove_lapsed(NOW + Duration::from_secs(1)).is_empty());
     entry.board.apply(record(0, "a"));
-    assert!(
-        entry.board.remove_lapsed(grace, NOW + grace).is_empty(),
-        "it came back"
-    );
-    entry.board.lapse(&name, NOW);
-    assert_eq!(entry.board.remove_lapsed(grace, NOW + grace), [name]);
+    assert!(entry.board.remove_lapsed(until).is_empty(), "it came back");
+    entry.board.lapse(&name, until);
+    assert_eq!(entry.board.remove_lapsed(until), [name]);
 }
--- a/crates/ebony_gateway/src/watch.rs
+++ b/crates/ebony_gateway/src/watch.rs
@@ -27,9 +27,12 @@
 /// The pause before the store is asked again after a failure.
 const FAILURE_PAUSE: Duration = Duration::from_millis(150);
 
-/// How long an entry that lapsed while the store was away may take to come back: two seconds, and the pause between
-/// two reads.
-const LAPSE_GRACE: Duration = Duration::from_millis(2_200);
+/// How long after an outage of the store an entry that lapsed may come back. Targets list themselves again within two
+/// seconds; the rest is the pause of [`tidy`].
+const LAPSE_GRACE: Duration = Duration::from_millis(1_900);
+
+/// The pause between two rounds of [`tidy`].
+const TIDY_PAUSE: Duration = Duration::from_millis(100);
 
 /// The result of reading the store.
 type Result<T, E = PlatformError> = std::result::Result<T, E>;
@@ -271,31 +274,29 @@
         }
     }
 
-    /// Removes a target; shortly after an outage of the store, gives it time to come back.
+    /// Removes a target; shortly after an outage of the store, gives it the rest of the grace time to come back.
     fn lose(&self, name: &TargetName) {
         let now = self.gateway.clock.now();
         let mut board = self.gateway.board.borrow_mut();
-        let was_away = self
-            .store_back
-            .get()
-            .is_some_and(|back| now.since(back) < LAPSE_GRACE);
-        if was_away {
-            info!(self.gateway.logger, "target lapsed"; "target" => name.as_str());
-            board.lapse(name, now);
-        } else if board.remove(name).is_some() {
-            info!(self.gateway.logger, "target removed"; "target" => name.as_str());
+        match self.store_back.get().map(|back| back + LAPSE_GRACE) {
+            Some(until) if now < until => {
+                info!(self.gateway.logger, "target lapsed"; "target" => name.as_str());
+                board.lapse(name, until);
+            }
+            _ if board.remove(name).is_some() => {
+                info!(self.gateway.logger, "target removed"; "target" => name.as_str());
+            }
+            _ => {}
         }
     }
 }
 
 /// Removes targets that lapsed and did not come back, and drops what is no longer used.
 pub(crate) async fn tidy(gateway: Rc<Gateway>) {
-    /// The pause between two rounds.
-    const PAUSE: Duration = Duration::from_millis(250);
     loop {
-        sleep(PAUSE).await;
+        sleep(TIDY_PAUSE).await;
         let now = gateway.clock.now();
-        let removed = gateway.board.borrow_mut().remove_lapsed(LAPSE_GRACE, now);
+        let removed = gateway.board.borrow_mut().remove_lapsed(now);
         for name in removed {
             info!(gateway.logger, "target removed"; "target" => name.as_str());
         }
