Remove rows of ended programs and departed gateways

Cause: nothing ever removed a row of the table of accounts, nor the row of a gateway that left for good. At 100 bytes a program and 27 programs a second the store's 400 MB would be full after about 40 hours, and every write would be refused from then on.

Change: versions of the store rise with every write, so that a row's version tells its age. Gateways renew their own row, and register again at once if it goes. A row that an entry knew and that is gone does not open a new budget.

--- a/crates/ebony_gateway/src/accounts.rs
+++ b/crates/ebony_gateway/src/accounts.rs
@@ -258,13 +258,15 @@
     ) -> Result<CoverOutcome, PlatformError> {
         let key = row_key(&want.program);
         let mut known = account.and_then(|account| self.rows.borrow().get(account).copied());
+        let last_known = known.map(|row| row.record);
         for attempt in 0..MOST_CONFLICTS {
             if attempt > 0 {
                 known = self.read(&key).await?;
             }
             let mut record = match known {
                 Some(row) => row.record,
-                None => AccountRecord::open_behind(want.budget, want.unseen),
+                // A row that was known and is gone was removed for its age. Its program is not new.
+                None => last_known.unwrap_or(AccountRecord::open_behind(want.budget, want.unseen)),
             };
             record.record_debt(want.debt);
             let tokens = record.grant(want.tokens);
@@ -319,7 +321,16 @@
 
 fn row_key(program: &ProgramName) -> RowKey {
     let part = rendezvous_weight(program.as_str(), TABLE) % PARTS;
-    RowKey(format!("{TABLE}/{part:02}/{program}"))
+    RowKey(format!("{}{program}", part_prefix(part)))
+}
+
+fn part_prefix(part: u64) -> String {
+    format!("{TABLE}/{part:02}/")
+}
+
+/// Returns what the keys of each part start with.
+pub(crate) fn part_prefixes() -> impl Iterator<Item = String> {
+    (0..PARTS).map(part_prefix)
 }
 
 /// Why a turn is not covered.
--- a/crates/ebony_gateway/src/fleet.rs
+++ b/crates/ebony_gateway/src/fleet.rs
@@ -18,7 +18,8 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use slog::{Logger, info, warn};
-use tokio::time::sleep;
+use tokio::sync::Notify;
+use tokio::time::{sleep, timeout};
 
 /// The table of the store.
 pub(crate) const TABLE: &str = "fleet";
@@ -37,6 +38,9 @@
 /// The result of a request to the store.
 type Result<T, E = PlatformError> = std::result::Result<T, E>;
 
+/// Renewals of a gateway's row in the time after which rows are removed. Several may fail before the row goes.
+const RENEWALS: u32 = 6;
+
 /// Which gateway owns a program.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum ProgramOwner {
@@ -56,6 +60,10 @@
     /// Link addresses of all registered gateways, this one among them.
     entries: RefCell<BTreeMap<String, SocketAddr>>,
     cluster_key: RefCell<Option<ClusterKey>>,
+    /// Rows that nothing has written for this long are removed.
+    retention: Duration,
+    /// Notified when the row of this gateway was removed.
+    own_row_lost: Notify,
     logger: Logger,
 }
 
@@ -64,6 +72,7 @@
         store: Rc<dyn TableService>,
         process: String,
         link: SocketAddr,
+        retention: Duration,
         logger: Logger,
     ) -> Rc<Self> {
         Rc::new(Self {
@@ -72,17 +81,24 @@
             link,
             entries: RefCell::default(),
             cluster_key: RefCell::default(),
+            retention,
+            own_row_lost: Notify::new(),
             logger,
         })
     }
 
-    /// Registers this gateway, and tries until it is registered.
-    pub(crate) async fn register(self: Rc<Self>) {
-        while let Err(error) = self.try_register().await {
-            warn!(self.logger, "the gateway is not registered yet"; "error" => %error);
-            sleep(RETRY_PAUSE).await;
+    /// Registers this gateway, tries until it is registered, and renews its row.
+    pub(crate) async fn keep_registered(self: Rc<Self>) {
+        loop {
+            let row_lost = self.own_row_lost.notified();
+            while let Err(error) = self.try_register().await {
+                warn!(self.logger, "the gateway is not registered yet"; "error" => %error);
+                sleep(RETRY_PAUSE).await;
+            }
+            info!(self.logger, "the gateway is registered"; "link" => %self.link);
+            // The row is written again when it is due, or at once if it was removed.
+            timeout(self.retention / RENEWALS, row_lost).await.ok();
         }
-        info!(self.logger, "the gateway is registered"; "link" => %self.link);
     }
 
     /// Writes the row of this gateway, and a key for links unless there is one.
@@ -95,7 +111,6 @@
         let address = Bytes::from(self.link.to_string());
         let nonce = WriteNonce(source.random());
         match self.store.read(&row).await? {
-            Some(known) if known.value == address => Ok(()),
             Some(known) => replace_resolved(&*self.store, &row, known.version, address, nonce)
                 .await
                 .map(drop),
@@ -124,23 +139,35 @@
 
     /// Returns the owner of a program: the same at every gateway, whether the owner is alive or not.
     pub(crate) fn owner(&self, program: &ProgramName) -> ProgramOwner {
-        let entries = self.entries.borrow();
-        if !entries.contains_key(&self.process) {
+        self.owner_of(program.as_str())
+    }
+
+    /// Returns the gateway with the highest weight for a name.
+    pub(crate) fn owner_of(&self, item: &str) -> ProgramOwner {
+        if !self.is_listed() {
             return ProgramOwner::Unknown;
         }
-        let owner = entries
-            .keys()
-            .max_by_key(|name| rendezvous_weight(program.as_str(), name));
+        let entries = self.entries.borrow();
+        let owner = entries.keys().max_by_key(|name| rendezvous_weight(item, name));
         match owner {
             Some(owner) if *owner != self.process => ProgramOwner::Peer(owner.clone()),
             _ => ProgramOwner::Own,
         }
     }
 
+    /// Returns whether the list of gateways has this one.
+    fn is_listed(&self) -> bool {
+        self.entries.borrow().contains_key(&self.process)
+    }
+
     /// Takes over all rows of the table.
     pub(crate) fn replace(&self, rows: &[FeedRow]) {
+        let was_listed = self.is_listed();
         self.entries.borrow_mut().clear();
         self.apply(rows);
+        if was_listed && !self.is_listed() {
+            self.own_row_lost.notify_one();
+        }
     }
 
     /// Takes over rows that changed.
@@ -163,7 +190,10 @@
             }
             Some(Err(_)) => warn!(self.logger, "the row of a gateway cannot be read"; "gateway" => name),
             None => {
-                self.entries.borrow_mut().remove(name);
+                let is_known = self.entries.borrow_mut().remove(name).is_some();
+                if is_known && name == self.process {
+                    self.own_row_lost.notify_one();
+                }
             }
         }
     }
@@ -177,6 +207,11 @@
     }
 }
 
+/// Returns what the keys of all gateways' rows start with.
+pub(crate) fn entry_prefix() -> String {
+    row_key(ENTRY_PREFIX).0
+}
+
 fn row_key(name: &str) -> RowKey {
     RowKey(format!("{TABLE}//{name}"))
 }
--- a/crates/ebony_gateway/src/gateway.rs
+++ b/crates/ebony_gateway/src/gateway.rs
@@ -6,7 +6,7 @@
 
 use ebony_dialect::{CallDialect, RecordDialect};
 use ebony_dispatch::{DispatchOptions, PlacementRule, TargetBoard};
-use ebony_platform::{RowFeed, TableService};
+use ebony_platform::{RowFeed, TableService, VersionHistory};
 use ebony_routing::RoutingTable;
 use ebony_settings::{GatewayPolicy, GatewaySettings};
 use ebony_telemetry::{BootClock, HealthState, MetricsRegistry};
@@ -61,6 +61,9 @@
     pub(crate) links: Rc<PeerLinks>,
     pub(crate) accounts: Rc<AccountDesk>,
     pub(crate) client: Rc<TargetClient>,
+    /// Rows that nothing has written for this long are removed.
+    pub(crate) retention: Duration,
+    pub(crate) versions: RefCell<VersionHistory>,
     pub(crate) health: HealthState,
     pub(crate) is_draining: Cell<bool>,
     /// Whether new calls are refused, because their answers might not end before the process does.
@@ -87,6 +90,7 @@
             Rc::clone(&table),
             settings.process.clone(),
             settings.links.listen,
+            settings.store.retention,
             logger.clone(),
         );
         let links = PeerLinks::open(Rc::clone(&fleet), logger.clone());
@@ -104,6 +108,8 @@
             board: RefCell::default(),
             has_targets: Cell::default(),
             client,
+            retention: settings.store.retention,
+            versions: RefCell::new(VersionHistory::open(settings.store.retention)),
             health,
             is_draining: Cell::default(),
             is_closing: Cell::default(),
--- a/crates/ebony_gateway/src/lib.rs
+++ b/crates/ebony_gateway/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod process;
 pub mod refusal;
 pub mod story;
+pub mod sweeper;
 pub mod watch;
 
 /// Re-exports the process and what it needs.
--- a/crates/ebony_gateway/src/process.rs
+++ b/crates/ebony_gateway/src/process.rs
@@ -13,7 +13,7 @@
 use crate::gateway::{Gateway, GatewayDialect, GatewayStore, dispatch_options};
 use crate::links;
 use crate::listener::{BoundPort, CallerListener};
-use crate::watch;
+use crate::{sweeper, watch};
 
 /// How long a draining gateway goes on taking calls: the balancer asks each second and needs two misses to turn new
 /// callers away.
@@ -101,10 +101,11 @@
         tokio::task::spawn_local(watch::watch_routing(Rc::clone(&gateway)));
         tokio::task::spawn_local(watch::watch_targets(Rc::clone(&gateway)));
         tokio::task::spawn_local(watch::watch_fleet(Rc::clone(&gateway)));
-        tokio::task::spawn_local(Rc::clone(&gateway.fleet).register());
+        tokio::task::spawn_local(Rc::clone(&gateway.fleet).keep_registered());
         tokio::task::spawn_local(links::serve(Rc::clone(&gateway), self.link));
         tokio::task::spawn_local(Rc::clone(&gateway.links).keep_dialed());
         tokio::task::spawn_local(watch::tidy(Rc::clone(&gateway)));
+        tokio::task::spawn_local(sweeper::sweep(Rc::clone(&gateway)));
         let listener = self.port.serve(Rc::clone(&gateway)).await?;
         Ok(ServingGateway {
             gateway,
--- a/crates/ebony_gateway/src/watch.rs
+++ b/crates/ebony_gateway/src/watch.rs
@@ -79,6 +79,10 @@
             match self.read().await {
                 Ok(page) => {
                     self.record_answer();
+                    self.gateway
+                        .versions
+                        .borrow_mut()
+                        .record(self.last_answer, page.version);
                     self.cursor = Some(page.version);
                     if is_snapshot {
                         return TableNews::Snapshot(page.rows);
--- a/crates/ebony_platform/src/lib.rs
+++ b/crates/ebony_platform/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod protocol;
 pub mod service;
 pub mod table;
+pub mod version_history;
 pub mod weight_store;
 
 /// Re-exports the traits and their messages.
@@ -29,6 +30,7 @@
     pub use crate::object_store::ObjectStore;
     pub use crate::service::{ServiceAnswer, ServiceCall, ServiceTarget};
     pub use crate::table::{RowKey, RowRecord, RowVersion, TableService, WriteNonce};
+    pub use crate::version_history::VersionHistory;
     pub use crate::weight_store::WeightStore;
 }
 
--- a/crates/ebony_platform/src/table.rs
+++ b/crates/ebony_platform/src/table.rs
@@ -67,6 +67,14 @@
     /// Deletes a row whose version matches.
     async fn delete(&self, key: &RowKey, version: RowVersion) -> Result<()>;
 
+    /// Deletes rows whose versions match. Where the service offers it, all of them go or none.
+    async fn delete_all(&self, rows: &[(RowKey, RowVersion)]) -> Result<()> {
+        for (key, version) in rows {
+            self.delete(key, *version).await?;
+        }
+        Ok(())
+    }
+
     /// Lists up to `limit` rows with the prefix in key order, behind the key `after`.
     async fn list(&self, prefix: &str, after: Option<&RowKey>, limit: u32) -> Result<Vec<RowRecord>>;
 }
--- /dev/null
+++ b/crates/ebony_platform/tests/version_history.rs
@@ -0,0 +1,49 @@
+//! Ages of versions: no version counts as settled before its time, and the history stays small.
+
+use std::time::Duration;
+
+use arbtest::arbtest;
+use ebony_platform::{RowVersion, VersionHistory};
+use ebony_types::ClockTime;
+
+const RETENTION: Duration = Duration::from_secs(100);
+
+#[test]
+fn a_settled_version_was_seen_at_least_the_retention_time_ago() {
+    arbtest(|source| {
+        let mut history = VersionHistory::open(RETENTION);
+        let mut seen: Vec<(ClockTime, u64)> = Vec::new();
+        let mut now = ClockTime::default();
+        for _ in 0..64 {
+            now = now + Duration::from_millis(source.int_in_range(0..=20_000)?);
+            // Feeds of several tables may tell of versions out of order.
+            let version = source.int_in_range(0..=1_000)?;
+            history.record(now, RowVersion(version));
+            seen.push((now, version));
+            let Some(settled) = history.settled(now) else {
+                continue;
+            };
+            let is_old = |(time, version): &(ClockTime, u64)| {
+                now.since(*time) >= RETENTION && RowVersion(*version) >= settled
+            };
+            assert!(seen.iter().any(is_old), "{settled:?} is not settled at {now:?}");
+        }
+        Ok(())
+    });
+}
+
+#[test]
+fn versions_settle_soon_after_the_retention_time() {
+    let mut history = VersionHistory::open(RETENTION);
+    let mut now = ClockTime::default();
+    for second in 0..1_000 {
+        now = ClockTime::default() + Duration::from_secs(second);
+        history.record(now, RowVersion(second));
+    }
+    let settled = history.settled(now).expect("the retention time has passed");
+    let newest = 999 - RETENTION.as_secs();
+    assert!(
+        (newest - RETENTION.as_secs() / 8..=newest).contains(&settled.0),
+        "{settled:?}"
+    );
+}
--- a/crates/ebony_settings/src/gateway_settings.rs
+++ b/crates/ebony_settings/src/gateway_settings.rs
@@ -73,6 +73,8 @@
     pub url: BaseUrl,
     /// The longest wait for a reply.
     pub timeout: Duration,
+    /// Rows of programs and gateways that nothing has written for this long are removed.
+    pub retention: Duration,
 }
 
 /// Limits on connections to targets.
--- a/crates/ebony_settings/src/schema/gateway_keys.rs
+++ b/crates/ebony_settings/src/schema/gateway_keys.rs
@@ -1,6 +1,6 @@
 //! The keys of a gateway's settings file.
 
-use super::keys::{LOG, METRICS, MINUTE, REQUEST_TIMEOUT, SECOND, count, duration, listener};
+use super::keys::{HOUR, LOG, METRICS, MINUTE, REQUEST_TIMEOUT, SECOND, count, duration, listener};
 use super::{AddressUse, KeySpec, SectionSpec, ValueKind};
 
 /// The whole file.
@@ -98,6 +98,13 @@
             REQUEST_TIMEOUT,
             "The longest wait for a reply, besides the time that the store is asked to wait for changes.",
         ),
+        // Programs take seconds to minutes, and a stopped one may come back within a minute or so.
+        KeySpec::defaults_to(
+            "1h",
+            "retention",
+            duration(10 * MINUTE, 24 * HOUR),
+            "Rows of programs and gateways that nothing has written for this long are removed.",
+        ),
     ],
 };
 
