Cover turns of spent and unknown programs before they are sent

Cause: a gateway that borrows cover knew nothing of what the owner had left, and a started one knows nothing at all, so that turns of looping programs went to engines while their cover was asked for, and were answered 502 once the budget was found spent.

Change: the owner says with each loan what it has left; a turn of a program with earlier turns of which nothing is known is covered first.

--- a/crates/ebony_account/src/book.rs
+++ b/crates/ebony_account/src/book.rs
@@ -57,6 +57,16 @@
     }
 }
 
+/// Cover that the owner of a program lends to another entry for one turn.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct LentCover {
+    /// The tokens that the other entry may hand on.
+    pub tokens: u64,
+    /// The tokens that the owner has left for other turns, as far as it knows.
+    pub left: Option<u64>,
+}
+
 /// A request to the store.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -130,13 +140,20 @@
         self.accounts.contains_key(key)
     }
 
-    /// Returns whether little is left of the program's budget, so that a turn is better covered before it is sent.
+    /// Returns whether a turn is better covered before it is sent: little is left of the program's budget, or nothing is
+    /// known of a program that had earlier turns.
+    ///
+    /// Answers loads of programs that loop until they are stopped. Each turn that begins before its budget is found spent
+    /// costs a target the reading of a long prompt.
     pub fn is_scarce(&self, key: AccountKey) -> bool {
         let Some(account) = self.accounts.get(key) else {
             return false;
         };
         let scarce = account.turn_tokens * self.options.scarce_turns;
-        account.left().is_some_and(|left| left < scarce)
+        match account.left().or(account.lent_left) {
+            Some(left) => left < scarce,
+            None => !account.is_witnessed,
+        }
     }
 
     /// Opens the account of a turn.
@@ -221,14 +238,18 @@
         stop_waiting(account, turn);
     }
 
-    /// Gives the cover of a turn to another entry, which will hand on the tokens. Returns how many.
-    pub fn hand_over(&mut self, turn: &mut TurnCover) -> u64 {
+    /// Gives the cover of a turn to another entry, which will hand on the tokens.
+    pub fn hand_over(&mut self, turn: &mut TurnCover) -> LentCover {
         let tokens = std::mem::take(&mut turn.reserved);
-        if let Some(account) = self.accounts.get_mut(turn.account) {
-            account.reserved -= tokens;
-            account.spent += tokens;
+        let Some(account) = self.accounts.get_mut(turn.account) else {
+            return LentCover { tokens, left: None };
+        };
+        account.reserved -= tokens;
+        account.spent += tokens;
+        LentCover {
+            tokens,
+            left: account.left().map(|left| left + account.free()),
         }
-        tokens
     }
 
     /// Notes that another entry, the owner of the program, found the budget spent.
@@ -264,9 +285,10 @@
     }
 
     /// Adds cover that the owner of the program gave.
-    pub fn add_cover(&mut self, key: AccountKey, tokens: u64) {
+    pub fn add_cover(&mut self, key: AccountKey, cover: LentCover) {
         if let Some(account) = self.accounts.get_mut(key) {
-            account.covered += tokens;
+            account.covered += cover.tokens;
+            account.lent_left = cover.left;
             account.is_witnessed = false;
         }
     }
--- a/crates/ebony_account/src/lib.rs
+++ b/crates/ebony_account/src/lib.rs
@@ -20,7 +20,9 @@
 /// Re-exports the book and the record.
 pub mod prelude {
     pub use crate::allowance::ProgramAllowance;
-    pub use crate::book::{AccountBook, AccountKey, CoverWant, TurnCover, TurnOpening, TurnRequest};
+    pub use crate::book::{
+        AccountBook, AccountKey, CoverWant, LentCover, TurnCover, TurnOpening, TurnRequest,
+    };
     pub use crate::options::AccountOptions;
     pub use crate::program_account::{CoverOutcome, SecureOutcome, SpendOutcome};
     pub use crate::record::{AccountRecord, RecordError};
--- a/crates/ebony_gateway/src/accounts.rs
+++ b/crates/ebony_gateway/src/accounts.rs
@@ -124,9 +124,10 @@
         }
         match open.secure_as_owner().await {
             Ok(()) => {
-                let tokens = self.book.borrow_mut().hand_over(&mut open.cover.borrow_mut());
-                info!(self.logger, "tokens lent"; "program" => turn.program.as_str(), "tokens" => tokens);
-                Lending::Lent { tokens }
+                let cover = self.book.borrow_mut().hand_over(&mut open.cover.borrow_mut());
+                info!(self.logger, "tokens lent";
+                    "program" => turn.program.as_str(), "tokens" => cover.tokens, "left" => cover.left);
+                Lending::Lent(cover)
             }
             Err(CoverError::Spent) => Lending::Exhausted,
             Err(CoverError::StoreAway) => Lending::StoreAway,
@@ -388,8 +389,8 @@
             SecureOutcome::Waiting => {}
         }
         match self.desk.links.lend(&owner, &self.turn).await {
-            Some(Lending::Lent { tokens }) => {
-                self.desk.book.borrow_mut().add_cover(self.account(), tokens);
+            Some(Lending::Lent(cover)) => {
+                self.desk.book.borrow_mut().add_cover(self.account(), cover);
                 // What the owner lends for a turn covers at least its ordinary length.
                 self.desk
                     .book
--- a/crates/ebony_gateway/src/links.rs
+++ b/crates/ebony_gateway/src/links.rs
@@ -9,7 +9,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use ebony_account::{CoverOutcome, CoverWant, TurnRequest};
+use ebony_account::{CoverOutcome, CoverWant, LentCover, TurnRequest};
 use ebony_link::{LinkIdentity, LinkListener, LinkOptions, LinkReceiver, LinkSender, OpenLink, dial};
 use ebony_types::{ProcessIncarnation, ProgramName};
 use ebony_wire::{ClusterKey, LinkRole};
@@ -77,10 +77,7 @@
 #[derive(Serialize, Deserialize)]
 pub enum Lending {
     /// The asking gateway may hand on these tokens.
-    Lent {
-        /// The tokens.
-        tokens: u64,
-    },
+    Lent(LentCover),
     /// The budget does not hold the turn.
     Exhausted,
     /// The store does not answer, and the allowance is used up.
