Have another gateway cover programs whose owner is gone

Ruled out: removing the row sooner (each restart would move the ownership of programs twice); heartbeats in the store (195 writes a second at 390 hosts).

Change: a gateway that has had no link to the owner for 1 s turns to the registered gateway with the next weight, which asks for blocks and lends from them, but hands on nothing unrecorded. Lists may disagree: grants are conditional writes whoever asks.

--- a/crates/ebony_gateway/src/accounts.rs
+++ b/crates/ebony_gateway/src/accounts.rs
@@ -21,7 +21,7 @@
 use tokio::sync::Notify;
 use tokio::time::{sleep, timeout};
 
-use crate::fleet::{FleetView, ProgramOwner};
+use crate::fleet::{CoverHolder, FleetView};
 use crate::gateway::GatewayClock;
 use crate::links::{Lending, PeerLinks};
 use crate::open_turn::{CoverError, OpenTurn};
@@ -118,15 +118,12 @@
         }
     }
 
-    /// Covers a turn of another entry, as the owner of its program. Returns the tokens that the entry may hand on.
+    /// Covers a turn of another entry, as the owner of its program or in the owner's place.
     pub(crate) async fn lend(self: &Rc<Self>, turn: &TurnRequest) -> Lending {
         let Ok(open) = self.open_turn(turn) else {
             return Lending::StoreAway;
         };
-        if self.fleet.owner(&turn.program) != ProgramOwner::Own {
-            return Lending::StoreAway;
-        }
-        match open.secure_shortly().await {
+        match open.secure_for_peer().await {
             Ok(()) => {
                 let cover = open.hand_over();
                 info!(self.logger, "tokens lent";
@@ -135,7 +132,8 @@
             }
             Err(CoverError::Spent) => Lending::Exhausted,
             Err(CoverError::StoreSlow) => Lending::StoreSlow,
-            Err(CoverError::StoreAway | CoverError::OwnerAway) => Lending::StoreAway,
+            Err(CoverError::StoreAway) => Lending::StoreAway,
+            Err(CoverError::OwnerAway) => Lending::OwnerAway,
         }
     }
 
@@ -184,10 +182,12 @@
     }
 
     pub(crate) fn ask_if_due(self: &Rc<Self>, account: AccountKey, program: &ProgramName) {
-        let asker = match self.fleet.owner(program) {
-            ProgramOwner::Own if self.reaches_store() || self.links.reaches_store() => CoverAsker::Owner,
-            ProgramOwner::Own => CoverAsker::OwnerWithoutStore,
-            ProgramOwner::Peer(_) | ProgramOwner::Unknown => CoverAsker::Borrower,
+        let asker = match self.holder(program) {
+            CoverHolder::Own if !self.reaches_store() && !self.links.reaches_store() => {
+                CoverAsker::OwnerWithoutStore
+            }
+            CoverHolder::Own | CoverHolder::Deputy => CoverAsker::Owner,
+            CoverHolder::Peer(_) | CoverHolder::Unknown => CoverAsker::Borrower,
         };
         let want = self.book.borrow_mut().cover_wanted(account, asker);
         if let Some(want) = want {
@@ -282,6 +282,11 @@
         }
     }
 
+    /// Returns the gateway that covers the turns of a program.
+    pub(crate) fn holder(&self, program: &ProgramName) -> CoverHolder {
+        self.fleet.holder(program, |peer| self.links.is_gone(peer))
+    }
+
     /// Gives back cover that no turn needs to the owners of the programs, as far as they are linked.
     pub(crate) fn return_idle(&self) {
         let idle = self.book.borrow().idle_programs();
@@ -292,15 +297,15 @@
 
     /// Gives back cover of a program that no turn needs, if its owner is linked. Otherwise later turns use it.
     pub(crate) fn give_back(&self, account: AccountKey, program: &ProgramName) {
-        let ProgramOwner::Peer(owner) = self.fleet.owner(program) else {
+        let CoverHolder::Peer(holder) = self.holder(program) else {
             return;
         };
-        if !self.links.is_linked(&owner) {
+        if !self.links.is_linked(&holder) {
             return;
         }
         let tokens = self.book.borrow_mut().take_free(account);
         if tokens > 0 {
-            self.links.give_back(&owner, program, tokens);
+            self.links.give_back(&holder, program, tokens);
         }
     }
 
--- a/crates/ebony_gateway/src/fleet.rs
+++ b/crates/ebony_gateway/src/fleet.rs
@@ -41,11 +41,14 @@
 /// Renewals of a gateway's row in the time after which rows are removed. Several may fail before the row goes.
 const RENEWALS: u32 = 6;
 
-/// Which gateway owns a program.
+/// Which gateway covers the turns of a program.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub(crate) enum ProgramOwner {
-    /// This one.
+pub(crate) enum CoverHolder {
+    /// This one, as the owner of the program.
     Own,
+    /// This one, in place of the owner, which has been out of reach for some time. It hands on nothing that is not recorded,
+    /// because the owner may do so.
+    Deputy,
     /// Another one.
     Peer(String),
     /// The list of gateways is not known yet, or lacks this one.
@@ -140,24 +143,34 @@
         others.map(|(name, address)| (name.clone(), *address)).collect()
     }
 
-    /// Returns the owner of a program: the same at every gateway, whether the owner is alive or not.
-    pub(crate) fn owner(&self, program: &ProgramName) -> ProgramOwner {
-        self.owner_of(program.as_str())
+    /// Returns whether this gateway has the highest weight for a name. The same one has it at every gateway, whether it is
+    /// alive or not.
+    pub(crate) fn owns(&self, item: &str) -> bool {
+        self.is_listed() && self.heaviest(item, |_| true).as_deref() == Some(&self.process)
     }
 
-    /// Returns the gateway with the highest weight for a name.
-    pub(crate) fn owner_of(&self, item: &str) -> ProgramOwner {
+    /// Returns the gateway that covers the turns of a program: its owner, or the next one that is not gone.
+    pub(crate) fn holder(&self, program: &ProgramName, is_gone: impl Fn(&str) -> bool) -> CoverHolder {
         if !self.is_listed() {
-            return ProgramOwner::Unknown;
+            return CoverHolder::Unknown;
         }
-        let entries = self.entries.borrow();
-        let owner = entries.keys().max_by_key(|name| rendezvous_weight(item, name));
-        match owner {
-            Some(owner) if *owner != self.process => ProgramOwner::Peer(owner.clone()),
-            _ => ProgramOwner::Own,
+        let is_candidate = |name: &str| name == self.process || !is_gone(name);
+        match self.heaviest(program.as_str(), is_candidate) {
+            Some(holder) if holder != self.process => CoverHolder::Peer(holder),
+            _ if self.owns(program.as_str()) => CoverHolder::Own,
+            _ => CoverHolder::Deputy,
         }
     }
 
+    /// Returns the candidate with the highest weight for a name.
+    fn heaviest(&self, item: &str, is_candidate: impl Fn(&str) -> bool) -> Option<String> {
+        let entries = self.entries.borrow();
+        let candidates = entries.keys().filter(|name| is_candidate(name));
+        candidates
+            .max_by_key(|name| rendezvous_weight(item, name))
+            .cloned()
+    }
+
     /// Returns whether the list of gateways has this one.
     fn is_listed(&self) -> bool {
         self.entries.borrow().contains_key(&self.process)
--- a/crates/ebony_gateway/src/gateway.rs
+++ b/crates/ebony_gateway/src/gateway.rs
@@ -93,7 +93,7 @@
             settings.store.retention,
             logger.clone(),
         );
-        let links = PeerLinks::open(Rc::clone(&fleet), logger.clone());
+        let links = PeerLinks::open(Rc::clone(&fleet), clock, logger.clone());
         let client = TargetClient::open(settings.targets, metrics.connections.clone());
         Ok(Rc::new(Self {
             dialect,
--- a/crates/ebony_gateway/src/links.rs
+++ b/crates/ebony_gateway/src/links.rs
@@ -11,7 +11,7 @@
 
 use ebony_account::{CoverOutcome, CoverWant, LentCover, TurnRequest};
 use ebony_link::{LinkIdentity, LinkListener, LinkOptions, LinkReceiver, LinkSender, OpenLink, dial};
-use ebony_types::{ProcessIncarnation, ProgramName};
+use ebony_types::{ClockTime, ProcessIncarnation, ProgramName};
 use ebony_wire::{ClusterKey, LinkRole};
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -21,7 +21,7 @@
 use tokio::time::{interval, sleep, timeout};
 
 use crate::fleet::FleetView;
-use crate::gateway::Gateway;
+use crate::gateway::{Gateway, GatewayClock};
 
 /// The time between two pings. A link without a frame for three times as long is closed.
 const PING_INTERVAL: Duration = Duration::from_secs(1);
@@ -32,6 +32,9 @@
 /// The longest pause before a lost link is dialed again, and between two looks at the list of gateways.
 const DIAL_PAUSE: Duration = Duration::from_millis(500);
 
+/// A gateway without a link for this long is taken to be gone for now. A process that was killed listens again sooner.
+const GONE_AFTER: Duration = Duration::from_secs(1);
+
 /// The longest wait for an answer: the other gateway's own wait for the store, and the way.
 const REPLY_TIMEOUT: Duration = Duration::from_millis(120);
 
@@ -87,6 +90,8 @@
     StoreSlow,
     /// The store does not answer, and the allowance is used up.
     StoreAway,
+    /// Nothing is left to grant, and the answering gateway acts in place of the owner, which may hold tokens.
+    OwnerAway,
 }
 
 /// What a gateway answers.
@@ -130,6 +135,9 @@
     links: RefCell<HashMap<String, DialedLink>>,
     /// Gateways that a task dials or holds a link to.
     dialed: RefCell<HashMap<String, SocketAddr>>,
+    /// Since when registered gateways have had no link.
+    unlinked_since: RefCell<HashMap<String, ClockTime>>,
+    clock: GatewayClock,
     next_number: Cell<u64>,
     has_opened: Cell<bool>,
     incarnation: ProcessIncarnation,
@@ -137,11 +145,13 @@
 }
 
 impl PeerLinks {
-    pub(crate) fn open(fleet: Rc<FleetView>, logger: Logger) -> Rc<Self> {
+    pub(crate) fn open(fleet: Rc<FleetView>, clock: GatewayClock, logger: Logger) -> Rc<Self> {
         Rc::new(Self {
             fleet,
             links: RefCell::default(),
             dialed: RefCell::default(),
+            unlinked_since: RefCell::default(),
+            clock,
             next_number: Cell::default(),
             has_opened: Cell::default(),
             incarnation: ProcessIncarnation::random(&mut StdRng::from_os_rng()),
@@ -170,6 +180,12 @@
         self.links.borrow().contains_key(peer)
     }
 
+    /// Returns whether a registered gateway has had no link for so long that others act in its place.
+    pub(crate) fn is_gone(&self, peer: &str) -> bool {
+        let since = self.unlinked_since.borrow().get(peer).copied();
+        since.is_some_and(|since| self.clock.now().since(since) >= GONE_AFTER)
+    }
+
     /// Returns whether a link was opened since the last call.
     pub(crate) fn take_opened(&self) -> bool {
         self.has_opened.take()
@@ -250,6 +266,7 @@
                 let is_dialed = self.dialed.borrow().get(&name) == Some(&address);
                 if !is_dialed {
                     self.dialed.borrow_mut().insert(name.clone(), address);
+                    self.record_unlinked(&name);
                     tokio::task::spawn_local(Rc::clone(&self).keep_link(name, address));
                 }
             }
@@ -277,6 +294,7 @@
         let mut dialed = self.dialed.borrow_mut();
         if dialed.get(&name) == Some(&address) {
             dialed.remove(&name);
+            self.unlinked_since.borrow_mut().remove(&name);
         }
     }
 
@@ -290,6 +308,7 @@
             reaches_store: Rc::clone(&reaches_store),
         };
         self.links.borrow_mut().insert(name.to_owned(), entry);
+        self.unlinked_since.borrow_mut().remove(name);
         self.has_opened.set(true);
         let receiving = async {
             while let Ok(reply) = receiver.next().await {
@@ -317,6 +336,12 @@
             () = pinging => {}
         }
         self.links.borrow_mut().remove(name);
+        self.record_unlinked(name);
+    }
+
+    fn record_unlinked(&self, name: &str) {
+        let now = self.clock.now();
+        self.unlinked_since.borrow_mut().insert(name.to_owned(), now);
     }
 }
 
--- a/crates/ebony_gateway/src/open_turn.rs
+++ b/crates/ebony_gateway/src/open_turn.rs
@@ -13,7 +13,7 @@
 use tokio::time::timeout;
 
 use crate::accounts::{AccountDesk, COME_BACK};
-use crate::fleet::ProgramOwner;
+use crate::fleet::CoverHolder;
 use crate::links::Lending;
 use crate::refusal::CallRefusal;
 
@@ -102,26 +102,35 @@
 
     /// Waits until the whole turn is covered.
     pub(crate) async fn secure(&self) -> Result<()> {
-        match self.owner() {
-            ProgramOwner::Own => match self.secure_shortly().await {
+        match self.desk.holder(&self.turn.program) {
+            CoverHolder::Own => match self.secure_shortly().await {
                 Err(CoverError::StoreSlow) => self.secure_within(SLOW_PATIENCE).await,
                 settled => settled,
             },
-            ProgramOwner::Peer(owner) => self.secure_by_loan(&owner).await,
-            ProgramOwner::Unknown => self.secure_without_owner().await,
+            CoverHolder::Peer(holder) => self.secure_by_loan(&holder).await,
+            CoverHolder::Deputy | CoverHolder::Unknown => self.secure_without_owner(SLOW_PATIENCE).await,
+        }
+    }
+
+    /// Waits until the turn of another gateway is covered.
+    pub(crate) async fn secure_for_peer(&self) -> Result<()> {
+        match self.desk.holder(&self.turn.program) {
+            CoverHolder::Own => self.secure_shortly().await,
+            // The other gateway may know less or more of who is gone.
+            _ => self.secure_without_owner(GRANT_PATIENCE).await,
         }
     }
 
     /// Waits for a grant, as a gateway that does not know what the owner holds.
-    async fn secure_without_owner(&self) -> Result<()> {
-        match self.secure_within(SLOW_PATIENCE).await {
+    async fn secure_without_owner(&self, patience: Duration) -> Result<()> {
+        match self.secure_within(patience).await {
             Err(CoverError::Spent) => Err(CoverError::OwnerAway),
             settled => settled,
         }
     }
 
-    /// Waits for a loan of the program's owner.
-    async fn secure_by_loan(&self, owner: &str) -> Result<()> {
+    /// Waits for a loan of the gateway that covers the program.
+    async fn secure_by_loan(&self, holder: &str) -> Result<()> {
         let limit = self.desk.clock.now() + SLOW_PATIENCE;
         loop {
             match self.try_secure() {
@@ -131,7 +140,7 @@
                 }
                 SecureOutcome::Exhausted | SecureOutcome::Waiting => {}
             }
-            match self.desk.links.lend(owner, &self.turn).await {
+            match self.desk.links.lend(holder, &self.turn).await {
                 Some(Lending::Lent(cover)) => {
                     let mut book = self.desk.book.borrow_mut();
                     book.add_cover(self.account(), cover);
@@ -146,8 +155,9 @@
                 // The owner waits for the store.
                 Some(Lending::StoreSlow) if self.desk.clock.now() < limit => {}
                 Some(Lending::StoreSlow | Lending::StoreAway) => return Err(CoverError::StoreAway),
+                Some(Lending::OwnerAway) => return Err(CoverError::OwnerAway),
                 // The owner is out of reach. Its account is in the store.
-                None => return self.secure_without_owner().await,
+                None => return self.secure_without_owner(SLOW_PATIENCE).await,
             }
         }
     }
@@ -179,10 +189,6 @@
         self.desk.book.borrow_mut().secure(&mut self.cover.borrow_mut())
     }
 
-    fn owner(&self) -> ProgramOwner {
-        self.desk.fleet.owner(&self.turn.program)
-    }
-
     /// Waits until the tokens of the next event are covered, and spends them.
     pub(crate) async fn spend(&self, tokens: u64) -> Result<()> {
         loop {
--- a/crates/ebony_gateway/src/sweeper.rs
+++ b/crates/ebony_gateway/src/sweeper.rs
@@ -11,7 +11,7 @@
 use tokio::time::sleep;
 
 use crate::accounts;
-use crate::fleet::{self, ProgramOwner};
+use crate::fleet;
 use crate::gateway::Gateway;
 
 /// Sweeps in one retention time. Rows stay for a sixth of it longer at the most.
@@ -42,7 +42,7 @@
         }
         let prefixes = accounts::part_prefixes().chain([fleet::entry_prefix()]);
         for prefix in prefixes {
-            if gateway.fleet.owner_of(&prefix) != ProgramOwner::Own {
+            if !gateway.fleet.owns(&prefix) {
                 continue;
             }
             match sweep_part(&gateway, &prefix, settled).await {
