Do not let an unread log hold up the end of a process

Cause: the guard of the logger joins the writer thread, which waits for a pipe that nobody reads. A stopped process then lived until it was killed. Found by the new test of the log under a flood, with the daemon as a child process.

Change: the end waits 500 ms for the remaining records at the most.

--- a/crates/ebony_telemetry/src/logger.rs
+++ b/crates/ebony_telemetry/src/logger.rs
@@ -1,6 +1,9 @@
 //! The process's logger.
 
 use std::io;
+use std::sync::mpsc;
+use std::thread;
+use std::time::Duration;
 
 use slog::{Drain, Level, LevelFilter, Logger, o};
 use slog_async::{Async, AsyncGuard, OverflowStrategy};
@@ -49,9 +52,27 @@
     }
 }
 
-/// Writes the remaining records when it is dropped.
+/// How long the end of a process waits for the remaining records. A terminal or collector that reads takes a few
+/// milliseconds; one that does not must not hold up the end.
+const FLUSH_LIMIT: Duration = Duration::from_millis(500);
+
+/// Writes the remaining records when it is dropped, unless nobody reads them.
 pub struct LoggerGuard {
-    _guard: AsyncGuard,
+    guard: Option<AsyncGuard>,
+}
+
+impl Drop for LoggerGuard {
+    fn drop(&mut self) {
+        let (flushed, is_flushed) = mpsc::channel();
+        let guard = self.guard.take();
+        thread::spawn(move || {
+            drop(guard);
+            // Nobody listens any more if the limit has passed.
+            flushed.send(()).ok();
+        });
+        // What is not written by then is lost with the process.
+        is_flushed.recv_timeout(FLUSH_LIMIT).ok();
+    }
 }
 
 /// Opens the process's logger. Every record names the process and its role.
@@ -107,7 +128,7 @@
         }
     };
     let logger = Logger::root(drain.fuse(), o!("process" => process.to_owned(), "role" => role));
-    (logger, LoggerGuard { _guard: guard })
+    (logger, LoggerGuard { guard: Some(guard) })
 }
 
 fn open_async<D>(drain: D) -> (Async, AsyncGuard)
--- /dev/null
+++ b/tests/gateway_process/process.rs
@@ -0,0 +1,179 @@
+//! The daemon as a child process, and its log.
+
+use std::fs::{self, File};
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::time::Duration;
+
+use serde_json::Value;
+use tokio::time::sleep;
+
+use crate::support::store::StandinStore;
+use crate::support::{WAIT_LIMIT, caller, settings_text, wait_until};
+
+/// The drain time of a child: short, so that tests need not wait for long.
+const DRAIN_TIME: &str = "2s";
+
+/// The pause between two looks at a child.
+const POLL: Duration = Duration::from_millis(10);
+
+/// A running gateway. Dropping it kills the process.
+pub(crate) struct GatewayChild {
+    child: Child,
+    folder: tempfile::TempDir,
+    name: String,
+    callers: SocketAddr,
+}
+
+impl GatewayChild {
+    /// Starts a gateway whose log goes to a file, and waits until it is ready.
+    pub(crate) async fn open(store: &StandinStore, name: &str) -> Self {
+        let folder = tempfile::tempdir().expect("a folder");
+        let log = File::create(folder.path().join("log")).expect("a file");
+        let child = spawn(&folder, store, name, Stdio::from(log));
+        let path = folder.path().join("log");
+        wait_until(|| async { !read_lines(&path).is_empty() }).await;
+        let first = read_lines(&path).remove(0);
+        Self::ready(child, folder, name, &first).await
+    }
+
+    /// Starts a gateway whose log nobody reads, but for its first line.
+    pub(crate) async fn open_unread(store: &StandinStore, name: &str) -> Self {
+        let folder = tempfile::tempdir().expect("a folder");
+        let mut child = spawn(&folder, store, name, Stdio::piped());
+        let output = child.stdout.as_mut().expect("the output is piped");
+        let mut first = String::new();
+        BufReader::new(output)
+            .read_line(&mut first)
+            .expect("the child writes its addresses");
+        let first = serde_json::from_str(&first).expect("the first line has the addresses");
+        Self::ready(child, folder, name, &first).await
+    }
+
+    async fn ready(child: Child, folder: tempfile::TempDir, name: &str, first: &Value) -> Self {
+        let address = |key: &str| {
+            let text = first[key].as_str().expect("the line has the address");
+            text.parse().expect("an address")
+        };
+        let health: SocketAddr = address("metrics");
+        wait_until(|| async { caller::get(health, "/readyz").await.status == 200 }).await;
+        Self {
+            child,
+            folder,
+            name: name.to_owned(),
+            callers: address("callers"),
+        }
+    }
+
+    pub(crate) fn callers(&self) -> SocketAddr {
+        self.callers
+    }
+
+    /// Returns the log so far.
+    pub(crate) fn log(&self) -> GatewayLog {
+        GatewayLog {
+            path: self.folder.path().join("log"),
+        }
+    }
+
+    pub(crate) fn write_settings(&self, text: &str) {
+        fs::write(self.folder.path().join("settings.jsonc"), text).expect("the file can be written");
+    }
+
+    pub(crate) fn change_settings(&self, store: &StandinStore, drain_time: &str) {
+        self.write_settings(&settings_text(store.address(), &self.name, drain_time));
+    }
+
+    /// Sends a signal.
+    pub(crate) fn signal(&self, name: &str) {
+        let status = Command::new("kill")
+            .arg(format!("-{name}"))
+            .arg(self.child.id().to_string())
+            .status();
+        assert!(status.expect("kill runs").success());
+    }
+
+    /// Stops the process as planned and returns its log.
+    pub(crate) async fn stop(mut self) -> GatewayLog {
+        self.signal("TERM");
+        let limit = tokio::time::Instant::now() + WAIT_LIMIT;
+        while self.child.try_wait().expect("the child is ours").is_none() {
+            assert!(tokio::time::Instant::now() < limit, "the process does not stop");
+            sleep(POLL).await;
+        }
+        let log = self.folder.path().join("log");
+        let kept = self.folder.path().with_extension("log");
+        if log.exists() {
+            fs::copy(log, &kept).expect("the log can be copied");
+        }
+        GatewayLog { path: kept }
+    }
+}
+
+impl Drop for GatewayChild {
+    fn drop(&mut self) {
+        // A child that has ended already cannot be killed.
+        self.child.kill().ok();
+        self.child.wait().ok();
+    }
+}
+
+fn spawn(folder: &tempfile::TempDir, store: &StandinStore, name: &str, output: Stdio) -> Child {
+    let settings = folder.path().join("settings.jsonc");
+    fs::write(&settings, settings_text(store.address(), name, DRAIN_TIME)).expect("the file can be written");
+    Command::new(env!("CARGO_BIN_EXE_ebonyswitch"))
+        .arg("gateway")
+        .arg(settings)
+        .stdout(output)
+        .spawn()
+        .expect("the daemon starts")
+}
+
+fn read_lines(path: &Path) -> Vec<Value> {
+    let text = fs::read_to_string(path).expect("the log can be read");
+    // The last line may be incomplete.
+    text.lines()
+        .filter_map(|line| serde_json::from_str(line).ok())
+        .collect()
+}
+
+/// The log of a gateway.
+pub(crate) struct GatewayLog {
+    path: PathBuf,
+}
+
+impl GatewayLog {
+    /// Returns how many lines have this message.
+    pub(crate) fn count(&self, message: &str) -> usize {
+        let lines = read_lines(&self.path);
+        lines.iter().filter(|line| line["msg"] == message).count()
+    }
+
+    /// Returns the sum of a field over all lines with this message.
+    pub(crate) fn sum(&self, message: &str, field: &str) -> usize {
+        let lines = read_lines(&self.path);
+        let lines = lines.iter().filter(|line| line["msg"] == message);
+        lines
+            .map(|line| line[field].as_u64().unwrap_or_default() as usize)
+            .sum()
+    }
+}
+
+/// Returns what `ebonyctl explain` tells of a call or program.
+pub(crate) fn explain(id: &str, log: &GatewayLog) -> String {
+    let program = Path::new(env!("CARGO_BIN_EXE_ebonyswitch")).with_file_name("ebonyctl");
+    assert!(
+        program.exists(),
+        "ebonyctl is not built; run the tests with --workspace"
+    );
+    let output = Command::new(program)
+        .arg("explain")
+        .arg(id)
+        .arg(&log.path)
+        .output()
+        .expect("ebonyctl runs");
+    assert!(output.status.success(), "{output:?}");
+    String::from_utf8(output.stdout).expect("the story is text")
+}
