Bound all log lines; serve metrics on a fixed port; count covers, target health and memory

Lines on grants, loans, target health and connections share a budget of 240 a second; what is left out is counted.

--- a/crates/ebony_dispatch/src/board.rs
+++ b/crates/ebony_dispatch/src/board.rs
@@ -232,17 +232,26 @@
     }
 
     /// Notes a whole answer of a target.
-    pub fn record_success(&mut self, key: TargetKey) {
-        if let Some(target) = self.targets.get_mut(key) {
-            target.fault.record_success();
-        }
+    ///
+    /// Returns how many calls in a row had failed before.
+    pub fn record_success(&mut self, key: TargetKey) -> u32 {
+        let Some(target) = self.targets.get_mut(key) else {
+            return 0;
+        };
+        let failures = target.fault.failures();
+        target.fault.record_success();
+        failures
     }
 
     /// Notes that a call failed on the way to a target, or that its answer broke off.
-    pub fn record_failure(&mut self, key: TargetKey, options: &DispatchOptions, now: ClockTime) {
-        if let Some(target) = self.targets.get_mut(key) {
-            target.fault.record_failure(options, now);
-        }
+    ///
+    /// Returns how many calls in a row have failed.
+    pub fn record_failure(&mut self, key: TargetKey, options: &DispatchOptions, now: ClockTime) -> u32 {
+        let Some(target) = self.targets.get_mut(key) else {
+            return 0;
+        };
+        target.fault.record_failure(options, now);
+        target.fault.failures()
     }
 
     /// Notes that a target turned a call away.
--- a/crates/ebony_gateway/src/accounts.rs
+++ b/crates/ebony_gateway/src/accounts.rs
@@ -21,9 +21,11 @@
 use tokio::sync::Notify;
 use tokio::time::{sleep, timeout};
 
+use crate::decision_log::{DecisionLog, LineKind};
 use crate::fleet::{CoverHolder, FleetView};
 use crate::gateway::GatewayClock;
 use crate::links::{Lending, PeerLinks};
+use crate::metrics::GatewayMetrics;
 use crate::open_turn::{CoverError, OpenTurn};
 use crate::refusal::CallRefusal;
 
@@ -80,7 +82,8 @@
     slow_until: Cell<ClockTime>,
     pub(crate) clock: GatewayClock,
     random: RefCell<StdRng>,
-    pub(crate) logger: Logger,
+    decisions: Rc<DecisionLog>,
+    metrics: Rc<GatewayMetrics>,
 }
 
 impl AccountDesk {
@@ -89,7 +92,8 @@
         fleet: Rc<FleetView>,
         links: Rc<PeerLinks>,
         clock: GatewayClock,
-        logger: Logger,
+        decisions: Rc<DecisionLog>,
+        metrics: Rc<GatewayMetrics>,
     ) -> Rc<Self> {
         Rc::new(Self {
             book: RefCell::new(AccountBook::open(AccountOptions::default())),
@@ -102,7 +106,8 @@
             slow_until: Cell::default(),
             clock,
             random: RefCell::new(StdRng::from_os_rng()),
-            logger,
+            decisions,
+            metrics,
         })
     }
 
@@ -126,8 +131,10 @@
         match open.secure_for_peer().await {
             Ok(()) => {
                 let cover = open.hand_over();
-                info!(self.logger, "tokens lent";
-                    "program" => turn.program.as_str(), "tokens" => cover.tokens, "left" => cover.left);
+                if self.admits_line("lent") {
+                    info!(self.decisions.logger, "tokens lent";
+                        "program" => turn.program.as_str(), "tokens" => cover.tokens, "left" => cover.left);
+                }
                 Lending::Lent(cover)
             }
             Err(CoverError::Spent) => Lending::Exhausted,
@@ -169,7 +176,7 @@
     /// Notes that the store answered another request of this entry.
     pub(crate) fn note_store_back(&self) {
         if self.lost_since.take().is_some() {
-            info!(self.logger, "accounts are recorded again");
+            info!(self.decisions.logger, "accounts are recorded again");
         }
     }
 
@@ -177,7 +184,7 @@
     pub(crate) fn note_store_lost(&self, cause: &str) {
         if self.lost_since.get().is_none() {
             self.lost_since.set(Some(self.clock.now()));
-            warn!(self.logger, "accounts are not recorded"; "cause" => cause);
+            warn!(self.decisions.logger, "accounts are not recorded"; "cause" => cause);
         }
     }
 
@@ -200,11 +207,18 @@
         let outcome = self.record_or_relay(account, &want).await;
         match outcome {
             CoverOutcome::Granted { tokens, recorded } => {
-                info!(self.logger, "tokens granted"; "program" => want.program.as_str(),
-                    "asked" => want.tokens, "tokens" => tokens, "debt" => want.debt, "recorded" => recorded);
+                let is_spent = tokens == 0 && want.tokens > 0;
+                if self.admits_line(if is_spent { "spent" } else { "granted" }) {
+                    info!(self.decisions.logger, "tokens granted"; "program" => want.program.as_str(),
+                        "asked" => want.tokens, "tokens" => tokens, "debt" => want.debt, "recorded" => recorded);
+                }
                 self.book.borrow_mut().settle_debt(account, want.debt);
             }
             CoverOutcome::Unavailable => {
+                if self.admits_line("unavailable") {
+                    info!(self.decisions.logger, "no answer to a request for tokens";
+                        "program" => want.program.as_str(), "asked" => want.tokens);
+                }
                 self.rows.borrow_mut().remove(account);
                 self.notify(account);
                 sleep(RETRY_PAUSE).await;
@@ -282,6 +296,16 @@
         }
     }
 
+    /// Counts what became of a request for cover, and returns whether a line on it is written.
+    pub(crate) fn admits_line(&self, outcome: &str) -> bool {
+        self.metrics.covers.with_label_values(&[outcome]).inc();
+        self.decisions.admits(LineKind::Belief)
+    }
+
+    pub(crate) fn logger(&self) -> &Logger {
+        &self.decisions.logger
+    }
+
     /// Returns the gateway that covers the turns of a program.
     pub(crate) fn holder(&self, program: &ProgramName) -> CoverHolder {
         self.fleet.holder(program, |peer| self.links.is_gone(peer))
@@ -322,8 +346,10 @@
             }
             Err(_) => {
                 self.slow_until.set(self.clock.now() + SLOW_PAUSE);
-                info!(self.logger, "the store is too slow to record for other gateways";
-                    "program" => want.program.as_str());
+                if self.admits_line("relay_slow") {
+                    info!(self.decisions.logger, "the store is too slow to record for other gateways";
+                        "program" => want.program.as_str());
+                }
                 None
             }
         }
--- a/crates/ebony_gateway/src/call.rs
+++ b/crates/ebony_gateway/src/call.rs
@@ -15,10 +15,12 @@
 use futures_util::future::try_join;
 use http::Request;
 use http_body_util::Full;
+use slog::info;
 use tokio::time::{sleep, timeout};
 
 use crate::answer::{self, BegunAnswer};
 use crate::channel::{OpenAnswer, SendFailure};
+use crate::decision_log::LineKind;
 use crate::gateway::{Gateway, OpenCallGuard};
 use crate::intake::{self, RequestHead};
 use crate::open_turn::{CoverError, OpenTurn};
@@ -67,13 +69,48 @@
     }
 
     pub(crate) fn record_success(&self) {
-        self.gateway.board.borrow_mut().record_success(self.target);
+        let failures = self.gateway.board.borrow_mut().record_success(self.target);
+        if failures > 0 {
+            self.record_health("recovered");
+            if self.gateway.decisions.admits(LineKind::Belief) {
+                info!(self.gateway.logger, "target answers again";
+                    "target" => self.name.as_str(), "failures_before" => failures);
+            }
+        }
     }
 
     pub(crate) fn record_failure(&self) {
         let now = self.gateway.clock.now();
-        let mut board = self.gateway.board.borrow_mut();
-        board.record_failure(self.target, &self.gateway.options.get(), now);
+        let options = self.gateway.options.get();
+        let failures = self
+            .gateway
+            .board
+            .borrow_mut()
+            .record_failure(self.target, &options, now);
+        self.record_health("failed");
+        if self.gateway.decisions.admits(LineKind::Belief) {
+            info!(self.gateway.logger, "target is avoided";
+                "target" => self.name.as_str(), "failures" => failures);
+        }
+    }
+
+    /// Notes that the target has no room for a call.
+    fn record_full(&self) {
+        let now = self.gateway.clock.now();
+        let options = self.gateway.options.get();
+        self.gateway
+            .board
+            .borrow_mut()
+            .record_full(self.target, &options, now);
+        self.record_health("full");
+    }
+
+    fn record_health(&self, change: &str) {
+        self.gateway
+            .metrics
+            .target_health
+            .with_label_values(&[change])
+            .inc();
     }
 }
 
@@ -429,12 +466,9 @@
 
     /// Draws the conclusions from an attempt without an answer, and says whether the call can be sent again.
     fn settle(&mut self, run: &TargetRun, outcome: AttemptOutcome) -> Result<()> {
-        let gateway = &self.call.gateway;
         self.tried.push(run.target);
         if outcome == AttemptOutcome::NotRun {
-            let now = gateway.clock.now();
-            let mut board = gateway.board.borrow_mut();
-            board.record_full(run.target, &gateway.options.get(), now);
+            run.record_full();
             return Ok(());
         }
         run.record_failure();
--- a/crates/ebony_gateway/src/decision_log.rs
+++ b/crates/ebony_gateway/src/decision_log.rs
@@ -1,4 +1,4 @@
-//! Log lines on calls, bounded in volume.
+//! Log lines on calls and on what calls showed, bounded in volume.
 
 use std::cell::Cell;
 use std::time::Duration;
@@ -15,6 +15,9 @@
 /// Lines on calls that were refused or failed, a second.
 const FAILED_LINES: u32 = 400;
 
+/// Lines on tokens, targets and connections, a second: about three for each call of today's peak.
+const BELIEF_LINES: u32 = 240;
+
 /// The time over which lines are counted.
 const WINDOW: Duration = Duration::from_secs(1);
 
@@ -25,6 +28,8 @@
     Plain,
     /// The call was refused or failed.
     Failed,
+    /// A call changed what the process believes of a program's tokens, a target or its own connections.
+    Belief,
 }
 
 /// Lets a bounded number of lines a second pass and counts the others.
@@ -34,6 +39,7 @@
     window_start: Cell<ClockTime>,
     plain_lines: Cell<u32>,
     failed_lines: Cell<u32>,
+    belief_lines: Cell<u32>,
     dropped: IntCounter,
     dropped_in_window: Cell<u32>,
 }
@@ -46,6 +52,7 @@
             window_start: Cell::new(clock.now()),
             plain_lines: Cell::default(),
             failed_lines: Cell::default(),
+            belief_lines: Cell::default(),
             dropped,
             dropped_in_window: Cell::default(),
         }
@@ -57,6 +64,7 @@
         let (lines, most) = match kind {
             LineKind::Plain => (&self.plain_lines, PLAIN_LINES),
             LineKind::Failed => (&self.failed_lines, FAILED_LINES),
+            LineKind::Belief => (&self.belief_lines, BELIEF_LINES),
         };
         if lines.get() < most {
             lines.set(lines.get() + 1);
@@ -74,10 +82,11 @@
         }
         let dropped = self.dropped_in_window.replace(0);
         if dropped > 0 {
-            slog::warn!(self.logger, "lines on calls were left out"; "lines" => dropped);
+            slog::warn!(self.logger, "lines were left out"; "lines" => dropped);
         }
         self.window_start.set(now);
         self.plain_lines.set(0);
         self.failed_lines.set(0);
+        self.belief_lines.set(0);
     }
 }
--- a/crates/ebony_gateway/src/gateway.rs
+++ b/crates/ebony_gateway/src/gateway.rs
@@ -69,8 +69,8 @@
     /// Whether new calls are refused, because their answers might not end before the process does.
     pub(crate) is_closing: Cell<bool>,
     pub(crate) open_calls: Cell<usize>,
-    pub(crate) metrics: GatewayMetrics,
-    pub(crate) decisions: DecisionLog,
+    pub(crate) metrics: Rc<GatewayMetrics>,
+    pub(crate) decisions: Rc<DecisionLog>,
     pub(crate) logger: Logger,
 }
 
@@ -84,7 +84,9 @@
         logger: Logger,
     ) -> anyhow::Result<Rc<Self>> {
         let clock = GatewayClock::start();
-        let metrics = GatewayMetrics::register(registry)?;
+        let metrics = Rc::new(GatewayMetrics::register(registry)?);
+        let decisions = DecisionLog::open(logger.clone(), clock, metrics.dropped_lines.clone());
+        let decisions = Rc::new(decisions);
         let table = Rc::clone(&store) as Rc<dyn TableService>;
         let fleet = FleetView::open(
             Rc::clone(&table),
@@ -97,7 +99,14 @@
         let client = TargetClient::open(settings.targets, metrics.connections.clone());
         Ok(Rc::new(Self {
             dialect,
-            accounts: AccountDesk::open(table, Rc::clone(&fleet), Rc::clone(&links), clock, logger.clone()),
+            accounts: AccountDesk::open(
+                table,
+                Rc::clone(&fleet),
+                Rc::clone(&links),
+                clock,
+                Rc::clone(&decisions),
+                Rc::clone(&metrics),
+            ),
             fleet,
             links,
             store,
@@ -114,7 +123,7 @@
             is_draining: Cell::default(),
             is_closing: Cell::default(),
             open_calls: Cell::default(),
-            decisions: DecisionLog::open(logger.clone(), clock, metrics.dropped_lines.clone()),
+            decisions,
             metrics,
             logger,
         }))
--- a/crates/ebony_gateway/src/listener.rs
+++ b/crates/ebony_gateway/src/listener.rs
@@ -13,13 +13,14 @@
 use actix_web::{App, HttpRequest};
 use anyhow::{Context, anyhow};
 use ebony_settings::CallerPort;
-use slog::{Logger, warn};
+use slog::warn;
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 use tokio::time::sleep;
 
 use crate::call;
+use crate::decision_log::{DecisionLog, LineKind};
 use crate::gateway::Gateway;
 use crate::intake::CallerConnection;
 
@@ -77,7 +78,7 @@
             self.listener,
             service,
             self.settings.connections,
-            gateway.logger.clone(),
+            Rc::clone(&gateway.decisions),
         );
         Ok(CallerListener {
             closing,
@@ -158,7 +159,7 @@
     }
 }
 
-async fn accept<S>(listener: TcpListener, service: S, most: usize, logger: Logger)
+async fn accept<S>(listener: TcpListener, service: S, most: usize, decisions: Rc<DecisionLog>)
 where
     S: Service<TcpStream> + 'static,
 {
@@ -168,7 +169,9 @@
         match listener.accept().await {
             Ok((stream, peer)) => {
                 if open.get() >= most {
-                    warn!(logger, "a connection was closed, because too many are open"; "peer" => %peer);
+                    if decisions.admits(LineKind::Belief) {
+                        warn!(decisions.logger, "a connection was closed, because too many are open"; "peer" => %peer);
+                    }
                     continue;
                 }
                 let guard = ConnectionGuard::open(&open);
@@ -180,7 +183,9 @@
                 });
             }
             Err(error) => {
-                warn!(logger, "cannot accept a connection"; "error" => %error);
+                if decisions.admits(LineKind::Belief) {
+                    warn!(decisions.logger, "cannot accept a connection"; "error" => %error);
+                }
                 sleep(ERROR_PAUSE).await;
             }
         }
--- a/crates/ebony_gateway/src/metrics.rs
+++ b/crates/ebony_gateway/src/metrics.rs
@@ -18,6 +18,12 @@
     pub(crate) first_bytes: Histogram,
     /// Requests to the store, by duty and outcome.
     pub(crate) store_calls: IntCounterVec,
+    /// Requests for cover of a program's turns, by what became of them.
+    pub(crate) covers: IntCounterVec,
+    /// Changes of what the gateway believes of a target's health, by kind.
+    pub(crate) target_health: IntCounterVec,
+    /// Bytes of memory that the process has resident.
+    pub(crate) memory: IntGauge,
     /// Connections opened to targets.
     pub(crate) connections: IntCounter,
     /// Calls under way.
@@ -65,6 +71,20 @@
                 "Requests to the store, by duty and outcome.",
                 &["duty", "outcome"],
             )?,
+            covers: registry.counter_family(
+                "gateway_covers_total",
+                "Requests for cover of a program's turns, by what became of them.",
+                &["outcome"],
+            )?,
+            target_health: registry.counter_family(
+                "gateway_target_health_total",
+                "Changes of what the gateway believes of a target's health, by kind.",
+                &["change"],
+            )?,
+            memory: registry.gauge(
+                "gateway_memory_bytes",
+                "Bytes of memory that the process has resident.",
+            )?,
             connections: registry.counter(
                 "gateway_target_connections_total",
                 "Connections opened to targets.",
--- a/crates/ebony_gateway/src/open_turn.rs
+++ b/crates/ebony_gateway/src/open_turn.rs
@@ -235,8 +235,11 @@
             .book
             .borrow_mut()
             .secure_by_allowance(&mut self.cover.borrow_mut(), allowance);
-        info!(self.desk.logger, "turn without a grant"; "program" => self.turn.program.as_str(),
-            "is_covered" => is_secured, "allowance" => format!("{allowance:?}"));
+        let outcome = if is_secured { "allowance" } else { "no_allowance" };
+        if self.desk.admits_line(outcome) {
+            info!(self.desk.logger(), "turn without a grant"; "program" => self.turn.program.as_str(),
+                "is_covered" => is_secured, "allowance" => format!("{allowance:?}"));
+        }
         // The debt is recorded as soon as the store answers.
         self.desk.ask_if_due(self.account(), &self.turn.program);
         is_secured
--- a/crates/ebony_gateway/src/process.rs
+++ b/crates/ebony_gateway/src/process.rs
@@ -70,7 +70,12 @@
         let registry = MetricsRegistry::default();
         let health = HealthState::default();
         let port = BoundPort::bind(settings.callers.clone())?;
-        let health_server = HealthServer::bind(settings.metrics.listen, registry.clone(), health.clone())?;
+        let health_server = HealthServer::bind_both(
+            settings.metrics.listen,
+            settings.metrics.collector_listen,
+            registry.clone(),
+            health.clone(),
+        )?;
         let addresses = GatewayAddresses {
             callers: port.address()?,
             metrics: health_server.address(),
@@ -105,6 +110,7 @@
         tokio::task::spawn_local(links::serve(Rc::clone(&gateway), self.link));
         tokio::task::spawn_local(Rc::clone(&gateway.links).keep_dialed());
         tokio::task::spawn_local(watch::tidy(Rc::clone(&gateway)));
+        tokio::task::spawn_local(watch::watch_memory(Rc::clone(&gateway)));
         tokio::task::spawn_local(sweeper::sweep(Rc::clone(&gateway)));
         let listener = self.port.serve(Rc::clone(&gateway)).await?;
         Ok(ServingGateway {
--- a/crates/ebony_gateway/src/watch.rs
+++ b/crates/ebony_gateway/src/watch.rs
@@ -34,6 +34,12 @@
 /// The pause between two rounds of [`tidy`].
 const TIDY_PAUSE: Duration = Duration::from_millis(100);
 
+/// The pause between two looks at the memory, about as often as metrics are fetched.
+const MEMORY_PAUSE: Duration = Duration::from_secs(5);
+
+/// Bytes of a page of memory on the hosts' processors.
+const PAGE_BYTES: i64 = 4_096;
+
 /// The result of reading the store.
 type Result<T, E = PlatformError> = std::result::Result<T, E>;
 
@@ -295,6 +301,28 @@
     }
 }
 
+/// Follows the memory of the process.
+pub(crate) async fn watch_memory(gateway: Rc<Gateway>) {
+    loop {
+        match resident_bytes() {
+            Ok(bytes) => gateway.metrics.memory.set(bytes),
+            Err(error) => {
+                warn!(gateway.logger, "the memory of the process cannot be read"; "error" => %error);
+                return;
+            }
+        }
+        sleep(MEMORY_PAUSE).await;
+    }
+}
+
+/// Returns the resident memory, as the second field of the file counts it in pages.
+fn resident_bytes() -> std::io::Result<i64> {
+    let text = std::fs::read_to_string("/proc/self/statm")?;
+    let pages = text.split(' ').nth(1).and_then(|pages| pages.parse::<i64>().ok());
+    let pages = pages.ok_or(std::io::ErrorKind::InvalidData)?;
+    Ok(pages * PAGE_BYTES)
+}
+
 /// Removes targets that lapsed and did not come back, and drops what is no longer used.
 pub(crate) async fn tidy(gateway: Rc<Gateway>) {
     loop {
--- a/crates/ebony_settings/src/gateway_settings.rs
+++ b/crates/ebony_settings/src/gateway_settings.rs
@@ -7,7 +7,7 @@
 use serde::Deserialize;
 
 use crate::base_url::BaseUrl;
-use crate::settings::{LogSettings, MetricsSettings};
+use crate::settings::LogSettings;
 
 /// The settings of a gateway, checked as a whole.
 #[derive(Clone, Debug, PartialEq)]
@@ -29,7 +29,7 @@
     /// Links from other gateways.
     pub links: ListenSettings,
     /// Metrics and health over HTTP.
-    pub metrics: MetricsSettings,
+    pub metrics: GatewayMetricsPort,
     /// The platform's store.
     pub store: StoreSettings,
     /// Connections to targets.
@@ -64,6 +64,17 @@
     pub listen: SocketAddr,
 }
 
+/// Metrics and health over HTTP.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct GatewayMetricsPort {
+    /// The address for metrics and health checks.
+    pub listen: SocketAddr,
+    /// A second address for the same.
+    pub collector_listen: Option<SocketAddr>,
+}
+
 /// The platform's store.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Deserialize)]
--- a/crates/ebony_settings/src/schema/gateway_keys.rs
+++ b/crates/ebony_settings/src/schema/gateway_keys.rs
@@ -1,6 +1,6 @@
 //! The keys of a gateway's settings file.
 
-use super::keys::{HOUR, LOG, METRICS, MINUTE, REQUEST_TIMEOUT, SECOND, count, duration, listener};
+use super::keys::{HOUR, LOG, MINUTE, REQUEST_TIMEOUT, SECOND, count, duration, listener};
 use super::{AddressUse, KeySpec, SectionSpec, ValueKind};
 
 /// The whole file.
@@ -27,7 +27,7 @@
         KeySpec::required("links", ValueKind::Section(&LINKS), "Links from other gateways."),
         KeySpec::required(
             "metrics",
-            ValueKind::Section(&METRICS),
+            ValueKind::Section(&GATEWAY_METRICS),
             "Metrics and health over HTTP.",
         ),
         KeySpec::required("store", ValueKind::Section(&STORE), "The platform's store."),
@@ -89,6 +89,17 @@
     )],
 };
 
+static GATEWAY_METRICS: SectionSpec = SectionSpec {
+    keys: &[
+        KeySpec::required("listen", listener(), "The address for metrics and health checks."),
+        KeySpec::optional(
+            "collector_listen",
+            listener(),
+            "A second address for the same, for collectors that know one port for all processes.",
+        ),
+    ],
+};
+
 static STORE: SectionSpec = SectionSpec {
     keys: &[
         KeySpec::required("url", ValueKind::Url, "The base URL."),
--- a/crates/ebony_telemetry/src/server.rs
+++ b/crates/ebony_telemetry/src/server.rs
@@ -33,10 +33,23 @@
     ///
     /// Fails if the address can't be bound.
     pub fn bind(address: SocketAddr, registry: MetricsRegistry, health: HealthState) -> Result<Self> {
-        let listener = TcpListener::bind(address)
-            .with_context(|| format!("cannot bind the metrics address {address}"))?;
+        Self::bind_both(address, None, registry, health)
+    }
+
+    /// Binds a second address as well, for collectors that know one port for all processes.
+    ///
+    /// # Errors
+    ///
+    /// Fails if an address can't be bound.
+    pub fn bind_both(
+        address: SocketAddr,
+        second: Option<SocketAddr>,
+        registry: MetricsRegistry,
+        health: HealthState,
+    ) -> Result<Self> {
+        let listener = bind_listener(address)?;
         let address = listener.local_addr()?;
-        let server = HttpServer::new(move || {
+        let mut server = HttpServer::new(move || {
             App::new()
                 .app_data(Data::new(registry.clone()))
                 .app_data(Data::new(health.clone()))
@@ -48,8 +61,11 @@
         .max_connections(MAX_CONNECTIONS)
         .client_request_timeout(REQUEST_TIMEOUT)
         .disable_signals()
-        .listen(listener)?
-        .run();
+        .listen(listener)?;
+        if let Some(second) = second {
+            server = server.listen(bind_listener(second)?)?;
+        }
+        let server = server.run();
         let handle = server.handle();
         actix_web::rt::spawn(server);
         Ok(Self { address, handle })
@@ -66,6 +82,10 @@
     }
 }
 
+fn bind_listener(address: SocketAddr) -> Result<TcpListener> {
+    TcpListener::bind(address).with_context(|| format!("cannot bind the metrics address {address}"))
+}
+
 async fn metrics(registry: Data<MetricsRegistry>) -> HttpResponse {
     match registry.to_text() {
         Ok(text) => HttpResponse::Ok()
--- a/crates/ebonyctl/src/run/explain.rs
+++ b/crates/ebonyctl/src/run/explain.rs
@@ -32,7 +32,7 @@
 ];
 
 /// The line that says that others were left out.
-const LEFT_OUT: &str = "lines on calls were left out";
+const LEFT_OUT: &str = "lines were left out";
 
 struct LogLine {
     time: String,
@@ -174,7 +174,7 @@
         if self.left_out > 0 {
             writeln!(
                 output,
-                "\nmissing: {} lines on calls were left out to bound the log",
+                "\nmissing: {} lines were left out to bound the log",
                 self.left_out
             )?;
         }
--- a/crates/ebonyctl/tests/explain.rs
+++ b/crates/ebonyctl/tests/explain.rs
@@ -11,7 +11,7 @@
 {"ts":"2026-01-01T00:00:01Z","process":"g-1","msg":"configuration in force","version":5}
 {"ts":"2026-01-01T00:00:02Z","process":"g-1","msg":"tokens granted","program":"p1","tokens":500,"left":100}
 {"ts":"2026-01-01T00:00:03Z","process":"g-1","msg":"call ended","call":"c1","program":"p1","outcome":"answered","attempts":"i-1:not_run i-2:answered","detail":""}
-{"ts":"2026-01-01T00:00:04Z","process":"g-1","msg":"lines on calls were left out","lines":12}
+{"ts":"2026-01-01T00:00:04Z","process":"g-1","msg":"lines were left out","lines":12}
 {"ts":"2026-01-01T00:00:09Z","process":"g-1","msg":"the store is back"}
 torn {"ts":"2026-01-01T00
 "#;
--- a/tests/gateway_process/main.rs
+++ b/tests/gateway_process/main.rs
@@ -108,10 +108,7 @@
         tokio::time::sleep(Duration::from_millis(1_100)).await;
         caller::get(gateway.callers(), "/nowhere").await;
         let log = gateway.stop().await;
-        let (written, left_out) = (
-            log.count("call ended"),
-            log.sum("lines on calls were left out", "lines"),
-        );
+        let (written, left_out) = (log.count("call ended"), log.sum("lines were left out", "lines"));
         assert!(
             written <= FAILED_LINES * (seconds + 1),
             "{written} lines in {seconds} s"
