Open the circles of imports in the entry's dispatcher and peers

Cause: the dispatcher's actor and four of its state modules (crash_rows, crashes, loading, memory), and the peers' actor and two of theirs (config_news, copies), imported each other, because the state types stood in one file with the actor's methods on them.

Change: state types and messages stay below; the actor's methods on them move to crash_sharing, crash_reports, load_orders, pause_orders, config_handlers and copies. No behaviour changes.

--- a/crates/ebony_entry/src/dispatch/crash_rows.rs
+++ b/crates/ebony_entry/src/dispatch/crash_rows.rs
@@ -6,20 +6,13 @@
 
 use std::collections::VecDeque;
 use std::rc::Rc;
-use std::time::Duration;
 
-use actix::{ActorFutureExt, AsyncContext, Context, WrapFuture};
 use bytes::Bytes;
 use ebony_platform::table::{create_resolved, replace_resolved};
 use ebony_platform::{PlatformError, RowKey, RowRecord, TableService, WriteNonce};
 use ebony_telemetry::since_epoch;
 use ebony_wire::{CrashReport, CrashSite, SiteReport};
-use rand::Rng;
 use serde::{Deserialize, Serialize};
-use slog::debug;
-
-use super::actor::DispatchActor;
-use super::crashes::CrashSource;
 
 /// The prefix of the rows.
 const ROW_PREFIX: &str = "crashes/";
@@ -33,9 +26,6 @@
 /// Attempts to write a row that other entries write as well.
 const WRITE_ATTEMPTS: u32 = 3;
 
-/// The pause before another attempt to read the rows.
-const READ_RETRY: Duration = Duration::from_secs(5);
-
 /// The result of reading or writing a row.
 type Result<T, E = PlatformError> = std::result::Result<T, E>;
 
@@ -104,8 +94,8 @@
 /// Reports that wait to be written.
 #[derive(Default)]
 pub(super) struct CrashRows {
-    queue: VecDeque<CrashReport>,
-    is_writing: bool,
+    pub(super) queue: VecDeque<CrashReport>,
+    pub(super) is_writing: bool,
 }
 
 impl CrashRows {
@@ -116,7 +106,7 @@
 }
 
 /// Writes one report, together with what other entries have written.
-async fn write(
+pub(super) async fn write(
     table: Rc<dyn TableService>,
     report: CrashReport,
     nonces: [u128; WRITE_ATTEMPTS as usize],
@@ -149,7 +139,7 @@
 }
 
 /// Reads the crashes that count, and deletes the rows of others.
-async fn read(table: Rc<dyn TableService>) -> Result<Vec<CrashReport>> {
+pub(super) async fn read(table: Rc<dyn TableService>) -> Result<Vec<CrashReport>> {
     let now_ms = wall_millis();
     let mut reports = Vec::new();
     for row in table.list(ROW_PREFIX, None, MAX_ROWS).await? {
@@ -164,40 +154,3 @@
     }
     Ok(reports)
 }
-
-impl DispatchActor {
-    /// Learns the crashes that other entries wrote.
-    pub(super) fn read_crash_rows(&self, context: &mut Context<Self>) {
-        let read = read(Rc::clone(&self.options.table));
-        let read = read
-            .into_actor(self)
-            .map(|reports, actor, context| match reports {
-                Ok(reports) => actor.hear_crashes(&reports, CrashSource::Entry),
-                Err(_) => {
-                    context.run_later(READ_RETRY, |actor, context| actor.read_crash_rows(context));
-                }
-            });
-        context.spawn(read);
-    }
-
-    /// Writes the next report, if none is being written.
-    pub(super) fn write_crash_rows(&mut self, context: &mut Context<Self>) {
-        if self.crash_rows.is_writing {
-            return;
-        }
-        let Some(report) = self.crash_rows.queue.pop_front() else {
-            return;
-        };
-        self.crash_rows.is_writing = true;
-        let nonces = std::array::from_fn(|_| self.source.random());
-        let write = write(Rc::clone(&self.options.table), report, nonces);
-        let write = write.into_actor(self).map(|written, actor, context| {
-            actor.crash_rows.is_writing = false;
-            if let Err(error) = written {
-                debug!(actor.options.logger, "crash row not written"; "error" => %error);
-            }
-            actor.write_crash_rows(context);
-        });
-        context.spawn(write);
-    }
-}
--- a/crates/ebony_entry/src/dispatch/loading.rs
+++ b/crates/ebony_entry/src/dispatch/loading.rs
@@ -8,7 +8,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use actix::{ActorFutureExt, AsyncContext, Context, WrapFuture};
 use bytes::Bytes;
 use ebony_platform::table::{create_resolved, replace_resolved};
 use ebony_platform::{
@@ -17,25 +16,21 @@
 use ebony_policy::speed::EngineSpeed;
 use ebony_policy::{LoadDecision, LoadPlanner, PolicyOptions, TargetKey};
 use ebony_types::{CallKind, ClockTime, DomainName, FencingToken, HostName, ModelName};
-use ebony_wire::{EntryFrame, LoadOrder, TargetKind};
-use rand::Rng;
-use slog::info;
 
-use super::actor::DispatchActor;
 use super::picker::PickedTarget;
 
 /// The time between two plans.
 pub(super) const PLAN_INTERVAL: Duration = Duration::from_secs(1);
 
 /// The time after which a load that the engine does not list counts as failed.
-const LOAD_TIMEOUT: Duration = Duration::from_secs(300);
+pub(super) const LOAD_TIMEOUT: Duration = Duration::from_secs(300);
 
 /// The result of a claim.
 type Result<T, E = PlatformError> = std::result::Result<T, E>;
 
 /// Whether this entry orders loads.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum LoadDuty {
+pub(super) enum LoadDuty {
     /// Another entry does.
     Other,
     /// This entry does, and has no token yet.
@@ -46,23 +41,23 @@
 
 /// Plans loads from the demand that this entry sees.
 pub(super) struct ModelLoader {
-    weights: Rc<dyn WeightStore>,
-    planner: LoadPlanner,
+    pub(super) weights: Rc<dyn WeightStore>,
+    pub(super) planner: LoadPlanner,
     speed: EngineSpeed,
-    duty: LoadDuty,
+    pub(super) duty: LoadDuty,
     /// Live entries in the own failure domain, which see equal shares of the demand.
     entries: usize,
     /// Loads that engines do not list yet, and when they count as failed. Bounded by the engines.
-    pending: BTreeMap<TargetKey, (ModelName, ClockTime)>,
+    pub(super) pending: BTreeMap<TargetKey, (ModelName, ClockTime)>,
     /// Engines that the planner knows.
-    engines: Vec<TargetKey>,
+    pub(super) engines: Vec<TargetKey>,
 }
 
 /// An engine as membership knows it.
-struct ListedEngine {
-    key: TargetKey,
-    domain: DomainName,
-    models: Vec<ModelName>,
+pub(super) struct ListedEngine {
+    pub(super) key: TargetKey,
+    pub(super) domain: DomainName,
+    pub(super) models: Vec<ModelName>,
 }
 
 impl ModelLoader {
@@ -111,14 +106,14 @@
         };
     }
 
-    fn token(&self) -> Option<FencingToken> {
+    pub(super) fn token(&self) -> Option<FencingToken> {
         match self.duty {
             LoadDuty::Held(token) => Some(token),
             LoadDuty::Other | LoadDuty::Claiming => None,
         }
     }
 
-    fn set_engines(&mut self, listed: Vec<ListedEngine>) {
+    pub(super) fn set_engines(&mut self, listed: Vec<ListedEngine>) {
         let keys: Vec<TargetKey> = listed.iter().map(|engine| engine.key).collect();
         for gone in self.engines.iter().filter(|key| !keys.contains(key)) {
             self.planner.remove_engine(*gone);
@@ -134,7 +129,7 @@
         self.engines = keys;
     }
 
-    fn plan(&mut self, now: ClockTime) -> Vec<LoadDecision> {
+    pub(super) fn plan(&mut self, now: ClockTime) -> Vec<LoadDecision> {
         let is_late = |(_, until): &(ModelName, ClockTime)| *until <= now;
         let late: Vec<TargetKey> = self
             .pending
@@ -151,7 +146,7 @@
 }
 
 /// Claims the row of a failure domain; returns its new version.
-async fn claim(
+pub(super) async fn claim(
     table: Rc<dyn TableService>,
     domain: DomainName,
     owner: HostName,
@@ -166,102 +161,3 @@
     };
     Ok(FencingToken(version.0))
 }
-
-impl DispatchActor {
-    /// Plans and orders loads, if model loading is switched on and this entry's duty.
-    pub(super) fn plan_loads(&mut self, context: &mut Context<Self>) {
-        let now = self.now();
-        let engines = self.listed_engines();
-        let Some(loader) = &mut self.loader else { return };
-        loader.set_engines(engines);
-        match loader.duty {
-            LoadDuty::Other => {}
-            LoadDuty::Claiming => self.claim_loading(context),
-            LoadDuty::Held(_) => {
-                for decision in loader.plan(now) {
-                    self.begin_load(decision, context);
-                }
-            }
-        }
-    }
-
-    fn listed_engines(&self) -> Vec<ListedEngine> {
-        let engines = self.registry.targets().filter_map(|(_, record)| {
-            let TargetKind::Engine { models } = &record.report.kind else {
-                return None;
-            };
-            Some(ListedEngine {
-                key: self.picker.key_of(record.name())?,
-                domain: record.domain.clone(),
-                models: models.clone(),
-            })
-        });
-        engines.collect()
-    }
-
-    fn claim_loading(&mut self, context: &mut Context<Self>) {
-        let table = Rc::clone(&self.options.table);
-        let (domain, host) = (self.options.domain.clone(), self.options.host.clone());
-        let claim = claim(table, domain, host, self.source.random());
-        let claim = claim.into_actor(self).map(|token, actor, _| {
-            let Some(loader) = &mut actor.loader else { return };
-            // A claim that failed is repeated with the next plan.
-            if let (LoadDuty::Claiming, Ok(token)) = (loader.duty, token) {
-                info!(actor.options.logger, "model loading is this entry's duty"; "token" => token.0);
-                loader.duty = LoadDuty::Held(token);
-            }
-        });
-        context.spawn(claim);
-    }
-
-    /// Asks the weight store for a transfer, and orders the load once it is granted.
-    fn begin_load(&self, decision: LoadDecision, context: &mut Context<Self>) {
-        let Some(loader) = &self.loader else { return };
-        let weights = Rc::clone(&loader.weights);
-        let model = decision.load.clone();
-        let transfer = async move { weights.begin_transfer(&model).await };
-        let transfer = transfer.into_actor(self).map(move |granted, actor, _| {
-            let now = actor.now();
-            let is_ordered = granted.is_ok() && actor.order_load(&decision, now);
-            if let Some(loader) = &mut actor.loader
-                && !is_ordered
-            {
-                loader.planner.load_failed(decision.target, now);
-            }
-        });
-        context.spawn(transfer);
-    }
-
-    /// Sends the orders of a load; returns `false` if the engine can't be reached or the duty is lost.
-    fn order_load(&mut self, decision: &LoadDecision, now: ClockTime) -> bool {
-        let target = self.picker.name_of(decision.target).cloned();
-        let token = self.loader.as_ref().and_then(ModelLoader::token);
-        let (Some(target), Some(token)) = (target, token) else {
-            return false;
-        };
-        let record = self
-            .registry
-            .find(&target)
-            .and_then(|key| self.registry.target(key));
-        let Some(side) = record.and_then(|record| self.sides.find(&record.host)) else {
-            return false;
-        };
-        info!(self.options.logger, "model load ordered"; "target" => %target, "model" => %decision.load);
-        let order = |model: &ModelName, is_load: bool| {
-            EntryFrame::Load(LoadOrder {
-                target: target.clone(),
-                model: model.clone(),
-                is_load,
-                token,
-            })
-        };
-        let unload = decision.unload.as_ref();
-        let is_unloaded = unload.is_none_or(|model| self.sides.send(side, &order(model, false)));
-        let is_sent = is_unloaded && self.sides.send(side, &order(&decision.load, true));
-        if let Some(loader) = self.loader.as_mut().filter(|_| is_sent) {
-            let load = (decision.load.clone(), now + LOAD_TIMEOUT);
-            loader.pending.insert(decision.target, load);
-        }
-        is_sent
-    }
-}
--- a/crates/ebony_entry/src/peers/actor.rs
+++ b/crates/ebony_entry/src/peers/actor.rs
@@ -16,7 +16,7 @@
 use tokio::sync::oneshot;
 
 use super::config_news::{ConfigNews, ConfigRecipients};
-use super::copies::{CopyHeld, CopyLost, CopyRow, SurrenderSession};
+use super::copy_messages::{CopyHeld, CopyLost, CopyRow, SurrenderSession};
 use super::held_rows::HeldRows;
 use super::incoming::IncomingLink;
 use super::messages::{
--- a/crates/ebony_entry/src/peers/config_news.rs
+++ b/crates/ebony_entry/src/peers/config_news.rs
@@ -2,23 +2,20 @@
 
 use std::collections::{HashMap, HashSet};
 
-use actix::{Context, Handler, Recipient};
+use actix::Recipient;
 use ebony_config::ConfigAudience;
 use ebony_link::LinkSender;
 use ebony_wire::{ConfigStatus, PeerFrame};
 use rand::SeedableRng;
 use rand::rngs::StdRng;
-use rand::seq::IteratorRandom;
 
-use super::actor::PeerActor;
 use super::messages::IncomingKey;
 use super::router::PeerKey;
-use crate::config::{ConfigOffered, PeerStatusHeard, PeersSettled, ReadMissing, SpreadStatus, WantConfig};
-use crate::dispatch::ConfigPublished;
+use crate::config::{ConfigOffered, PeerStatusHeard, PeersSettled, ReadMissing};
 
 /// The entries that a change is sent to. Each of them passes it on to as many, so that no entry sends to all others: a
 /// change reaches all but a share of about e^-8 (0.03%) of them, and those few find it in the table within a second.
-const RELAY_FANOUT: usize = 8;
+pub(super) const RELAY_FANOUT: usize = 8;
 
 /// Bytes of status that one round may send in all, about half of the 23 KB/s that a node may use for control traffic
 /// over the two seconds of a round. What does not fit goes with later rounds.
@@ -43,15 +40,15 @@
 pub(super) struct ConfigNews {
     recipients: ConfigRecipients,
     /// The status of this entry, first, and of side processes.
-    status: Vec<ConfigStatus>,
+    pub(super) status: Vec<ConfigStatus>,
     /// The first side process of the next round.
     next_side: usize,
     /// The version that the entry on an accepted link reported last. An item ends with its link.
-    versions: HashMap<IncomingKey, u64>,
+    pub(super) versions: HashMap<IncomingKey, u64>,
     /// Listed entries that have not reported or failed yet; `None` before the first list and after the last report.
     unheard: Option<HashSet<PeerKey>>,
     is_settled: bool,
-    source: StdRng,
+    pub(super) source: StdRng,
 }
 
 impl ConfigNews {
@@ -134,7 +131,7 @@
     }
 
     /// Returns the statuses of a round that `links` entries receive.
-    fn round(&mut self, links: usize) -> Vec<ConfigStatus> {
+    pub(super) fn round(&mut self, links: usize) -> Vec<ConfigStatus> {
         let Some((own, sides)) = self.status.split_first() else {
             return Vec::new();
         };
@@ -147,48 +144,3 @@
         statuses
     }
 }
-
-impl Handler<ConfigPublished> for PeerActor {
-    type Result = ();
-
-    fn handle(&mut self, ConfigPublished(push): ConfigPublished, _: &mut Context<Self>) {
-        let frame = PeerFrame::Config(push);
-        let linked: Vec<PeerKey> = self.linked_peers().collect();
-        let chosen = linked
-            .into_iter()
-            .choose_multiple(&mut self.news.source, RELAY_FANOUT);
-        for peer in chosen {
-            self.send(peer, &frame);
-        }
-    }
-}
-
-impl Handler<SpreadStatus> for PeerActor {
-    type Result = ();
-
-    fn handle(&mut self, SpreadStatus(status): SpreadStatus, _: &mut Context<Self>) {
-        let links = self.linked_peers().count();
-        self.news.status = status;
-        let statuses = self.news.round(links);
-        self.broadcast_outgoing(&PeerFrame::ConfigInForce(statuses));
-    }
-}
-
-impl Handler<WantConfig> for PeerActor {
-    type Result = ();
-
-    fn handle(&mut self, WantConfig { known }: WantConfig, _: &mut Context<Self>) {
-        let frame = PeerFrame::ConfigWanted { known };
-        let newer = self.news.versions.iter().filter(|(_, version)| **version > known);
-        let key = newer.map(|(key, _)| *key).choose(&mut self.news.source);
-        if let Some(link) = key.and_then(|key| self.incoming.get(key)) {
-            // An entry that does not answer is asked again, or another one is.
-            let _ = link.sender.send(&frame);
-            return;
-        }
-        let linked: Vec<PeerKey> = self.linked_peers().collect();
-        if let Some(peer) = linked.into_iter().choose(&mut self.news.source) {
-            self.send(peer, &frame);
-        }
-    }
-}
--- a/crates/ebony_entry/src/peers/copies.rs
+++ b/crates/ebony_entry/src/peers/copies.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use actix::{ActorFutureExt, AsyncContext, Context, Handler, Message, ResponseFuture, WrapFuture};
-use ebony_owner::journal::{AppendOutcome, AppendRow};
+use ebony_owner::journal::AppendOutcome;
 use ebony_types::SessionId;
 use ebony_wire::{HeldRow, PeerFrame};
 use rand::SeedableRng;
@@ -12,6 +12,9 @@
 use tokio::sync::oneshot;
 
 use super::actor::PeerActor;
+use super::copy_messages::{
+    CollectCopies, CopyHeld, CopyLost, CopyRow, DropCopies, SurrenderSession, append_of, held_of,
+};
 use super::messages::IncomingKey;
 use super::router::PeerKey;
 
@@ -24,91 +27,6 @@
 /// The most rounds of replies from one entry before a seal.
 const MAX_COLLECT_ROUNDS: u32 = 64;
 
-/// Gives a copy of a row to another entry.
-#[derive(Clone, Debug)]
-#[derive(Message)]
-#[rtype(result = "()")]
-pub struct CopyRow {
-    /// The session whose journal it is.
-    pub session: SessionId,
-    /// The row.
-    pub row: AppendRow,
-}
-
-/// Another entry has a copy of a row.
-#[derive(Clone, Copy, Debug)]
-#[derive(Message)]
-#[rtype(result = "()")]
-pub struct CopyHeld {
-    /// The session whose journal it is.
-    pub session: SessionId,
-    /// The row's number.
-    pub sequence: u64,
-}
-
-/// Rows are durable, and their copies may go.
-#[derive(Clone, Copy, Debug)]
-#[derive(Message)]
-#[rtype(result = "()")]
-pub struct DropCopies {
-    /// The session whose journal it is.
-    pub session: SessionId,
-    /// The last durable row.
-    pub durable: u64,
-}
-
-/// The entry with a copy of a row is gone.
-#[derive(Clone, Copy, Debug)]
-#[derive(Message)]
-#[rtype(result = "()")]
-pub struct CopyLost {
-    /// The session whose journal it is.
-    pub session: SessionId,
-    /// The row's number.
-    pub sequence: u64,
-}
-
-/// Ends this entry's session in favour of a successor, and returns its rows that are not durable.
-#[derive(Clone, Copy, Debug)]
-#[derive(Message)]
-#[rtype(result = "Vec<HeldRow>")]
-pub struct SurrenderSession {
-    /// The session; another one than the present one has nothing to give.
-    pub session: SessionId,
-}
-
-/// Asks all linked entries, this one included, for copies of a session's rows.
-#[derive(Clone, Copy, Debug)]
-#[derive(Message)]
-#[rtype(result = "Vec<HeldRow>")]
-pub struct CollectCopies {
-    /// The session.
-    pub session: SessionId,
-    /// Only rows behind this one are wanted.
-    pub after: u64,
-}
-
-/// Turns a held row into the append of its owner.
-pub(crate) fn append_of(held: HeldRow) -> AppendRow {
-    AppendRow {
-        sequence: held.sequence,
-        row: held.row,
-        bodies: held.bodies,
-        nonce: u128::from_be_bytes(held.nonce),
-    }
-}
-
-/// Turns an append into the copy that another entry holds.
-pub(crate) fn held_of(session: SessionId, append: AppendRow) -> HeldRow {
-    HeldRow {
-        session,
-        sequence: append.sequence,
-        row: append.row,
-        bodies: append.bodies,
-        nonce: append.nonce.to_be_bytes(),
-    }
-}
-
 impl PeerActor {
     pub(super) fn accept_copy(&mut self, row: HeldRow) -> Option<PeerFrame> {
         let (session, sequence) = (row.session, row.sequence);
--- a/crates/ebony_entry/src/peers/mod.rs
+++ b/crates/ebony_entry/src/peers/mod.rs
@@ -1,8 +1,10 @@
 //! Links to other entries: forwarding calls and operations to the owner of a program, and spreading news.
 
 mod actor;
+mod config_handlers;
 mod config_news;
 mod copies;
+mod copy_messages;
 mod crash_news;
 mod handlers;
 mod held_rows;
@@ -13,8 +15,8 @@
 
 pub use actor::{PeerActor, PeerOptions};
 pub use config_news::ConfigRecipients;
-pub use copies::{CollectCopies, CopyHeld, CopyLost, CopyRow, DropCopies, SurrenderSession};
-pub(crate) use copies::{append_of, held_of};
+pub use copy_messages::{CollectCopies, CopyHeld, CopyLost, CopyRow, DropCopies, SurrenderSession};
+pub(crate) use copy_messages::{append_of, held_of};
 pub use messages::{
     ForwardCall, ForwardOperation, OperateProgram, OperationResult, PeerPresence, PeersListed,
     PresenceChanged, StartCall,
