--- a/crates/ebony_dispatch/src/board.rs
+++ b/crates/ebony_dispatch/src/board.rs
@@ -2,7 +2,6 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::time::Duration;
 
 use ebony_types::{ClockTime, DomainName, ServiceName, TargetName};
 use slotmap::{SlotMap, new_key_type};
@@ -46,8 +45,6 @@
     pub slots: u32,
     /// Whether it takes new calls.
     pub phase: TargetPhase,
-    /// How much longer it stays slow after its start.
-    pub warm_up: Duration,
     /// The time of its start; another value under the same name is another life of the target.
     pub born: u64,
 }
--- a/crates/ebony_dispatch/src/placement.rs
+++ b/crates/ebony_dispatch/src/placement.rs
@@ -26,11 +26,15 @@
     pub prompt: &'a [PromptPart],
     /// Targets that the call must not go to again.
     pub tried: &'a [TargetKey],
+    /// Connections of this entry that a target takes, as its share of what the target takes from all. Answers loads at
+    /// which a target resets connections beyond its limit, with calls that may have run.
+    pub most_connections: u32,
 }
 
 /// Chooses a target. `None` if no target of the service takes calls or all of them were tried.
 ///
-/// Targets with recent failures, and after them those that turned calls away, are chosen only if no other is left.
+/// Targets with recent failures, and after them those that turned calls away or have their share of connections open, are
+/// chosen only if no other is left.
 pub fn place(
     board: &TargetBoard,
     call: &CallShape<'_>,
@@ -52,6 +56,7 @@
     let standing = |target: &TargetEntry| match () {
         () if target.fault.is_avoided(now) => 2,
         () if target.fault.is_full(now) => 1,
+        () if target.load.own_calls() >= call.most_connections => 1,
         () => 0,
     };
     let is_candidate = |(key, target): &Candidate<'_>| {
--- a/crates/ebony_dispatch/tests/placement.rs
+++ b/crates/ebony_dispatch/tests/placement.rs
@@ -14,6 +14,8 @@
 /// The shared part at the start of every prompt.
 const SHARED: PromptPart = PromptPart { part: 1, tokens: 512 };
 const MEMORY_TOKENS: u64 = 60_000;
+/// Connections that a target takes from the entry.
+const MOST_CONNECTIONS: u32 = 30;
 
 fn record(number: usize, domain: &str) -> TargetRecord {
     TargetRecord {
@@ -23,7 +25,6 @@
         domain: DomainName::parse(domain).expect("a name"),
         slots: 8,
         phase: TargetPhase::Ready,
-        warm_up: Duration::ZERO,
         born: 1,
     }
 }
@@ -68,6 +69,7 @@
             affinity,
             prompt,
             tried,
+            most_connections: MOST_CONNECTIONS,
         };
         place(&self.board, &shape, &self.options, now)
     }
@@ -265,3 +267,28 @@
     entry.board.lapse(&name, until);
     assert_eq!(entry.board.remove_lapsed(until), [name]);
 }
+
+/// Guards against connections beyond what a target takes, which it resets with calls that may have run.
+#[test]
+fn targets_whose_connections_are_used_up_come_last() {
+    for rule in [
+        PlacementRule::LeastOwnLoad,
+        PlacementRule::HomeTarget,
+        PlacementRule::EstimatedDelay,
+    ] {
+        let mut entry = Entry::open(2, rule);
+        entry.options.home_allowance = u32::MAX / 2;
+        let prompt = [SHARED, PromptPart { part: 9, tokens: 300 }];
+        let home = entry.place("program", &prompt, &[], NOW).expect("a target");
+        for _ in 0..MOST_CONNECTIONS {
+            entry.board.begin(home, &prompt, Some(MEMORY_TOKENS));
+        }
+        let other = entry.place("program", &prompt, &[], NOW).expect("a target");
+        assert_ne!(other, home, "{rule:?}");
+        // With all of them used up, the call goes where the rule says.
+        for _ in 0..MOST_CONNECTIONS {
+            entry.board.begin(other, &prompt, Some(MEMORY_TOKENS));
+        }
+        assert!(entry.place("program", &prompt, &[], NOW).is_some(), "{rule:?}");
+    }
+}
--- a/crates/ebony_gateway/src/call.rs
+++ b/crates/ebony_gateway/src/call.rs
@@ -39,6 +39,9 @@
 /// The share of the latency objective that a call waits for a target to take it.
 const WAITING_SHARE: f64 = 0.5;
 
+/// Connections to a target that a gateway may use in any case, however many gateways there are.
+const LEAST_CONNECTIONS: u32 = 2;
+
 /// Parts of a program's first prompt: one that programs share, and its own. Each later turn adds parts.
 const FIRST_TURN_PARTS: usize = 2;
 
@@ -51,6 +54,8 @@
     pub(crate) route: Rc<RouteRule>,
     pub(crate) service: ServiceName,
     pub(crate) engine: Option<EngineRule>,
+    /// Connections that a target takes from this gateway.
+    pub(crate) most_connections: u32,
     pub(crate) arrived: ClockTime,
     pub(crate) deadline: ClockTime,
 }
@@ -214,12 +219,16 @@
         .service_for(rendezvous_weight(affinity(&head), &route.name))
         .ok_or_else(no_route)?;
     let patience = head.patience.unwrap_or(route.timeout).min(route.timeout);
-    let engine = routing.service(service).and_then(|rule| rule.engine);
+    let rule = routing.service(service);
+    let engine = rule.and_then(|rule| rule.engine);
+    let connections = rule.map_or(u32::MAX, |rule| rule.target_connections);
+    let gateways = u32::try_from(gateway.fleet.len()).unwrap_or(u32::MAX);
     Ok(RoutedCall {
         gateway: Rc::clone(gateway),
         route: Rc::clone(route),
         service: service.clone(),
         engine,
+        most_connections: (connections / gateways.max(1)).max(LEAST_CONNECTIONS),
         arrived,
         deadline: arrived + patience,
         request,
@@ -363,6 +372,7 @@
             affinity: affinity(&self.call.head),
             prompt: &self.call.head.prompt,
             tried: &self.tried,
+            most_connections: self.call.most_connections,
         };
         place(
             &gateway.board.borrow(),
--- a/crates/ebony_gateway/src/fleet.rs
+++ b/crates/ebony_gateway/src/fleet.rs
@@ -136,6 +136,11 @@
         self.cluster_key.borrow().clone()
     }
 
+    /// Returns the number of registered gateways.
+    pub(crate) fn len(&self) -> usize {
+        self.entries.borrow().len()
+    }
+
     /// Returns the link addresses of the other gateways.
     pub(crate) fn peers(&self) -> Vec<(String, SocketAddr)> {
         let entries = self.entries.borrow();
--- a/crates/ebony_routing/src/route.rs
+++ b/crates/ebony_routing/src/route.rs
@@ -69,8 +69,6 @@
     pub timeout: Duration,
     /// The latency objective; for a stream, up to its first event.
     pub objective: Duration,
-    /// The longest pause between two events of a stream that is still on time.
-    pub pause_objective: Option<Duration>,
     /// The most targets that may run one call.
     pub most_targets: u32,
     /// The urgency; 0 goes first.
--- a/crates/ebony_routing/src/table.rs
+++ b/crates/ebony_routing/src/table.rs
@@ -45,7 +45,6 @@
 ///     nature: CallNature::Idempotent,
 ///     timeout: Duration::from_secs(1),
 ///     objective: Duration::from_millis(150),
-///     pause_objective: None,
 ///     most_targets: 2,
 ///     urgency: 0,
 ///     services: Vec::new(),
--- a/crates/ebony_routing/tests/routes.rs
+++ b/crates/ebony_routing/tests/routes.rs
@@ -17,7 +17,6 @@
         nature: CallNature::AtMostOnce,
         timeout: Duration::from_secs(1),
         objective: Duration::from_millis(150),
-        pause_objective: None,
         most_targets: 1,
         urgency: 0,
         services: services.collect(),
