Refuse programs that have not begun while the engines are overloaded

Cause: nothing bounded the programs under way. Engines queue, late programs are sent again, and none ends in time.

Change: ebony_dispatch::admission, pure code. A program's first turn is refused at once as not run, with a time to come back, while the engines have more calls a slot than 0.9 (1.0 for the most urgent routes) and had so on an average of 4 s. A first turn whose caller leaves before the objective is refused as well. Turns of programs that began always go on.

--- a/crates/ebony_dispatch/src/lib.rs
+++ b/crates/ebony_dispatch/src/lib.rs
@@ -4,6 +4,7 @@
 //! faults and cached prompts. [`placement::place`] chooses a target under a [`PlacementRule`]. Nothing here does I/O or
 //! reads a clock.
 
+pub mod admission;
 pub mod board;
 pub mod fault;
 pub mod load;
@@ -13,6 +14,7 @@
 
 /// Re-exports the board, its messages and the choice.
 pub mod prelude {
+    pub use crate::admission::{ProgramAdmission, ProgramGate, service_load};
     pub use crate::board::{RunKey, TargetBoard, TargetChange, TargetKey, TargetPhase, TargetRecord};
     pub use crate::fault::TargetFault;
     pub use crate::load::TargetLoad;
--- a/crates/ebony_dispatch/src/options.rs
+++ b/crates/ebony_dispatch/src/options.rs
@@ -53,6 +53,15 @@
     pub report_half_life: Duration,
     /// The expected time of a queued call on a slot, in milliseconds, as a share of the waiting time.
     pub slot_time_ms: f64,
+    /// Calls for each slot of a service up to which programs begin. The engines of the two deployments carry twice their
+    /// usual traffic below it, with all programs in time.
+    pub most_program_load: f64,
+    /// The time over which the load of a service is averaged before programs are refused. Engines absorb shorter bursts in
+    /// their queues.
+    pub load_memory: Duration,
+    /// Calls for each slot of a service up to which programs of the most urgent routes begin: above the other bound, so that
+    /// these go first, and where calls start to wait for slots.
+    pub most_urgent_load: f64,
     /// How long a target is avoided after its first failure in a row. Doubles with each further one.
     pub fault_pause: Duration,
     /// The longest time for which a target is avoided.
@@ -70,6 +79,9 @@
             domain_delay_ms: 1.8,
             report_half_life: Duration::from_millis(400),
             slot_time_ms: 250.0,
+            most_program_load: 0.9,
+            most_urgent_load: 1.0,
+            load_memory: Duration::from_secs(4),
             fault_pause: Duration::from_millis(250),
             most_fault_pause: Duration::from_secs(4),
             full_pause: Duration::from_millis(40),
--- a/crates/ebony_gateway/src/call.rs
+++ b/crates/ebony_gateway/src/call.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use ebony_account::TurnRequest;
 use ebony_dialect::{AnswerHead, AttemptHead, CallHead};
-use ebony_dispatch::{CallShape, RunKey, TargetKey, place};
+use ebony_dispatch::{CallShape, ProgramAdmission, ProgramGate, RunKey, TargetKey, place, service_load};
 use ebony_routing::{CallNature, EngineRule, RouteRule};
 use ebony_types::rendezvous::rendezvous_weight;
 use ebony_types::{ClockTime, ProblemCode, ServiceName, TargetName};
@@ -36,6 +36,10 @@
 /// The time after which a call that meets a stopping gateway may come back: another gateway takes it at once.
 const STOPPING_PAUSE: Duration = Duration::from_millis(10);
 
+/// The mean time after which a program that was not admitted may come back: a part of the time that programs take, so that
+/// slots have been given back by then.
+const ADMISSION_PAUSE: Duration = Duration::from_millis(600);
+
 /// The share of the latency objective that a call waits for a target to take it.
 const WAITING_SHARE: f64 = 0.5;
 
@@ -171,6 +175,7 @@
     let mut story = CallStory::open(gateway, mark.as_deref().unwrap_or_default(), program, arrived);
     let outcome = async {
         let call = route(gateway, request, head, payload, arrived, &mut story).await?;
+        admit(&call, &mut story)?;
         let turn = open_turn(&call, &mut story)?;
         let answer = run_covered(&call, turn.as_ref(), &mut story).await?;
         Ok::<_, CallRefusal>((call, turn, answer))
@@ -245,6 +250,42 @@
     }
 }
 
+/// Refuses the first turn of a program while the engines are busy with those that began.
+fn admit(call: &RoutedCall, story: &mut CallStory) -> Result<()> {
+    let begins = call.engine.is_some() && call.head.program.is_some() && !has_history(&call.head);
+    if !begins {
+        return Ok(());
+    }
+    let gateway = &call.gateway;
+    let time_left = gateway.time_left(call.deadline).unwrap_or_default();
+    if time_left < call.route.objective {
+        let detail = "the caller leaves before the first turn of the program can be answered";
+        return Err(CallRefusal::not_run(ProblemCode::Overloaded, detail).come_back(ADMISSION_PAUSE));
+    }
+    let (options, now) = (gateway.options.get(), gateway.clock.now());
+    let load = service_load(&gateway.board.borrow(), &call.service, &options, now);
+    let mut gates = gateway.gates.borrow_mut();
+    let gate = gates
+        .entry(call.service.clone())
+        .or_insert_with(|| ProgramGate::open(now));
+    match gate.admit(load, call.route.urgency, &options, now) {
+        ProgramAdmission::Admitted => Ok(()),
+        ProgramAdmission::Refused { load } => {
+            story.set_load(load);
+            let refusal = CallRefusal::not_run(
+                ProblemCode::Overloaded,
+                "the engines are busy with other programs",
+            );
+            Err(refusal.come_back(gateway.spread_pause(ADMISSION_PAUSE)))
+        }
+    }
+}
+
+/// Returns whether the prompt shows earlier turns of the program.
+fn has_history(head: &CallHead) -> bool {
+    head.prompt.len() > FIRST_TURN_PARTS
+}
+
 /// Opens the turn of a program with a budget.
 fn open_turn(call: &RoutedCall, story: &mut CallStory) -> Result<Option<OpenTurn>> {
     let (Some(program), Some(engine)) = (&call.head.program, call.engine) else {
@@ -260,7 +301,7 @@
         budget,
         most_tokens: most_output.unwrap_or(event_tokens).max(event_tokens),
         event_tokens,
-        has_history: call.head.prompt.len() > FIRST_TURN_PARTS,
+        has_history: has_history(&call.head),
     };
     story.set_budget(turn.budget, turn.most_tokens);
     call.gateway.accounts.open_turn(&turn).map(Some)
--- a/crates/ebony_gateway/src/gateway.rs
+++ b/crates/ebony_gateway/src/gateway.rs
@@ -1,16 +1,19 @@
 //! What all calls of a gateway share.
 
 use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
 
 use ebony_dialect::{CallDialect, RecordDialect};
-use ebony_dispatch::{DispatchOptions, PlacementRule, TargetBoard};
+use ebony_dispatch::{DispatchOptions, PlacementRule, ProgramGate, TargetBoard};
 use ebony_platform::{RowFeed, TableService, VersionHistory};
 use ebony_routing::RoutingTable;
 use ebony_settings::{GatewayPolicy, GatewaySettings};
 use ebony_telemetry::{BootClock, HealthState, MetricsRegistry};
-use ebony_types::{ClockTime, DomainName};
+use ebony_types::{ClockTime, DomainName, ServiceName};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
 use slog::Logger;
 
 use crate::accounts::AccountDesk;
@@ -55,6 +58,8 @@
     /// The configuration in force; `None` until the first one was read.
     pub(crate) routing: RefCell<Option<Rc<RoutingTable>>>,
     pub(crate) board: RefCell<TargetBoard>,
+    /// Whether programs may begin, for each service of engines.
+    pub(crate) gates: RefCell<HashMap<ServiceName, ProgramGate>>,
     /// Whether the list of targets was read.
     pub(crate) has_targets: Cell<bool>,
     pub(crate) fleet: Rc<FleetView>,
@@ -71,6 +76,7 @@
     pub(crate) open_calls: Cell<usize>,
     pub(crate) metrics: Rc<GatewayMetrics>,
     pub(crate) decisions: Rc<DecisionLog>,
+    random: RefCell<StdRng>,
     pub(crate) logger: Logger,
 }
 
@@ -115,6 +121,7 @@
             options: Cell::new(dispatch_options(&settings.policy)),
             routing: RefCell::default(),
             board: RefCell::default(),
+            gates: RefCell::default(),
             has_targets: Cell::default(),
             client,
             retention: settings.store.retention,
@@ -125,6 +132,7 @@
             open_calls: Cell::default(),
             decisions,
             metrics,
+            random: RefCell::new(StdRng::from_os_rng()),
             logger,
         }))
     }
@@ -142,6 +150,11 @@
         }
     }
 
+    /// Returns a pause between half and one and a half of the given one, so that callers do not come back all at once.
+    pub(crate) fn spread_pause(&self, mean: Duration) -> Duration {
+        mean.mul_f64(self.random.borrow_mut().random_range(0.5..1.5))
+    }
+
     /// Returns the time until a deadline, or `None` if it has passed.
     pub(crate) fn time_left(&self, deadline: ClockTime) -> Option<Duration> {
         let left = deadline.since(self.clock.now());
--- a/crates/ebony_gateway/src/story.rs
+++ b/crates/ebony_gateway/src/story.rs
@@ -76,6 +76,8 @@
     routing_version: u64,
     /// The turn's budget and its most tokens, if it has any.
     budget: Option<(u64, u64)>,
+    /// The load of the service that kept a program from beginning, in calls a slot.
+    load: Option<f64>,
     arrived: ClockTime,
     first_sent: Option<ClockTime>,
     first_bytes: Option<ClockTime>,
@@ -94,6 +96,7 @@
             route: String::new(),
             routing_version: 0,
             budget: None,
+            load: None,
             arrived,
             first_sent: None,
             first_bytes: None,
@@ -112,6 +115,10 @@
         self.budget = Some((budget, most_tokens));
     }
 
+    pub(crate) fn set_load(&mut self, load: f64) {
+        self.load = Some(load);
+    }
+
     pub(crate) fn record_send(&mut self) {
         if self.first_sent.is_none() {
             let now = self.gateway.clock.now();
@@ -201,6 +208,7 @@
             "routing_version" => self.routing_version,
             "budget" => self.budget.map(|(budget, _)| budget),
             "most_tokens" => self.budget.map(|(_, most)| most),
+            "load" => self.load,
             "attempts" => &self.attempts,
             "events" => self.events,
             "outcome" => outcome,
