--- a/crates/ebony_dispatch/src/board.rs
+++ b/crates/ebony_dispatch/src/board.rs
@@ -84,7 +84,6 @@
 /// The targets that an entry may send calls to.
 ///
 /// ```
-/// use std::time::Duration;
 /// use ebony_dispatch::{TargetBoard, TargetChange, TargetPhase, TargetRecord};
 /// use ebony_types::{ClockTime, DomainName, ServiceName, TargetName};
 ///
@@ -95,7 +94,6 @@
 ///     domain: DomainName::parse("a")?,
 ///     slots: 8,
 ///     phase: TargetPhase::Ready,
-///     warm_up: Duration::ZERO,
 ///     born: 1,
 /// };
 /// let mut board = TargetBoard::default();
