Split the gateway's call module by duty

The state of a routed call and of a run at a target now stand below (routed_call, target_run), the attempts above them (attempts), and call.rs reads, admits and covers. A call asks its route's nature whether it is a stream, in place of a match of its own, and reads the configuration's limits once. No behaviour changes.

--- a/crates/ebony_gateway/src/answer.rs
+++ b/crates/ebony_gateway/src/answer.rs
@@ -18,13 +18,14 @@
 use hyper::body::{Body, Incoming};
 use tokio::time::timeout;
 
-use crate::call::{RoutedCall, TargetRun};
 use crate::channel::{ChannelLease, OpenAnswer};
 use crate::events::EventSplitter;
 use crate::gateway::OpenCallGuard;
 use crate::intake::is_passed_back;
 use crate::open_turn::OpenTurn;
+use crate::routed_call::RoutedCall;
 use crate::story::{AttemptOutcome, CallOutcome, CallStory};
+use crate::target_run::TargetRun;
 
 /// The largest answer that is read as a whole before it is handed on. Answers of services are below 5 KB today.
 const WHOLE_BYTES: usize = 64 * 1024;
--- /dev/null
+++ b/crates/ebony_gateway/src/attempts.rs
@@ -0,0 +1,233 @@
+//! The attempts of a call at targets.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use ebony_dialect::{AnswerHead, AttemptHead};
+use ebony_dispatch::{CallShape, TargetKey, place};
+use ebony_routing::CallNature;
+use ebony_types::{ProblemCode, TargetName};
+use http::Request;
+use http_body_util::Full;
+use tokio::time::{sleep, timeout};
+
+use crate::answer::BegunAnswer;
+use crate::channel::{OpenAnswer, SendFailure};
+use crate::refusal::{CallRefusal, NO_TARGET_PAUSE, Result};
+use crate::routed_call::{RoutedCall, affinity};
+use crate::story::{AttemptOutcome, CallStory};
+use crate::target_run::TargetRun;
+
+/// The pause before all targets are asked again after each turned the call away.
+const FULL_PAUSE: Duration = Duration::from_millis(25);
+
+/// The share of the latency objective that a call waits for a target to take it.
+const WAITING_SHARE: f64 = 0.5;
+
+/// Sends the call to targets until one of them answers it.
+pub(crate) async fn run(call: &RoutedCall, story: &mut CallStory) -> Result<BegunAnswer> {
+    let mut attempts = AttemptSeries::open(call);
+    loop {
+        let target = attempts.next_target().await?;
+        story.record_send();
+        let (run, result) = attempts.send(target).await?;
+        let name = run.name.clone();
+        let (outcome, run) = match result {
+            Ok((answer, head)) => match attempts.judge(&answer, &head) {
+                AttemptOutcome::Answered => match BegunAnswer::read(call, answer, head, run).await {
+                    Ok(answer) => {
+                        story.record_attempt(name.as_str(), AttemptOutcome::Answered);
+                        story.record_first_bytes();
+                        return Ok(answer);
+                    }
+                    Err((outcome, run)) => (outcome, run),
+                },
+                outcome => (outcome, run),
+            },
+            Err(outcome) => (outcome, run),
+        };
+        story.record_attempt(name.as_str(), outcome);
+        attempts.settle(&run, outcome)?;
+    }
+}
+
+/// The attempts of one call.
+struct AttemptSeries<'c> {
+    call: &'c RoutedCall,
+    /// Targets that are not asked again.
+    tried: Vec<TargetKey>,
+    /// Targets that may have run the call.
+    reached: u32,
+}
+
+impl<'c> AttemptSeries<'c> {
+    fn open(call: &'c RoutedCall) -> Self {
+        Self {
+            call,
+            tried: Vec::new(),
+            reached: 0,
+        }
+    }
+
+    /// Waits for a target that takes the call.
+    async fn next_target(&mut self) -> Result<TargetKey> {
+        let call = self.call;
+        let waiting_limit = call.arrived + call.route.objective.mul_f64(WAITING_SHARE);
+        loop {
+            let gateway = &call.gateway;
+            if gateway.time_left(call.deadline).is_none() {
+                return Err(self.give_up(ProblemCode::DeadlineExceeded, "the deadline passed"));
+            }
+            if let Some(target) = self.place() {
+                return Ok(target);
+            }
+            if self.tried.is_empty() || gateway.time_left(waiting_limit).is_none() {
+                return Err(self.give_up(ProblemCode::Overloaded, "no target takes the call at present"));
+            }
+            sleep(FULL_PAUSE).await;
+            self.tried.clear();
+        }
+    }
+
+    fn place(&self) -> Option<TargetKey> {
+        let gateway = &self.call.gateway;
+        let shape = CallShape {
+            service: &self.call.service,
+            domain: &gateway.domain,
+            affinity: affinity(&self.call.head),
+            prompt: &self.call.head.prompt,
+            tried: &self.tried,
+            most_connections: self.call.most_connections,
+        };
+        place(
+            &gateway.board.borrow(),
+            &shape,
+            &gateway.options.get(),
+            gateway.clock.now(),
+        )
+    }
+
+    /// Sends the call to a target and waits for the head of the answer.
+    async fn send(
+        &self,
+        target: TargetKey,
+    ) -> Result<(TargetRun, Result<(OpenAnswer, AnswerHead), AttemptOutcome>)> {
+        let gateway = &self.call.gateway;
+        let gone = || self.give_up(ProblemCode::NoTarget, "the target left");
+        let record = gateway
+            .board
+            .borrow()
+            .target(target)
+            .map(|entry| entry.record.clone());
+        let record = record.ok_or_else(gone)?;
+        let late = || self.give_up(ProblemCode::DeadlineExceeded, "the deadline passed");
+        let time_left = gateway.time_left(self.call.deadline).ok_or_else(late)?;
+        let request = self.request(&record.name, time_left);
+        let run = TargetRun::begin(self.call, target, record.name);
+        let sending = gateway.client.send(target, record.address, request);
+        let patience = self.attempt_patience(time_left);
+        let result = match timeout(patience, sending).await {
+            Err(_) if patience < time_left => Err(AttemptOutcome::Silent),
+            Err(_) => Err(AttemptOutcome::TimedOut),
+            Ok(Err(SendFailure::NotSent(_))) => Err(AttemptOutcome::NotSent),
+            Ok(Err(SendFailure::Broken(_))) => Err(AttemptOutcome::Broken),
+            Ok(Ok(answer)) => {
+                let head = gateway.dialect.decode_answer(&answer.head.headers);
+                if let Some(notice) = head.load {
+                    let now = gateway.clock.now();
+                    gateway.board.borrow_mut().record_notice(target, notice, now);
+                }
+                Ok((answer, head))
+            }
+        };
+        Ok((run, result))
+    }
+
+    /// Returns how long a target may take to begin its answer. Another target gets a call that may run again once the
+    /// latency objective has passed: an answer that was lost never comes.
+    fn attempt_patience(&self, time_left: Duration) -> Duration {
+        let route = &self.call.route;
+        let has_next = self.reached + 1 < route.most_targets;
+        if route.nature == CallNature::Idempotent && has_next {
+            return time_left.min(route.objective);
+        }
+        time_left
+    }
+
+    fn request(&self, target: &TargetName, time_left: Duration) -> Request<Full<Bytes>> {
+        let call = self.call;
+        let dialect = &call.gateway.dialect;
+        let mut request = Request::new(Full::new(call.body.clone()));
+        *request.method_mut() = call.request.method.clone();
+        *request.uri_mut() = call.request.uri.clone();
+        let headers = request.headers_mut();
+        for (name, value) in &call.request.headers {
+            if !dialect.is_reserved(name) {
+                headers.append(name, value.clone());
+            }
+        }
+        let attempt = AttemptHead {
+            target,
+            time_left,
+            urgency: None,
+            resumes_after: None,
+        };
+        for (name, value) in dialect.encode_attempt(&attempt) {
+            headers.insert(name, value);
+        }
+        request
+    }
+
+    /// Says what an answer is worth.
+    fn judge(&self, answer: &OpenAnswer, head: &AnswerHead) -> AttemptOutcome {
+        let is_own = head.call == self.call.head.call;
+        match head {
+            _ if !is_own => AttemptOutcome::Foreign,
+            head if head.is_not_run => AttemptOutcome::NotRun,
+            head if !head.is_stamped && answer.head.status.is_success() => AttemptOutcome::Foreign,
+            _ => AttemptOutcome::Answered,
+        }
+    }
+
+    /// Draws the conclusions from an attempt without an answer, and says whether the call can be sent again.
+    fn settle(&mut self, run: &TargetRun, outcome: AttemptOutcome) -> Result<()> {
+        self.tried.push(run.target);
+        if outcome == AttemptOutcome::NotRun {
+            run.record_full();
+            return Ok(());
+        }
+        run.record_failure();
+        if outcome == AttemptOutcome::NotSent {
+            return Ok(());
+        }
+        self.reached += 1;
+        let may_go_on = self.call.route.nature.is_repeatable() && self.reached < self.call.route.most_targets;
+        match outcome {
+            AttemptOutcome::Silent if may_go_on => Ok(()),
+            AttemptOutcome::TimedOut | AttemptOutcome::Silent => {
+                Err(self.give_up(ProblemCode::DeadlineExceeded, "the target did not answer in time"))
+            }
+            _ if may_go_on => Ok(()),
+            _ => Err(self.give_up(
+                ProblemCode::TargetFailed,
+                "the target broke off before its answer",
+            )),
+        }
+    }
+
+    /// Returns the refusal with a true verdict: a call that reached a target may have run.
+    fn give_up(&self, code: ProblemCode, detail: &'static str) -> CallRefusal {
+        if self.reached > 0 {
+            let code = match code {
+                ProblemCode::DeadlineExceeded => ProblemCode::DeadlineExceeded,
+                _ => ProblemCode::TargetFailed,
+            };
+            return CallRefusal::may_have_run(code, detail);
+        }
+        let code = match code {
+            ProblemCode::DeadlineExceeded => ProblemCode::Overloaded,
+            code => code,
+        };
+        CallRefusal::not_run(code, detail).come_back(NO_TARGET_PAUSE)
+    }
+}
--- a/crates/ebony_gateway/src/lib.rs
+++ b/crates/ebony_gateway/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod accounts;
 pub mod answer;
+pub mod attempts;
 pub mod call;
 pub mod channel;
 pub mod decision_log;
@@ -20,8 +21,10 @@
 pub mod open_turn;
 pub mod process;
 pub mod refusal;
+pub mod routed_call;
 pub mod story;
 pub mod sweeper;
+pub mod target_run;
 pub mod watch;
 
 /// Re-exports the process and what it needs.
--- a/crates/ebony_gateway/src/refusal.rs
+++ b/crates/ebony_gateway/src/refusal.rs
@@ -8,6 +8,9 @@
 use ebony_dialect::CallDialect;
 use ebony_types::{ProblemCode, ProblemReport, RunVerdict};
 
+/// The time after which a call that found no target may come back: a heartbeat of the list of targets.
+pub(crate) const NO_TARGET_PAUSE: Duration = Duration::from_millis(500);
+
 /// Why a call is not answered by a target, with a verdict on whether it may have run.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(thiserror::Error)]
--- /dev/null
+++ b/crates/ebony_gateway/src/routed_call.rs
@@ -0,0 +1,46 @@
+//! A call whose route is known.
+
+use std::rc::Rc;
+
+use bytes::Bytes;
+use ebony_dialect::CallHead;
+use ebony_routing::{EngineRule, RouteRule};
+use ebony_types::{ClockTime, ServiceName};
+
+use crate::gateway::Gateway;
+use crate::intake::RequestHead;
+
+/// A call whose route is known.
+pub(crate) struct RoutedCall {
+    pub(crate) gateway: Rc<Gateway>,
+    pub(crate) request: RequestHead,
+    pub(crate) head: CallHead,
+    pub(crate) body: Bytes,
+    pub(crate) route: Rc<RouteRule>,
+    pub(crate) service: ServiceName,
+    pub(crate) engine: Option<EngineRule>,
+    /// Connections that a target takes from this gateway.
+    pub(crate) most_connections: u32,
+    pub(crate) arrived: ClockTime,
+    pub(crate) deadline: ClockTime,
+}
+
+impl RoutedCall {
+    /// Returns whether the answer is a stream of events.
+    pub(crate) fn is_stream(&self) -> bool {
+        self.route.nature.is_stream()
+    }
+
+    /// Returns the tokens that one event stands for.
+    pub(crate) fn event_tokens(&self) -> u64 {
+        self.engine.map_or(1, |engine| u64::from(engine.event_tokens))
+    }
+}
+
+/// Returns what ties calls to a target: their program, or else the call itself.
+pub(crate) fn affinity(head: &CallHead) -> &str {
+    match &head.program {
+        Some(program) => program.program.as_str(),
+        None => head.call.as_deref().unwrap_or_default(),
+    }
+}
--- /dev/null
+++ b/crates/ebony_gateway/src/target_run.rs
@@ -0,0 +1,92 @@
+//! A call at one target, and what it shows of the target.
+
+use std::rc::Rc;
+
+use ebony_dispatch::{RunKey, TargetKey};
+use ebony_types::TargetName;
+use slog::info;
+
+use crate::decision_log::LineKind;
+use crate::gateway::Gateway;
+use crate::routed_call::RoutedCall;
+
+/// A call at one target. Dropping it ends the count of the call there.
+pub(crate) struct TargetRun {
+    gateway: Rc<Gateway>,
+    pub(crate) target: TargetKey,
+    pub(crate) name: TargetName,
+    run: RunKey,
+}
+
+impl TargetRun {
+    /// Counts a call that is about to be sent to a target.
+    pub(crate) fn begin(call: &RoutedCall, target: TargetKey, name: TargetName) -> Self {
+        let gateway = Rc::clone(&call.gateway);
+        let memory = call.engine.map(|engine| engine.memory_tokens);
+        let run = gateway
+            .board
+            .borrow_mut()
+            .begin(target, &call.head.prompt, memory);
+        Self {
+            gateway,
+            target,
+            name,
+            run,
+        }
+    }
+
+    pub(crate) fn end_prefill(&self) {
+        self.gateway.board.borrow_mut().end_prefill(self.run);
+    }
+
+    pub(crate) fn record_success(&self) {
+        let failures = self.gateway.board.borrow_mut().record_success(self.target);
+        if failures > 0 {
+            self.record_health("recovered");
+            if self.gateway.decisions.admits(LineKind::Belief) {
+                info!(self.gateway.logger, "target answers again";
+                    "target" => self.name.as_str(), "failures_before" => failures);
+            }
+        }
+    }
+
+    pub(crate) fn record_failure(&self) {
+        let now = self.gateway.clock.now();
+        let options = self.gateway.options.get();
+        let failures = self
+            .gateway
+            .board
+            .borrow_mut()
+            .record_failure(self.target, &options, now);
+        self.record_health("failed");
+        if self.gateway.decisions.admits(LineKind::Belief) {
+            info!(self.gateway.logger, "target is avoided";
+                "target" => self.name.as_str(), "failures" => failures);
+        }
+    }
+
+    /// Notes that the target has no room for a call.
+    pub(crate) fn record_full(&self) {
+        let now = self.gateway.clock.now();
+        let options = self.gateway.options.get();
+        self.gateway
+            .board
+            .borrow_mut()
+            .record_full(self.target, &options, now);
+        self.record_health("full");
+    }
+
+    fn record_health(&self, change: &str) {
+        self.gateway
+            .metrics
+            .target_health
+            .with_label_values(&[change])
+            .inc();
+    }
+}
+
+impl Drop for TargetRun {
+    fn drop(&mut self) {
+        self.gateway.board.borrow_mut().end(self.run);
+    }
+}
