Say once what the gateway said twice

- Lending repeated CoverError variant by variant, with a match each way: the answer to a request for cover is now a Result of both.
- Whether a grant can be recorded was spelled out in three places, and the grant that comes late was credited by two copies of one task.
- The process kept the drain time and the link address beside the settings that hold them.
- A changed settings file was read twice, so that what was compared and what was put in force could differ.
- The three counts of log lines are one array by kind.

Tried and taken back: one opener for the HTTP services of the listener and the stand-ins. The type of the builder depends on the application's factory, so that the bounds would have stood in both places again.

--- a/crates/ebony_dispatch/src/options.rs
+++ b/crates/ebony_dispatch/src/options.rs
@@ -16,9 +16,6 @@
 }
 
 impl PlacementRule {
-    /// The rules as settings spell them.
-    pub const NAMES: &'static [&'static str] = &["least_own_load", "home_target", "estimated_delay"];
-
     /// Returns the rule with this spelling.
     ///
     /// ```
--- a/crates/ebony_gateway/src/accounts.rs
+++ b/crates/ebony_gateway/src/accounts.rs
@@ -13,7 +13,7 @@
 use ebony_platform::{PlatformError, RowKey, RowVersion, TableService, WriteNonce};
 use ebony_types::rendezvous::rendezvous_weight;
 use ebony_types::{ClockTime, ProblemCode, ProgramName};
-use futures_util::future::{Either, select};
+use futures_util::future::{Either, FutureExt, select};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use slog::{Logger, info, warn};
@@ -125,23 +125,15 @@
 
     /// Covers a turn of another entry, as the owner of its program or in the owner's place.
     pub(crate) async fn lend(self: &Rc<Self>, turn: &TurnRequest) -> Lending {
-        let Ok(open) = self.open_turn(turn) else {
-            return Lending::StoreAway;
-        };
-        match open.secure_for_peer().await {
-            Ok(()) => {
-                let cover = open.hand_over();
-                if self.admits_line("lent") {
-                    info!(self.decisions.logger, "tokens lent";
-                        "program" => turn.program.as_str(), "tokens" => cover.tokens, "left" => cover.left);
-                }
-                Lending::Lent(cover)
-            }
-            Err(CoverError::Spent) => Lending::Exhausted,
-            Err(CoverError::StoreSlow) => Lending::StoreSlow,
-            Err(CoverError::StoreAway) => Lending::StoreAway,
-            Err(CoverError::OwnerAway) => Lending::OwnerAway,
+        // An entry without room for another account lends as little as one without the store.
+        let open = self.open_turn(turn).map_err(|_| CoverError::StoreAway)?;
+        open.secure_for_peer().await?;
+        let cover = open.hand_over();
+        if self.admits_line("lent") {
+            info!(self.decisions.logger, "tokens lent";
+                "program" => turn.program.as_str(), "tokens" => cover.tokens, "left" => cover.left);
         }
+        Ok(cover)
     }
 
     /// Drops accounts that were not used for long.
@@ -167,6 +159,11 @@
         self.lost_since.get().is_none()
     }
 
+    /// Returns whether a grant can be recorded, as far as is known: this entry reaches the store, or a linked one does.
+    pub(crate) fn can_record(&self) -> bool {
+        self.reaches_store() || self.links.reaches_store()
+    }
+
     /// Returns whether the store is away, and not slow.
     pub(crate) fn is_store_away(&self) -> bool {
         let lost_since = self.lost_since.get();
@@ -190,9 +187,7 @@
 
     pub(crate) fn ask_if_due(self: &Rc<Self>, account: AccountKey, program: &ProgramName) {
         let asker = match self.holder(program) {
-            CoverHolder::Own if !self.reaches_store() && !self.links.reaches_store() => {
-                CoverAsker::OwnerWithoutStore
-            }
+            CoverHolder::Own if !self.can_record() => CoverAsker::OwnerWithoutStore,
             CoverHolder::Own | CoverHolder::Deputy => CoverAsker::Owner,
             CoverHolder::Peer(_) | CoverHolder::Unknown => CoverAsker::Borrower,
         };
@@ -267,33 +262,30 @@
         match select(relaying, recording).await {
             Either::Left((Some(outcome), recording)) => {
                 self.note_store_lost("another gateway had an answer first");
-                let desk = Rc::clone(self);
-                tokio::task::spawn_local(async move {
-                    if let Ok(outcome) = recording.await {
-                        desk.credit(account, outcome);
-                    }
-                });
+                self.credit_later(account, recording.map(Result::ok));
                 Ok(outcome)
             }
             Either::Left((None, recording)) => recording.await,
             Either::Right((result, relaying)) => {
-                let desk = Rc::clone(self);
-                tokio::task::spawn_local(async move {
-                    if let Some(outcome) = relaying.await {
-                        desk.credit(account, outcome);
-                    }
-                });
+                self.credit_later(account, relaying);
                 result
             }
         }
     }
 
-    /// Adds a grant that came besides the request under way.
-    fn credit(&self, account: AccountKey, outcome: CoverOutcome) {
-        if let CoverOutcome::Granted { tokens, recorded } = outcome {
-            self.book.borrow_mut().credit(account, tokens, recorded);
-            self.notify(account);
-        }
+    /// Adds the grant of the request that was not the first to be answered, if it comes.
+    fn credit_later(
+        self: &Rc<Self>,
+        account: AccountKey,
+        late: impl Future<Output = Option<CoverOutcome>> + 'static,
+    ) {
+        let desk = Rc::clone(self);
+        tokio::task::spawn_local(async move {
+            if let Some(CoverOutcome::Granted { tokens, recorded }) = late.await {
+                desk.book.borrow_mut().credit(account, tokens, recorded);
+                desk.notify(account);
+            }
+        });
     }
 
     /// Counts what became of a request for cover, and returns whether a line on it is written.
--- a/crates/ebony_gateway/src/decision_log.rs
+++ b/crates/ebony_gateway/src/decision_log.rs
@@ -32,14 +32,26 @@
     Belief,
 }
 
+impl LineKind {
+    const COUNT: usize = 3;
+
+    /// Returns the most lines of the kind in a window.
+    fn most_lines(self) -> u32 {
+        match self {
+            Self::Plain => PLAIN_LINES,
+            Self::Failed => FAILED_LINES,
+            Self::Belief => BELIEF_LINES,
+        }
+    }
+}
+
 /// Lets a bounded number of lines a second pass and counts the others.
 pub(crate) struct DecisionLog {
     pub(crate) logger: Logger,
     clock: GatewayClock,
     window_start: Cell<ClockTime>,
-    plain_lines: Cell<u32>,
-    failed_lines: Cell<u32>,
-    belief_lines: Cell<u32>,
+    /// Lines in the window, by kind.
+    lines: [Cell<u32>; LineKind::COUNT],
     dropped: IntCounter,
     dropped_in_window: Cell<u32>,
 }
@@ -50,9 +62,7 @@
             logger,
             clock,
             window_start: Cell::new(clock.now()),
-            plain_lines: Cell::default(),
-            failed_lines: Cell::default(),
-            belief_lines: Cell::default(),
+            lines: Default::default(),
             dropped,
             dropped_in_window: Cell::default(),
         }
@@ -61,12 +71,8 @@
     /// Returns whether the next line of this kind is written. A line that is not is counted.
     pub(crate) fn admits(&self, kind: LineKind) -> bool {
         self.turn_window();
-        let (lines, most) = match kind {
-            LineKind::Plain => (&self.plain_lines, PLAIN_LINES),
-            LineKind::Failed => (&self.failed_lines, FAILED_LINES),
-            LineKind::Belief => (&self.belief_lines, BELIEF_LINES),
-        };
-        if lines.get() < most {
+        let lines = &self.lines[kind as usize];
+        if lines.get() < kind.most_lines() {
             lines.set(lines.get() + 1);
             return true;
         }
@@ -85,8 +91,6 @@
             slog::warn!(self.logger, "lines were left out"; "lines" => dropped);
         }
         self.window_start.set(now);
-        self.plain_lines.set(0);
-        self.failed_lines.set(0);
-        self.belief_lines.set(0);
+        self.lines.iter().for_each(|lines| lines.set(0));
     }
 }
--- a/crates/ebony_gateway/src/links.rs
+++ b/crates/ebony_gateway/src/links.rs
@@ -22,6 +22,7 @@
 
 use crate::fleet::FleetView;
 use crate::gateway::{Gateway, GatewayClock};
+use crate::open_turn::CoverError;
 
 /// The time between two pings. A link without a frame for three times as long is closed.
 const PING_INTERVAL: Duration = Duration::from_secs(1);
@@ -78,21 +79,8 @@
     },
 }
 
-/// What the owner of a program answers to a request for cover.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
-pub enum Lending {
-    /// The asking gateway may hand on these tokens.
-    Lent(LentCover),
-    /// The budget does not hold the turn.
-    Exhausted,
-    /// The store has not answered yet, and the allowance is used up.
-    StoreSlow,
-    /// The store does not answer, and the allowance is used up.
-    StoreAway,
-    /// Nothing is left to grant, and the answering gateway acts in place of the owner, which may hold tokens.
-    OwnerAway,
-}
+/// What a gateway answers to a request for cover: the tokens that the asking gateway may hand on, or why there are none.
+pub type Lending = std::result::Result<LentCover, CoverError>;
 
 /// What a gateway answers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/ebony_gateway/src/open_turn.rs
+++ b/crates/ebony_gateway/src/open_turn.rs
@@ -8,13 +8,13 @@
     AccountKey, LentCover, ProgramAllowance, SecureOutcome, SpendOutcome, TurnCover, TurnRequest,
 };
 use ebony_types::ProblemCode;
+use serde::{Deserialize, Serialize};
 use slog::info;
 use tokio::sync::Notify;
 use tokio::time::timeout;
 
 use crate::accounts::{AccountDesk, COME_BACK};
 use crate::fleet::CoverHolder;
-use crate::links::Lending;
 use crate::refusal::CallRefusal;
 
 /// How long a turn waits for the store before it draws on the allowance. The store answers in 4 to 10 ms; the time to
@@ -28,8 +28,9 @@
 /// The result of a step of a turn.
 pub type Result<T, E = CoverError> = std::result::Result<T, E>;
 
-/// Why a turn is not covered.
+/// Why a turn is not covered. Gateways tell each other.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[derive(thiserror::Error)]
 pub enum CoverError {
     /// The program's budget is spent.
@@ -96,8 +97,7 @@
 
     /// Returns whether the turn is better covered before it is sent.
     pub(crate) fn is_scarce(&self) -> bool {
-        let is_store_away = !self.desk.reaches_store() && !self.desk.links.reaches_store();
-        is_store_away || self.desk.book.borrow().is_scarce(self.account())
+        !self.desk.can_record() || self.desk.book.borrow().is_scarce(self.account())
     }
 
     /// Waits until the whole turn is covered.
@@ -141,21 +141,20 @@
                 SecureOutcome::Exhausted | SecureOutcome::Waiting => {}
             }
             match self.desk.links.lend(holder, &self.turn).await {
-                Some(Lending::Lent(cover)) => {
+                Some(Ok(cover)) => {
                     let mut book = self.desk.book.borrow_mut();
                     book.add_cover(self.account(), cover);
                     // What the owner lends for a turn covers at least its ordinary length.
                     book.secure_partly(&mut self.cover.borrow_mut());
                     return Ok(());
                 }
-                Some(Lending::Exhausted) => {
+                Some(Err(CoverError::Spent)) => {
                     self.desk.book.borrow_mut().record_exhausted(self.account());
                     return Err(CoverError::Spent);
                 }
                 // The owner waits for the store.
-                Some(Lending::StoreSlow) if self.desk.clock.now() < limit => {}
-                Some(Lending::StoreSlow | Lending::StoreAway) => return Err(CoverError::StoreAway),
-                Some(Lending::OwnerAway) => return Err(CoverError::OwnerAway),
+                Some(Err(CoverError::StoreSlow)) if self.desk.clock.now() < limit => {}
+                Some(Err(error)) => return Err(error),
                 // The owner is out of reach. Its account is in the store.
                 None => return self.secure_without_owner(SLOW_PATIENCE).await,
             }
@@ -176,7 +175,7 @@
 
     /// Waits for a grant, unless no gateway is known to reach the store.
     async fn secure_within(&self, patience: Duration) -> Result<()> {
-        let (patience, error) = match self.desk.reaches_store() || self.desk.links.reaches_store() {
+        let (patience, error) = match self.desk.can_record() {
             true => (patience, CoverError::StoreSlow),
             false => (Duration::ZERO, CoverError::StoreAway),
         };
--- a/crates/ebony_gateway/src/process.rs
+++ b/crates/ebony_gateway/src/process.rs
@@ -50,8 +50,6 @@
     port: BoundPort,
     health_server: HealthServer,
     addresses: GatewayAddresses,
-    drain_time: Duration,
-    link: SocketAddr,
     settings: GatewaySettings,
 }
 
@@ -85,8 +83,6 @@
             port,
             health_server,
             addresses,
-            drain_time: settings.drain_time,
-            link: settings.links.listen,
             settings: settings.clone(),
         })
     }
@@ -107,7 +103,7 @@
         tokio::task::spawn_local(watch::watch_targets(Rc::clone(&gateway)));
         tokio::task::spawn_local(watch::watch_fleet(Rc::clone(&gateway)));
         tokio::task::spawn_local(Rc::clone(&gateway.fleet).keep_registered());
-        tokio::task::spawn_local(links::serve(Rc::clone(&gateway), self.link));
+        tokio::task::spawn_local(links::serve(Rc::clone(&gateway), self.settings.links.listen));
         tokio::task::spawn_local(Rc::clone(&gateway.links).keep_dialed());
         tokio::task::spawn_local(watch::tidy(Rc::clone(&gateway)));
         tokio::task::spawn_local(watch::watch_memory(Rc::clone(&gateway)));
@@ -117,7 +113,6 @@
             gateway,
             listener,
             health_server: self.health_server,
-            drain_time: self.drain_time,
             settings: self.settings,
         })
     }
@@ -128,7 +123,6 @@
     gateway: Rc<Gateway>,
     listener: CallerListener,
     health_server: HealthServer,
-    drain_time: Duration,
     settings: GatewaySettings,
 }
 
@@ -146,7 +140,6 @@
             warn!(logger, "some changed settings need a restart of the process");
         }
         self.gateway.options.set(dispatch_options(&applied.policy));
-        self.drain_time = applied.drain_time;
         info!(logger, "settings reloaded";
             "placement" => &applied.policy.placement, "drain_ms" => applied.drain_time.as_millis() as u64);
         self.settings = applied;
@@ -158,9 +151,10 @@
         let start = Instant::now();
         self.gateway.is_draining.set(true);
         self.gateway.update_health();
-        sleep(BALANCER_NOTICE.min(self.drain_time / 2)).await;
+        let drain_time = self.settings.drain_time;
+        sleep(BALANCER_NOTICE.min(drain_time / 2)).await;
         self.gateway.is_closing.set(true);
-        let limit = start + self.drain_time.saturating_sub(CLOSING_TIME);
+        let limit = start + drain_time.saturating_sub(CLOSING_TIME);
         while self.gateway.open_calls.get() > 0 && Instant::now() < limit {
             sleep(DRAIN_PAUSE).await;
         }
--- a/crates/ebony_gateway/src/sweeper.rs
+++ b/crates/ebony_gateway/src/sweeper.rs
@@ -1,7 +1,8 @@
 //! Removing rows that nothing needs any more: of programs that ended, and of gateways that are gone for good.
 //!
-//! Rows tell their age by their versions, see [`ebony_platform::VersionHistory`]. Each part of a table has one gateway that sweeps it, by
-//! the same weights as programs have owners. Removals are conditional, so that a row that was just written stays.
+//! Rows tell their age by their versions, see [`ebony_platform::VersionHistory`]. Each part of a table has one gateway
+//! that sweeps it, by the same weights as programs have owners. Removals are conditional, so that a row that was just
+//! written stays.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -10,9 +11,8 @@
 use slog::{info, warn};
 use tokio::time::sleep;
 
-use crate::accounts;
-use crate::fleet;
 use crate::gateway::Gateway;
+use crate::{accounts, fleet};
 
 /// Sweeps in one retention time. Rows stay for a sixth of it longer at the most.
 const SWEEPS: u32 = 6;
--- a/crates/ebony_settings/src/gateway_settings.rs
+++ b/crates/ebony_settings/src/gateway_settings.rs
@@ -106,6 +106,6 @@
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct GatewayPolicy {
-    /// The placement rule, as [`GatewayPolicy::placement`] spells it in the file.
+    /// The placement rule, as the file spells it.
     pub placement: String,
 }
--- a/crates/ebony_settings/src/lib.rs
+++ b/crates/ebony_settings/src/lib.rs
@@ -26,7 +26,8 @@
     pub use crate::base_url::{BaseUrl, UrlError};
     pub use crate::entry_settings::{CallerSettings, CallerTls, EntrySettings, OwnershipSettings};
     pub use crate::gateway_settings::{
-        CallerPort, GatewayPolicy, GatewaySettings, ListenSettings, StoreSettings, TargetLimits,
+        CallerPort, GatewayMetricsPort, GatewayPolicy, GatewaySettings, ListenSettings, StoreSettings,
+        TargetLimits,
     };
     pub use crate::issue::{IssueKind, SettingsIssue, SettingsReport};
     pub use crate::key_source::{KeyError, KeySource};
--- a/crates/ebony_settings/src/schema/keys.rs
+++ b/crates/ebony_settings/src/schema/keys.rs
@@ -8,15 +8,15 @@
 pub(super) const SECOND: u64 = 1_000;
 pub(super) const MINUTE: u64 = 60 * SECOND;
 pub(super) const HOUR: u64 = 60 * MINUTE;
-pub(super) const KIB: u64 = 1 << 10;
-pub(super) const MIB: u64 = 1 << 20;
+const KIB: u64 = 1 << 10;
+const MIB: u64 = 1 << 20;
 const GIB: u64 = 1 << 30;
 
 pub(super) const fn duration(min: u64, max: u64) -> ValueKind {
     ValueKind::Duration { min, max }
 }
 
-pub(super) const fn size(min: u64, max: u64) -> ValueKind {
+const fn size(min: u64, max: u64) -> ValueKind {
     ValueKind::Size { min, max }
 }
 
@@ -216,7 +216,7 @@
     ],
 };
 
-pub(super) static METRICS: SectionSpec = SectionSpec {
+static METRICS: SectionSpec = SectionSpec {
     keys: &[KeySpec::required(
         "listen",
         listener(),
--- a/src/reload.rs
+++ b/src/reload.rs
@@ -54,8 +54,13 @@
         if text == self.text {
             return None;
         }
+        let settings = match &text {
+            Some(text) => GatewaySettings::parse(text, &self.path.display().to_string()),
+            // The report says why the file cannot be read.
+            None => GatewaySettings::open(&self.path),
+        };
         self.text = text;
-        match GatewaySettings::open(&self.path) {
+        match settings {
             Ok(settings) => Some(settings),
             Err(report) => {
                 warn!(logger, "changed settings are wrong and left out"; "report" => report.to_string());
