--- /dev/null
+++ b/crates/ebony_conversation/src/record.rs
@@ -0,0 +1,56 @@
+//! The record of one turn in the store.
+
+use bytes::Bytes;
+use ebony_types::{ProgramName, TurnName};
+use serde::{Deserialize, Serialize};
+
+/// Says why bytes are no record.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(thiserror::Error)]
+#[error("malformed turn record: {0}")]
+pub struct RecordError(String);
+
+/// The result of reading a record.
+pub type Result<T, E = RecordError> = std::result::Result<T, E>;
+
+/// What the store records of a turn that was answered whole. A record never changes.
+///
+/// ```
+/// use bytes::Bytes;
+/// use ebony_conversation::TurnRecord;
+///
+/// let record = TurnRecord { program: None, ancestors: Vec::new(), content: Bytes::from_static(b"question\nanswer\n") };
+/// assert_eq!(TurnRecord::from_bytes(&record.to_bytes())?, record);
+/// # Ok::<(), ebony_conversation::RecordError>(())
+/// ```
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct TurnRecord {
+    /// The program of the turn. A turn of another program that continues here begins a program of its own.
+    #[serde(rename = "p")]
+    pub program: Option<ProgramName>,
+    /// The turns whose content stands before this one's, oldest first.
+    #[serde(rename = "a")]
+    pub ancestors: Vec<TurnName>,
+    /// The input and the output of the turn; without ancestors, those of the whole conversation so far.
+    #[serde(rename = "c")]
+    pub content: Bytes,
+}
+
+impl TurnRecord {
+    /// Encodes the record as CBOR.
+    pub fn to_bytes(&self) -> Vec<u8> {
+        let mut bytes = Vec::with_capacity(self.content.len() + 256);
+        ciborium::into_writer(self, &mut bytes).expect("writing to memory does not fail");
+        bytes
+    }
+
+    /// Decodes a record.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`RecordError`] if the bytes are no record.
+    pub fn from_bytes(bytes: &[u8]) -> Result<Self> {
+        ciborium::from_reader(bytes).map_err(|error| RecordError(error.to_string()))
+    }
+}
--- /dev/null
+++ b/crates/ebony_conversation/tests/chains.rs
@@ -0,0 +1,164 @@
+//! Conversations as trees of turns: whatever is swept for its age, a turn that is still kept is found with all that came
+//! before it.
+
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use arbitrary::Unstructured;
+use ebony_conversation::{MOST_ANCESTORS, TurnCache, TurnChain, TurnRecord, row_lifetime};
+use ebony_testkit::check_seeds;
+use ebony_types::{ClockTime, TurnName};
+
+const RETENTION: Duration = Duration::from_secs(60);
+
+struct Row {
+    record: Rc<TurnRecord>,
+    written: ClockTime,
+}
+
+/// The store, and what each turn's conversation really is.
+#[derive(Default)]
+struct World {
+    now: ClockTime,
+    rows: HashMap<TurnName, Row>,
+    truth: HashMap<TurnName, Vec<u8>>,
+    kept: Vec<(TurnName, ClockTime)>,
+}
+
+impl World {
+    /// Joins a conversation from rows alone, as a gateway does that has just started.
+    fn chain(&self, turn: &TurnName) -> Option<TurnChain> {
+        let record = Rc::clone(&self.rows.get(turn)?.record);
+        let ancestors = record.ancestors.iter();
+        let ancestors: Option<Vec<_>> = ancestors
+            .map(|turn| self.rows.get(turn).map(|row| Rc::clone(&row.record)))
+            .collect();
+        Some(TurnChain::open(turn.clone(), record, ancestors?).expect("the conversation is small"))
+    }
+
+    fn add_turn(&mut self, input: &mut Unstructured<'_>) -> ebony_testkit::Result<()> {
+        let number = self.truth.len();
+        let name = TurnName::parse(&format!("t{number}")).expect("a name");
+        let question = format!("q{number}?");
+        let answer = format!("a{number}\n");
+        let live: Vec<&TurnName> = self.live().collect();
+        let previous = match live.is_empty() || input.ratio(1, 12)? {
+            true => None,
+            // Mostly the newest, sometimes a branch.
+            false if input.ratio(4, 5)? => live.last().copied().cloned(),
+            false => Some((*input.choose(&live)?).clone()),
+        };
+        let (record, mut truth) = match &previous {
+            Some(previous) => {
+                let chain = self.chain(previous).expect("a turn that is kept is found");
+                let truth = self.truth[previous].clone();
+                assert_eq!(chain.prompt(b""), truth);
+                assert!(chain.len() <= MOST_ANCESTORS + 1);
+                (chain.follow(None, question.as_bytes(), answer.as_bytes()), truth)
+            }
+            None => (
+                TurnChain::begin(None, question.as_bytes(), answer.as_bytes()),
+                Vec::new(),
+            ),
+        };
+        truth.extend_from_slice(question.as_bytes());
+        truth.extend_from_slice(answer.as_bytes());
+        self.truth.insert(name.clone(), truth);
+        let row = Row {
+            record: Rc::new(record),
+            written: self.now,
+        };
+        self.rows.insert(name.clone(), row);
+        self.kept.push((name, self.now));
+        Ok(())
+    }
+
+    /// Returns the turns that may be continued.
+    fn live(&self) -> impl Iterator<Item = &TurnName> {
+        let is_live = |(_, ended): &&(TurnName, ClockTime)| self.now.since(*ended) < RETENTION;
+        self.kept.iter().filter(is_live).map(|(name, _)| name)
+    }
+
+    fn sweep(&mut self) {
+        let (now, lifetime) = (self.now, row_lifetime(RETENTION));
+        self.rows.retain(|_, row| now.since(row.written) < lifetime);
+    }
+}
+
+#[test]
+fn kept_turns_are_found_whatever_was_swept() {
+    check_seeds(300, 2_048, |input| {
+        let mut world = World::default();
+        for _ in 0..120 {
+            world.add_turn(input)?;
+            // Pauses up to the whole retention of a turn.
+            world.now = world.now + Duration::from_secs(input.int_in_range(0..=59)?);
+            world.sweep();
+        }
+        for turn in world.live() {
+            let chain = world.chain(turn).expect("a turn that is kept is found");
+            assert_eq!(chain.prompt(b""), world.truth[turn]);
+        }
+        Ok(())
+    });
+}
+
+#[test]
+fn a_long_conversation_is_written_whole_now_and_then() {
+    let name = |number: usize| TurnName::parse(&format!("t{number}")).expect("a name");
+    let mut record = TurnChain::begin(None, b"q", b"a");
+    let mut records: HashMap<TurnName, Rc<TurnRecord>> = HashMap::new();
+    let mut ancestors = Vec::new();
+    for number in 0..12 {
+        ancestors.push(record.ancestors.len());
+        let shared = Rc::new(record.clone());
+        records.insert(name(number), Rc::clone(&shared));
+        let earlier = record.ancestors.iter().map(|turn| Rc::clone(&records[turn]));
+        let chain = TurnChain::open(name(number), shared, earlier.collect()).expect("a small conversation");
+        record = chain.follow(None, b"q", b"a");
+    }
+    insta::assert_debug_snapshot!(ancestors, @r"
+    [
+        0,
+        1,
+        2,
+        3,
+        4,
+        5,
+        6,
+        7,
+        8,
+        0,
+        1,
+        2,
+    ]
+    ");
+}
+
+#[test]
+fn the_cache_stays_within_its_bytes() {
+    check_seeds(100, 512, |input| {
+        let mut cache = TurnCache::open(10_000);
+        for _ in 0..40 {
+            let name = TurnName::parse(&format!("t{}", input.int_in_range(0..=9)?)).expect("a name");
+            let content = vec![0; input.int_in_range(0..=12_000)?];
+            cache.insert(name.clone(), Rc::new(TurnChain::begin(None, &content, b"")));
+            assert!(cache.bytes() <= 10_000);
+            let is_small = content.len() < 9_000;
+            assert_eq!(cache.get(&name).is_some(), is_small || content.len() <= 9_488);
+        }
+        Ok(())
+    });
+}
+
+#[test]
+fn bytes_that_are_no_record_are_refused() {
+    check_seeds(2_000, 256, |input| {
+        let bytes: Vec<u8> = input.arbitrary()?;
+        if let Ok(record) = TurnRecord::from_bytes(&bytes) {
+            assert_eq!(TurnRecord::from_bytes(&record.to_bytes()), Ok(record));
+        }
+        Ok(())
+    });
+}
--- a/crates/ebony_dialect/src/call.rs
+++ b/crates/ebony_dialect/src/call.rs
@@ -40,6 +40,8 @@
     pub tokens: Option<TokenCount>,
     /// The parts of the prompt, in order.
     pub prompt: Vec<PromptPart>,
+    /// The turn that this one continues, as the caller wrote it. Only a route that keeps turns heeds it.
+    pub previous_turn: Option<String>,
     /// The last event that the caller has of this stream.
     pub resumes_after: Option<u64>,
 }
--- a/crates/ebony_gateway/src/answer.rs
+++ b/crates/ebony_gateway/src/answer.rs
@@ -43,6 +43,9 @@
     /// The program's token budget is spent.
     #[error("the budget is spent")]
     BudgetSpent,
+    /// The turn could not be recorded, so that no later one could go on from it.
+    #[error("the turn could not be recorded")]
+    NotKept,
 }
 
 impl AnswerFailure {
@@ -51,6 +54,7 @@
             Self::TargetBrokeOff => "target_broke_off",
             Self::DeadlinePassed => "deadline_passed",
             Self::BudgetSpent => "budget_spent",
+            Self::NotKept => "not_kept",
         }
     }
 }
@@ -170,7 +174,11 @@
         });
         return response.body(answer.read.take_rest());
     }
+    // An answer with a length looks complete with its last byte. That of a kept turn has to stay open until the turn is
+    // recorded.
+    let keeps_open = is_stream && call.kept.is_some();
     let length = answer.rest.as_ref().and_then(|rest| rest.length);
+    let length = length.filter(|_| !keeps_open);
     let stream = HandedAnswer {
         call,
         turn,
@@ -289,11 +297,32 @@
             }
             if !self.answer.read_more().await? {
                 let rest = self.answer.read.take_rest();
-                return Ok((!rest.is_empty()).then_some(rest));
+                if rest.is_empty() {
+                    self.keep().await?;
+                    return Ok(None);
+                }
+                if self.is_stream && self.call.kept.is_some() {
+                    // An event without its end is not part of the conversation, and says that the target broke off.
+                    return Err(AnswerFailure::TargetBrokeOff);
+                }
+                return Ok(Some(rest));
             }
         }
     }
 
+    /// Records a turn of a kept conversation whose answer was read to its end.
+    async fn keep(&mut self) -> Result<()> {
+        if !self.is_stream {
+            return Ok(());
+        }
+        let Some(turn) = &self.call.kept else {
+            return Ok(());
+        };
+        let conversations = &self.call.gateway.conversations;
+        let kept = conversations.keep(&turn.name, turn.to_record()).await;
+        kept.map_err(|_| AnswerFailure::NotKept)
+    }
+
     /// Returns the events that were read, as far as the budget covers them.
     async fn next_events(&mut self) -> Result<Bytes> {
         let mut events = BytesMut::new();
@@ -303,6 +332,9 @@
                     .await
                     .map_err(|_| AnswerFailure::BudgetSpent)?;
             }
+            if let Some(turn) = &mut self.call.kept {
+                turn.add_event(&event);
+            }
             self.story.record_event();
             events.extend_from_slice(&event.bytes);
         }
--- a/crates/ebony_gateway/src/call.rs
+++ b/crates/ebony_gateway/src/call.rs
@@ -6,14 +6,17 @@
 use actix_web::web::{Data, Payload};
 use actix_web::{HttpRequest, HttpResponse};
 use ebony_account::TurnRequest;
+use ebony_conversation::TurnChain;
 use ebony_dialect::CallHead;
 use ebony_dispatch::{ProgramAdmission, ProgramGate, service_load};
 use ebony_types::rendezvous::rendezvous_weight;
-use ebony_types::{ClockTime, ProblemCode};
+use ebony_types::{ClockTime, ProblemCode, TurnName};
 use futures_util::future::try_join;
 
 use crate::answer::{self, BegunAnswer};
 use crate::attempts::run;
+use crate::conversations::KeptTurn;
+use crate::conversations::desk::FindError;
 use crate::gateway::{Gateway, OpenCallGuard};
 use crate::intake::{self, RequestHead};
 use crate::open_turn::{CoverError, OpenTurn};
@@ -31,8 +34,9 @@
 /// Connections to a target that a gateway may use in any case, however many gateways there are.
 const LEAST_CONNECTIONS: u32 = 2;
 
-/// Parts of a program's first prompt: one that programs share, and its own. Each later turn adds parts.
-const FIRST_TURN_PARTS: usize = 2;
+/// How long a turn waits for a store that does not answer before it is refused: a quarter of the time that callers of today
+/// have for a turn, so that they can come back.
+const RESUME_PATIENCE: Duration = Duration::from_secs(1);
 
 /// Answers a caller's request.
 pub(crate) async fn serve(
@@ -79,7 +83,8 @@
         .map_or("", |program| program.program.as_str());
     let mut story = CallStory::open(gateway, mark.as_deref().unwrap_or_default(), program, arrived);
     let outcome = async {
-        let call = route(gateway, request, head, payload, arrived, &mut story).await?;
+        let mut call = route(gateway, request, head, payload, arrived, &mut story).await?;
+        resume(&mut call, &mut story).await?;
         admit(&call, &mut story)?;
         let turn = open_turn(&call, &mut story)?;
         let answer = run_covered(&call, turn.as_ref(), &mut story).await?;
@@ -144,12 +149,52 @@
         request,
         head,
         body,
+        kept: None,
     })
 }
 
+/// Puts what came before in front of the body, if the route keeps conversations.
+async fn resume(call: &mut RoutedCall, story: &mut CallStory) -> Result<()> {
+    if !call.route.program.is_some_and(|rule| rule.keeps_turns) {
+        return Ok(());
+    }
+    let name = call.head.call.as_deref().map(TurnName::parse);
+    let Some(Ok(name)) = name else {
+        let detail = "a turn of a kept conversation needs a name";
+        return Err(CallRefusal::not_run(ProblemCode::BadRequest, detail));
+    };
+    if call.head.resumes_after.is_some() {
+        // The output before that event is not known here, and the turn could not be kept.
+        let detail = "a turn of a kept conversation has to be sent from its start";
+        return Err(CallRefusal::not_run(ProblemCode::Overloaded, detail).come_back(Duration::ZERO));
+    }
+    let chain = match &call.head.previous_turn {
+        Some(previous) => Some(find_chain(call, previous, story).await?),
+        None => None,
+    };
+    let program = call.head.program.as_ref();
+    let program = program.map(|program| program.program.clone());
+    let turn = KeptTurn::open(name, program, chain, call.body.clone());
+    call.body = turn.prompt();
+    call.kept = Some(turn);
+    Ok(())
+}
+
+async fn find_chain(call: &RoutedCall, previous: &str, story: &mut CallStory) -> Result<TurnChain> {
+    let gateway = &call.gateway;
+    story.set_previous(previous);
+    // No turn was ever kept under what is no name.
+    let name = TurnName::parse(previous).map_err(|_| FindError::Absent.into_refusal())?;
+    let limit = call.deadline.min(gateway.clock.now() + RESUME_PATIENCE);
+    let found = gateway.conversations.find(&name, limit).await;
+    let chain = found.map_err(FindError::into_refusal)?;
+    story.set_chain(chain.len(), chain.bytes());
+    Ok(chain)
+}
+
 /// Refuses the first turn of a program while the engines are busy with those that began.
 fn admit(call: &RoutedCall, story: &mut CallStory) -> Result<()> {
-    let begins = call.engine.is_some() && call.head.program.is_some() && !has_history(&call.head);
+    let begins = call.engine.is_some() && call.head.program.is_some() && !call.has_history();
     if !begins {
         return Ok(());
     }
@@ -178,11 +223,6 @@
     }
 }
 
-/// Returns whether the prompt shows earlier turns of the program.
-fn has_history(head: &CallHead) -> bool {
-    head.prompt.len() > FIRST_TURN_PARTS
-}
-
 /// Opens the turn of a program with a budget.
 fn open_turn(call: &RoutedCall, story: &mut CallStory) -> Result<Option<OpenTurn>> {
     let (Some(program), Some(engine)) = (&call.head.program, call.engine) else {
@@ -198,7 +238,7 @@
         budget,
         most_tokens: most_output.unwrap_or(event_tokens).max(event_tokens),
         event_tokens,
-        has_history: has_history(&call.head),
+        has_history: call.has_history(),
     };
     story.set_budget(turn.budget, turn.most_tokens);
     call.gateway.accounts.open_turn(&turn).map(Some)
--- /dev/null
+++ b/crates/ebony_gateway/src/conversations/desk.rs
@@ -0,0 +1,306 @@
+//! Finding and recording turns.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use ebony_conversation::{TurnCache, TurnChain, TurnRecord};
+use ebony_platform::{PlatformError, TableService};
+use ebony_types::{ClockTime, ProblemCode, TurnName};
+use futures_util::future::{Either, select, try_join_all};
+use slog::{info, warn};
+use tokio::time::{sleep, timeout};
+
+use super::rows::TurnRows;
+use crate::accounts::{AccountDesk, COME_BACK};
+use crate::decision_log::{DecisionLog, LineKind};
+use crate::gateway::GatewayClock;
+use crate::links::{PeerLinks, PeerTurn};
+use crate::metrics::GatewayMetrics;
+use crate::refusal::CallRefusal;
+
+/// Bytes of records in memory. The turns that a gateway ran in the 60 s for which turns are kept have below 1 MB on today's
+/// deployments, and hosts of 88 MB have room for ten times that.
+const CACHE_BYTES: usize = 8 * 1024 * 1024;
+
+/// How long the store may take before other gateways are asked as well. It answers in 4 to 10 ms.
+const HEDGE_PATIENCE: Duration = Duration::from_millis(40);
+
+/// How long a request of another gateway waits for the store: less than that gateway waits for the answer.
+const RELAY_PATIENCE: Duration = Duration::from_millis(100);
+
+/// The first pause before the store is asked again. Doubles with each failure.
+const FIRST_PAUSE: Duration = Duration::from_millis(50);
+
+/// The longest pause before the store is asked again. An answer whose record is refused ends this much later than the
+/// store's outage.
+const LONGEST_PAUSE: Duration = Duration::from_millis(400);
+
+/// The result of a step of a conversation.
+pub(crate) type Result<T, E = FindError> = std::result::Result<T, E>;
+
+/// Why a conversation cannot go on from a turn.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(thiserror::Error)]
+pub(crate) enum FindError {
+    /// The store says that there is no such turn.
+    #[error("no turn of this name was kept")]
+    Absent,
+    /// Neither the store nor another gateway answered in time.
+    #[error("the store of conversations does not answer")]
+    Away,
+    /// The conversation is larger than any target takes.
+    #[error("the conversation is too large to be continued")]
+    TooLarge,
+}
+
+impl FindError {
+    /// Returns the refusal of a turn that was not sent.
+    pub(crate) fn into_refusal(self) -> CallRefusal {
+        match self {
+            Self::Absent => CallRefusal::not_run(ProblemCode::UnknownTurn, "the previous turn was not kept"),
+            Self::Away => CallRefusal::not_run(
+                ProblemCode::PlatformUnavailable,
+                "the store of conversations does not answer",
+            )
+            .come_back(COME_BACK),
+            Self::TooLarge => CallRefusal::not_run(
+                ProblemCode::BodyTooLarge,
+                "the conversation is too large to be continued",
+            ),
+        }
+    }
+}
+
+/// Why a turn was not recorded.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(thiserror::Error)]
+pub(crate) enum KeepError {
+    /// Another turn has the name already.
+    #[error("another turn has the same name")]
+    NameTaken,
+}
+
+/// The conversations of a gateway.
+pub(crate) struct ConversationDesk {
+    rows: TurnRows,
+    cache: RefCell<TurnCache>,
+    links: Rc<PeerLinks>,
+    accounts: Rc<AccountDesk>,
+    clock: GatewayClock,
+    decisions: Rc<DecisionLog>,
+    metrics: Rc<GatewayMetrics>,
+}
+
+impl ConversationDesk {
+    pub(crate) fn open(
+        store: Rc<dyn TableService>,
+        links: Rc<PeerLinks>,
+        accounts: Rc<AccountDesk>,
+        clock: GatewayClock,
+        decisions: Rc<DecisionLog>,
+        metrics: Rc<GatewayMetrics>,
+    ) -> Rc<Self> {
+        Rc::new(Self {
+            rows: TurnRows::open(store),
+            cache: RefCell::new(TurnCache::open(CACHE_BYTES)),
+            links,
+            accounts,
+            clock,
+            decisions,
+            metrics,
+        })
+    }
+
+    /// Returns the conversation up to a turn, waiting until `limit` for a store that does not answer.
+    pub(crate) async fn find(&self, turn: &TurnName, limit: ClockTime) -> Result<TurnChain> {
+        let record = self.record(turn, limit).await?;
+        let ancestors = record.ancestors.iter().map(|turn| self.record(turn, limit));
+        let ancestors = try_join_all(ancestors).await?;
+        TurnChain::open(turn.clone(), record, ancestors).map_err(|_| FindError::TooLarge)
+    }
+
+    /// Returns the bytes of the records in memory.
+    pub(crate) fn cache_bytes(&self) -> usize {
+        self.cache.borrow().bytes()
+    }
+
+    async fn record(&self, turn: &TurnName, limit: ClockTime) -> Result<Rc<TurnRecord>> {
+        if let Some(record) = self.cache.borrow_mut().get(turn) {
+            self.count("found_in_memory");
+            return Ok(record);
+        }
+        let mut pause = FIRST_PAUSE;
+        loop {
+            match self.look_for(turn).await {
+                Ok(Some(record)) => return Ok(record),
+                Ok(None) => {
+                    self.count("absent");
+                    return Err(FindError::Absent);
+                }
+                Err(error) if self.clock.now() + pause >= limit => {
+                    self.count("store_away");
+                    if self.decisions.admits(LineKind::Belief) {
+                        info!(self.decisions.logger, "a previous turn cannot be looked for";
+                            "turn" => turn.as_str(), "error" => %error);
+                    }
+                    return Err(FindError::Away);
+                }
+                Err(_) => sleep(pause).await,
+            }
+            pause = (pause * 2).min(LONGEST_PAUSE);
+        }
+    }
+
+    /// Looks for a record in the store, and at other gateways if the store takes longer than usual.
+    async fn look_for(&self, turn: &TurnName) -> Result<Option<Rc<TurnRecord>>, PlatformError> {
+        hedged(self.read(turn), self.patience(), self.ask_peers(turn)).await
+    }
+
+    /// Returns how long the store is waited for before other gateways are asked.
+    fn patience(&self) -> Duration {
+        match self.accounts.reaches_store() {
+            true => HEDGE_PATIENCE,
+            false => Duration::ZERO,
+        }
+    }
+
+    async fn read(&self, turn: &TurnName) -> Result<Option<Rc<TurnRecord>>, PlatformError> {
+        let Some(bytes) = self.rows.read(turn).await? else {
+            return Ok(None);
+        };
+        let record = TurnRecord::from_bytes(&bytes);
+        let record = record.map_err(|error| PlatformError::Malformed(error.to_string()))?;
+        self.count("found_in_store");
+        Ok(Some(self.cache(turn, record)))
+    }
+
+    /// Asks the other gateways. `None` if none of them knows.
+    async fn ask_peers(&self, turn: &TurnName) -> Option<Option<Rc<TurnRecord>>> {
+        match self.links.find_turn(turn).await {
+            PeerTurn::Held(bytes) => match TurnRecord::from_bytes(&bytes) {
+                Ok(record) => {
+                    self.count("found_at_peer");
+                    Some(Some(self.cache(turn, record)))
+                }
+                Err(error) => {
+                    warn!(self.decisions.logger, "the record of another gateway cannot be read";
+                        "turn" => turn.as_str(), "error" => %error);
+                    None
+                }
+            },
+            PeerTurn::Absent => Some(None),
+            PeerTurn::Unknown => None,
+        }
+    }
+
+    fn cache(&self, turn: &TurnName, record: TurnRecord) -> Rc<TurnRecord> {
+        let record = Rc::new(record);
+        self.cache.borrow_mut().insert(turn.clone(), Rc::clone(&record));
+        record
+    }
+
+    /// Records a turn. Waits as long as the store does not answer; the caller's deadline bounds that.
+    pub(crate) async fn keep(&self, turn: &TurnName, record: TurnRecord) -> Result<(), KeepError> {
+        let bytes = Bytes::from(record.to_bytes());
+        let mut pause = FIRST_PAUSE;
+        loop {
+            match self.write_or_relay(turn, &bytes).await {
+                Ok(()) => break,
+                Err(PlatformError::Conflict) => {
+                    self.count("name_taken");
+                    return Err(KeepError::NameTaken);
+                }
+                Err(error) => {
+                    self.count("keep_retried");
+                    if self.decisions.admits(LineKind::Belief) {
+                        info!(self.decisions.logger, "a turn is not recorded yet";
+                            "call" => turn.as_str(), "error" => %error);
+                    }
+                }
+            }
+            sleep(pause).await;
+            pause = (pause * 2).min(LONGEST_PAUSE);
+        }
+        self.count("kept");
+        self.cache(turn, record);
+        Ok(())
+    }
+
+    /// Writes a record, and has another gateway write it as well if the store takes longer than usual. Records never
+    /// change, so that both may succeed.
+    async fn write_or_relay(&self, turn: &TurnName, record: &Bytes) -> Result<(), PlatformError> {
+        let relaying = async {
+            let is_kept = self.links.keep_turn(turn, record).await;
+            if is_kept {
+                self.note_relayed(turn);
+            }
+            is_kept.then_some(())
+        };
+        hedged(self.rows.write(turn, record), self.patience(), relaying).await
+    }
+
+    fn note_relayed(&self, turn: &TurnName) {
+        self.count("relayed");
+        if self.decisions.admits(LineKind::Belief) {
+            info!(self.decisions.logger, "another gateway recorded a turn"; "call" => turn.as_str());
+        }
+    }
+
+    /// Looks for a record for another gateway: in memory, and if it asks for that, in the store.
+    pub(crate) async fn find_for_peer(&self, turn: &TurnName, reads_store: bool) -> PeerTurn {
+        if let Some(record) = self.cache.borrow_mut().get(turn) {
+            return PeerTurn::Held(record.to_bytes().into());
+        }
+        if !reads_store || !self.accounts.serves_relays() {
+            return PeerTurn::Unknown;
+        }
+        match timeout(RELAY_PATIENCE, self.rows.read(turn)).await {
+            Ok(Ok(Some(bytes))) => PeerTurn::Held(bytes),
+            Ok(Ok(None)) => PeerTurn::Absent,
+            Ok(Err(_)) | Err(_) => PeerTurn::Unknown,
+        }
+    }
+
+    /// Records a turn of another gateway. Returns whether the store holds it.
+    pub(crate) async fn keep_for_peer(&self, turn: &TurnName, record: Bytes) -> bool {
+        if !self.accounts.serves_relays() {
+            return false;
+        }
+        let written = timeout(RELAY_PATIENCE, self.rows.write(turn, &record)).await;
+        let is_kept = matches!(written, Ok(Ok(())));
+        if self.decisions.admits(LineKind::Belief) {
+            info!(self.decisions.logger, "recorded a turn of another gateway";
+                "call" => turn.as_str(), "is_kept" => is_kept);
+        }
+        is_kept
+    }
+
+    fn count(&self, outcome: &str) {
+        self.metrics.turns.with_label_values(&[outcome]).inc();
+    }
+}
+
+/// Waits for the store's answer, and asks other gateways as well once the store has failed or has taken longer than
+/// `patience`. The first result counts; the store's error is returned if the others have none either.
+async fn hedged<T>(
+    own: impl Future<Output = Result<T, PlatformError>>,
+    patience: Duration,
+    others: impl Future<Output = Option<T>>,
+) -> Result<T, PlatformError> {
+    let mut own = Box::pin(own);
+    if !patience.is_zero() {
+        match timeout(patience, &mut own).await {
+            Ok(Err(error)) if error != PlatformError::Conflict => return others.await.ok_or(error),
+            Ok(settled) => return settled,
+            Err(_) => {}
+        }
+    }
+    match select(own, Box::pin(others)).await {
+        Either::Left((Err(error), others)) if error != PlatformError::Conflict => others.await.ok_or(error),
+        Either::Left((settled, _)) => settled,
+        Either::Right((Some(found), _)) => Ok(found),
+        Either::Right((None, own)) => own.await,
+    }
+}
--- /dev/null
+++ b/crates/ebony_gateway/src/conversations/rows.rs
@@ -0,0 +1,121 @@
+//! Records of turns as rows of the store.
+
+use std::rc::Rc;
+
+use bytes::{Buf, BufMut, Bytes, BytesMut};
+use ebony_platform::table::create_resolved;
+use ebony_platform::{PlatformError, RowKey, TableService, WriteNonce};
+use ebony_types::TurnName;
+use ebony_types::rendezvous::rendezvous_weight;
+use futures_util::future::try_join_all;
+use sha2::{Digest, Sha256};
+
+/// The table of turns.
+const TABLE: &str = "turns";
+
+/// The table of what does not fit into the first row of a turn.
+const FURTHER_TABLE: &str = "turns-further";
+
+/// Parts of both tables. A part takes 200 transactions a second, and turns of today's deployments come at 42 a second.
+const PARTS: u64 = 16;
+
+/// Bytes of a record in one row. The store takes 64 KiB of base64, the nonce and the count among them.
+const ROW_BYTES: usize = 48_000;
+
+/// The result of reading or writing a turn.
+pub(crate) type Result<T, E = PlatformError> = std::result::Result<T, E>;
+
+/// The rows of turns. The name of a turn alone tells where its rows are.
+pub(crate) struct TurnRows {
+    store: Rc<dyn TableService>,
+}
+
+impl TurnRows {
+    pub(crate) fn open(store: Rc<dyn TableService>) -> Self {
+        Self { store }
+    }
+
+    /// Reads an encoded record. `None` says for certain that no such turn was recorded so far.
+    pub(crate) async fn read(&self, turn: &TurnName) -> Result<Option<Bytes>> {
+        let Some(first) = self.store.read(&first_key(turn)).await? else {
+            return Ok(None);
+        };
+        let mut value = first.value;
+        if value.len() < size_of::<u32>() {
+            return Err(malformed(turn));
+        }
+        let further = value.get_u32();
+        if further == 0 {
+            return Ok(Some(value));
+        }
+        let reads = (0..further).map(|index| self.read_further(turn, index));
+        let rest = try_join_all(reads).await?;
+        let mut record = BytesMut::from(value);
+        rest.iter().for_each(|part| record.extend_from_slice(part));
+        Ok(Some(record.freeze()))
+    }
+
+    async fn read_further(&self, turn: &TurnName, index: u32) -> Result<Bytes> {
+        // The first row is written last, so that the others are there.
+        let row = self.store.read(&further_key(turn, index)).await?;
+        row.map(|row| row.value).ok_or_else(|| malformed(turn))
+    }
+
+    /// Writes an encoded record. Writing the same record again is harmless.
+    ///
+    /// # Errors
+    ///
+    /// Fails with [`PlatformError::Conflict`] if another record has the turn's name.
+    pub(crate) async fn write(&self, turn: &TurnName, record: &Bytes) -> Result<()> {
+        let first = record.slice(..ROW_BYTES.min(record.len()));
+        let rest = &record[first.len()..];
+        let mut further = 0;
+        for part in rest.chunks(ROW_BYTES) {
+            let key = further_key(turn, further);
+            self.create(&key, Bytes::copy_from_slice(part)).await?;
+            further += 1;
+        }
+        let mut value = BytesMut::with_capacity(first.len() + size_of::<u32>());
+        value.put_u32(further);
+        value.extend_from_slice(&first);
+        self.create(&first_key(turn), value.freeze()).await
+    }
+
+    /// Creates a row. The nonce follows from the value, so that a row with the same value counts as written.
+    async fn create(&self, key: &RowKey, value: Bytes) -> Result<()> {
+        let digest: [u8; 32] = Sha256::digest(&value).into();
+        let mut nonce = [0; 16];
+        nonce.copy_from_slice(&digest[..16]);
+        let nonce = WriteNonce(u128::from_be_bytes(nonce));
+        create_resolved(&*self.store, key, value, nonce).await.map(drop)
+    }
+}
+
+fn malformed(turn: &TurnName) -> PlatformError {
+    PlatformError::Malformed(format!("the rows of turn {turn} are incomplete"))
+}
+
+fn first_key(turn: &TurnName) -> RowKey {
+    RowKey(format!("{}{turn}", part_prefix(TABLE, part_of(turn))))
+}
+
+fn further_key(turn: &TurnName, index: u32) -> RowKey {
+    RowKey(format!(
+        "{}{turn}:{index}",
+        part_prefix(FURTHER_TABLE, part_of(turn))
+    ))
+}
+
+fn part_of(turn: &TurnName) -> u64 {
+    rendezvous_weight(turn.as_str(), TABLE) % PARTS
+}
+
+fn part_prefix(table: &str, part: u64) -> String {
+    format!("{table}/{part:02}/")
+}
+
+/// Returns what the keys of each part start with.
+pub(crate) fn part_prefixes() -> impl Iterator<Item = String> {
+    let tables = [TABLE, FURTHER_TABLE].into_iter();
+    tables.flat_map(|table| (0..PARTS).map(move |part| part_prefix(table, part)))
+}
--- a/crates/ebony_gateway/src/events.rs
+++ b/crates/ebony_gateway/src/events.rs
@@ -5,6 +5,9 @@
 /// The field that numbers an event.
 const ID_FIELD: &[u8] = b"id:";
 
+/// The field that holds a line of an event's data.
+const DATA_FIELD: &[u8] = b"data";
+
 /// One event with the blank line that ends it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct StreamEvent {
@@ -14,6 +17,39 @@
     pub number: Option<u64>,
 }
 
+impl StreamEvent {
+    /// Adds the event's data: the values of its data fields, joined by line feeds.
+    ///
+    /// ```
+    /// use bytes::{Bytes, BytesMut};
+    /// use ebony_gateway::events::StreamEvent;
+    ///
+    /// let event = StreamEvent { bytes: Bytes::from_static(b"id: 3\ndata: a\r\ndata:b\n\n"), number: Some(3) };
+    /// let mut data = BytesMut::new();
+    /// event.append_data(&mut data);
+    /// assert_eq!(data, "a\nb");
+    /// ```
+    pub fn append_data(&self, output: &mut BytesMut) {
+        let lines = self.bytes.split(|byte| *byte == b'\n');
+        let lines = lines.map(|line| line.strip_suffix(b"\r").unwrap_or(line));
+        for (index, value) in lines.filter_map(data_value).enumerate() {
+            if index > 0 {
+                output.extend_from_slice(b"\n");
+            }
+            output.extend_from_slice(value);
+        }
+    }
+}
+
+/// Returns the value of a line that is a data field. One space behind the colon does not count.
+fn data_value(line: &[u8]) -> Option<&[u8]> {
+    match line.strip_prefix(DATA_FIELD)? {
+        [] => Some(&[]),
+        [b':', b' ', value @ ..] | [b':', value @ ..] => Some(value),
+        _ => None,
+    }
+}
+
 /// Cuts a stream of bytes into events. The bytes of all events and of the rest are those that were pushed.
 ///
 /// ```
--- a/crates/ebony_gateway/src/gateway.rs
+++ b/crates/ebony_gateway/src/gateway.rs
@@ -18,6 +18,7 @@
 
 use crate::accounts::AccountDesk;
 use crate::channel::TargetClient;
+use crate::conversations::ConversationDesk;
 use crate::decision_log::DecisionLog;
 use crate::fleet::FleetView;
 use crate::links::PeerLinks;
@@ -65,6 +66,7 @@
     pub(crate) fleet: Rc<FleetView>,
     pub(crate) links: Rc<PeerLinks>,
     pub(crate) accounts: Rc<AccountDesk>,
+    pub(crate) conversations: Rc<ConversationDesk>,
     pub(crate) client: Rc<TargetClient>,
     /// Rows that nothing has written for this long are removed.
     pub(crate) retention: Duration,
@@ -103,16 +105,26 @@
         );
         let links = PeerLinks::open(Rc::clone(&fleet), clock, logger.clone());
         let client = TargetClient::open(settings.targets, metrics.connections.clone());
+        let accounts = AccountDesk::open(
+            Rc::clone(&table),
+            Rc::clone(&fleet),
+            Rc::clone(&links),
+            clock,
+            Rc::clone(&decisions),
+            Rc::clone(&metrics),
+        );
+        let conversations = ConversationDesk::open(
+            table,
+            Rc::clone(&links),
+            Rc::clone(&accounts),
+            clock,
+            Rc::clone(&decisions),
+            Rc::clone(&metrics),
+        );
         Ok(Rc::new(Self {
             dialect,
-            accounts: AccountDesk::open(
-                table,
-                Rc::clone(&fleet),
-                Rc::clone(&links),
-                clock,
-                Rc::clone(&decisions),
-                Rc::clone(&metrics),
-            ),
+            accounts,
+            conversations,
             fleet,
             links,
             store,
--- a/crates/ebony_gateway/src/lib.rs
+++ b/crates/ebony_gateway/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod attempts;
 pub mod call;
 pub mod channel;
+mod conversations;
 pub mod decision_log;
 pub mod events;
 pub mod fleet;
--- /dev/null
+++ b/crates/ebony_gateway/src/links/answering.rs
@@ -0,0 +1,102 @@
+//! Answers to the requests of other gateways.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use ebony_account::{CoverOutcome, TurnRequest};
+use ebony_link::{LinkListener, LinkOptions, LinkReceiver, LinkSender};
+use slog::warn;
+use tokio::time::sleep;
+
+use super::{DIAL_PAUSE, FIRST_DIAL_PAUSE, PeerReply, PeerRequest, identity};
+use crate::gateway::Gateway;
+
+/// Answers the requests of other gateways.
+pub(crate) async fn serve(gateway: Rc<Gateway>, address: SocketAddr) {
+    let key = loop {
+        match gateway.fleet.cluster_key() {
+            Some(key) => break key,
+            None => sleep(FIRST_DIAL_PAUSE).await,
+        }
+    };
+    let identity = identity(key, gateway.fleet.process(), gateway.links.incarnation);
+    let mut listener = loop {
+        match LinkListener::bind(address, identity.clone(), LinkOptions::default()).await {
+            Ok(listener) => break listener,
+            Err(error) => {
+                warn!(gateway.logger, "cannot listen for links"; "address" => %address, "error" => %error);
+                sleep(DIAL_PAUSE).await;
+            }
+        }
+    };
+    while let Some(link) = listener.next().await {
+        let (sender, receiver) = link.split();
+        tokio::task::spawn_local(answer(Rc::clone(&gateway), sender, receiver));
+    }
+}
+
+async fn answer(
+    gateway: Rc<Gateway>,
+    sender: LinkSender<PeerReply>,
+    mut receiver: LinkReceiver<PeerRequest>,
+) {
+    while let Ok(request) = receiver.next().await {
+        let accounts = Rc::clone(&gateway.accounts);
+        let sender = sender.clone();
+        // An answer that cannot be queued leaves the tokens spent; a link whose queue is full is closed by its silence.
+        match request {
+            PeerRequest::Ping => {
+                let reaches_store = accounts.serves_relays();
+                sender.send(&PeerReply::Pong { reaches_store }).ok();
+            }
+            PeerRequest::GiveBack { program, tokens } => accounts.take_back(&program, tokens),
+            PeerRequest::Record { number, want } => {
+                tokio::task::spawn_local(async move {
+                    let granted = match accounts.record_for(&want).await {
+                        Some(CoverOutcome::Granted { tokens, recorded }) => Some((tokens, recorded)),
+                        _ => None,
+                    };
+                    sender.send(&PeerReply::Recorded { number, granted }).ok();
+                });
+            }
+            PeerRequest::FindTurn {
+                number,
+                turn,
+                reads_store,
+            } => {
+                let conversations = Rc::clone(&gateway.conversations);
+                tokio::task::spawn_local(async move {
+                    let found = conversations.find_for_peer(&turn, reads_store).await;
+                    sender.send(&PeerReply::Turn { number, found }).ok();
+                });
+            }
+            PeerRequest::KeepTurn { number, turn, record } => {
+                let conversations = Rc::clone(&gateway.conversations);
+                tokio::task::spawn_local(async move {
+                    let is_kept = conversations.keep_for_peer(&turn, record).await;
+                    sender.send(&PeerReply::Kept { number, is_kept }).ok();
+                });
+            }
+            PeerRequest::Lend {
+                number,
+                program,
+                budget,
+                tokens,
+                event_tokens,
+                has_history,
+            } => {
+                let turn = TurnRequest {
+                    program,
+                    budget,
+                    most_tokens: tokens,
+                    event_tokens,
+                    has_history,
+                };
+                tokio::task::spawn_local(async move {
+                    let lending = accounts.lend(&turn).await;
+                    sender.send(&PeerReply::Lending { number, lending }).ok();
+                });
+            }
+        }
+    }
+}
--- a/crates/ebony_gateway/src/links.rs
+++ b/crates/ebony_gateway/src/links/mod.rs
@@ -3,26 +3,33 @@
 //! A gateway asks the owner of a program for the cover of a turn and gives back what the turn did not need. An owner that
 //! does not reach the store has another gateway record its requests.
 
+mod answering;
+mod messages;
+
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use ebony_account::{CoverOutcome, CoverWant, LentCover, TurnRequest};
-use ebony_link::{LinkIdentity, LinkListener, LinkOptions, LinkReceiver, LinkSender, OpenLink, dial};
-use ebony_types::{ClockTime, ProcessIncarnation, ProgramName};
+use bytes::Bytes;
+use ebony_account::{CoverOutcome, CoverWant, TurnRequest};
+use ebony_link::{LinkIdentity, LinkOptions, LinkSender, OpenLink, dial};
+use ebony_types::{ClockTime, ProcessIncarnation, ProgramName, TurnName};
 use ebony_wire::{ClusterKey, LinkRole};
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
-use serde::{Deserialize, Serialize};
-use slog::{Logger, info, warn};
+use slog::{Logger, info};
 use tokio::sync::oneshot;
 use tokio::time::{interval, sleep, timeout};
 
 use crate::fleet::FleetView;
-use crate::gateway::{Gateway, GatewayClock};
-use crate::open_turn::CoverError;
+use crate::gateway::GatewayClock;
+
+pub(crate) use answering::serve;
+pub use messages::{Lending, PeerReply, PeerRequest, PeerTurn};
 
 /// The time between two pings. A link without a frame for three times as long is closed.
 const PING_INTERVAL: Duration = Duration::from_secs(1);
@@ -42,71 +49,6 @@
 /// Requests that wait for an answer on one link.
 const MOST_PENDING: usize = 1_024;
 
-/// What a gateway asks another one.
-#[derive(Clone, Debug, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
-pub enum PeerRequest {
-    /// Keeps the link alive.
-    Ping,
-    /// Asks the owner of a program for cover of a turn.
-    Lend {
-        /// Matches the answer.
-        number: u64,
-        /// The program.
-        program: ProgramName,
-        /// The program's budget in tokens.
-        budget: u64,
-        /// The tokens to cover.
-        tokens: u64,
-        /// Tokens that one event stands for.
-        event_tokens: u64,
-        /// Whether the turn's prompt shows earlier turns.
-        has_history: bool,
-    },
-    /// Gives cover back that a turn did not need.
-    GiveBack {
-        /// The program.
-        program: ProgramName,
-        /// The tokens.
-        tokens: u64,
-    },
-    /// Asks a gateway that reaches the store to record a request.
-    Record {
-        /// Matches the answer.
-        number: u64,
-        /// The request.
-        want: CoverWant,
-    },
-}
-
-/// What a gateway answers to a request for cover: the tokens that the asking gateway may hand on, or why there are none.
-pub type Lending = std::result::Result<LentCover, CoverError>;
-
-/// What a gateway answers.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
-pub enum PeerReply {
-    /// Answers a ping.
-    Pong {
-        /// Whether the answering gateway reaches the store.
-        reaches_store: bool,
-    },
-    /// Answers a request for cover.
-    Lending {
-        /// The number of the request.
-        number: u64,
-        /// The answer.
-        lending: Lending,
-    },
-    /// Answers a request to record.
-    Recorded {
-        /// The number of the request.
-        number: u64,
-        /// The tokens that were granted and all that are recorded, or `None` if the store does not answer.
-        granted: Option<(u64, u64)>,
-    },
-}
-
 /// Requests on a link that wait for their answers.
 type PendingReplies = Rc<RefCell<HashMap<u64, oneshot::Sender<PeerReply>>>>;
 
@@ -203,14 +145,68 @@
                 ..
             }) => Some(CoverOutcome::Granted { tokens, recorded }),
             _ => {
-                if let Some(link) = self.links.borrow().get(&peer) {
-                    link.reaches_store.set(false);
-                }
+                self.note_store_lost(&peer);
                 None
             }
         }
     }
 
+    /// Asks all linked gateways for the record of a turn, and one that reaches the store to read it there.
+    pub(crate) async fn find_turn(&self, turn: &TurnName) -> PeerTurn {
+        let reader = self.peer_with_store();
+        let peers: Vec<String> = self.links.borrow().keys().cloned().collect();
+        let ask = |peer: String| {
+            let reads_store = reader.as_ref() == Some(&peer);
+            let request = move |number| PeerRequest::FindTurn {
+                number,
+                turn: turn.clone(),
+                reads_store,
+            };
+            async move { self.exchange(&peer, request).await }
+        };
+        let mut replies: FuturesUnordered<_> = peers.into_iter().map(ask).collect();
+        let mut known = PeerTurn::Unknown;
+        while let Some(reply) = replies.next().await {
+            match reply {
+                Some(PeerReply::Turn {
+                    found: found @ PeerTurn::Held(_),
+                    ..
+                }) => return found,
+                Some(PeerReply::Turn {
+                    found: PeerTurn::Absent,
+                    ..
+                }) => known = PeerTurn::Absent,
+                _ => {}
+            }
+        }
+        known
+    }
+
+    /// Has a gateway that reaches the store write the record of a turn. Returns whether the store holds it.
+    pub(crate) async fn keep_turn(&self, turn: &TurnName, record: &Bytes) -> bool {
+        let Some(peer) = self.peer_with_store() else {
+            return false;
+        };
+        let request = |number| PeerRequest::KeepTurn {
+            number,
+            turn: turn.clone(),
+            record: record.clone(),
+        };
+        let reply = self.exchange(&peer, request).await;
+        let is_kept = matches!(reply, Some(PeerReply::Kept { is_kept: true, .. }));
+        if !is_kept {
+            self.note_store_lost(&peer);
+        }
+        is_kept
+    }
+
+    /// Notes that a gateway did not reach the store, until its next ping says otherwise.
+    fn note_store_lost(&self, peer: &str) {
+        if let Some(link) = self.links.borrow().get(peer) {
+            link.reaches_store.set(false);
+        }
+    }
+
     /// Returns whether a linked gateway says that it reaches the store.
     pub(crate) fn reaches_store(&self) -> bool {
         self.peer_with_store().is_some()
@@ -304,9 +300,11 @@
                     PeerReply::Pong {
                         reaches_store: reaches,
                     } => reaches_store.set(reaches),
-                    PeerReply::Lending { number, .. } | PeerReply::Recorded { number, .. } => {
-                        // The asking turn may have ended meanwhile; the tokens then count as spent.
-                        if let Some(answered) = pending.borrow_mut().remove(&number) {
+                    reply => {
+                        let number = reply.number();
+                        let asked = number.and_then(|number| pending.borrow_mut().remove(&number));
+                        // Who asked may have gone on meanwhile; lent tokens then count as spent.
+                        if let Some(answered) = asked {
                             answered.send(reply).ok();
                         }
                     }
@@ -341,75 +339,3 @@
         incarnation,
     }
 }
-
-/// Answers the requests of other gateways.
-pub(crate) async fn serve(gateway: Rc<Gateway>, address: SocketAddr) {
-    let key = loop {
-        match gateway.fleet.cluster_key() {
-            Some(key) => break key,
-            None => sleep(FIRST_DIAL_PAUSE).await,
-        }
-    };
-    let identity = identity(key, gateway.fleet.process(), gateway.links.incarnation);
-    let mut listener = loop {
-        match LinkListener::bind(address, identity.clone(), LinkOptions::default()).await {
-            Ok(listener) => break listener,
-            Err(error) => {
-                warn!(gateway.logger, "cannot listen for links"; "address" => %address, "error" => %error);
-                sleep(DIAL_PAUSE).await;
-            }
-        }
-    };
-    while let Some(link) = listener.next().await {
-        let (sender, receiver) = link.split();
-        tokio::task::spawn_local(answer(Rc::clone(&gateway), sender, receiver));
-    }
-}
-
-async fn answer(
-    gateway: Rc<Gateway>,
-    sender: LinkSender<PeerReply>,
-    mut receiver: LinkReceiver<PeerRequest>,
-) {
-    while let Ok(request) = receiver.next().await {
-        let accounts = Rc::clone(&gateway.accounts);
-        let sender = sender.clone();
-        // An answer that cannot be queued leaves the tokens spent; a link whose queue is full is closed by its silence.
-        match request {
-            PeerRequest::Ping => {
-                let reaches_store = accounts.serves_relays();
-                sender.send(&PeerReply::Pong { reaches_store }).ok();
-            }
-            PeerRequest::GiveBack { program, tokens } => accounts.take_back(&program, tokens),
-            PeerRequest::Record { number, want } => {
-                tokio::task::spawn_local(async move {
-                    let granted = match accounts.record_for(&want).await {
-                        Some(CoverOutcome::Granted { tokens, recorded }) => Some((tokens, recorded)),
-                        _ => None,
-                    };
-                    sender.send(&PeerReply::Recorded { number, granted }).ok();
-                });
-            }
-            PeerRequest::Lend {
-                number,
-                program,
-                budget,
-                tokens,
-                event_tokens,
-                has_history,
-            } => {
-                let turn = TurnRequest {
-                    program,
-                    budget,
-                    most_tokens: tokens,
-                    event_tokens,
-                    has_history,
-                };
-                tokio::task::spawn_local(async move {
-                    let lending = accounts.lend(&turn).await;
-                    sender.send(&PeerReply::Lending { number, lending }).ok();
-                });
-            }
-        }
-    }
-}
--- a/crates/ebony_gateway/src/metrics.rs
+++ b/crates/ebony_gateway/src/metrics.rs
@@ -20,6 +20,10 @@
     pub(crate) store_calls: IntCounterVec,
     /// Requests for cover of a program's turns, by what became of them.
     pub(crate) covers: IntCounterVec,
+    /// Turns of kept conversations that were looked for or recorded, by what became of them.
+    pub(crate) turns: IntCounterVec,
+    /// Bytes of kept conversations in memory.
+    pub(crate) conversation_bytes: IntGauge,
     /// Changes of what the gateway believes of a target's health, by kind.
     pub(crate) target_health: IntCounterVec,
     /// Bytes of memory that the process has resident.
@@ -76,6 +80,15 @@
                 "Requests for cover of a program's turns, by what became of them.",
                 &["outcome"],
             )?,
+            turns: registry.counter_family(
+                "gateway_turns_total",
+                "Turns of kept conversations that were looked for or recorded, by what became of them.",
+                &["outcome"],
+            )?,
+            conversation_bytes: registry.gauge(
+                "gateway_conversation_bytes",
+                "Bytes of kept conversations in memory.",
+            )?,
             target_health: registry.counter_family(
                 "gateway_target_health_total",
                 "Changes of what the gateway believes of a target's health, by kind.",
--- a/crates/ebony_gateway/src/routed_call.rs
+++ b/crates/ebony_gateway/src/routed_call.rs
@@ -7,6 +7,7 @@
 use ebony_routing::{EngineRule, RouteRule};
 use ebony_types::{ClockTime, ServiceName};
 
+use crate::conversations::KeptTurn;
 use crate::gateway::Gateway;
 use crate::intake::RequestHead;
 
@@ -15,7 +16,10 @@
     pub(crate) gateway: Rc<Gateway>,
     pub(crate) request: RequestHead,
     pub(crate) head: CallHead,
+    /// What a target gets.
     pub(crate) body: Bytes,
+    /// The turn, if its route keeps conversations.
+    pub(crate) kept: Option<KeptTurn>,
     pub(crate) route: Rc<RouteRule>,
     pub(crate) service: ServiceName,
     pub(crate) engine: Option<EngineRule>,
@@ -25,7 +29,18 @@
     pub(crate) deadline: ClockTime,
 }
 
+/// Parts of a program's first prompt: one that programs share, and its own. Each later turn adds parts.
+const FIRST_TURN_PARTS: usize = 2;
+
 impl RoutedCall {
+    /// Returns whether earlier turns of the program were answered.
+    pub(crate) fn has_history(&self) -> bool {
+        match &self.kept {
+            Some(turn) => turn.continues_program(),
+            None => self.head.prompt.len() > FIRST_TURN_PARTS,
+        }
+    }
+
     /// Returns whether the answer is a stream of events.
     pub(crate) fn is_stream(&self) -> bool {
         self.route.nature.is_stream()
--- a/crates/ebony_gateway/src/story.rs
+++ b/crates/ebony_gateway/src/story.rs
@@ -76,6 +76,10 @@
     routing_version: u64,
     /// The turn's budget and its most tokens, if it has any.
     budget: Option<(u64, u64)>,
+    /// The turn that this one continues.
+    previous: Option<String>,
+    /// Records and bytes of the conversation so far.
+    chain: Option<(usize, usize)>,
     /// The load of the service that kept a program from beginning, in calls a slot.
     load: Option<f64>,
     arrived: ClockTime,
@@ -96,6 +100,8 @@
             route: String::new(),
             routing_version: 0,
             budget: None,
+            previous: None,
+            chain: None,
             load: None,
             arrived,
             first_sent: None,
@@ -115,6 +121,16 @@
         self.budget = Some((budget, most_tokens));
     }
 
+    /// Notes the turn that this one continues, as the caller named it.
+    pub(crate) fn set_previous(&mut self, previous: &str) {
+        self.previous = Some(previous.to_owned());
+    }
+
+    /// Notes what was found of the conversation so far.
+    pub(crate) fn set_chain(&mut self, records: usize, bytes: usize) {
+        self.chain = Some((records, bytes));
+    }
+
     pub(crate) fn set_load(&mut self, load: f64) {
         self.load = Some(load);
     }
@@ -208,6 +224,9 @@
             "routing_version" => self.routing_version,
             "budget" => self.budget.map(|(budget, _)| budget),
             "most_tokens" => self.budget.map(|(_, most)| most),
+            "previous" => &self.previous,
+            "chain_records" => self.chain.map(|(records, _)| records),
+            "chain_bytes" => self.chain.map(|(_, bytes)| bytes),
             "load" => self.load,
             "attempts" => &self.attempts,
             "events" => self.events,
--- a/crates/ebony_gateway/src/sweeper.rs
+++ b/crates/ebony_gateway/src/sweeper.rs
@@ -7,10 +7,13 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use ebony_conversation::row_lifetime;
 use ebony_platform::{PlatformError, RowKey, RowVersion};
+use ebony_routing::ProgramRule;
 use slog::{info, warn};
 use tokio::time::sleep;
 
+use crate::conversations::rows as turns;
 use crate::gateway::Gateway;
 use crate::{accounts, fleet};
 
@@ -40,7 +43,9 @@
         if !outlasts_programs(&gateway) {
             continue;
         }
-        let prefixes = accounts::part_prefixes().chain([fleet::entry_prefix()]);
+        let prefixes = accounts::part_prefixes()
+            .chain(turns::part_prefixes())
+            .chain([fleet::entry_prefix()]);
         for prefix in prefixes {
             if !gateway.fleet.owns(&prefix) {
                 continue;
@@ -57,17 +62,26 @@
     }
 }
 
-/// Returns whether rows stay longer than any program may come back.
+/// Returns how long rows that a program needs have to stay.
+fn least_retention(rule: ProgramRule) -> Duration {
+    let program = rule.retention * RETENTION_MARGIN;
+    match rule.keeps_turns {
+        true => program.max(row_lifetime(rule.retention)),
+        false => program,
+    }
+}
+
+/// Returns whether rows stay longer than any program may come back, and any conversation reaches back.
 fn outlasts_programs(gateway: &Gateway) -> bool {
     let Some(routing) = gateway.routing() else {
         return false;
     };
     let rules = routing.routes().filter_map(|route| route.program);
-    let longest = rules.map(|rule| rule.retention).max().unwrap_or_default();
-    let outlasts = gateway.retention >= longest * RETENTION_MARGIN;
+    let least = rules.map(least_retention).max().unwrap_or_default();
+    let outlasts = gateway.retention >= least;
     if !outlasts {
         warn!(gateway.logger, "no rows are removed: programs may come back too late for the store's retention";
-            "retention_ms" => gateway.retention.as_millis() as u64, "programs_ms" => longest.as_millis() as u64);
+            "retention_ms" => gateway.retention.as_millis() as u64, "least_ms" => least.as_millis() as u64);
     }
     outlasts
 }
--- a/crates/ebony_gateway/src/watch.rs
+++ b/crates/ebony_gateway/src/watch.rs
@@ -341,6 +341,8 @@
         }
         let gauge = |count: usize| i64::try_from(count).unwrap_or(i64::MAX);
         gateway.metrics.accounts.set(gauge(gateway.accounts.len()));
+        let conversation_bytes = gauge(gateway.conversations.cache_bytes());
+        gateway.metrics.conversation_bytes.set(conversation_bytes);
         gateway.metrics.open_calls.set(gauge(gateway.open_calls.get()));
     }
 }
--- a/crates/ebony_routing/src/route.rs
+++ b/crates/ebony_routing/src/route.rs
@@ -50,8 +50,10 @@
 /// How a route treats the turns of agent programs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ProgramRule {
-    /// How long a stopped program may come back.
+    /// How long a stopped program may come back, and how long after its end a kept turn may be continued.
     pub retention: Duration,
+    /// Whether the system keeps the turns. A turn then carries only its new input and names the turn before it.
+    pub keeps_turns: bool,
 }
 
 /// One route.
--- a/crates/ebony_types/src/lib.rs
+++ b/crates/ebony_types/src/lib.rs
@@ -21,6 +21,7 @@
     pub use crate::id::{CallId, FencingToken, ProcessIncarnation, ProgramId, SessionId, ShardKey};
     pub use crate::name::{
         CallerName, DomainName, HostName, IdempotencyKey, ModelName, ProgramName, ServiceName, TargetName,
+        TurnName,
     };
     pub use crate::problem::{ProblemCode, ProblemReport};
     pub use crate::verdict::RunVerdict;
--- a/crates/ebony_types/src/name.rs
+++ b/crates/ebony_types/src/name.rs
@@ -146,3 +146,8 @@
     /// Names an agent program, as its caller does.
     ProgramName
 }
+
+name_type! {
+    /// Names a turn of a conversation: the caller's name of the attempt that was answered.
+    TurnName
+}
--- a/crates/ebony_types/src/problem.rs
+++ b/crates/ebony_types/src/problem.rs
@@ -54,6 +54,8 @@
     UnknownService = 404, "unknown_service";
     /// The program is unknown, or its end lies too far back.
     UnknownProgram = 404, "unknown_program";
+    /// The turn that a conversation is to go on from was not kept, or its end lies too far back.
+    UnknownTurn = 404, "unknown_turn";
     /// The method is not allowed on this route.
     MethodNotAllowed = 405, "method_not_allowed";
     /// The caller was too slow to send its request.
