Bound answers without end, and answer what arrives during a planned stop

Cause, each shown by a test that failed first (platform/tests/troubled_targets.rs): - A stream whose bytes hold no end of an event was collected in memory until the deadline. - A body is not polled while its caller takes nothing, so that its deadline never fired and the target worked on. - A stream that was closed within an event was ended as complete. - An entry of an earlier life of a target, written late, replaced the newer one. - A connection that was accepted after the port began to close was ended without an answer. Ruled out: head, chunk sizes, trailers and the store's answers, whose bounds held; a lapsed entry, whose work runs on; slow and trickling streams, which the call's deadline ends. Change: events up to 1 MiB; a watchdog closes the target's connection 250 ms after the deadline; half an event is never the end of a whole stream; records with an older start are left out; the port takes what has arrived before it closes, and open connections get up to 200 ms for their answer.

--- a/crates/ebony_dispatch/src/board.rs
+++ b/crates/ebony_dispatch/src/board.rs
@@ -58,6 +58,8 @@
     Draining(TargetKey),
     /// Nothing that matters to calls.
     Unchanged(TargetKey),
+    /// Nothing: the record is of an earlier life of the target, whose last write came late.
+    Outdated(TargetKey),
 }
 
 /// A target on the board.
@@ -113,6 +115,9 @@
     /// Takes over a record of the platform's list.
     pub fn apply(&mut self, record: TargetRecord) -> TargetChange {
         let known = self.names.get(&record.name).copied();
+        if let Some(key) = known.filter(|key| self.is_later_life(*key, &record)) {
+            return TargetChange::Outdated(key);
+        }
         let Some(key) = known.filter(|key| self.is_same_life(*key, &record)) else {
             if let Some(key) = known {
                 self.targets.remove(key);
@@ -256,6 +261,12 @@
         }
     }
 
+    /// Returns whether the target on the board started after the one of the record.
+    fn is_later_life(&self, key: TargetKey, record: &TargetRecord) -> bool {
+        let target = self.targets.get(key);
+        target.is_some_and(|target| target.record.born > record.born)
+    }
+
     fn is_same_life(&self, key: TargetKey, record: &TargetRecord) -> bool {
         self.targets.get(key).is_some_and(|target| {
             let known = &target.record;
--- a/crates/ebony_gateway/src/answer.rs
+++ b/crates/ebony_gateway/src/answer.rs
@@ -16,7 +16,8 @@
 use http::response::Parts;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
-use tokio::time::timeout;
+use tokio::task::AbortHandle;
+use tokio::time::{sleep, timeout};
 
 use crate::channel::{ChannelLease, OpenAnswer};
 use crate::events::EventSplitter;
@@ -30,6 +31,13 @@
 /// The largest answer that is read as a whole before it is handed on. Answers of services are below 5 KB today.
 const WHOLE_BYTES: usize = 64 * 1024;
 
+/// The largest event of a stream. Events of today's engines have below 1 KB; a target in trouble may send bytes without end.
+const MOST_EVENT_BYTES: usize = 1024 * 1024;
+
+/// How long after the deadline the connection to the target is closed if the caller takes nothing, so that the answer could
+/// not be broken off in its own time.
+const UNREAD_GRACE: Duration = Duration::from_millis(250);
+
 /// Why an answer broke off after it was begun.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[derive(thiserror::Error)]
@@ -37,6 +45,9 @@
     /// The target's connection broke.
     #[error("the target broke off")]
     TargetBrokeOff,
+    /// The target sent an event that is no answer of its kind.
+    #[error("an event of the target is too large")]
+    EventTooLarge,
     /// The call's time is over.
     #[error("the deadline passed")]
     DeadlinePassed,
@@ -52,6 +63,7 @@
     fn as_str(self) -> &'static str {
         match self {
             Self::TargetBrokeOff => "target_broke_off",
+            Self::EventTooLarge => "event_too_large",
             Self::DeadlinePassed => "deadline_passed",
             Self::BudgetSpent => "budget_spent",
             Self::NotKept => "not_kept",
@@ -68,6 +80,7 @@
     keeps_idle: Option<Duration>,
     /// Bytes that were read and not yet handed on.
     read: EventSplitter,
+    is_stream: bool,
     /// What is still to be read, with its connection; `None` once the answer was read to its end.
     rest: Option<AnswerRest>,
     run: TargetRun,
@@ -77,6 +90,28 @@
     body: Incoming,
     lease: ChannelLease,
     length: Option<u64>,
+    watchdog: Option<AnswerWatchdog>,
+}
+
+/// Closes the connection to a target some time after the call's deadline. A body is not asked for more bytes while its
+/// caller takes none, and so cannot notice the deadline itself.
+struct AnswerWatchdog(AbortHandle);
+
+impl AnswerWatchdog {
+    fn spawn(call: &RoutedCall, channel: AbortHandle) -> Self {
+        let time_left = call.gateway.time_left(call.deadline).unwrap_or_default();
+        let watching = async move {
+            sleep(time_left + UNREAD_GRACE).await;
+            channel.abort();
+        };
+        Self(tokio::task::spawn_local(watching).abort_handle())
+    }
+}
+
+impl Drop for AnswerWatchdog {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
 }
 
 impl BegunAnswer {
@@ -92,26 +127,27 @@
                 length: answer.body.size_hint().exact(),
                 body: answer.body,
                 lease: answer.lease,
+                watchdog: None,
             }),
+            is_stream: call.is_stream() && answer.head.status.is_success(),
             head: answer.head,
             keeps_idle: head.keeps_idle,
             read: EventSplitter::default(),
             run,
         };
-        let is_stream = call.is_stream() && begun.head.status.is_success();
         let Some(time_left) = call.gateway.time_left(call.deadline) else {
             return Err((AttemptOutcome::TimedOut, begun.run));
         };
-        match timeout(time_left, begun.fill(is_stream)).await {
+        match timeout(time_left, begun.fill()).await {
             Ok(Ok(())) => Ok(begun),
             Ok(Err(_)) => Err((AttemptOutcome::Broken, begun.run)),
             Err(_) => Err((AttemptOutcome::TimedOut, begun.run)),
         }
     }
 
-    async fn fill(&mut self, is_stream: bool) -> Result<()> {
+    async fn fill(&mut self) -> Result<()> {
         loop {
-            let is_enough = match is_stream {
+            let is_enough = match self.is_stream {
                 true => self.read.has_event(),
                 false => self.read.len() > WHOLE_BYTES,
             };
@@ -132,6 +168,10 @@
                 if let Some(data) = frame.data_ref() {
                     self.read.push(data);
                 }
+                let is_large = self.is_stream && self.read.len() > MOST_EVENT_BYTES;
+                if is_large && !self.read.has_event() {
+                    return Err(AnswerFailure::EventTooLarge);
+                }
                 Ok(true)
             }
             Some(Err(_)) => Err(AnswerFailure::TargetBrokeOff),
@@ -166,14 +206,17 @@
     guard: OpenCallGuard,
 ) -> HttpResponse {
     let status = answer.head.status;
+    let is_stream = answer.is_stream;
     let mut response = response_head(&answer.head);
-    let is_stream = call.is_stream() && status.is_success();
     if answer.rest.is_none() && !is_stream {
         story.end(CallOutcome::Answered {
             status: status.as_u16(),
         });
         return response.body(answer.read.take_rest());
     }
+    if let Some(rest) = &mut answer.rest {
+        rest.watchdog = Some(AnswerWatchdog::spawn(&call, rest.lease.abort_handle()));
+    }
     // An answer with a length looks complete with its last byte. That of a kept turn has to stay open until the turn is
     // recorded.
     let keeps_open = is_stream && call.kept.is_some();
@@ -184,7 +227,6 @@
         turn,
         answer,
         story,
-        is_stream,
         _guard: guard,
     };
     match length {
@@ -236,7 +278,6 @@
     turn: Option<OpenTurn>,
     answer: BegunAnswer,
     story: CallStory,
-    is_stream: bool,
     _guard: OpenCallGuard,
 }
 
@@ -261,7 +302,10 @@
     }
 
     fn break_off(&mut self, failure: AnswerFailure) {
-        if failure == AnswerFailure::TargetBrokeOff {
+        if matches!(
+            failure,
+            AnswerFailure::TargetBrokeOff | AnswerFailure::EventTooLarge
+        ) {
             self.answer.run.record_failure();
         }
         self.story.end(CallOutcome::BrokenOff {
@@ -288,7 +332,7 @@
 
     async fn next_bytes(&mut self) -> Result<Option<Bytes>> {
         loop {
-            let bytes = match self.is_stream {
+            let bytes = match self.answer.is_stream {
                 true => self.next_events().await?,
                 false => self.answer.read.take_rest(),
             };
@@ -301,8 +345,8 @@
                     self.keep().await?;
                     return Ok(None);
                 }
-                if self.is_stream && self.call.kept.is_some() {
-                    // An event without its end is not part of the conversation, and says that the target broke off.
+                if self.answer.is_stream {
+                    // An event without its end says that the target broke off, however its connection ended.
                     return Err(AnswerFailure::TargetBrokeOff);
                 }
                 return Ok(Some(rest));
@@ -312,7 +356,7 @@
 
     /// Records a turn of a kept conversation whose answer was read to its end.
     async fn keep(&mut self) -> Result<()> {
-        if !self.is_stream {
+        if !self.answer.is_stream {
             return Ok(());
         }
         let Some(turn) = &self.call.kept else {
@@ -333,7 +377,7 @@
                     .map_err(|_| AnswerFailure::BudgetSpent)?;
             }
             if let Some(turn) = &mut self.call.kept {
-                turn.add_event(&event);
+                turn.add_event(&event).map_err(|_| AnswerFailure::NotKept)?;
             }
             self.story.record_event();
             events.extend_from_slice(&event.bytes);
--- a/crates/ebony_gateway/src/channel.rs
+++ b/crates/ebony_gateway/src/channel.rs
@@ -82,6 +82,15 @@
 }
 
 impl ChannelLease {
+    /// Returns a handle that closes the connection.
+    pub(crate) fn abort_handle(&self) -> AbortHandle {
+        let channel = self
+            .channel
+            .as_ref()
+            .expect("a lease holds its connection until it is recycled");
+        channel.task.clone()
+    }
+
     /// Keeps the connection for further calls, after the answer was read to its end.
     pub(crate) fn recycle(mut self, target_keeps: Option<Duration>) {
         let Some(channel) = self.channel.take() else {
--- a/crates/ebony_gateway/src/conversations/kept_turn.rs
+++ b/crates/ebony_gateway/src/conversations/kept_turn.rs
@@ -6,6 +6,18 @@
 
 use crate::events::StreamEvent;
 
+/// The largest output of a turn. Turns of today have below 32 KB; a target in trouble may send events without end.
+const MOST_OUTPUT_BYTES: usize = 4 * 1024 * 1024;
+
+/// The output of a turn is larger than any turn's.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(thiserror::Error)]
+#[error("the output has more than {MOST_OUTPUT_BYTES} bytes")]
+pub(crate) struct OutputTooLarge;
+
+/// The result of adding to a turn.
+pub(crate) type Result<T, E = OutputTooLarge> = std::result::Result<T, E>;
+
 /// A turn of a kept conversation under way.
 pub(crate) struct KeptTurn {
     /// The caller's name of the attempt, by which later turns name this one.
@@ -51,9 +63,17 @@
     }
 
     /// Adds an event of the answer.
-    pub(crate) fn add_event(&mut self, event: &StreamEvent) {
+    ///
+    /// # Errors
+    ///
+    /// Fails if the output is larger than any turn's.
+    pub(crate) fn add_event(&mut self, event: &StreamEvent) -> Result<()> {
         event.append_data(&mut self.output);
         self.output.extend_from_slice(b"\n");
+        match self.output.len() > MOST_OUTPUT_BYTES {
+            true => Err(OutputTooLarge),
+            false => Ok(()),
+        }
     }
 
     /// Returns the record of the turn, once its answer was read to its end.
--- a/crates/ebony_gateway/src/listener.rs
+++ b/crates/ebony_gateway/src/listener.rs
@@ -17,7 +17,7 @@
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use crate::call;
 use crate::decision_log::{DecisionLog, LineKind};
@@ -34,6 +34,9 @@
 /// The longest time that a caller may take to send its head, which also bounds an idle new connection.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// The pause between two looks at the open connections while the port closes.
+const CLOSING_PAUSE: Duration = Duration::from_millis(10);
+
 /// How long a connection that ends is given to take its last bytes.
 const LINGER: Duration = Duration::from_secs(1);
 
@@ -73,16 +76,21 @@
                     call::serve(gateway, request, payload)
                 },
             ));
-        let service = http_service(app, self.settings.idle_time, is_closing).await?;
-        let accepting = accept(
-            self.listener,
+        let service = http_service(app, self.settings.idle_time, is_closing.clone()).await?;
+        let open = Rc::new(Cell::new(0));
+        let accepting = CallerAcceptor {
+            listener: self.listener,
             service,
-            self.settings.connections,
-            Rc::clone(&gateway.decisions),
-        );
+            is_closing,
+            open: Rc::clone(&open),
+            most: self.settings.connections,
+            decisions: Rc::clone(&gateway.decisions),
+        };
+        let accepting = accepting.run();
         Ok(CallerListener {
             closing,
-            _task: tokio::task::spawn_local(accepting),
+            open,
+            task: tokio::task::spawn_local(accepting),
         })
     }
 }
@@ -90,13 +98,24 @@
 /// The serving port.
 pub(crate) struct CallerListener {
     closing: watch::Sender<bool>,
-    _task: JoinHandle<()>,
+    /// Open connections.
+    open: Rc<Cell<usize>>,
+    task: JoinHandle<()>,
 }
 
 impl CallerListener {
-    /// Closes idle connections, and the others after their answer.
-    pub(crate) fn close_connections(&self) {
+    /// Takes what has arrived, closes the port and idle connections, and waits up to `limit` for the others to end with
+    /// their answers.
+    pub(crate) async fn close(self, limit: Duration) {
         self.closing.send_replace(true);
+        let ending = async {
+            // The port is closed once nothing waits to be accepted.
+            self.task.await.ok();
+            while self.open.get() > 0 {
+                sleep(CLOSING_PAUSE).await;
+            }
+        };
+        timeout(limit, ending).await.ok();
     }
 }
 
@@ -132,8 +151,12 @@
         .graceful_shutdown_signal(move || {
             let mut is_closing = is_closing.clone();
             async move {
-                // The sender lives as long as the process.
-                is_closing.wait_for(|is_closing| *is_closing).await.ok();
+                if *is_closing.borrow_and_update() {
+                    // A connection that was accepted last is answered once, and ends with that answer.
+                    std::future::pending::<()>().await;
+                }
+                // The sender lives as long as the port.
+                is_closing.changed().await.ok();
             }
         })
         .finish(factory)
@@ -159,34 +182,49 @@
     }
 }
 
-async fn accept<S>(listener: TcpListener, service: S, most: usize, decisions: Rc<DecisionLog>)
-where
-    S: Service<TcpStream> + 'static,
-{
-    let service = Rc::new(service);
-    let open = Rc::new(Cell::new(0));
-    loop {
-        match listener.accept().await {
-            Ok((stream, peer)) => {
-                if open.get() >= most {
-                    if decisions.admits(LineKind::Belief) {
-                        warn!(decisions.logger, "a connection was closed, because too many are open"; "peer" => %peer);
+/// Accepts connections and serves them.
+struct CallerAcceptor<S> {
+    listener: TcpListener,
+    service: S,
+    is_closing: watch::Receiver<bool>,
+    open: Rc<Cell<usize>>,
+    /// The most open connections.
+    most: usize,
+    decisions: Rc<DecisionLog>,
+}
+
+impl<S: Service<TcpStream> + 'static> CallerAcceptor<S> {
+    /// Runs until the port is to be closed and nothing waits to be accepted.
+    async fn run(mut self) {
+        let service = Rc::new(self.service);
+        loop {
+            let accepted = tokio::select! {
+                // Whoever was accepted by the kernel is answered, also when the port is to be closed.
+                biased;
+                accepted = self.listener.accept() => accepted,
+                _ = self.is_closing.wait_for(|is_closing| *is_closing) => return,
+            };
+            match accepted {
+                Ok((_, peer)) if self.open.get() >= self.most => {
+                    if self.decisions.admits(LineKind::Belief) {
+                        warn!(self.decisions.logger, "a connection was closed, because too many are open"; "peer" => %peer);
                     }
-                    continue;
                 }
-                let guard = ConnectionGuard::open(&open);
-                let service = Rc::clone(&service);
-                tokio::task::spawn_local(async move {
-                    let _guard = guard;
-                    // A broken connection concerns its caller only.
-                    service.call(stream).await.ok();
-                });
-            }
-            Err(error) => {
-                if decisions.admits(LineKind::Belief) {
-                    warn!(decisions.logger, "cannot accept a connection"; "error" => %error);
+                Ok((stream, _)) => {
+                    let guard = ConnectionGuard::open(&self.open);
+                    let service = Rc::clone(&service);
+                    tokio::task::spawn_local(async move {
+                        let _guard = guard;
+                        // A broken connection concerns its caller only.
+                        service.call(stream).await.ok();
+                    });
+                }
+                Err(error) => {
+                    if self.decisions.admits(LineKind::Belief) {
+                        warn!(self.decisions.logger, "cannot accept a connection"; "error" => %error);
+                    }
+                    sleep(ERROR_PAUSE).await;
                 }
-                sleep(ERROR_PAUSE).await;
             }
         }
     }
--- a/crates/ebony_gateway/src/process.rs
+++ b/crates/ebony_gateway/src/process.rs
@@ -158,8 +158,7 @@
         while self.gateway.open_calls.get() > 0 && Instant::now() < limit {
             sleep(DRAIN_PAUSE).await;
         }
-        self.listener.close_connections();
-        sleep(CLOSING_TIME / 2).await;
+        self.listener.close(CLOSING_TIME / 2).await;
         info!(self.gateway.logger, "drained";
             "calls_left" => self.gateway.open_calls.get(), "took_ms" => start.elapsed().as_millis() as u64);
         self.health_server.stop().await;
--- a/crates/ebony_gateway/src/watch.rs
+++ b/crates/ebony_gateway/src/watch.rs
@@ -280,6 +280,9 @@
             TargetChange::Added(_) => info!(logger, "target added";
                 "target" => &row.key, "service" => service.as_str(), "domain" => domain.as_str()),
             TargetChange::Draining(_) => info!(logger, "target is draining"; "target" => &row.key),
+            TargetChange::Outdated(_) => {
+                info!(logger, "an entry of an earlier life was left out"; "target" => &row.key)
+            }
             TargetChange::Unchanged(_) => {}
         }
     }
