Hand nothing on without a record for first turns that may be repeats

An owner took a first turn for the proof that it saw the program begin, and lent one turn without a record while the store was slow. Ruled out: late writes and double grants; each counts tokens twice, never too few. The setting first_start says which start it is. The owner asks for its next block while one more turn is covered, so that an outage leaves each program that turn.

--- a/crates/ebony_account/src/book.rs
+++ b/crates/ebony_account/src/book.rs
@@ -8,7 +8,7 @@
 
 use crate::allowance::{ProgramAllowance, unseen_tokens};
 use crate::options::AccountOptions;
-use crate::program_account::{CoverOutcome, ProgramAccount, SecureOutcome, SpendOutcome};
+use crate::program_account::{CoverOutcome, ProgramAccount, ProgramOrigin, SecureOutcome, SpendOutcome};
 
 new_key_type! {
     /// The account of a program.
@@ -139,15 +139,27 @@
     options: AccountOptions,
     accounts: SlotMap<AccountKey, ProgramAccount>,
     programs: HashMap<ProgramName, AccountKey>,
+    /// Until when a first turn may be the repeat of an attempt at an entry before this one.
+    blind_until: Option<ClockTime>,
 }
 
 impl AccountBook {
-    /// Creates an empty book.
+    /// Creates an empty book of a system that starts for the first time.
     pub fn open(options: AccountOptions) -> Self {
         Self {
             options,
             accounts: SlotMap::with_key(),
             programs: HashMap::new(),
+            blind_until: None,
+        }
+    }
+
+    /// Creates an empty book of an entry that was started again or joins others. For a while it does not know whether a
+    /// first turn was tried before, and hands nothing on that is not recorded.
+    pub fn open_again(options: AccountOptions, now: ClockTime) -> Self {
+        Self {
+            blind_until: Some(now + options.retention),
+            ..Self::open(options)
         }
     }
 
@@ -167,7 +179,7 @@
     }
 
     /// Returns whether a turn is better covered before it is sent: little is left of the program's budget, or nothing is
-    /// known of a program that had earlier turns.
+    /// known of a program that had earlier turns or may have had some.
     ///
     /// Answers loads of programs that loop until they are stopped. Each turn that begins before its budget is found spent
     /// costs a target the reading of a long prompt.
@@ -379,7 +391,14 @@
             return None;
         }
         let needed = account.wanted.saturating_sub(account.free());
-        let mut tokens = needed;
+        // The owner asks for the next block while the cover of one more turn is left, so that neither that turn waits for
+        // the store nor an outage stops the program at once.
+        let is_low = account.open_turns > 0 && account.free() < account.turn_tokens;
+        let tops_up = asker == CoverAsker::Owner && is_low && account.recorded.is_some();
+        let mut tokens = match tops_up {
+            true => needed.max(1),
+            false => needed,
+        };
         // A debt without a row is recorded with a grant, so that what is handed on meanwhile is safe.
         let is_new_debt = account.debt > 0 && account.recorded.is_none();
         if account.left() == Some(0) {
@@ -408,7 +427,7 @@
             debt: account.debt,
             unseen: match account.is_witnessed {
                 true => 0,
-                false => unseen_tokens(account.budget),
+                false => account.unseen,
             },
         })
     }
@@ -459,7 +478,14 @@
         if self.accounts.len() >= self.options.max_accounts {
             return None;
         }
-        let account = ProgramAccount::open(turn.program.clone(), turn.budget, !turn.has_history, now);
+        let origin = match turn.has_history {
+            true => ProgramOrigin::Later,
+            false if self.blind_until.is_some_and(|until| now < until) => ProgramOrigin::MaybeRepeated {
+                turn_tokens: turn.most_tokens,
+            },
+            false => ProgramOrigin::First,
+        };
+        let account = ProgramAccount::open(turn.program.clone(), turn.budget, origin, now);
         let key = self.accounts.insert(account);
         self.programs.insert(turn.program.clone(), key);
         Some(key)
--- a/crates/ebony_account/src/options.rs
+++ b/crates/ebony_account/src/options.rs
@@ -16,7 +16,8 @@
     pub recheck: Duration,
     /// The most accounts that an entry keeps. At 330,000 open programs over 390 nodes an entry holds about 850.
     pub max_accounts: usize,
-    /// How long an account without a turn is kept: the time in which a stopped program may come back, and a half.
+    /// How long an account without a turn is kept: the time in which a stopped program may come back, and a half. An entry
+    /// that was started again cannot tell first turns from repeated ones for as long.
     pub retention: Duration,
 }
 
--- a/crates/ebony_account/src/program_account.rs
+++ b/crates/ebony_account/src/program_account.rs
@@ -2,6 +2,8 @@
 
 use ebony_types::{ClockTime, ProgramName};
 
+use crate::allowance::unseen_tokens;
+
 /// What became of a request for cover.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CoverOutcome {
@@ -39,6 +41,31 @@
     Exhausted,
 }
 
+/// What is known of the turns of a program before the one that opens its account.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum ProgramOrigin {
+    /// There were none.
+    First,
+    /// The turn is a first one, but this entry was started too lately to know of an earlier attempt at it.
+    MaybeRepeated {
+        /// The most tokens of the turn.
+        turn_tokens: u64,
+    },
+    /// There were some, at another entry or before a restart of this one.
+    Later,
+}
+
+impl ProgramOrigin {
+    /// Returns the tokens that earlier turns may have generated without a record. An attempt at a first turn was covered by
+    /// its owner's allowance, and one turn more than the budget may be handed on.
+    fn unseen_tokens(self, budget: u64) -> u64 {
+        match self {
+            Self::First | Self::Later => unseen_tokens(budget),
+            Self::MaybeRepeated { turn_tokens } => unseen_tokens(budget).saturating_sub(turn_tokens),
+        }
+    }
+}
+
 /// Tokens of one program that this entry may hand on, and has handed on.
 #[derive(Clone, Debug)]
 pub(crate) struct ProgramAccount {
@@ -56,6 +83,8 @@
     pub(crate) wanted: u64,
     /// Whether this entry saw the program's first turn.
     pub(crate) is_witnessed: bool,
+    /// Tokens that earlier turns may have generated, if the store does not know the program and it was not witnessed.
+    pub(crate) unseen: u64,
     /// The most tokens of a turn, by the latest one.
     pub(crate) turn_tokens: u64,
     /// Turns under way.
@@ -74,16 +103,17 @@
 }
 
 impl ProgramAccount {
-    pub(crate) fn open(program: ProgramName, budget: u64, is_witnessed: bool, now: ClockTime) -> Self {
+    pub(crate) fn open(program: ProgramName, budget: u64, origin: ProgramOrigin, now: ClockTime) -> Self {
         Self {
             program,
             budget,
+            is_witnessed: origin == ProgramOrigin::First,
+            unseen: origin.unseen_tokens(budget),
             covered: 0,
             spent: 0,
             reserved: 0,
             debt: 0,
             wanted: 0,
-            is_witnessed,
             turn_tokens: 0,
             open_turns: 0,
             recorded: None,
--- a/crates/ebony_account/tests/book.rs
+++ b/crates/ebony_account/tests/book.rs
@@ -60,6 +60,31 @@
     }
 }
 
+/// Answers outages that begin between two turns: a program that has begun can go on for one more.
+#[test]
+fn an_owner_asks_again_while_one_more_turn_is_covered() {
+    let mut book = AccountBook::open(AccountOptions::default());
+    let mut cover = opened(&mut book, &turn(2_400, false));
+    book.secure(&mut cover);
+    let mut asked = Vec::new();
+    let mut recorded = 0;
+    for _ in 0..6 {
+        while let Some(want) = book.cover_wanted(cover.account(), CoverAsker::Owner) {
+            recorded += want.tokens;
+            let tokens = want.tokens;
+            asked.push(tokens);
+            book.settle_cover(cover.account(), CoverOutcome::Granted { tokens, recorded });
+        }
+        assert_eq!(book.secure(&mut cover), SecureOutcome::Secured);
+        // Whatever is asked for while the turn runs has no answer; the next turn does not need it.
+        book.spend(&mut cover, 175);
+        book.close_turn(&mut cover, NOW);
+        cover = opened(&mut book, &turn(2_400, true));
+        assert_eq!(book.secure(&mut cover), SecureOutcome::Secured, "after {asked:?}");
+    }
+    insta::assert_debug_snapshot!(asked);
+}
+
 #[test]
 fn cover_that_was_not_needed_comes_back() {
     let mut lender = AccountBook::open(AccountOptions::default());
--- a/crates/ebony_account/tests/budget_model.rs
+++ b/crates/ebony_account/tests/budget_model.rs
@@ -27,6 +27,7 @@
     row: Option<AccountRecord>,
     is_store_away: bool,
     turns_opened: u32,
+    was_killed: bool,
     handed_on: u64,
 }
 
@@ -40,17 +41,24 @@
             row: None,
             is_store_away: false,
             turns_opened: 0,
+            was_killed: false,
             handed_on: 0,
         }
     }
 
     fn open_turn(&mut self) {
+        self.open_turn_as(self.turns_opened > 0);
+    }
+
+    /// Opens a turn. After a kill, callers send first turns again that had begun, and programs that were stopped come back
+    /// from their start.
+    fn open_turn_as(&mut self, has_history: bool) {
         let turn = TurnRequest {
             program: ProgramName::parse("p").expect("a name"),
             budget: self.budget,
             most_tokens: MOST_TOKENS,
             event_tokens: EVENT_TOKENS,
-            has_history: self.turns_opened > 0,
+            has_history,
         };
         self.turns_opened += 1;
         if let TurnOpening::Open(cover) = self.book.open_turn(&turn, NOW) {
@@ -131,7 +139,8 @@
     }
 
     fn kill(&mut self) {
-        self.book = AccountBook::open(AccountOptions::default());
+        self.was_killed = true;
+        self.book = AccountBook::open_again(AccountOptions::default(), NOW);
         self.turns.clear();
         self.want = None;
     }
@@ -142,7 +151,8 @@
     while !input.is_empty() {
         let at = usize::from(input.int_in_range(0..=4_u8)?);
         match input.arbitrary::<u8>()? {
-            0..=15 => world.open_turn(),
+            0..=11 => world.open_turn(),
+            12..=15 => world.open_turn_as(!world.was_killed && world.turns_opened > 0),
             16..=79 => world.secure(at),
             80..=191 => (0..EVENTS_AT_ONCE).for_each(|_| world.hand_on(at)),
             192..=199 => world.close_turn(at),
@@ -184,6 +194,30 @@
     }
 }
 
+#[test]
+fn first_turns_that_are_repeated_after_kills_leave_the_budget() {
+    for budget in [560, 860, 2_300, 10_800, 43_200] {
+        let mut world = World::open(budget);
+        for _ in 0..4 {
+            world.open_turn_as(false);
+            // The store is slow, and then away.
+            world.secure(0);
+            world.is_store_away = true;
+            world.secure(0);
+            for _ in 0..MOST_TOKENS / EVENT_TOKENS {
+                world.hand_on(0);
+            }
+            world.kill();
+            world.is_store_away = false;
+        }
+        for _ in 0..2 * budget / MOST_TOKENS + 2 {
+            world.run_turn(true);
+        }
+        let handed_on = world.handed_on;
+        assert!(handed_on <= budget + MOST_TOKENS, "{handed_on} of {budget}");
+    }
+}
+
 #[test]
 fn a_lost_answer_an_outage_and_a_kill_leave_the_budget() {
     for budget in [560, 860, 2_300, 10_800, 43_200] {
--- a/crates/ebony_gateway/src/accounts.rs
+++ b/crates/ebony_gateway/src/accounts.rs
@@ -94,9 +94,15 @@
         clock: GatewayClock,
         decisions: Rc<DecisionLog>,
         metrics: Rc<GatewayMetrics>,
+        is_first_start: bool,
     ) -> Rc<Self> {
+        let options = AccountOptions::default();
+        let book = match is_first_start {
+            true => AccountBook::open(options),
+            false => AccountBook::open_again(options, clock.now()),
+        };
         Rc::new(Self {
-            book: RefCell::new(AccountBook::open(AccountOptions::default())),
+            book: RefCell::new(book),
             rows: RefCell::default(),
             news: RefCell::default(),
             store,
--- a/crates/ebony_gateway/src/gateway.rs
+++ b/crates/ebony_gateway/src/gateway.rs
@@ -112,6 +112,7 @@
             clock,
             Rc::clone(&decisions),
             Rc::clone(&metrics),
+            settings.first_start,
         );
         let conversations = ConversationDesk::open(
             table,
--- a/crates/ebony_gateway/src/process.rs
+++ b/crates/ebony_gateway/src/process.rs
@@ -134,6 +134,8 @@
         let applied = GatewaySettings {
             policy: settings.policy.clone(),
             drain_time: settings.drain_time,
+            // Concerns the start of the process alone.
+            first_start: settings.first_start,
             ..self.settings.clone()
         };
         if applied != settings {
--- a/crates/ebony_settings/src/gateway_settings.rs
+++ b/crates/ebony_settings/src/gateway_settings.rs
@@ -36,6 +36,8 @@
     pub targets: TargetLimits,
     /// The log.
     pub log: LogSettings,
+    /// Whether the whole system starts for the first time.
+    pub first_start: bool,
     /// The longest planned stop.
     pub drain_time: Duration,
     /// The choice of targets.
--- a/crates/ebony_settings/src/schema/gateway_keys.rs
+++ b/crates/ebony_settings/src/schema/gateway_keys.rs
@@ -43,6 +43,12 @@
             ValueKind::Section(&LOG),
             "The log on standard output.",
         ),
+        KeySpec::defaults_to(
+            "false",
+            "first_start",
+            ValueKind::Flag,
+            "Whether the whole system starts for the first time, so that no program began at a process before this one.",
+        ),
         KeySpec::defaults_to(
             "8s",
             "drain_time",
