Share the records of turns with the owner of their program

Cause: turns of a line arrive through many gateways. Ruled out: one transaction for records of several gateways, which adds a hop to each write for what a gateway makes in a second (one turn); whole conversations in each record, seven times the bytes. Change: a gateway gives the program's owner each record that the store holds, and asks the owner before the store. What the owner lacks is read from the store as before.

--- a/crates/ebony_gateway/src/call.rs
+++ b/crates/ebony_gateway/src/call.rs
@@ -186,7 +186,8 @@
     // No turn was ever kept under what is no name.
     let name = TurnName::parse(previous).map_err(|_| FindError::Absent.into_refusal())?;
     let limit = call.deadline.min(gateway.clock.now() + RESUME_PATIENCE);
-    let found = gateway.conversations.find(&name, limit).await;
+    let program = call.head.program.as_ref().map(|program| &program.program);
+    let found = gateway.conversations.find(&name, program, limit).await;
     let chain = found.map_err(FindError::into_refusal)?;
     story.set_chain(chain.len(), chain.bytes());
     Ok(chain)
--- a/crates/ebony_gateway/src/conversations/desk.rs
+++ b/crates/ebony_gateway/src/conversations/desk.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use ebony_conversation::{TurnCache, TurnChain, TurnRecord};
 use ebony_platform::{PlatformError, TableService};
-use ebony_types::{ClockTime, ProblemCode, TurnName};
+use ebony_types::{ClockTime, ProblemCode, ProgramName, TurnName};
 use futures_util::future::{Either, select, try_join_all};
 use slog::{info, warn};
 use tokio::time::{sleep, timeout};
@@ -15,6 +15,7 @@
 use super::rows::TurnRows;
 use crate::accounts::{AccountDesk, COME_BACK};
 use crate::decision_log::{DecisionLog, LineKind};
+use crate::fleet::CoverHolder;
 use crate::gateway::GatewayClock;
 use crate::links::{PeerLinks, PeerTurn};
 use crate::metrics::GatewayMetrics;
@@ -27,6 +28,9 @@
 /// How long the store may take before other gateways are asked as well. It answers in 4 to 10 ms.
 const HEDGE_PATIENCE: Duration = Duration::from_millis(40);
 
+/// How long the owner of a program may take before the store is read instead: a few times the way between failure domains.
+const OWNER_PATIENCE: Duration = Duration::from_millis(15);
+
 /// How long a request of another gateway waits for the store: less than that gateway waits for the answer.
 const RELAY_PATIENCE: Duration = Duration::from_millis(100);
 
@@ -113,10 +117,18 @@
         })
     }
 
-    /// Returns the conversation up to a turn, waiting until `limit` for a store that does not answer.
-    pub(crate) async fn find(&self, turn: &TurnName, limit: ClockTime) -> Result<TurnChain> {
-        let record = self.record(turn, limit).await?;
-        let ancestors = record.ancestors.iter().map(|turn| self.record(turn, limit));
+    /// Returns the conversation up to a turn, waiting until `limit` for a store that does not answer. The turns are most
+    /// likely those of `program`.
+    pub(crate) async fn find(
+        &self,
+        turn: &TurnName,
+        program: Option<&ProgramName>,
+        limit: ClockTime,
+    ) -> Result<TurnChain> {
+        let owner = program.and_then(|program| self.other_owner(program));
+        let record = self.record(turn, owner.as_deref(), limit).await?;
+        let ancestors = record.ancestors.iter();
+        let ancestors = ancestors.map(|turn| self.record(turn, owner.as_deref(), limit));
         let ancestors = try_join_all(ancestors).await?;
         TurnChain::open(turn.clone(), record, ancestors).map_err(|_| FindError::TooLarge)
     }
@@ -126,11 +138,22 @@
         self.cache.borrow().bytes()
     }
 
-    async fn record(&self, turn: &TurnName, limit: ClockTime) -> Result<Rc<TurnRecord>> {
+    /// Returns the gateway that owns a program, if it is another one.
+    fn other_owner(&self, program: &ProgramName) -> Option<String> {
+        match self.accounts.holder(program) {
+            CoverHolder::Peer(owner) => Some(owner),
+            CoverHolder::Own | CoverHolder::Deputy | CoverHolder::Unknown => None,
+        }
+    }
+
+    async fn record(&self, turn: &TurnName, owner: Option<&str>, limit: ClockTime) -> Result<Rc<TurnRecord>> {
         if let Some(record) = self.cache.borrow_mut().get(turn) {
             self.count("found_in_memory");
             return Ok(record);
         }
+        if let Some(record) = self.ask_owner(turn, owner).await {
+            return Ok(record);
+        }
         let mut pause = FIRST_PAUSE;
         loop {
             match self.look_for(turn).await {
@@ -176,25 +199,51 @@
         Ok(Some(self.cache(turn, record)))
     }
 
+    /// Asks the owner of the program, which costs less than a read of the store and mostly has the record.
+    async fn ask_owner(&self, turn: &TurnName, owner: Option<&str>) -> Option<Rc<TurnRecord>> {
+        let asking = self.links.find_turn_at(owner?, turn);
+        match timeout(OWNER_PATIENCE, asking).await {
+            Ok(PeerTurn::Held(bytes)) => {
+                let record = self.take_from_peer(turn, &bytes)?;
+                self.count("found_at_owner");
+                Some(record)
+            }
+            Ok(PeerTurn::Absent | PeerTurn::Unknown) | Err(_) => None,
+        }
+    }
+
     /// Asks the other gateways. `None` if none of them knows.
     async fn ask_peers(&self, turn: &TurnName) -> Option<Option<Rc<TurnRecord>>> {
         match self.links.find_turn(turn).await {
-            PeerTurn::Held(bytes) => match TurnRecord::from_bytes(&bytes) {
-                Ok(record) => {
-                    self.count("found_at_peer");
-                    Some(Some(self.cache(turn, record)))
-                }
-                Err(error) => {
-                    warn!(self.decisions.logger, "the record of another gateway cannot be read";
-                        "turn" => turn.as_str(), "error" => %error);
-                    None
-                }
-            },
+            PeerTurn::Held(bytes) => {
+                let record = self.take_from_peer(turn, &bytes)?;
+                self.count("found_at_peer");
+                Some(Some(record))
+            }
             PeerTurn::Absent => Some(None),
             PeerTurn::Unknown => None,
         }
     }
 
+    /// Takes over a record that another gateway sent.
+    fn take_from_peer(&self, turn: &TurnName, bytes: &[u8]) -> Option<Rc<TurnRecord>> {
+        match TurnRecord::from_bytes(bytes) {
+            Ok(record) => Some(self.cache(turn, record)),
+            Err(error) => {
+                warn!(self.decisions.logger, "the record of another gateway cannot be read";
+                    "turn" => turn.as_str(), "error" => %error);
+                None
+            }
+        }
+    }
+
+    /// Takes a record that another gateway shares, because this one owns the program.
+    pub(crate) fn take_shared(&self, turn: &TurnName, bytes: &[u8]) {
+        if self.take_from_peer(turn, bytes).is_some() {
+            self.count("shared");
+        }
+    }
+
     fn cache(&self, turn: &TurnName, record: TurnRecord) -> Rc<TurnRecord> {
         let record = Rc::new(record);
         self.cache.borrow_mut().insert(turn.clone(), Rc::clone(&record));
@@ -224,6 +273,10 @@
             pause = (pause * 2).min(LONGEST_PAUSE);
         }
         self.count("kept");
+        let owner = record.program.as_ref();
+        if let Some(owner) = owner.and_then(|program| self.other_owner(program)) {
+            self.links.share_turn(&owner, turn, &bytes);
+        }
         self.cache(turn, record);
         Ok(())
     }
--- a/crates/ebony_gateway/src/links/answering.rs
+++ b/crates/ebony_gateway/src/links/answering.rs
@@ -70,6 +70,7 @@
                     sender.send(&PeerReply::Turn { number, found }).ok();
                 });
             }
+            PeerRequest::ShareTurn { turn, record } => gateway.conversations.take_shared(&turn, &record),
             PeerRequest::KeepTurn { number, turn, record } => {
                 let conversations = Rc::clone(&gateway.conversations);
                 tokio::task::spawn_local(async move {
--- a/crates/ebony_gateway/src/links/messages.rs
+++ b/crates/ebony_gateway/src/links/messages.rs
@@ -51,6 +51,13 @@
         /// Whether a gateway that does not hold the record reads it from the store.
         reads_store: bool,
     },
+    /// Gives the owner of a program the record of a turn that the store holds, so that it can tell others.
+    ShareTurn {
+        /// The turn.
+        turn: TurnName,
+        /// The encoded record.
+        record: Bytes,
+    },
     /// Asks a gateway that reaches the store to write the record of a turn.
     KeepTurn {
         /// Matches the answer.
--- a/crates/ebony_gateway/src/links/mod.rs
+++ b/crates/ebony_gateway/src/links/mod.rs
@@ -182,6 +182,30 @@
         known
     }
 
+    /// Asks one gateway for the record of a turn that it holds in memory.
+    pub(crate) async fn find_turn_at(&self, peer: &str, turn: &TurnName) -> PeerTurn {
+        let request = |number| PeerRequest::FindTurn {
+            number,
+            turn: turn.clone(),
+            reads_store: false,
+        };
+        match self.exchange(peer, request).await {
+            Some(PeerReply::Turn { found, .. }) => found,
+            _ => PeerTurn::Unknown,
+        }
+    }
+
+    /// Gives a gateway the record of a turn. One that does not arrive is read from the store.
+    pub(crate) fn share_turn(&self, peer: &str, turn: &TurnName, record: &Bytes) {
+        let request = PeerRequest::ShareTurn {
+            turn: turn.clone(),
+            record: record.clone(),
+        };
+        if let Some(link) = self.links.borrow().get(peer) {
+            link.sender.send(&request).ok();
+        }
+    }
+
     /// Has a gateway that reaches the store write the record of a turn. Returns whether the store holds it.
     pub(crate) async fn keep_turn(&self, turn: &TurnName, record: &Bytes) -> bool {
         let Some(peer) = self.peer_with_store() else {
