Keep cover that comes back early, probe a lost store once, and close callers' ports without losing what arrived

Change: cover that comes back opens an account; a late grant that no turn waits for goes back; a program asks a lost store every 500 ms or when a feed hears of it; first turns get a third of the budget and one turn without a record, and owners that were started again suppose that third; ebony_listener serves the callers' ports of entries and gateways.

--- a/crates/ebony_account/src/allowance.rs
+++ b/crates/ebony_account/src/allowance.rs
@@ -19,15 +19,19 @@
     /// request had no answer there may be a row after all, and the tokens that it asked for are safe, because the row says
     /// that they were granted. The row of any other program grants its whole budget, and one turn is all that may come on top. An owner that did not see
     /// the beginning does not know whether an earlier owner used that turn, and gets nothing. A first turn may be sent again
-    /// after the owner died, to one that takes it for a beginning; until it was answered, no more than one turn is safe.
+    /// after the owner died, and [`repeated_tokens`] are recorded then; the one turn more may come on top of them.
     pub(crate) fn tokens(self, account: &ProgramAccount, turn_tokens: u64) -> u64 {
         match (self, account.recorded) {
             _ if !account.is_witnessed => 0,
-            (Self::Unrecorded, None) if account.has_moved_on => {
+            (Self::Unrecorded, None) => {
                 let asked = account.least_asked.unwrap_or(u64::MAX);
-                unseen_tokens(account.budget).min(asked.max(turn_tokens))
+                let unseen = match account.has_moved_on {
+                    true => unseen_tokens(account.budget),
+                    false => repeated_tokens(account.budget) + turn_tokens,
+                };
+                unseen.min(asked.max(turn_tokens))
             }
-            (Self::OneTurn | Self::Unrecorded, None) => turn_tokens,
+            (Self::OneTurn, None) => turn_tokens,
             // Debts that were recorded above the budget used up a part of the one turn.
             (_, Some(recorded)) => turn_tokens.min((account.budget + turn_tokens).saturating_sub(recorded)),
         }
@@ -38,3 +42,9 @@
 pub(crate) fn unseen_tokens(budget: u64) -> u64 {
     budget / 2
 }
+
+/// Returns the tokens beyond one turn that attempts at a first turn may have generated, if the store does not know the
+/// program. Programs of today use less than two thirds of their budgets, with the most of their last turn.
+pub(crate) fn repeated_tokens(budget: u64) -> u64 {
+    budget / 3
+}
--- a/crates/ebony_account/src/book.rs
+++ b/crates/ebony_account/src/book.rs
@@ -330,15 +330,19 @@
         free
     }
 
-    /// Takes back cover that another entry did not need.
-    pub fn take_back(&mut self, program: &ProgramName, tokens: u64) {
-        let account = self
-            .programs
-            .get(program)
-            .and_then(|key| self.accounts.get_mut(*key));
-        if let Some(account) = account {
-            account.covered += tokens;
-        }
+    /// Returns the budget of a program; 0 if the account is gone.
+    pub fn budget(&self, key: AccountKey) -> u64 {
+        self.accounts.get(key).map_or(0, |account| account.budget)
+    }
+
+    /// Takes back cover that another entry did not need. The store has recorded it, so that it counts also for a program of
+    /// which this entry knows nothing else. Returns whether there was room for an account.
+    pub fn take_back(&mut self, program: &ProgramName, budget: u64, tokens: u64, now: ClockTime) -> bool {
+        let Some(key) = self.account_for(program, budget, ProgramOrigin::Later, now) else {
+            return false;
+        };
+        self.accounts[key].covered += tokens;
+        true
     }
 
     /// Adds cover that the owner of the program gave.
@@ -470,7 +474,23 @@
     }
 
     fn account_of(&mut self, turn: &TurnRequest, now: ClockTime) -> Option<AccountKey> {
-        if let Some(key) = self.programs.get(&turn.program) {
+        let origin = match turn.has_history {
+            true => ProgramOrigin::Later,
+            false if self.blind_until.is_some_and(|until| now < until) => ProgramOrigin::MaybeRepeated,
+            false => ProgramOrigin::First,
+        };
+        self.account_for(&turn.program, turn.budget, origin, now)
+    }
+
+    /// Returns the account of a program, and opens one if there is room and none yet.
+    fn account_for(
+        &mut self,
+        program: &ProgramName,
+        budget: u64,
+        origin: ProgramOrigin,
+        now: ClockTime,
+    ) -> Option<AccountKey> {
+        if let Some(key) = self.programs.get(program) {
             return Some(*key);
         }
         if self.accounts.len() >= self.options.max_accounts {
@@ -479,14 +499,9 @@
         if self.accounts.len() >= self.options.max_accounts {
             return None;
         }
-        let origin = match turn.has_history {
-            true => ProgramOrigin::Later,
-            false if self.blind_until.is_some_and(|until| now < until) => ProgramOrigin::MaybeRepeated,
-            false => ProgramOrigin::First,
-        };
-        let account = ProgramAccount::open(turn.program.clone(), turn.budget, origin, now);
+        let account = ProgramAccount::open(program.clone(), budget, origin, now);
         let key = self.accounts.insert(account);
-        self.programs.insert(turn.program.clone(), key);
+        self.programs.insert(program.clone(), key);
         Some(key)
     }
 }
--- a/crates/ebony_account/src/program_account.rs
+++ b/crates/ebony_account/src/program_account.rs
@@ -2,7 +2,7 @@
 
 use ebony_types::{ClockTime, ProgramName};
 
-use crate::allowance::unseen_tokens;
+use crate::allowance::{repeated_tokens, unseen_tokens};
 
 /// What became of a request for cover.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -54,11 +54,11 @@
 
 impl ProgramOrigin {
     /// Returns the tokens that earlier turns may have generated without a record, beyond the one turn by which a budget may
-    /// be exceeded. Attempts at a first turn get no more than that one turn without a record.
+    /// be exceeded.
     fn unseen_tokens(self, budget: u64) -> u64 {
         match self {
             Self::First | Self::Later => unseen_tokens(budget),
-            Self::MaybeRepeated => 0,
+            Self::MaybeRepeated => repeated_tokens(budget),
         }
     }
 }
--- a/crates/ebony_entry/src/caller_api/server.rs
+++ b/crates/ebony_entry/src/caller_api/server.rs
@@ -1,14 +1,18 @@
 //! The HTTP server for callers.
 
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::time::Duration;
 
-use actix_web::dev::ServerHandle;
-use actix_web::http::KeepAlive;
+use actix_rt::Arbiter;
 use actix_web::web::Data;
-use actix_web::{App, HttpResponse, HttpServer, web};
+use actix_web::{App, HttpResponse, web};
 use anyhow::Context;
+use ebony_listener::{
+    BoundPort, HttpOptions, PortClosing, PortEvent, ServingPort, plain_service, tls_service,
+};
 use ebony_types::{ProblemCode, ProblemReport};
+use slog::{Logger, error, warn};
+use tokio::sync::{oneshot, watch};
 
 use super::problem::problem_response;
 use super::state::CallerState;
@@ -20,8 +24,8 @@
 /// The longest time that a caller may take to send the head of a request.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(5);
 
-/// The longest time in seconds that a graceful stop waits for connections.
-const SHUTDOWN_SECONDS: u64 = 60;
+/// How long a graceful stop waits for connections.
+const SHUTDOWN_TIMEOUT: Duration = Duration::from_secs(60);
 
 /// The result of starting the server.
 pub(super) type Result<T, E = anyhow::Error> = std::result::Result<T, E>;
@@ -37,37 +41,49 @@
 /// A running server for callers.
 pub struct CallerServer {
     address: SocketAddr,
-    handle: ServerHandle,
+    stopping: watch::Sender<bool>,
+    workers: Vec<ServerWorker>,
+}
+
+/// A thread that serves callers.
+struct ServerWorker {
+    arbiter: Arbiter,
+    /// Answered when the thread has closed its port and its connections have ended.
+    ended: oneshot::Receiver<()>,
 }
 
 impl CallerServer {
-    /// Binds the address and starts to serve in the running actix system.
+    /// Binds the address and starts to serve on threads of its own.
     ///
     /// # Errors
     ///
     /// Fails if the address can't be bound.
-    pub fn bind(options: ServerOptions, state: Data<CallerState>) -> Result<Self> {
-        let listener = TcpListener::bind(options.address)
-            .with_context(|| format!("cannot bind the callers' address {}", options.address))?;
-        let address = listener.local_addr()?;
-        let limits = state.limits;
-        let server = HttpServer::new(move || App::new().app_data(Data::clone(&state)).configure(routes))
-            .workers(WORKERS)
-            .keep_alive(KeepAlive::Timeout(limits.idle_time))
-            .max_connections(usize::try_from(limits.connections).unwrap_or(usize::MAX) / WORKERS + 1)
-            .client_request_timeout(HEAD_TIMEOUT)
-            .shutdown_timeout(SHUTDOWN_SECONDS)
-            // Without it, the last part of a stream waits about 40 ms for the acknowledgement of the part before.
-            .tcp_nodelay(true)
-            .disable_signals();
-        let server = match options.tls {
-            Some(config) => server.listen_rustls_0_23(listener, config)?,
-            None => server.listen(listener)?,
-        };
-        let server = server.run();
-        let handle = server.handle();
-        actix_web::rt::spawn(server);
-        Ok(Self { address, handle })
+    pub fn bind(options: ServerOptions, state: Data<CallerState>, logger: &Logger) -> Result<Self> {
+        let port = BoundPort::bind(options.address)?;
+        let address = port.address()?;
+        let listener = port.into_std()?;
+        let (stopping, is_stopping) = watch::channel(false);
+        let mut workers = Vec::with_capacity(WORKERS);
+        for _ in 0..WORKERS {
+            let listener = listener.try_clone().context("cannot share the callers' port")?;
+            let arbiter = Arbiter::new();
+            let (ending, ended) = oneshot::channel();
+            let (tls, state) = (options.tls.clone(), Data::clone(&state));
+            let (is_stopping, logger) = (is_stopping.clone(), logger.clone());
+            arbiter.spawn_fn(move || {
+                actix_rt::spawn(async move {
+                    serve(listener, tls, state, is_stopping, logger).await;
+                    // Nobody waits if the process stops at once.
+                    ending.send(()).ok();
+                });
+            });
+            workers.push(ServerWorker { arbiter, ended });
+        }
+        Ok(Self {
+            address,
+            stopping,
+            workers,
+        })
     }
 
     /// Returns the bound address.
@@ -75,9 +91,71 @@
         self.address
     }
 
-    /// Stops the server; a graceful stop lets requests under way end.
-    pub async fn stop(&self, is_graceful: bool) {
-        self.handle.stop(is_graceful).await;
+    /// Stops the server: answers what has arrived, and lets requests under way end.
+    pub async fn stop(self) {
+        self.stopping.send_replace(true);
+        for worker in self.workers {
+            worker.ended.await.ok();
+            worker.arbiter.stop();
+        }
+    }
+}
+
+/// Serves callers on the thread of the running arbiter until the server stops.
+async fn serve(
+    listener: std::net::TcpListener,
+    tls: Option<rustls::ServerConfig>,
+    state: Data<CallerState>,
+    mut is_stopping: watch::Receiver<bool>,
+    logger: Logger,
+) {
+    match open_port(listener, tls, state, &logger).await {
+        Ok(port) => {
+            // The sender lives as long as the server.
+            is_stopping.wait_for(|is_stopping| *is_stopping).await.ok();
+            port.close(SHUTDOWN_TIMEOUT).await;
+        }
+        Err(failure) => error!(logger, "callers are not served"; "error" => format!("{failure:#}")),
+    }
+}
+
+async fn open_port(
+    listener: std::net::TcpListener,
+    tls: Option<rustls::ServerConfig>,
+    state: Data<CallerState>,
+    logger: &Logger,
+) -> Result<ServingPort> {
+    let limits = state.limits;
+    let options = HttpOptions {
+        idle_time: limits.idle_time,
+        head_timeout: HEAD_TIMEOUT,
+        on_connect: |_| {},
+    };
+    let most = usize::try_from(limits.connections).unwrap_or(usize::MAX) / WORKERS + 1;
+    let port = BoundPort::from_std(listener)?;
+    let (closing, is_closing) = PortClosing::open();
+    let signal = (closing, is_closing.clone());
+    let app = App::new().app_data(state).configure(routes);
+    let logger = logger.clone();
+    let on_event = move |event| log_event(&logger, &event);
+    match tls {
+        Some(tls) => {
+            let service = tls_service(app, options, is_closing, tls).await?;
+            Ok(ServingPort::spawn(port, service, signal, most, on_event))
+        }
+        None => {
+            let service = plain_service(app, options, is_closing).await?;
+            Ok(ServingPort::spawn(port, service, signal, most, on_event))
+        }
+    }
+}
+
+fn log_event(logger: &Logger, event: &PortEvent) {
+    match event {
+        PortEvent::TooMany(peer) => {
+            warn!(logger, "a connection was closed, because too many are open"; "peer" => %peer);
+        }
+        PortEvent::Failed(error) => warn!(logger, "cannot accept a connection"; "error" => %error),
     }
 }
 
--- a/crates/ebony_entry/src/process/mod.rs
+++ b/crates/ebony_entry/src/process/mod.rs
@@ -91,7 +91,7 @@
     /// Binds the HTTP servers in front of the actors.
     fn bind(inputs: &ActorInputs<'_>, actors: EntryActors, links: SocketAddr) -> Result<Self> {
         let state = Data::new(caller_state(inputs, &actors)?);
-        let callers = CallerServer::bind(caller_options(inputs.entry)?, Data::clone(&state))?;
+        let callers = CallerServer::bind(caller_options(inputs.entry)?, Data::clone(&state), &inputs.logger)?;
         let administration = bind_administration(inputs, &actors, state)?;
         let health = HealthState::default();
         let metrics = HealthServer::bind(
@@ -241,7 +241,7 @@
         while Instant::now() < give_up && is_busy(&parts.actors.owner).await {
             tokio::time::sleep(STATE_POLL).await;
         }
-        parts.callers.stop(true).await;
+        parts.callers.stop().await;
         parts.administration.stop().await;
         parts.metrics.stop().await;
     }
--- a/crates/ebony_gateway/src/accounts.rs
+++ b/crates/ebony_gateway/src/accounts.rs
@@ -19,7 +19,7 @@
 use slog::{Logger, info, warn};
 use slotmap::SecondaryMap;
 use tokio::sync::Notify;
-use tokio::time::{sleep, timeout};
+use tokio::time::timeout;
 
 use crate::decision_log::{DecisionLog, LineKind};
 use crate::fleet::{CoverHolder, FleetView};
@@ -42,6 +42,9 @@
 /// [`crate::open_turn::GRANT_PATIENCE`].
 const HEDGE_PATIENCE: Duration = Duration::from_millis(40);
 
+/// The longest pause before a store that was lost is asked again for one program. The feeds notice earlier when it is back.
+const LOST_PAUSE: Duration = Duration::from_millis(500);
+
 /// The store is taken to be away once all requests have failed for this long. A slow one still answers some, and records
 /// grants that this entry does not hear of.
 const AWAY_AFTER: Duration = Duration::from_secs(1);
@@ -78,6 +81,8 @@
     pub(crate) links: Rc<PeerLinks>,
     /// Since when requests to the store have failed; `None` if the last one was answered.
     lost_since: Cell<Option<ClockTime>>,
+    /// Notified when the store answers again.
+    store_back: Notify,
     /// Until when requests of other entries are not recorded, because the store is slow.
     slow_until: Cell<ClockTime>,
     pub(crate) clock: GatewayClock,
@@ -109,6 +114,7 @@
             fleet,
             links,
             lost_since: Cell::default(),
+            store_back: Notify::new(),
             slow_until: Cell::default(),
             clock,
             random: RefCell::new(StdRng::from_os_rng()),
@@ -156,8 +162,13 @@
     }
 
     /// Takes back cover that another entry did not need.
-    pub(crate) fn take_back(&self, program: &ProgramName, tokens: u64) {
-        self.book.borrow_mut().take_back(program, tokens);
+    pub(crate) fn take_back(&self, program: &ProgramName, budget: u64, tokens: u64) {
+        let now = self.clock.now();
+        let is_taken = self.book.borrow_mut().take_back(program, budget, tokens, now);
+        if self.admits_line(if is_taken { "taken_back" } else { "not_taken_back" }) {
+            info!(self.decisions.logger, "tokens came back";
+                "program" => program.as_str(), "tokens" => tokens, "is_taken" => is_taken);
+        }
     }
 
     /// Returns whether this entry reaches the store, as far as it knows.
@@ -179,10 +190,16 @@
     /// Notes that the store answered another request of this entry.
     pub(crate) fn note_store_back(&self) {
         if self.lost_since.take().is_some() {
+            self.store_back.notify_waiters();
             info!(self.decisions.logger, "accounts are recorded again");
         }
     }
 
+    /// Waits before the store is asked again: for `pause`, or until it is back if that comes earlier.
+    pub(crate) async fn await_store(&self, pause: Duration) {
+        timeout(pause, self.store_back.notified()).await.ok();
+    }
+
     /// Notes that the store did not answer.
     pub(crate) fn note_store_lost(&self, cause: &str) {
         if self.lost_since.get().is_none() {
@@ -222,11 +239,17 @@
                 }
                 self.rows.borrow_mut().remove(account);
                 self.notify(account);
-                sleep(RETRY_PAUSE).await;
+                let pause = match self.reaches_store() {
+                    true => RETRY_PAUSE,
+                    false => LOST_PAUSE,
+                };
+                self.await_store(pause).await;
             }
         }
         self.book.borrow_mut().settle_cover(account, outcome);
         self.notify(account);
+        // The turn that asked may have been refused meanwhile.
+        self.give_back(account, &want.program);
         self.ask_if_due(account, &want.program);
     }
 
@@ -327,7 +350,8 @@
         }
         let tokens = self.book.borrow_mut().take_free(account);
         if tokens > 0 {
-            self.links.give_back(&holder, program, tokens);
+            let budget = self.book.borrow().budget(account);
+            self.links.give_back(&holder, program, budget, tokens);
         }
     }
 
--- a/crates/ebony_gateway/src/conversations/desk.rs
+++ b/crates/ebony_gateway/src/conversations/desk.rs
@@ -10,7 +10,7 @@
 use ebony_types::{ClockTime, ProblemCode, ProgramName, TurnName};
 use futures_util::future::{Either, select, try_join_all};
 use slog::{info, warn};
-use tokio::time::{sleep, timeout};
+use tokio::time::timeout;
 
 use super::rows::TurnRows;
 use crate::accounts::{AccountDesk, COME_BACK};
@@ -170,7 +170,7 @@
                     }
                     return Err(FindError::Away);
                 }
-                Err(_) => sleep(pause).await,
+                Err(_) => self.accounts.await_store(pause).await,
             }
             pause = (pause * 2).min(LONGEST_PAUSE);
         }
@@ -269,7 +269,7 @@
                     }
                 }
             }
-            sleep(pause).await;
+            self.accounts.await_store(pause).await;
             pause = (pause * 2).min(LONGEST_PAUSE);
         }
         self.count("kept");
--- a/crates/ebony_gateway/src/links/answering.rs
+++ b/crates/ebony_gateway/src/links/answering.rs
@@ -49,7 +49,11 @@
                 let reaches_store = accounts.serves_relays();
                 sender.send(&PeerReply::Pong { reaches_store }).ok();
             }
-            PeerRequest::GiveBack { program, tokens } => accounts.take_back(&program, tokens),
+            PeerRequest::GiveBack {
+                program,
+                budget,
+                tokens,
+            } => accounts.take_back(&program, budget, tokens),
             PeerRequest::Record { number, want } => {
                 tokio::task::spawn_local(async move {
                     let granted = match accounts.record_for(&want).await {
--- a/crates/ebony_gateway/src/links/messages.rs
+++ b/crates/ebony_gateway/src/links/messages.rs
@@ -32,6 +32,8 @@
     GiveBack {
         /// The program.
         program: ProgramName,
+        /// The program's budget in tokens.
+        budget: u64,
         /// The tokens.
         tokens: u64,
     },
--- a/crates/ebony_gateway/src/links/mod.rs
+++ b/crates/ebony_gateway/src/links/mod.rs
@@ -122,9 +122,10 @@
     }
 
     /// Gives cover back to the owner of a program. Cover that does not arrive counts as spent.
-    pub(crate) fn give_back(&self, owner: &str, program: &ProgramName, tokens: u64) {
+    pub(crate) fn give_back(&self, owner: &str, program: &ProgramName, budget: u64, tokens: u64) {
         let request = PeerRequest::GiveBack {
             program: program.clone(),
+            budget,
             tokens,
         };
         if let Some(link) = self.links.borrow().get(owner) {
--- a/crates/ebony_gateway/src/process.rs
+++ b/crates/ebony_gateway/src/process.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use ebony_listener::ServingPort;
 use ebony_settings::GatewaySettings;
 use ebony_telemetry::{HealthServer, HealthState, MetricsRegistry};
 use serde_json::json;
@@ -12,7 +13,7 @@
 
 use crate::gateway::{Gateway, GatewayDialect, GatewayStore, dispatch_options};
 use crate::links;
-use crate::listener::{BoundPort, CallerListener};
+use crate::listener::CallerListener;
 use crate::{sweeper, watch};
 
 /// How long a draining gateway goes on taking calls: the balancer asks each second and needs two misses to turn new
@@ -47,7 +48,7 @@
 /// A gateway whose ports are bound.
 pub struct GatewayProcess {
     gateway: Rc<Gateway>,
-    port: BoundPort,
+    listener: CallerListener,
     health_server: HealthServer,
     addresses: GatewayAddresses,
     settings: GatewaySettings,
@@ -67,7 +68,7 @@
     ) -> Result<Self> {
         let registry = MetricsRegistry::default();
         let health = HealthState::default();
-        let port = BoundPort::bind(settings.callers.clone())?;
+        let listener = CallerListener::bind(settings.callers.clone())?;
         let health_server = HealthServer::bind_both(
             settings.metrics.listen,
             settings.metrics.collector_listen,
@@ -75,12 +76,12 @@
             health.clone(),
         )?;
         let addresses = GatewayAddresses {
-            callers: port.address()?,
+            callers: listener.address()?,
             metrics: health_server.address(),
         };
         Ok(Self {
             gateway: Gateway::open(settings, dialect, store, &registry, health, logger)?,
-            port,
+            listener,
             health_server,
             addresses,
             settings: settings.clone(),
@@ -108,10 +109,10 @@
         tokio::task::spawn_local(watch::tidy(Rc::clone(&gateway)));
         tokio::task::spawn_local(watch::watch_memory(Rc::clone(&gateway)));
         tokio::task::spawn_local(sweeper::sweep(Rc::clone(&gateway)));
-        let listener = self.port.serve(Rc::clone(&gateway)).await?;
+        let port = self.listener.serve(Rc::clone(&gateway)).await?;
         Ok(ServingGateway {
             gateway,
-            listener,
+            port,
             health_server: self.health_server,
             settings: self.settings,
         })
@@ -121,7 +122,7 @@
 /// A gateway that serves.
 pub struct ServingGateway {
     gateway: Rc<Gateway>,
-    listener: CallerListener,
+    port: ServingPort,
     health_server: HealthServer,
     settings: GatewaySettings,
 }
@@ -160,7 +161,7 @@
         while self.gateway.open_calls.get() > 0 && Instant::now() < limit {
             sleep(DRAIN_PAUSE).await;
         }
-        self.listener.close(CLOSING_TIME / 2).await;
+        self.port.close(CLOSING_TIME / 2).await;
         info!(self.gateway.logger, "drained";
             "calls_left" => self.gateway.open_calls.get(), "took_ms" => start.elapsed().as_millis() as u64);
         self.health_server.stop().await;
--- /dev/null
+++ b/crates/ebony_listener/src/port.rs
@@ -0,0 +1,80 @@
+//! Binding a port.
+
+use std::net::SocketAddr;
+
+use anyhow::Context;
+use tokio::net::{TcpListener, TcpSocket};
+
+use crate::Result;
+
+/// Connections that wait to be accepted. A burst of callers must not overrun the queue, because a dropped opening
+/// packet comes again only after a second.
+const BACKLOG: u32 = 4_096;
+
+/// A port that is bound and not yet served.
+#[derive(Debug)]
+pub struct BoundPort {
+    pub(crate) listener: TcpListener,
+}
+
+impl BoundPort {
+    /// Binds an address. Must be called within a tokio runtime.
+    ///
+    /// ```
+    /// use ebony_listener::BoundPort;
+    ///
+    /// actix_rt::System::new().block_on(async {
+    ///     let port = BoundPort::bind("127.0.0.1:0".parse()?)?;
+    ///     assert_ne!(port.address()?.port(), 0);
+    ///     Ok::<(), anyhow::Error>(())
+    /// })?;
+    /// # Ok::<(), anyhow::Error>(())
+    /// ```
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address cannot be bound.
+    pub fn bind(address: SocketAddr) -> Result<Self> {
+        let bind = || {
+            let socket = match address {
+                SocketAddr::V4(_) => TcpSocket::new_v4()?,
+                SocketAddr::V6(_) => TcpSocket::new_v6()?,
+            };
+            socket.set_reuseaddr(true)?;
+            socket.bind(address)?;
+            socket.listen(BACKLOG)
+        };
+        let listener = bind().with_context(|| format!("cannot bind the callers' address {address}"))?;
+        Ok(Self { listener })
+    }
+
+    /// Takes over a port for one of several threads that accept from it.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the port cannot be registered with the runtime of the thread.
+    pub fn from_std(listener: std::net::TcpListener) -> Result<Self> {
+        listener.set_nonblocking(true)?;
+        Ok(Self {
+            listener: TcpListener::from_std(listener)?,
+        })
+    }
+
+    /// Returns the port, to be shared by threads.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the port cannot be taken from the runtime.
+    pub fn into_std(self) -> Result<std::net::TcpListener> {
+        Ok(self.listener.into_std()?)
+    }
+
+    /// Returns the bound address.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address cannot be read.
+    pub fn address(&self) -> Result<SocketAddr> {
+        Ok(self.listener.local_addr()?)
+    }
+}
--- /dev/null
+++ b/crates/ebony_listener/src/service.rs
@@ -0,0 +1,132 @@
+//! HTTP on accepted connections.
+
+use std::time::Duration;
+
+use actix_http::HttpService;
+use actix_http::body::MessageBody;
+use actix_rt::net::TcpStream;
+use actix_service::{IntoServiceFactory, Service, ServiceFactory, map_config};
+use actix_web::Error;
+use actix_web::dev::{AppConfig, Extensions, ServiceResponse};
+use anyhow::anyhow;
+use tokio::sync::watch;
+
+use crate::Result;
+
+/// How long a connection that ends is given to take its last bytes.
+const LINGER: Duration = Duration::from_secs(1);
+
+/// Limits of connections.
+#[derive(Clone, Copy, Debug)]
+pub struct HttpOptions {
+    /// A connection without a request for this long is closed.
+    pub idle_time: Duration,
+    /// The longest time that a caller may take to send the head of a request.
+    pub head_timeout: Duration,
+    /// Prepares the data of a new connection.
+    pub on_connect: fn(&mut Extensions),
+}
+
+/// Tells connections that the port closes.
+#[derive(Clone, Debug)]
+pub struct PortClosing {
+    is_closing: watch::Receiver<bool>,
+}
+
+impl PortClosing {
+    /// Creates a signal with its sender. The port closes once the value is `true`.
+    pub fn open() -> (watch::Sender<bool>, Self) {
+        let (closing, is_closing) = watch::channel(false);
+        (closing, Self { is_closing })
+    }
+
+    /// Waits until the port closes.
+    pub(crate) async fn wait(&mut self) {
+        // The sender lives as long as the port.
+        self.is_closing.wait_for(|is_closing| *is_closing).await.ok();
+    }
+
+    /// Waits until the port closes, if it was open when the connection was accepted. A connection that was accepted last is
+    /// answered once, and its answer ends it.
+    async fn wait_as_accepted(mut self) {
+        if *self.is_closing.borrow_and_update() {
+            std::future::pending::<()>().await;
+        }
+        self.is_closing.changed().await.ok();
+    }
+}
+
+macro_rules! http_service {
+    ($app:expr, $options:expr, $closing:expr) => {{
+        let on_connect = $options.on_connect;
+        let closing: PortClosing = $closing;
+        let factory = map_config($app.into_factory(), |()| AppConfig::default());
+        HttpService::build()
+            .keep_alive($options.idle_time)
+            .client_request_timeout($options.head_timeout)
+            .client_disconnect_timeout(LINGER)
+            .tcp_nodelay(true)
+            // A caller that closes its side has left, and its call ends.
+            .h1_allow_half_closed(false)
+            .on_connect_ext(move |_: &_, extensions: &mut Extensions| on_connect(extensions))
+            .graceful_shutdown_signal(move || closing.clone().wait_as_accepted())
+            .finish(factory)
+    }};
+}
+
+/// Starts the HTTP service of an application without encryption.
+///
+/// # Errors
+///
+/// Fails if the application does not start.
+pub async fn plain_service<F, I, B>(
+    app: F,
+    options: HttpOptions,
+    closing: PortClosing,
+) -> Result<impl Service<TcpStream> + 'static>
+where
+    F: IntoServiceFactory<I, actix_http::Request>,
+    I: ServiceFactory<
+            actix_http::Request,
+            Config = AppConfig,
+            Response = ServiceResponse<B>,
+            Error = Error,
+            InitError = (),
+        > + 'static,
+    I::Future: 'static,
+    I::Service: 'static,
+    B: MessageBody + 'static,
+{
+    let service = http_service!(app, options, closing).tcp();
+    let started = service.new_service(()).await;
+    started.map_err(|()| anyhow!("the HTTP service does not start"))
+}
+
+/// Starts the HTTP service of an application behind TLS.
+///
+/// # Errors
+///
+/// Fails if the application does not start.
+pub async fn tls_service<F, I, B>(
+    app: F,
+    options: HttpOptions,
+    closing: PortClosing,
+    tls: rustls::ServerConfig,
+) -> Result<impl Service<TcpStream> + 'static>
+where
+    F: IntoServiceFactory<I, actix_http::Request>,
+    I: ServiceFactory<
+            actix_http::Request,
+            Config = AppConfig,
+            Response = ServiceResponse<B>,
+            Error = Error,
+            InitError = (),
+        > + 'static,
+    I::Future: 'static,
+    I::Service: 'static,
+    B: MessageBody + 'static,
+{
+    let service = http_service!(app, options, closing).rustls_0_23(tls);
+    let started = service.new_service(()).await;
+    started.map_err(|()| anyhow!("the HTTP service does not start"))
+}
