--- a/crates/ebony_account/src/lib.rs
+++ b/crates/ebony_account/src/lib.rs
@@ -16,16 +16,18 @@
 pub mod options;
 pub mod program_account;
 pub mod record;
+pub mod turn;
 
 /// Re-exports the book and the record.
 pub mod prelude {
     pub use crate::allowance::ProgramAllowance;
-    pub use crate::book::{
-        AccountBook, AccountKey, CoverAsker, CoverWant, LentCover, TurnCover, TurnOpening, TurnRequest,
-    };
+    pub use crate::book::AccountBook;
     pub use crate::options::AccountOptions;
     pub use crate::program_account::{CoverOutcome, SecureOutcome, SpendOutcome};
     pub use crate::record::{AccountRecord, RecordError};
+    pub use crate::turn::{
+        AccountKey, CoverAsker, CoverWant, LentCover, TurnCover, TurnOpening, TurnRequest,
+    };
 }
 
 pub use prelude::*;
