Tell a turn with those that were to continue it

Cause: ebonyctl explain found a call and its program, but not the later turns that name the call as their previous one.

--- a/crates/ebonyctl/src/run/explain.rs
+++ b/crates/ebonyctl/src/run/explain.rs
@@ -9,8 +9,8 @@
 use crate::command::ExplainArguments;
 use crate::error::{ControlError, Result};
 
-/// Members of a line that name the call or the program it is about.
-const ID_MEMBERS: [&str; 2] = ["call", "program"];
+/// Members of a line that name the call or the program it is about, or the turn that a call was to continue.
+const ID_MEMBERS: [&str; 4] = ["call", "program", "previous", "turn"];
 
 /// Members that stand before the others.
 const HEAD_MEMBERS: [&str; 5] = ["ts", "process", "msg", "level", "role"];
--- a/crates/ebonyctl/tests/explain.rs
+++ b/crates/ebonyctl/tests/explain.rs
@@ -54,3 +54,14 @@
     );
     assert!(matches!(explain("c9"), Err(ControlError::Usage(_))));
 }
+
+/// Guards against a conversation whose later turns cannot be found from the turn that they were to continue.
+#[test]
+fn a_turn_is_told_with_those_that_were_to_continue_it() {
+    let log = r#"
+{"ts":"2026-01-01T00:00:01Z","process":"g-1","msg":"call ended","call":"t1","outcome":"broken_off","detail":"deadline_passed"}
+{"ts":"2026-01-01T00:00:02Z","process":"g-2","msg":"call ended","call":"t2","previous":"t1","outcome":"refused","detail":"unknown_turn"}
+{"ts":"2026-01-01T00:00:03Z","process":"g-2","msg":"call ended","call":"t3","previous":"t0","outcome":"answered"}
+"#;
+    insta::assert_snapshot!(LogStory::read("t1", [log]).to_text());
+}
