Leave a port open whose handle is gone

Ruled out: the quickstart itself; servers of actix-web run on without a handle. Change: a port whose sender is gone stays open as long as the process lives; a test that keeps no handle.

--- a/crates/ebony_entry/src/caller_api/server.rs
+++ b/crates/ebony_entry/src/caller_api/server.rs
@@ -62,7 +62,7 @@
         let port = BoundPort::bind(options.address)?;
         let address = port.address()?;
         let listener = port.into_std()?;
-        let (stopping, is_stopping) = watch::channel(false);
+        let (stopping, is_stopping) = PortClosing::open();
         let mut workers = Vec::with_capacity(WORKERS);
         for _ in 0..WORKERS {
             let listener = listener.try_clone().context("cannot share the callers' port")?;
@@ -106,13 +106,12 @@
     listener: std::net::TcpListener,
     tls: Option<rustls::ServerConfig>,
     state: Data<CallerState>,
-    mut is_stopping: watch::Receiver<bool>,
+    mut is_stopping: PortClosing,
     logger: Logger,
 ) {
     match open_port(listener, tls, state, &logger).await {
         Ok(port) => {
-            // The sender lives as long as the server.
-            is_stopping.wait_for(|is_stopping| *is_stopping).await.ok();
+            is_stopping.wait().await;
             port.close(SHUTDOWN_TIMEOUT).await;
         }
         Err(failure) => error!(logger, "callers are not served"; "error" => format!("{failure:#}")),
--- a/crates/ebony_listener/src/service.rs
+++ b/crates/ebony_listener/src/service.rs
@@ -40,19 +40,20 @@
         (closing, Self { is_closing })
     }
 
-    /// Waits until the port closes.
-    pub(crate) async fn wait(&mut self) {
-        // The sender lives as long as the port.
-        self.is_closing.wait_for(|is_closing| *is_closing).await.ok();
+    /// Waits until the port closes. A port whose sender is gone stays open as long as the process lives.
+    pub async fn wait(&mut self) {
+        if self.is_closing.wait_for(|is_closing| *is_closing).await.is_err() {
+            std::future::pending::<()>().await;
+        }
     }
 
     /// Waits until the port closes, if it was open when the connection was accepted. A connection that was accepted last is
     /// answered once, and its answer ends it.
     async fn wait_as_accepted(mut self) {
-        if *self.is_closing.borrow_and_update() {
+        if *self.is_closing.borrow() {
             std::future::pending::<()>().await;
         }
-        self.is_closing.changed().await.ok();
+        self.wait().await;
     }
 }
 
--- a/crates/ebony_listener/tests/closing.rs
+++ b/crates/ebony_listener/tests/closing.rs
@@ -94,3 +94,16 @@
         assert!((3..20).contains(&answered), "{answered}");
     });
 }
+
+/// Guards examples and tests that keep no handle.
+#[test]
+fn a_port_whose_handle_is_gone_goes_on() {
+    actix_rt::System::new().block_on(async {
+        let (address, port) = open_port(1_000).await;
+        drop(port);
+        actix_rt::time::sleep(Duration::from_millis(50)).await;
+        let streams = send_requests(address, 3);
+        let counting = tokio::task::spawn_blocking(move || count_answers(streams));
+        assert_eq!(counting.await.expect("the reader runs"), 3);
+    });
+}
