--- a/crates/ebony_account/src/turn.rs
+++ b/crates/ebony_account/src/turn.rs
@@ -27,7 +27,7 @@
 /// Whether a turn may start.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum TurnOpening {
-    /// The turn has an account. [`AccountBook::close_turn`] ends it.
+    /// The turn has an account. [`crate::AccountBook::close_turn`] ends it.
     Open(TurnCover),
     /// All accounts are in use.
     Full,
