Tell targets that ended from connections that broke, and name requests by a digest

A target that ended looked like a reset connection, and nothing in a line recognized a request that its caller sent again. Ruled out: an end seen in the store's list alone; an entry stays for three heartbeats after a crash. Change: a target that broke off a call is looked at: its port refuses connections if its process ended. Connections at rest that are still open answer without a new one. A line names the target, its life, its fate and the requests; the line of a call has the digest of its request once it was needed, and ebonyctl explain takes the digest. gateway_target_fates_total counts the fates. No decision changes.

--- a/crates/ebony_gateway/src/answer.rs
+++ b/crates/ebony_gateway/src/answer.rs
@@ -306,7 +306,7 @@
             failure,
             AnswerFailure::TargetBrokeOff | AnswerFailure::EventTooLarge
         ) {
-            self.answer.run.record_failure();
+            self.answer.run.record_break();
         }
         self.story.end(CallOutcome::BrokenOff {
             cause: failure.as_str(),
--- a/crates/ebony_gateway/src/attempts.rs
+++ b/crates/ebony_gateway/src/attempts.rs
@@ -196,7 +196,10 @@
             run.record_full();
             return Ok(());
         }
-        run.record_failure();
+        match outcome {
+            AttemptOutcome::Broken => run.record_break(),
+            _ => run.record_failure(),
+        }
         if outcome == AttemptOutcome::NotSent {
             return Ok(());
         }
--- a/crates/ebony_gateway/src/call.rs
+++ b/crates/ebony_gateway/src/call.rs
@@ -17,6 +17,7 @@
 use crate::attempts::run;
 use crate::conversations::KeptTurn;
 use crate::conversations::desk::FindError;
+use crate::crashes::RequestMark;
 use crate::gateway::{Gateway, OpenCallGuard};
 use crate::intake::{self, RequestHead};
 use crate::open_turn::{CoverError, OpenTurn};
@@ -138,8 +139,11 @@
     let engine = rule.and_then(|rule| rule.engine);
     let connections = rule.map_or(u32::MAX, |rule| rule.target_connections);
     let gateways = u32::try_from(gateway.fleet.len()).unwrap_or(u32::MAX);
+    let mark = RequestMark::open(&request, &body);
+    story.set_mark(&mark);
     Ok(RoutedCall {
         gateway: Rc::clone(gateway),
+        mark,
         route: Rc::clone(route),
         service: service.clone(),
         engine,
--- a/crates/ebony_gateway/src/channel.rs
+++ b/crates/ebony_gateway/src/channel.rs
@@ -140,6 +140,13 @@
             .map_err(|(failure, _)| failure)
     }
 
+    /// Returns whether a connection to a target is at rest and open at both ends.
+    pub(crate) fn has_idle(&self, target: TargetKey) -> bool {
+        let idle = self.idle.borrow();
+        let mut channels = idle.get(target).into_iter().flatten();
+        channels.any(|idle| !idle.channel.sender.is_closed())
+    }
+
     /// Drops idle connections whose time is over or whose target is gone.
     pub(crate) fn prune(&self, is_listed: impl Fn(TargetKey) -> bool) {
         let now = Instant::now();
--- a/crates/ebony_gateway/src/gateway.rs
+++ b/crates/ebony_gateway/src/gateway.rs
@@ -19,6 +19,7 @@
 use crate::accounts::AccountDesk;
 use crate::channel::TargetClient;
 use crate::conversations::ConversationDesk;
+use crate::crashes::TargetInquests;
 use crate::decision_log::DecisionLog;
 use crate::fleet::FleetView;
 use crate::links::PeerLinks;
@@ -68,6 +69,7 @@
     pub(crate) accounts: Rc<AccountDesk>,
     pub(crate) conversations: Rc<ConversationDesk>,
     pub(crate) client: Rc<TargetClient>,
+    pub(crate) inquests: TargetInquests,
     /// Rows that nothing has written for this long are removed.
     pub(crate) retention: Duration,
     pub(crate) versions: RefCell<VersionHistory>,
@@ -137,6 +139,7 @@
             gates: RefCell::default(),
             has_targets: Cell::default(),
             client,
+            inquests: TargetInquests::default(),
             retention: settings.store.retention,
             versions: RefCell::new(VersionHistory::open(settings.store.retention)),
             health,
--- a/crates/ebony_gateway/src/lib.rs
+++ b/crates/ebony_gateway/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod call;
 pub mod channel;
 mod conversations;
+mod crashes;
 pub mod decision_log;
 pub mod events;
 pub mod fleet;
--- a/crates/ebony_gateway/src/metrics.rs
+++ b/crates/ebony_gateway/src/metrics.rs
@@ -26,6 +26,8 @@
     pub(crate) conversation_bytes: IntGauge,
     /// Changes of what the gateway believes of a target's health, by kind.
     pub(crate) target_health: IntCounterVec,
+    /// Targets that broke off a call, by what became of them.
+    pub(crate) target_fates: IntCounterVec,
     /// Bytes of memory that the process has resident.
     pub(crate) memory: IntGauge,
     /// Connections opened to targets.
@@ -94,6 +96,11 @@
                 "Changes of what the gateway believes of a target's health, by kind.",
                 &["change"],
             )?,
+            target_fates: registry.counter_family(
+                "gateway_target_fates_total",
+                "Targets that broke off a call, by what became of them.",
+                &["fate"],
+            )?,
             memory: registry.gauge(
                 "gateway_memory_bytes",
                 "Bytes of memory that the process has resident.",
--- a/crates/ebony_gateway/src/routed_call.rs
+++ b/crates/ebony_gateway/src/routed_call.rs
@@ -8,6 +8,7 @@
 use ebony_types::{ClockTime, ServiceName};
 
 use crate::conversations::KeptTurn;
+use crate::crashes::RequestMark;
 use crate::gateway::Gateway;
 use crate::intake::RequestHead;
 
@@ -16,6 +17,8 @@
     pub(crate) gateway: Rc<Gateway>,
     pub(crate) request: RequestHead,
     pub(crate) head: CallHead,
+    /// What the request is recognized by when it comes again.
+    pub(crate) mark: Rc<RequestMark>,
     /// What a target gets.
     pub(crate) body: Bytes,
     /// The turn, if its route keeps conversations.
--- a/crates/ebony_gateway/src/story.rs
+++ b/crates/ebony_gateway/src/story.rs
@@ -5,6 +5,7 @@
 
 use ebony_types::{ClockTime, ProblemCode, RunVerdict};
 
+use crate::crashes::RequestMark;
 use crate::decision_log::LineKind;
 use crate::gateway::Gateway;
 
@@ -82,6 +83,7 @@
     chain: Option<(usize, usize)>,
     /// The load of the service that kept a program from beginning, in calls a slot.
     load: Option<f64>,
+    mark: Option<Rc<RequestMark>>,
     arrived: ClockTime,
     first_sent: Option<ClockTime>,
     first_bytes: Option<ClockTime>,
@@ -103,6 +105,7 @@
             previous: None,
             chain: None,
             load: None,
+            mark: None,
             arrived,
             first_sent: None,
             first_bytes: None,
@@ -135,6 +138,11 @@
         self.load = Some(load);
     }
 
+    /// Notes what the request is recognized by. Its digest is written if it was needed.
+    pub(crate) fn set_mark(&mut self, mark: &Rc<RequestMark>) {
+        self.mark = Some(Rc::clone(mark));
+    }
+
     pub(crate) fn record_send(&mut self) {
         if self.first_sent.is_none() {
             let now = self.gateway.clock.now();
@@ -212,6 +220,12 @@
         }
     }
 
+    /// Returns the digest of the request, if one was needed.
+    fn request(&self) -> Option<String> {
+        let digest = self.mark.as_ref()?.known_digest()?;
+        Some(digest.short())
+    }
+
     fn write_line(&self, outcome: &str, detail: &str, run: RunVerdict) {
         let millis = |time: Option<ClockTime>| match time {
             Some(time) => time.since(self.arrived).as_millis() as i64,
@@ -228,6 +242,7 @@
             "chain_records" => self.chain.map(|(records, _)| records),
             "chain_bytes" => self.chain.map(|(_, bytes)| bytes),
             "load" => self.load,
+            "request" => self.request(),
             "attempts" => &self.attempts,
             "events" => self.events,
             "outcome" => outcome,
--- a/crates/ebony_gateway/src/target_run.rs
+++ b/crates/ebony_gateway/src/target_run.rs
@@ -6,6 +6,7 @@
 use ebony_types::TargetName;
 use slog::info;
 
+use crate::crashes::{RequestMark, TargetInquests};
 use crate::decision_log::LineKind;
 use crate::gateway::Gateway;
 use crate::routed_call::RoutedCall;
@@ -16,6 +17,7 @@
     pub(crate) target: TargetKey,
     pub(crate) name: TargetName,
     run: RunKey,
+    mark: Rc<RequestMark>,
 }
 
 impl TargetRun {
@@ -32,6 +34,7 @@
             target,
             name,
             run,
+            mark: Rc::clone(&call.mark),
         }
     }
 
@@ -65,6 +68,12 @@
         }
     }
 
+    /// Notes that the target broke off the call, and has a look at what became of it.
+    pub(crate) fn record_break(&self) {
+        self.record_failure();
+        TargetInquests::open(&self.gateway, self.target, self.mark.digest());
+    }
+
     /// Notes that the target has no room for a call.
     pub(crate) fn record_full(&self) {
         let now = self.gateway.clock.now();
--- a/crates/ebony_types/src/call.rs
+++ b/crates/ebony_types/src/call.rs
@@ -93,6 +93,23 @@
 #[derive(Serialize, Deserialize)]
 pub struct RequestDigest(pub [u8; 32]);
 
+/// Bytes of a digest in its short form: enough to tell apart what one log names.
+const SHORT_BYTES: usize = 8;
+
+impl RequestDigest {
+    /// Returns the first digits, for logs.
+    ///
+    /// ```
+    /// use ebony_types::RequestDigest;
+    ///
+    /// assert_eq!(RequestDigest([10; 32]).short(), "0a0a0a0a0a0a0a0a");
+    /// ```
+    pub fn short(&self) -> String {
+        let digits = self.0[..SHORT_BYTES].iter();
+        digits.map(|byte| format!("{byte:02x}")).collect()
+    }
+}
+
 impl fmt::Display for RequestDigest {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         self.0.iter().try_for_each(|byte| write!(formatter, "{byte:02x}"))
--- a/crates/ebonyctl/src/run/explain.rs
+++ b/crates/ebonyctl/src/run/explain.rs
@@ -9,14 +9,15 @@
 use crate::command::ExplainArguments;
 use crate::error::{ControlError, Result};
 
-/// Members of a line that name the call or the program it is about, or the turn that a call was to continue.
-const ID_MEMBERS: [&str; 4] = ["call", "program", "previous", "turn"];
+/// Members of a line that name the call or the program it is about, the turn that a call was to continue, or the digest by
+/// which a request is recognized when it comes again.
+const ID_MEMBERS: [&str; 5] = ["call", "program", "previous", "turn", "request"];
 
 /// Members that stand before the others.
 const HEAD_MEMBERS: [&str; 5] = ["ts", "process", "msg", "level", "role"];
 
 /// Lines on what a process believed, which explain its decisions.
-const BELIEFS: [&str; 12] = [
+const BELIEFS: [&str; 13] = [
     "accounts are not recorded",
     "accounts are recorded again",
     "configuration in force",
@@ -25,6 +26,7 @@
     "process serves",
     "readiness changed",
     "settings reloaded",
+    "target broke off",
     "target is draining",
     "target removed",
     "the store does not answer",
