Refuse requests under which three targets ended, at every gateway

Callers saw: a request that ends each target that runs it went on to others for as long as its caller sent it. Each end took all other calls on that target with it. Cause: what a call learned of its request ended with the call. Targets that one call tried were remembered, failures were counted by target, and nothing was kept by request, told to other gateways or stored. Ruled out: a digest that differs between attempts; a limit within the call, which the next attempt starts anew. Change: the crash tracker of side processes, with a policy of its own, now serves gateways as well. A request is refused after three crashes, unless another request with more crashes explains them, and is due for a trial at one target after 30 s, eight times longer with each further crash. A whole answer clears it. What a gateway notices goes to all linked ones at once, to those that link later, and into a row of its own in the table that all gateways follow, so that no further feed is needed. A gateway is ready once it has read that table. Refusals are 503 request_held, not run, with the time of the next trial: a code that says that the request is wrong would end whole programs if it met a sound one. Why it works: what decides is the same at every gateway, outlives processes, and merges in any order.

--- a/crates/ebony_gateway/src/answer.rs
+++ b/crates/ebony_gateway/src/answer.rs
@@ -184,7 +184,7 @@
 
     /// Keeps the connection, because the answer was read to its end.
     fn finish(&mut self) {
-        self.run.record_success();
+        self.run.record_success(self.head.status);
         let Some(rest) = self.rest.take() else { return };
         let closes = self
             .head
--- a/crates/ebony_gateway/src/attempts.rs
+++ b/crates/ebony_gateway/src/attempts.rs
@@ -13,6 +13,7 @@
 
 use crate::answer::BegunAnswer;
 use crate::channel::{OpenAnswer, SendFailure};
+use crate::crashes::desk::HELD_DETAIL;
 use crate::refusal::{CallRefusal, NO_TARGET_PAUSE, Result};
 use crate::routed_call::{RoutedCall, affinity};
 use crate::story::{AttemptOutcome, CallStory};
@@ -78,6 +79,9 @@
             if gateway.time_left(call.deadline).is_none() {
                 return Err(self.give_up(ProblemCode::DeadlineExceeded, "the deadline passed"));
             }
+            if !gateway.crashes.may_send(&call.mark, call.permit) {
+                return Err(self.give_up(ProblemCode::RequestHeld, HELD_DETAIL));
+            }
             if let Some(target) = self.place() {
                 return Ok(target);
             }
@@ -147,7 +151,7 @@
     /// latency objective has passed: an answer that was lost never comes.
     fn attempt_patience(&self, time_left: Duration) -> Duration {
         let route = &self.call.route;
-        let has_next = self.reached + 1 < route.most_targets;
+        let has_next = self.reached + 1 < self.call.most_targets();
         if route.nature == CallNature::Idempotent && has_next {
             return time_left.min(route.objective);
         }
@@ -204,7 +208,7 @@
             return Ok(());
         }
         self.reached += 1;
-        let may_go_on = self.call.route.nature.is_repeatable() && self.reached < self.call.route.most_targets;
+        let may_go_on = self.call.route.nature.is_repeatable() && self.reached < self.call.most_targets();
         match outcome {
             AttemptOutcome::Silent if may_go_on => Ok(()),
             AttemptOutcome::TimedOut | AttemptOutcome::Silent => {
--- a/crates/ebony_gateway/src/call.rs
+++ b/crates/ebony_gateway/src/call.rs
@@ -141,9 +141,11 @@
     let gateways = u32::try_from(gateway.fleet.len()).unwrap_or(u32::MAX);
     let mark = RequestMark::open(&request, &body);
     story.set_mark(&mark);
+    let permit = gateway.crashes.admit(&mark)?;
     Ok(RoutedCall {
         gateway: Rc::clone(gateway),
         mark,
+        permit,
         route: Rc::clone(route),
         service: service.clone(),
         engine,
--- a/crates/ebony_gateway/src/crashes/inquest.rs
+++ b/crates/ebony_gateway/src/crashes/inquest.rs
@@ -110,6 +110,12 @@
                 "target" => self.record.name.as_str(), "life" => self.record.born, "fate" => fate.as_str(),
                 "requests" => digests.join(" "));
         }
+        if fate == TargetFate::Ended {
+            let record = &self.record;
+            gateway
+                .crashes
+                .record_end(&record.name, record.born, &self.suspects);
+        }
     }
 }
 
--- a/crates/ebony_gateway/src/fleet.rs
+++ b/crates/ebony_gateway/src/fleet.rs
@@ -234,6 +234,7 @@
     row_key(ENTRY_PREFIX).0
 }
 
-fn row_key(name: &str) -> RowKey {
+/// Returns the key of a row in the table.
+pub(crate) fn row_key(name: &str) -> RowKey {
     RowKey(format!("{TABLE}//{name}"))
 }
--- a/crates/ebony_gateway/src/gateway.rs
+++ b/crates/ebony_gateway/src/gateway.rs
@@ -19,7 +19,7 @@
 use crate::accounts::AccountDesk;
 use crate::channel::TargetClient;
 use crate::conversations::ConversationDesk;
-use crate::crashes::TargetInquests;
+use crate::crashes::{CrashDesk, TargetInquests};
 use crate::decision_log::DecisionLog;
 use crate::fleet::FleetView;
 use crate::links::PeerLinks;
@@ -64,12 +64,15 @@
     pub(crate) gates: RefCell<HashMap<ServiceName, ProgramGate>>,
     /// Whether the list of targets was read.
     pub(crate) has_targets: Cell<bool>,
+    /// Whether the table of gateways was read, with the requests that are refused.
+    pub(crate) has_fleet: Cell<bool>,
     pub(crate) fleet: Rc<FleetView>,
     pub(crate) links: Rc<PeerLinks>,
     pub(crate) accounts: Rc<AccountDesk>,
     pub(crate) conversations: Rc<ConversationDesk>,
     pub(crate) client: Rc<TargetClient>,
     pub(crate) inquests: TargetInquests,
+    pub(crate) crashes: Rc<CrashDesk>,
     /// Rows that nothing has written for this long are removed.
     pub(crate) retention: Duration,
     pub(crate) versions: RefCell<VersionHistory>,
@@ -116,6 +119,14 @@
             Rc::clone(&metrics),
             settings.first_start,
         );
+        let crashes = CrashDesk::open(
+            Rc::clone(&table),
+            Rc::clone(&fleet),
+            Rc::clone(&links),
+            clock,
+            Rc::clone(&decisions),
+            Rc::clone(&metrics),
+        );
         let conversations = ConversationDesk::open(
             table,
             Rc::clone(&links),
@@ -138,8 +149,10 @@
             board: RefCell::default(),
             gates: RefCell::default(),
             has_targets: Cell::default(),
+            has_fleet: Cell::default(),
             client,
             inquests: TargetInquests::default(),
+            crashes,
             retention: settings.store.retention,
             versions: RefCell::new(VersionHistory::open(settings.store.retention)),
             health,
@@ -157,9 +170,11 @@
         self.routing.borrow().clone()
     }
 
-    /// Notes that the process can serve if the configuration and the targets are known and it is not stopping.
+    /// Notes that the process can serve if the configuration, the targets and the requests that crash them are known, and it
+    /// is not stopping.
     pub(crate) fn update_health(&self) {
-        let is_ready = self.routing.borrow().is_some() && self.has_targets.get() && !self.is_draining.get();
+        let is_informed = self.routing.borrow().is_some() && self.has_targets.get() && self.has_fleet.get();
+        let is_ready = is_informed && !self.is_draining.get();
         if is_ready != self.health.is_ready() {
             slog::info!(self.logger, "readiness changed"; "ready" => is_ready);
             self.health.set_ready(is_ready);
--- a/crates/ebony_gateway/src/links/answering.rs
+++ b/crates/ebony_gateway/src/links/answering.rs
@@ -9,6 +9,7 @@
 use tokio::time::sleep;
 
 use super::{DIAL_PAUSE, FIRST_DIAL_PAUSE, PeerReply, PeerRequest, identity};
+use crate::crashes::CrashSource;
 use crate::gateway::Gateway;
 
 /// Answers the requests of other gateways.
@@ -74,6 +75,7 @@
                     sender.send(&PeerReply::Turn { number, found }).ok();
                 });
             }
+            PeerRequest::TellCrashes { reports } => gateway.crashes.hear(&reports, CrashSource::Peer),
             PeerRequest::ShareTurn { turn, record } => gateway.conversations.take_shared(&turn, &record),
             PeerRequest::KeepTurn { number, turn, record } => {
                 let conversations = Rc::clone(&gateway.conversations);
--- a/crates/ebony_gateway/src/links/messages.rs
+++ b/crates/ebony_gateway/src/links/messages.rs
@@ -3,6 +3,7 @@
 use bytes::Bytes;
 use ebony_account::{CoverWant, LentCover};
 use ebony_types::{ProgramName, TurnName};
+use ebony_wire::CrashReport;
 use serde::{Deserialize, Serialize};
 
 use crate::open_turn::CoverError;
@@ -60,6 +61,11 @@
         /// The encoded record.
         record: Bytes,
     },
+    /// Tells of requests under which targets ended.
+    TellCrashes {
+        /// What the telling gateway knows of them.
+        reports: Vec<CrashReport>,
+    },
     /// Asks a gateway that reaches the store to write the record of a turn.
     KeepTurn {
         /// Matches the answer.
--- a/crates/ebony_gateway/src/links/mod.rs
+++ b/crates/ebony_gateway/src/links/mod.rs
@@ -1,7 +1,7 @@
 //! Links to the other gateways.
 //!
 //! A gateway asks the owner of a program for the cover of a turn and gives back what the turn did not need. An owner that
-//! does not reach the store has another gateway record its requests.
+//! does not reach the store has another gateway record its requests. Requests under which targets ended are told to all.
 
 mod answering;
 mod messages;
@@ -16,7 +16,7 @@
 use ebony_account::{CoverOutcome, CoverWant, TurnRequest};
 use ebony_link::{LinkIdentity, LinkOptions, LinkSender, OpenLink, dial};
 use ebony_types::{ClockTime, ProcessIncarnation, ProgramName, TurnName};
-use ebony_wire::{ClusterKey, LinkRole};
+use ebony_wire::{ClusterKey, CrashReport, LinkRole};
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 use rand::SeedableRng;
@@ -69,7 +69,8 @@
     unlinked_since: RefCell<HashMap<String, ClockTime>>,
     clock: GatewayClock,
     next_number: Cell<u64>,
-    has_opened: Cell<bool>,
+    /// Gateways that were linked since the last look.
+    opened: RefCell<Vec<String>>,
     incarnation: ProcessIncarnation,
     logger: Logger,
 }
@@ -83,7 +84,7 @@
             unlinked_since: RefCell::default(),
             clock,
             next_number: Cell::default(),
-            has_opened: Cell::default(),
+            opened: RefCell::default(),
             incarnation: ProcessIncarnation::random(&mut StdRng::from_os_rng()),
             logger,
         })
@@ -116,9 +117,27 @@
         since.is_some_and(|since| self.clock.now().since(since) >= GONE_AFTER)
     }
 
-    /// Returns whether a link was opened since the last call.
-    pub(crate) fn take_opened(&self) -> bool {
-        self.has_opened.take()
+    /// Returns the gateways that were linked since the last call.
+    pub(crate) fn take_opened(&self) -> Vec<String> {
+        self.opened.take()
+    }
+
+    /// Tells a gateway of crashes. What does not arrive stands in the store.
+    pub(crate) fn tell_crashes(&self, peer: &str, reports: &[CrashReport]) {
+        if let Some(link) = self.links.borrow().get(peer) {
+            let request = PeerRequest::TellCrashes {
+                reports: reports.to_vec(),
+            };
+            link.sender.send(&request).ok();
+        }
+    }
+
+    /// Tells all linked gateways of crashes.
+    pub(crate) fn tell_all_crashes(&self, reports: &[CrashReport]) {
+        let peers: Vec<String> = self.links.borrow().keys().cloned().collect();
+        for peer in peers {
+            self.tell_crashes(&peer, reports);
+        }
     }
 
     /// Gives cover back to the owner of a program. Cover that does not arrive counts as spent.
@@ -318,7 +337,7 @@
         };
         self.links.borrow_mut().insert(name.to_owned(), entry);
         self.unlinked_since.borrow_mut().remove(name);
-        self.has_opened.set(true);
+        self.opened.borrow_mut().push(name.to_owned());
         let receiving = async {
             while let Ok(reply) = receiver.next().await {
                 match reply {
--- a/crates/ebony_gateway/src/metrics.rs
+++ b/crates/ebony_gateway/src/metrics.rs
@@ -28,6 +28,8 @@
     pub(crate) target_health: IntCounterVec,
     /// Targets that broke off a call, by what became of them.
     pub(crate) target_fates: IntCounterVec,
+    /// Requests under which targets ended.
+    pub(crate) crash_requests: IntGauge,
     /// Bytes of memory that the process has resident.
     pub(crate) memory: IntGauge,
     /// Connections opened to targets.
@@ -101,6 +103,10 @@
                 "Targets that broke off a call, by what became of them.",
                 &["fate"],
             )?,
+            crash_requests: registry.gauge(
+                "gateway_crash_requests",
+                "Requests under which targets ended, cleared ones included.",
+            )?,
             memory: registry.gauge(
                 "gateway_memory_bytes",
                 "Bytes of memory that the process has resident.",
--- a/crates/ebony_gateway/src/process.rs
+++ b/crates/ebony_gateway/src/process.rs
@@ -104,6 +104,7 @@
         tokio::task::spawn_local(watch::watch_targets(Rc::clone(&gateway)));
         tokio::task::spawn_local(watch::watch_fleet(Rc::clone(&gateway)));
         tokio::task::spawn_local(Rc::clone(&gateway.fleet).keep_registered());
+        tokio::task::spawn_local(Rc::clone(&gateway.crashes).keep_row());
         tokio::task::spawn_local(links::serve(Rc::clone(&gateway), self.settings.links.listen));
         tokio::task::spawn_local(Rc::clone(&gateway.links).keep_dialed());
         tokio::task::spawn_local(watch::tidy(Rc::clone(&gateway)));
--- a/crates/ebony_gateway/src/routed_call.rs
+++ b/crates/ebony_gateway/src/routed_call.rs
@@ -8,7 +8,7 @@
 use ebony_types::{ClockTime, ServiceName};
 
 use crate::conversations::KeptTurn;
-use crate::crashes::RequestMark;
+use crate::crashes::{CrashPermit, RequestMark};
 use crate::gateway::Gateway;
 use crate::intake::RequestHead;
 
@@ -19,6 +19,8 @@
     pub(crate) head: CallHead,
     /// What the request is recognized by when it comes again.
     pub(crate) mark: Rc<RequestMark>,
+    /// How it may run, considering what became of targets that ran it before.
+    pub(crate) permit: CrashPermit,
     /// What a target gets.
     pub(crate) body: Bytes,
     /// The turn, if its route keeps conversations.
@@ -44,6 +46,14 @@
         }
     }
 
+    /// Returns how many targets may run the call.
+    pub(crate) fn most_targets(&self) -> u32 {
+        match self.permit {
+            CrashPermit::Free => self.route.most_targets,
+            CrashPermit::Trial => 1,
+        }
+    }
+
     /// Returns whether the answer is a stream of events.
     pub(crate) fn is_stream(&self) -> bool {
         self.route.nature.is_stream()
--- a/crates/ebony_gateway/src/sweeper.rs
+++ b/crates/ebony_gateway/src/sweeper.rs
@@ -1,4 +1,5 @@
-//! Removing rows that nothing needs any more: of programs that ended, and of gateways that are gone for good.
+//! Removing rows that nothing needs any more: of programs that ended, of gateways that are gone for good, and of the crashes
+//! that these noticed.
 //!
 //! Rows tell their age by their versions, see [`ebony_platform::VersionHistory`]. Each part of a table has one gateway
 //! that sweeps it, by the same weights as programs have owners. Removals are conditional, so that a row that was just
@@ -14,6 +15,7 @@
 use tokio::time::sleep;
 
 use crate::conversations::rows as turns;
+use crate::crashes::rows as crashes;
 use crate::gateway::Gateway;
 use crate::{accounts, fleet};
 
@@ -45,7 +47,7 @@
         }
         let prefixes = accounts::part_prefixes()
             .chain(turns::part_prefixes())
-            .chain([fleet::entry_prefix()]);
+            .chain([fleet::entry_prefix(), crashes::row_prefix()]);
         for prefix in prefixes {
             if !gateway.fleet.owns(&prefix) {
                 continue;
--- a/crates/ebony_gateway/src/target_run.rs
+++ b/crates/ebony_gateway/src/target_run.rs
@@ -4,6 +4,7 @@
 
 use ebony_dispatch::{RunKey, TargetKey};
 use ebony_types::TargetName;
+use http::StatusCode;
 use slog::info;
 
 use crate::crashes::{RequestMark, TargetInquests};
@@ -42,7 +43,12 @@
         self.gateway.board.borrow_mut().end_prefill(self.run);
     }
 
-    pub(crate) fn record_success(&self) {
+    /// Notes a whole answer with this status.
+    pub(crate) fn record_success(&self, status: StatusCode) {
+        // A failure may come from a target that rejected the call before it ran it.
+        if status.is_success() {
+            self.gateway.crashes.record_whole(&self.mark);
+        }
         let failures = self.gateway.board.borrow_mut().record_success(self.target);
         if failures > 0 {
             self.record_health("recovered");
--- a/crates/ebony_gateway/src/watch.rs
+++ b/crates/ebony_gateway/src/watch.rs
@@ -221,9 +221,17 @@
     let mut watch = TableWatch::open(&gateway, fleet::TABLE, "fleet", FLEET_WAIT);
     loop {
         match watch.next().await {
-            TableNews::Snapshot(rows) => gateway.fleet.replace(&rows),
-            TableNews::Changes(rows) => gateway.fleet.apply(&rows),
+            TableNews::Snapshot(rows) => {
+                gateway.crashes.apply_rows(&rows);
+                gateway.fleet.replace(&rows);
+            }
+            TableNews::Changes(rows) => {
+                gateway.crashes.apply_rows(&rows);
+                gateway.fleet.apply(&rows);
+            }
         }
+        gateway.has_fleet.set(true);
+        gateway.update_health();
     }
 }
 
@@ -339,9 +347,12 @@
             .client
             .prune(|target| gateway.board.borrow().is_ready(target));
         gateway.accounts.evict_idle();
-        if gateway.links.take_opened() {
+        let opened = gateway.links.take_opened();
+        if !opened.is_empty() {
             gateway.accounts.return_idle();
+            gateway.crashes.greet(&opened);
         }
+        gateway.crashes.expire();
         let gauge = |count: usize| i64::try_from(count).unwrap_or(i64::MAX);
         gateway.metrics.accounts.set(gauge(gateway.accounts.len()));
         let conversation_bytes = gauge(gateway.conversations.cache_bytes());
--- a/crates/ebony_ledger/src/crash_tracker.rs
+++ b/crates/ebony_ledger/src/crash_tracker.rs
@@ -1,7 +1,8 @@
 //! Which requests were running when a target crashed.
 //!
 //! Every request that ran at a crash is a suspect. A suspect that later completes is cleared of the crashes known by
-//! then. A request with two crashes is refused until one of them lies 24 hours back.
+//! then. A request with as many crashes as the [`CrashPolicy`] says is refused, unless a request with more crashes ran at
+//! so many of them that the rest is below the limit. It is due for a trial after a hold that grows with each crash.
 //!
 //! Counts are shared between processes as [`CrashReport`]s. The merge is commutative, associative and idempotent, as
 //! long as no table is full: crash sites only accumulate, a clearance only turns on, and the earlier expiry counts.
@@ -15,8 +16,8 @@
 /// The time for which a crash counts.
 pub const CRASH_LIFETIME: Duration = Duration::from_secs(24 * 3_600);
 
-/// Crashes after which a request is refused.
-pub const MAX_CRASHES: usize = 2;
+/// How much longer the hold gets with each crash behind the one that led to it.
+const HOLD_GROWTH: u32 = 8;
 
 /// The most requests that are tracked by default. A crash of an engine with 64 running calls adds 64.
 pub const MAX_TRACKED_REQUESTS: usize = 4_096;
@@ -33,10 +34,32 @@
 pub enum CrashStanding {
     /// No crash counts against the request.
     Clear,
-    /// The request ran at one crash; it runs in quarantine.
+    /// The request ran at a crash; it runs in quarantine.
     Suspect,
-    /// The request ran at two crashes; it is refused.
+    /// The request ran at too many crashes; it is refused.
     Refused,
+    /// The request was refused for its whole hold. It may run once, at one target.
+    DueForTrial,
+}
+
+/// What crashes mean for the requests that ran at them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CrashPolicy {
+    /// Crashes after which a request is refused.
+    pub most_crashes: usize,
+    /// How long a request is refused after the last of these crashes.
+    pub first_hold: Duration,
+}
+
+impl Default for CrashPolicy {
+    /// Refuses a request with two crashes for as long as they count. Suits side processes, which run suspects alone, so that
+    /// the second crash shows the request at fault.
+    fn default() -> Self {
+        Self {
+            most_crashes: 2,
+            first_hold: CRASH_LIFETIME,
+        }
+    }
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -67,6 +90,9 @@
 pub struct CrashTracker {
     requests: BTreeMap<RequestDigest, SiteMarks>,
     limit: usize,
+    policy: CrashPolicy,
+    /// Whether any request has a crash that it was not cleared of.
+    has_suspects: bool,
 }
 
 impl CrashTracker {
@@ -74,22 +100,105 @@
     ///
     /// At the limit, a request with the fewest crashes, and of these one whose crashes expire first, makes room.
     pub fn open(limit: usize) -> Self {
+        Self::with_policy(limit, CrashPolicy::default())
+    }
+
+    /// Creates a tracker for at most `limit` requests with a policy of its own.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use ebony_ledger::{CrashPolicy, CrashSite, CrashStanding, CrashTracker};
+    /// use ebony_types::{ClockTime, ProcessIncarnation, RequestDigest, TargetName};
+    ///
+    /// let policy = CrashPolicy { most_crashes: 1, first_hold: Duration::from_secs(30) };
+    /// let mut tracker = CrashTracker::with_policy(16, policy);
+    /// let digest = RequestDigest([1; 32]);
+    /// let incarnation = ProcessIncarnation::from_bytes([1; 16]);
+    /// let site = CrashSite { target: TargetName::parse("engine-1")?, incarnation };
+    /// let now = ClockTime::default();
+    /// tracker.record_crash(digest, site, now);
+    /// assert_eq!(tracker.standing(digest, now), CrashStanding::Refused);
+    /// assert_eq!(tracker.hold_left(digest, now), policy.first_hold);
+    /// assert_eq!(tracker.standing(digest, now + policy.first_hold), CrashStanding::DueForTrial);
+    /// # Ok::<(), ebony_types::name::NameError>(())
+    /// ```
+    pub fn with_policy(limit: usize, policy: CrashPolicy) -> Self {
         Self {
             requests: BTreeMap::new(),
             limit,
+            policy,
+            has_suspects: false,
         }
     }
 
+    /// Returns whether any request is a suspect, so that digests of further ones matter.
+    pub fn has_suspects(&self) -> bool {
+        self.has_suspects
+    }
+
     /// Returns how a request is to be treated.
     pub fn standing(&self, digest: RequestDigest, now: ClockTime) -> CrashStanding {
+        let Some(sites) = self.requests.get(&digest) else {
+            return CrashStanding::Clear;
+        };
+        let crashes = count_crashes(sites, now);
+        match () {
+            () if crashes == 0 => CrashStanding::Clear,
+            () if crashes < self.policy.most_crashes => CrashStanding::Suspect,
+            () if self.count_unexplained(sites, now) < self.policy.most_crashes => CrashStanding::Suspect,
+            () if self.hold_end(sites, now) <= now + CRASH_LIFETIME => CrashStanding::DueForTrial,
+            () => CrashStanding::Refused,
+        }
+    }
+
+    /// Returns the crashes that count against a request.
+    pub fn crashes(&self, digest: RequestDigest, now: ClockTime) -> usize {
         let sites = self.requests.get(&digest);
-        match sites.map_or(0, |sites| count_crashes(sites, now)) {
-            0 => CrashStanding::Clear,
-            1..MAX_CRASHES => CrashStanding::Suspect,
-            _ => CrashStanding::Refused,
+        sites.map_or(0, |sites| count_crashes(sites, now))
+    }
+
+    /// Returns how much longer a request is refused.
+    pub fn hold_left(&self, digest: RequestDigest, now: ClockTime) -> Duration {
+        match self.standing(digest, now) {
+            CrashStanding::Refused => {
+                let end = self.requests.get(&digest).map(|sites| self.hold_end(sites, now));
+                end.unwrap_or_default().since(now + CRASH_LIFETIME)
+            }
+            CrashStanding::Clear | CrashStanding::Suspect | CrashStanding::DueForTrial => Duration::ZERO,
         }
     }
 
+    /// Returns the end of a hold, later by [`CRASH_LIFETIME`]: crashes are kept by their expiry, and one that another process
+    /// told of may lie before the start of this clock.
+    fn hold_end(&self, sites: &SiteMarks, now: ClockTime) -> ClockTime {
+        let counting = sites.values().filter(|mark| mark.counts(now));
+        let last = counting.map(|mark| mark.expires_at).max().unwrap_or_default();
+        let further = count_crashes(sites, now).saturating_sub(self.policy.most_crashes);
+        let growth = HOLD_GROWTH.saturating_pow(u32::try_from(further).unwrap_or(u32::MAX));
+        last + self.policy.first_hold.saturating_mul(growth).min(CRASH_LIFETIME)
+    }
+
+    /// Counts the crashes of a request at which no request with more crashes ran that is refused for them.
+    fn count_unexplained(&self, sites: &SiteMarks, now: ClockTime) -> usize {
+        let crashes = count_crashes(sites, now);
+        let is_at_fault = |others: &&SiteMarks| {
+            let others_crashes = count_crashes(others, now);
+            others_crashes >= self.policy.most_crashes && others_crashes > crashes
+        };
+        let at_fault: Vec<&SiteMarks> = self.requests.values().filter(is_at_fault).collect();
+        let is_explained = |site: &CrashSite| {
+            let mut marks = at_fault.iter().filter_map(|others| others.get(site));
+            marks.any(|mark| mark.counts(now))
+        };
+        let counting = sites.iter().filter(|(_, mark)| mark.counts(now));
+        counting.filter(|(site, _)| !is_explained(site)).count()
+    }
+
+    fn update_suspects(&mut self) {
+        let mut marks = self.requests.values().flat_map(BTreeMap::values);
+        self.has_suspects = marks.any(|mark| !mark.is_cleared);
+    }
+
     /// Counts a crash against a request that was running.
     pub fn record_crash(&mut self, digest: RequestDigest, site: CrashSite, now: ClockTime) {
         let mark = SiteMark {
@@ -97,13 +206,21 @@
             is_cleared: false,
         };
         self.add(digest, site, mark, now);
+        self.update_suspects();
     }
 
-    /// Clears a request of the crashes known so far, because it completed.
-    pub fn record_completion(&mut self, digest: RequestDigest) {
-        if let Some(sites) = self.requests.get_mut(&digest) {
-            sites.values_mut().for_each(|mark| mark.is_cleared = true);
+    /// Clears a request of the crashes known so far, because it completed. Returns of how many.
+    pub fn record_completion(&mut self, digest: RequestDigest) -> usize {
+        let Some(sites) = self.requests.get_mut(&digest) else {
+            return 0;
+        };
+        let mut cleared = 0;
+        for mark in sites.values_mut().filter(|mark| !mark.is_cleared) {
+            mark.is_cleared = true;
+            cleared += 1;
         }
+        self.update_suspects();
+        cleared
     }
 
     /// Takes over what another process knows.
@@ -118,6 +235,7 @@
                 self.add(report.digest, site.site.clone(), mark, now);
             }
         }
+        self.update_suspects();
     }
 
     /// Returns what other processes should know.
@@ -135,6 +253,7 @@
             sites.retain(|_, mark| mark.expires_at > now);
             !sites.is_empty()
         });
+        self.update_suspects();
     }
 
     /// Returns the number of tracked requests.
@@ -177,6 +296,10 @@
 }
 
 impl SiteMark {
+    fn counts(&self, now: ClockTime) -> bool {
+        self.expires_at > now && !self.is_cleared
+    }
+
     fn join(&mut self, other: Self) {
         self.expires_at = self.expires_at.min(other.expires_at);
         self.is_cleared |= other.is_cleared;
@@ -184,8 +307,7 @@
 }
 
 fn count_crashes(sites: &SiteMarks, now: ClockTime) -> usize {
-    let counts = |mark: &&SiteMark| mark.expires_at > now && !mark.is_cleared;
-    sites.values().filter(counts).count()
+    sites.values().filter(|mark| mark.counts(now)).count()
 }
 
 fn report_sites(sites: &SiteMarks, now: ClockTime) -> Vec<SiteReport> {
--- a/crates/ebony_ledger/src/lib.rs
+++ b/crates/ebony_ledger/src/lib.rs
@@ -39,7 +39,9 @@
     pub use crate::answer_buffer::{AnswerBuffer, AnswerOutcome, BufferError, BufferRead};
     pub use crate::answer_cursor::AnswerCursor;
     pub use crate::caller_credit::{CreditWindow, INITIAL_CREDIT_BYTES};
-    pub use crate::crash_tracker::{CrashReport, CrashSite, CrashStanding, CrashTracker, SiteReport};
+    pub use crate::crash_tracker::{
+        CrashPolicy, CrashReport, CrashSite, CrashStanding, CrashTracker, SiteReport,
+    };
     pub use crate::fencing::{FenceError, TokenFence};
     pub use crate::ledger::{
         CallLedger, CallState, CancelDecision, CrashOutcome, LedgerDecision, LedgerError, ResumeDecision,
--- a/crates/ebony_types/src/problem.rs
+++ b/crates/ebony_types/src/problem.rs
@@ -88,6 +88,8 @@
     NoTarget = 503, "no_target";
     /// The program's owner is not known or not reachable at present.
     OwnerUnavailable = 503, "owner_unavailable";
+    /// Several targets ended while they ran the request. It is tried again after a while.
+    RequestHeld = 503, "request_held";
     /// The platform's table service or object store does not take a write that the request needs.
     PlatformUnavailable = 503, "platform_unavailable";
     /// The process is stopping.
