Play crashing and sound requests against the policy of gateways

Change: a model of four gateways, nine targets, two crashing requests that come again every 0.4 s and sixty sound ones: gateways are killed, links are late, and the store tells the rest.

--- /dev/null
+++ b/crates/ebony_ledger/tests/crash_model.rs
@@ -0,0 +1,292 @@
+//! A model of gateways that share crashes: crashing requests that come again at any gateway, sound ones beside them,
+//! gateways that are killed, and news that is late or lost until the store tells it.
+//!
+//! Answers the load of one host that falls over after the other while its neighbours are full of sound requests.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use ebony_ledger::{CrashPolicy, CrashReport, CrashSite, CrashStanding, CrashTracker};
+use ebony_types::{ClockTime, ProcessIncarnation, RequestDigest, TargetName};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+/// The policy of gateways.
+const POLICY: CrashPolicy = CrashPolicy {
+    most_crashes: 3,
+    first_hold: Duration::from_secs(30),
+};
+
+const SEEDS: u64 = 24;
+const STEP: Duration = Duration::from_millis(100);
+/// Two minutes, so that the first trial is within them.
+const STEPS: u64 = 1_200;
+const GATEWAYS: usize = 4;
+const TARGETS: usize = 9;
+/// Sound requests under way.
+const SOUND: usize = 60;
+const CRASHING: usize = 2;
+/// Steps that a target is down.
+const DOWN: u64 = 30;
+/// Steps after which all gateways know what one noticed, however the links are.
+const STABLE: u64 = 30;
+/// Targets that a request may end before it counts as a crashing one, and further ones once all had time to learn of it.
+const MOST_ENDED: usize = 3;
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+struct Run {
+    digest: RequestDigest,
+    gateway: usize,
+    target: usize,
+    ends_at: u64,
+}
+
+struct Target {
+    life: u8,
+    down_until: u64,
+}
+
+#[derive(Default)]
+struct Totals {
+    sound_whole: u64,
+    sound_refused: u64,
+    /// Sound requests that were refused at least once and ran whole later.
+    sound_late: u64,
+    crashing_runs: u64,
+    most_later: usize,
+}
+
+struct Model {
+    source: StdRng,
+    step: u64,
+    trackers: Vec<CrashTracker>,
+    /// What each gateway wrote.
+    rows: Vec<Vec<CrashReport>>,
+    /// News on its way: when, to whom, what.
+    news: Vec<(u64, usize, Vec<CrashReport>)>,
+    targets: Vec<Target>,
+    runs: Vec<Run>,
+    /// Ends of targets by each crashing request.
+    ends: Vec<Vec<u64>>,
+    trial_until: u64,
+    next_sound: u32,
+    waiting: Vec<(RequestDigest, bool)>,
+    totals: Totals,
+}
+
+fn digest_of(kind: u8, number: u32) -> RequestDigest {
+    let mut digest = [kind; 32];
+    digest[1..5].copy_from_slice(&number.to_be_bytes());
+    RequestDigest(digest)
+}
+
+impl Model {
+    fn open(seed: u64) -> Self {
+        let target = || Target {
+            life: 0,
+            down_until: 0,
+        };
+        Self {
+            source: StdRng::seed_from_u64(seed),
+            step: 0,
+            trackers: vec![CrashTracker::with_policy(1_024, POLICY); GATEWAYS],
+            rows: vec![Vec::new(); GATEWAYS],
+            news: Vec::new(),
+            targets: (0..TARGETS).map(|_| target()).collect(),
+            runs: Vec::new(),
+            ends: vec![Vec::new(); CRASHING],
+            trial_until: 0,
+            next_sound: 0,
+            waiting: Vec::new(),
+            totals: Totals::default(),
+        }
+    }
+
+    fn now(&self) -> ClockTime {
+        ClockTime::default() + STEP * u32::try_from(self.step).expect("few steps")
+    }
+
+    fn play(mut self) -> Totals {
+        while self.step < STEPS {
+            self.step += 1;
+            self.deliver();
+            if self.source.random_ratio(1, 200) {
+                self.kill();
+            }
+            self.finish_runs();
+            self.start_crashing();
+            self.start_sound();
+        }
+        for ends in &self.ends {
+            let stable = ends.get(MOST_ENDED - 1).map(|third| third + STABLE);
+            let later = ends
+                .iter()
+                .filter(|end| stable.is_some_and(|stable| **end > stable));
+            self.totals.most_later = self.totals.most_later.max(later.count());
+        }
+        self.totals
+    }
+
+    fn deliver(&mut self) {
+        let (step, now) = (self.step, self.now());
+        let news = std::mem::take(&mut self.news);
+        for (at, gateway, reports) in news {
+            if at <= step {
+                self.trackers[gateway].merge(&reports, now);
+            } else {
+                self.news.push((at, gateway, reports));
+            }
+        }
+    }
+
+    /// Kills a gateway. It starts again with what the store has, and its calls are lost.
+    fn kill(&mut self) {
+        let (gateway, now) = (self.source.random_range(0..GATEWAYS), self.now());
+        let mut tracker = CrashTracker::with_policy(1_024, POLICY);
+        self.rows.iter().for_each(|row| tracker.merge(row, now));
+        self.trackers[gateway] = tracker;
+        self.runs.retain(|run| run.gateway != gateway);
+        self.news.retain(|(_, to, _)| *to != gateway);
+    }
+
+    /// Tells the other gateways what one knows of a request: mostly at once, now and then only through the store.
+    fn tell(&mut self, gateway: usize) {
+        let reports = self.trackers[gateway].reports(self.now());
+        self.rows[gateway] = reports.clone();
+        for other in (0..GATEWAYS).filter(|other| *other != gateway) {
+            let delay = match self.source.random_ratio(9, 10) {
+                true => 1,
+                false => self.source.random_range(1..STABLE),
+            };
+            self.news.push((self.step + delay, other, reports.clone()));
+        }
+    }
+
+    fn finish_runs(&mut self) {
+        let (step, now) = (self.step, self.now());
+        let is_over = |run: &Run| run.ends_at <= step;
+        let over: Vec<Run> = self.runs.iter().copied().filter(is_over).collect();
+        self.runs.retain(|run| !is_over(run));
+        for run in over {
+            if run.digest.0[0] > 0 {
+                self.end_target(run);
+            } else if self.targets[run.target].down_until < step {
+                self.totals.sound_whole += 1;
+                if self.trackers[run.gateway].record_completion(run.digest) > 0 {
+                    self.tell(run.gateway);
+                }
+            }
+        }
+        for tracker in &mut self.trackers {
+            tracker.expire(now);
+        }
+    }
+
+    fn end_target(&mut self, fatal: Run) {
+        let now = self.now();
+        let at = fatal.target;
+        if self.targets[at].down_until >= self.step {
+            return;
+        }
+        self.ends[usize::from(fatal.digest.0[0]) - 1].push(self.step);
+        let site = CrashSite {
+            target: TargetName::parse(&format!("t-{at}")).expect("a name"),
+            incarnation: ProcessIncarnation::from_bytes([self.targets[at].life; 16]),
+        };
+        let mut suspects: Vec<Run> = self.runs.iter().copied().filter(|run| run.target == at).collect();
+        suspects.push(fatal);
+        self.runs.retain(|run| run.target != at);
+        let mut noticed = BTreeSet::new();
+        for run in suspects {
+            self.trackers[run.gateway].record_crash(run.digest, site.clone(), now);
+            noticed.insert(run.gateway);
+            if run.digest.0[0] == 0 {
+                // Its caller sends it again.
+                self.waiting.push((run.digest, false));
+            }
+        }
+        noticed.into_iter().for_each(|gateway| self.tell(gateway));
+        self.targets[at].life = self.targets[at].life.wrapping_add(1);
+        self.targets[at].down_until = self.step + DOWN;
+    }
+
+    /// Sends a request; returns whether it was refused.
+    fn send(&mut self, digest: RequestDigest, steps: u64) -> bool {
+        let gateway = self.source.random_range(0..GATEWAYS);
+        let may_run = match self.trackers[gateway].standing(digest, self.now()) {
+            CrashStanding::Clear | CrashStanding::Suspect => true,
+            CrashStanding::Refused => false,
+            CrashStanding::DueForTrial => gateway == 0 && self.step > self.trial_until,
+        };
+        if !may_run {
+            return true;
+        }
+        if self.trackers[gateway].standing(digest, self.now()) == CrashStanding::DueForTrial {
+            self.trial_until = self.step + 100;
+        }
+        let up = (0..TARGETS).filter(|at| self.targets[*at].down_until < self.step);
+        let up: Vec<usize> = up.collect();
+        if let Some(target) = (!up.is_empty()).then(|| up[self.source.random_range(0..up.len())]) {
+            let ends_at = self.step + steps;
+            self.runs.push(Run {
+                digest,
+                gateway,
+                target,
+                ends_at,
+            });
+        }
+        false
+    }
+
+    fn start_crashing(&mut self) {
+        for number in 0..CRASHING {
+            if self.source.random_ratio(1, 4) {
+                let digest = digest_of(u8::try_from(number + 1).expect("few"), 0);
+                let is_refused = self.send(digest, 1);
+                self.totals.crashing_runs += u64::from(!is_refused);
+            }
+        }
+    }
+
+    fn start_sound(&mut self) {
+        for (digest, was_refused) in std::mem::take(&mut self.waiting) {
+            let steps = self.source.random_range(2..20);
+            if self.send(digest, steps) {
+                self.totals.sound_refused += u64::from(!was_refused);
+                self.waiting.push((digest, true));
+            } else {
+                self.totals.sound_late += u64::from(was_refused);
+            }
+        }
+        for _ in self.runs.len()..SOUND {
+            self.next_sound += 1;
+            let steps = self.source.random_range(2..20);
+            if self.send(digest_of(0, self.next_sound), steps) {
+                self.totals.sound_refused += 1;
+            }
+        }
+    }
+}
+
+#[test]
+fn crashing_requests_end_few_targets_and_sound_ones_are_served() {
+    let mut sum = Totals::default();
+    for seed in 0..SEEDS {
+        let totals = Model::open(seed).play();
+        assert!(
+            totals.most_later <= MOST_ENDED,
+            "seed {seed}: {} targets ended later",
+            totals.most_later
+        );
+        sum.sound_whole += totals.sound_whole;
+        sum.sound_refused += totals.sound_refused;
+        sum.sound_late += totals.sound_late;
+        sum.crashing_runs += totals.crashing_runs;
+        sum.most_later = sum.most_later.max(totals.most_later);
+    }
+    insta::assert_snapshot!(format!(
+        "{SEEDS} seeds: {} runs of crashing requests, {} targets at the most once all gateways knew\n\
+         sound requests: {} ran whole, {} refused, {} of them sent on later",
+        sum.crashing_runs, sum.most_later, sum.sound_whole, sum.sound_refused, sum.sound_late
+    ));
+}
