Send nothing to targets that say that they leave

The platform's list may be late, lapse, or be out of reach. Change: the field is decoded with the answer. A notice holds for one life of a target, by its name, start and address, and stays when the list says otherwise: it is kept on the board beside the list, for 1,024 lives. It is believed in any answer to the call that was sent, refusals and broken ones included; not in answers of other calls, nor in one that says that another target was meant. A value that is not understood is logged and counted. Gateways tell linked ones. The line "target is leaving" and gateway_leaving_total name the source: answer, peer or store. Ruled out: a mark on the board's entry alone: it goes with the entry when that lapses and returns.

--- a/crates/ebony_dialect/src/lib.rs
+++ b/crates/ebony_dialect/src/lib.rs
@@ -10,7 +10,7 @@
 
 use http::{HeaderMap, HeaderName, HeaderValue};
 
-pub use answer::AnswerHead;
+pub use answer::{AnswerHead, LeavingNotice};
 pub use attempt::AttemptHead;
 pub use call::{CallHead, ProgramHead, TokenCount};
 pub use records::{DecodeError, RecordDialect};
--- a/crates/ebony_dispatch/src/board.rs
+++ b/crates/ebony_dispatch/src/board.rs
@@ -1,6 +1,6 @@
 //! The targets of the platform's list, with what the entry's own calls showed of them.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 
 use ebony_types::{ClockTime, DomainName, ServiceName, TargetName};
@@ -14,6 +14,10 @@
 /// Parts that a target without a stated memory is expected to hold, in tokens.
 const DEFAULT_MEMORY_TOKENS: u64 = 100_000;
 
+/// Lives of targets that are remembered to leave, of listed and unlisted ones together. A release replaces each target of a
+/// deployment once, and the largest of today has a few hundred.
+const MOST_LEAVING: usize = 1_024;
+
 new_key_type! {
     /// A target on the board. A target that comes again under its name gets a new key.
     pub struct TargetKey;
@@ -49,6 +53,25 @@
     pub born: u64,
 }
 
+/// One life of a target, from a start to its end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct TargetLife {
+    /// The time of its start.
+    pub born: u64,
+    /// The address.
+    pub address: SocketAddr,
+}
+
+impl TargetRecord {
+    /// Returns the life that the record is of.
+    pub fn life(&self) -> TargetLife {
+        TargetLife {
+            born: self.born,
+            address: self.address,
+        }
+    }
+}
+
 /// What a new record changed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum TargetChange {
@@ -109,11 +132,53 @@
     targets: SlotMap<TargetKey, TargetEntry>,
     names: HashMap<TargetName, TargetKey>,
     runs: SlotMap<RunKey, TargetRun>,
+    leaving: LeavingLives,
+}
+
+/// Lives of targets that said that they leave. They are remembered by name, so that an entry that lapsed and comes back does
+/// not bring a target back into use.
+#[derive(Clone, Debug, Default)]
+struct LeavingLives {
+    lives: HashMap<TargetName, TargetLife>,
+    /// The names in the order in which they were noted.
+    order: VecDeque<TargetName>,
+}
+
+impl LeavingLives {
+    fn contains(&self, name: &TargetName, life: TargetLife) -> bool {
+        self.lives.get(name) == Some(&life)
+    }
+
+    /// Notes a life; returns whether it is news.
+    fn insert(&mut self, name: &TargetName, life: TargetLife) -> bool {
+        match self.lives.get(name) {
+            // News of an earlier life may come late.
+            Some(known) if known.born >= life.born => false,
+            Some(_) => {
+                self.lives.insert(name.clone(), life);
+                true
+            }
+            None => {
+                self.lives.insert(name.clone(), life);
+                self.order.push_back(name.clone());
+                if self.order.len() > MOST_LEAVING
+                    && let Some(oldest) = self.order.pop_front()
+                {
+                    self.lives.remove(&oldest);
+                }
+                true
+            }
+        }
+    }
 }
 
 impl TargetBoard {
-    /// Takes over a record of the platform's list.
-    pub fn apply(&mut self, record: TargetRecord) -> TargetChange {
+    /// Takes over a record of the platform's list. A target that said that it leaves stays so in this life, whatever the list
+    /// says.
+    pub fn apply(&mut self, mut record: TargetRecord) -> TargetChange {
+        if self.leaving.contains(&record.name, record.life()) {
+            record.phase = TargetPhase::Draining;
+        }
         let known = self.names.get(&record.name).copied();
         if let Some(key) = known.filter(|key| self.is_later_life(*key, &record)) {
             return TargetChange::Outdated(key);
@@ -145,6 +210,20 @@
         }
     }
 
+    /// Notes that a life of a target leaves, as the target itself says. It takes no calls from now on.
+    ///
+    /// Returns whether that was not known. The life may be listed later or again.
+    pub fn leave(&mut self, name: &TargetName, life: TargetLife) -> bool {
+        let is_news = self.leaving.insert(name, life);
+        let key = self.names.get(name);
+        if let Some(target) = key.and_then(|key| self.targets.get_mut(*key))
+            && target.record.life() == life
+        {
+            target.record.phase = TargetPhase::Draining;
+        }
+        is_news
+    }
+
     /// Removes a target. Calls that it runs go on.
     pub fn remove(&mut self, name: &TargetName) -> Option<TargetKey> {
         let key = self.names.remove(name)?;
--- a/crates/ebony_dispatch/src/lib.rs
+++ b/crates/ebony_dispatch/src/lib.rs
@@ -15,7 +15,9 @@
 /// Re-exports the board, its messages and the choice.
 pub mod prelude {
     pub use crate::admission::{ProgramAdmission, ProgramGate, service_load};
-    pub use crate::board::{RunKey, TargetBoard, TargetChange, TargetKey, TargetPhase, TargetRecord};
+    pub use crate::board::{
+        RunKey, TargetBoard, TargetChange, TargetKey, TargetLife, TargetPhase, TargetRecord,
+    };
     pub use crate::fault::TargetFault;
     pub use crate::load::TargetLoad;
     pub use crate::options::{DispatchOptions, PlacementRule};
--- a/crates/ebony_dispatch/tests/placement.rs
+++ b/crates/ebony_dispatch/tests/placement.rs
@@ -4,8 +4,8 @@
 
 use ebony_dispatch::load::LoadNotice;
 use ebony_dispatch::{
-    CallShape, DispatchOptions, PlacementRule, PromptPart, TargetBoard, TargetChange, TargetKey, TargetPhase,
-    TargetRecord, place,
+    CallShape, DispatchOptions, PlacementRule, PromptPart, TargetBoard, TargetChange, TargetKey, TargetLife,
+    TargetPhase, TargetRecord, place,
 };
 use ebony_types::{ClockTime, DomainName, ServiceName, TargetName};
 use rand::{Rng, SeedableRng};
@@ -292,3 +292,22 @@
         assert!(entry.place("program", &prompt, &[], NOW).is_some(), "{rule:?}");
     }
 }
+
+#[test]
+fn the_lives_that_are_remembered_to_leave_are_bounded_and_older_news_changes_nothing() {
+    let mut board = TargetBoard::default();
+    let name = |number: u32| TargetName::parse(&format!("t-{number}")).expect("a name");
+    let life = |born: u64| TargetLife {
+        born,
+        address: "10.0.0.1:80".parse().expect("an address"),
+    };
+    assert!(board.leave(&name(0), life(5)));
+    assert!(!board.leave(&name(0), life(5)));
+    // News of an earlier life does not replace that of a later one.
+    assert!(!board.leave(&name(0), life(4)));
+    assert!(!board.leave(&name(0), life(5)));
+    assert!(board.leave(&name(0), life(6)));
+    (1..=1_024).for_each(|number| assert!(board.leave(&name(number), life(1))));
+    // The first one made room.
+    assert!(board.leave(&name(0), life(6)));
+}
--- a/crates/ebony_gateway/src/attempts.rs
+++ b/crates/ebony_gateway/src/attempts.rs
@@ -14,6 +14,7 @@
 use crate::answer::BegunAnswer;
 use crate::channel::{OpenAnswer, SendFailure};
 use crate::crashes::desk::HELD_DETAIL;
+use crate::leaving;
 use crate::refusal::{CallRefusal, NO_TARGET_PAUSE, Result};
 use crate::routed_call::{RoutedCall, affinity};
 use crate::story::{AttemptOutcome, CallStory};
@@ -127,7 +128,7 @@
         let late = || self.give_up(ProblemCode::DeadlineExceeded, "the deadline passed");
         let time_left = gateway.time_left(self.call.deadline).ok_or_else(late)?;
         let request = self.request(&record.name, time_left);
-        let run = TargetRun::begin(self.call, target, record.name);
+        let run = TargetRun::begin(self.call, target, record.name.clone());
         let sending = gateway.client.send(target, record.address, request);
         let patience = self.attempt_patience(time_left);
         let result = match timeout(patience, sending).await {
@@ -137,6 +138,8 @@
             Ok(Err(SendFailure::Broken(_))) => Err(AttemptOutcome::Broken),
             Ok(Ok(answer)) => {
                 let head = gateway.dialect.decode_answer(&answer.head.headers);
+                let call = self.call.head.call.as_deref();
+                leaving::heed_answer(gateway, &record, call, answer.head.status, &head);
                 if let Some(notice) = head.load {
                     let now = gateway.clock.now();
                     gateway.board.borrow_mut().record_notice(target, notice, now);
--- a/crates/ebony_gateway/src/links/answering.rs
+++ b/crates/ebony_gateway/src/links/answering.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 
 use ebony_account::{CoverOutcome, TurnRequest};
+use ebony_dispatch::TargetLife;
 use ebony_link::{LinkListener, LinkOptions, LinkReceiver, LinkSender};
 use slog::warn;
 use tokio::time::sleep;
@@ -11,6 +12,7 @@
 use super::{DIAL_PAUSE, FIRST_DIAL_PAUSE, PeerReply, PeerRequest, identity};
 use crate::crashes::CrashSource;
 use crate::gateway::Gateway;
+use crate::leaving::{self, LeavingSource};
 
 /// Answers the requests of other gateways.
 pub(crate) async fn serve(gateway: Rc<Gateway>, address: SocketAddr) {
@@ -76,6 +78,18 @@
                 });
             }
             PeerRequest::TellCrashes { reports } => gateway.crashes.hear(&reports, CrashSource::Peer),
+            PeerRequest::TellLeaving {
+                target,
+                born,
+                address,
+            } => {
+                leaving::note(
+                    &gateway,
+                    &target,
+                    TargetLife { born, address },
+                    LeavingSource::Peer,
+                );
+            }
             PeerRequest::ShareTurn { turn, record } => gateway.conversations.take_shared(&turn, &record),
             PeerRequest::KeepTurn { number, turn, record } => {
                 let conversations = Rc::clone(&gateway.conversations);
--- a/crates/ebony_gateway/src/links/messages.rs
+++ b/crates/ebony_gateway/src/links/messages.rs
@@ -1,8 +1,10 @@
 //! What gateways ask each other, and what they answer.
 
+use std::net::SocketAddr;
+
 use bytes::Bytes;
 use ebony_account::{CoverWant, LentCover};
-use ebony_types::{ProgramName, TurnName};
+use ebony_types::{ProgramName, TargetName, TurnName};
 use ebony_wire::CrashReport;
 use serde::{Deserialize, Serialize};
 
@@ -66,6 +68,15 @@
         /// What the telling gateway knows of them.
         reports: Vec<CrashReport>,
     },
+    /// Tells that a life of a target leaves.
+    TellLeaving {
+        /// The target.
+        target: TargetName,
+        /// The start of the life, as the target lists it.
+        born: u64,
+        /// The address.
+        address: SocketAddr,
+    },
     /// Asks a gateway that reaches the store to write the record of a turn.
     KeepTurn {
         /// Matches the answer.
--- a/crates/ebony_gateway/src/links/mod.rs
+++ b/crates/ebony_gateway/src/links/mod.rs
@@ -14,8 +14,9 @@
 
 use bytes::Bytes;
 use ebony_account::{CoverOutcome, CoverWant, TurnRequest};
+use ebony_dispatch::TargetLife;
 use ebony_link::{LinkIdentity, LinkOptions, LinkSender, OpenLink, dial};
-use ebony_types::{ClockTime, ProcessIncarnation, ProgramName, TurnName};
+use ebony_types::{ClockTime, ProcessIncarnation, ProgramName, TargetName, TurnName};
 use ebony_wire::{ClusterKey, CrashReport, LinkRole};
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
@@ -134,9 +135,24 @@
 
     /// Tells all linked gateways of crashes.
     pub(crate) fn tell_all_crashes(&self, reports: &[CrashReport]) {
-        let peers: Vec<String> = self.links.borrow().keys().cloned().collect();
-        for peer in peers {
-            self.tell_crashes(&peer, reports);
+        self.tell_all(&PeerRequest::TellCrashes {
+            reports: reports.to_vec(),
+        });
+    }
+
+    /// Tells all linked gateways that a target leaves. One that does not hear of it learns it from the target itself.
+    pub(crate) fn tell_all_leaving(&self, target: &TargetName, life: TargetLife) {
+        self.tell_all(&PeerRequest::TellLeaving {
+            target: target.clone(),
+            born: life.born,
+            address: life.address,
+        });
+    }
+
+    fn tell_all(&self, request: &PeerRequest) {
+        for link in self.links.borrow().values() {
+            // A link whose queue is full is closed by its silence.
+            link.sender.send(request).ok();
         }
     }
 
--- a/crates/ebony_gateway/src/metrics.rs
+++ b/crates/ebony_gateway/src/metrics.rs
@@ -26,6 +26,8 @@
     pub(crate) conversation_bytes: IntGauge,
     /// Changes of what the gateway believes of a target's health, by kind.
     pub(crate) target_health: IntCounterVec,
+    /// News of targets that leave, by where it came from.
+    pub(crate) leaving: IntCounterVec,
     /// Targets that broke off a call, by what became of them.
     pub(crate) target_fates: IntCounterVec,
     /// Requests under which targets ended.
@@ -98,6 +100,11 @@
                 "Changes of what the gateway believes of a target's health, by kind.",
                 &["change"],
             )?,
+            leaving: registry.counter_family(
+                "gateway_leaving_total",
+                "News of targets that leave, by where it came from.",
+                &["source"],
+            )?,
             target_fates: registry.counter_family(
                 "gateway_target_fates_total",
                 "Targets that broke off a call, by what became of them.",
--- a/crates/ebony_gateway/src/watch.rs
+++ b/crates/ebony_gateway/src/watch.rs
@@ -12,6 +12,7 @@
 
 use crate::fleet;
 use crate::gateway::Gateway;
+use crate::leaving::{self, LeavingSource};
 
 /// The longest time that the store holds a request for changes of the configuration or of the list of targets. With the
 /// time for an answer, a silent connection is noticed within 1.3 s; a draining target and a new configuration have to be
@@ -283,11 +284,12 @@
             }
         };
         let (service, domain) = (record.service.clone(), record.domain.clone());
+        let (name, life) = (record.name.clone(), record.life());
         let change = self.gateway.board.borrow_mut().apply(record);
         match change {
             TargetChange::Added(_) => info!(logger, "target added";
                 "target" => &row.key, "service" => service.as_str(), "domain" => domain.as_str()),
-            TargetChange::Draining(_) => info!(logger, "target is draining"; "target" => &row.key),
+            TargetChange::Draining(_) => leaving::log(&self.gateway, &name, life, LeavingSource::Store),
             TargetChange::Outdated(_) => {
                 info!(logger, "an entry of an earlier life was left out"; "target" => &row.key)
             }
--- a/crates/ebonyctl/src/run/explain.rs
+++ b/crates/ebonyctl/src/run/explain.rs
@@ -27,7 +27,7 @@
     "readiness changed",
     "settings reloaded",
     "target broke off",
-    "target is draining",
+    "target is leaving",
     "target removed",
     "the store does not answer",
     "the store is back",
