Leave most of a budget to later owners, and give deputies smaller blocks

Callers saw: a turn was refused with 503, "the gateway that holds the rest of the program's budget is out of reach", while most of the budget was unspent. Cause: a gateway that acts as the owner of a program for the first time does not know what is left, and asked for a quarter of the whole budget. Four of them that were not linked to each other took all of it, and each kept what its turn left. Ruled out: a budget that is spent (100,000 tokens with 70 a turn); time-outs of the store. Change: the record grants what turns wait for, and beyond that a quarter of what is left at the most, an eighth to a gateway in the owner's place. A test plays thirty deputies, of which the ninth got nothing before. Why it works: what is granted ahead shrinks with what is left, so that idle blocks never add up to the budget.

--- a/crates/ebony_account/src/book.rs
+++ b/crates/ebony_account/src/book.rs
@@ -307,9 +307,9 @@
         } else if tokens > 0 || is_new_debt {
             tokens = tokens.max(match asker {
                 CoverAsker::Borrower => 0,
-                CoverAsker::Owner => {
+                CoverAsker::Owner | CoverAsker::Deputy => {
                     let block = account.budget / self.options.block_divisor;
-                    block.min(account.left().unwrap_or(account.budget) / 4)
+                    block.min(account.left().unwrap_or(account.budget) / asker.spare_divisor())
                 }
                 CoverAsker::OwnerWithoutStore => unseen_tokens(account.left().unwrap_or(account.budget)),
             });
@@ -325,6 +325,7 @@
             budget: account.budget,
             tokens,
             needed,
+            spare_divisor: asker.spare_divisor(),
             debt: account.debt,
             unseen: match account.is_witnessed {
                 true => 0,
--- a/crates/ebony_account/src/record.rs
+++ b/crates/ebony_account/src/record.rs
@@ -2,6 +2,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::turn::CoverWant;
+
 /// Says why the bytes of a row are no record.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(thiserror::Error)]
@@ -14,14 +16,19 @@
 /// What the store records of a program's budget.
 ///
 /// ```
-/// use ebony_account::AccountRecord;
+/// use ebony_account::{AccountRecord, CoverWant};
+/// use ebony_types::ProgramName;
 ///
 /// let mut record = AccountRecord::open(1_000);
-/// assert_eq!(record.grant(700), 700);
-/// assert_eq!(record.grant(700), 300);
-/// assert_eq!(record.grant(700), 0);
+/// let program = ProgramName::parse("3fa81c")?;
+/// let want = CoverWant { program, budget: 1_000, tokens: 500, needed: 300, spare_divisor: 4, debt: 0, unseen: 0 };
+/// assert_eq!(record.grant(&want), 300);
+/// assert_eq!(record.grant(&CoverWant { needed: 0, ..want.clone() }), 175);
+/// assert_eq!(record.grant(&want), 300);
+/// assert_eq!(record.grant(&want), 225);
+/// assert_eq!(record.grant(&want), 0);
 /// assert_eq!(AccountRecord::from_bytes(&record.to_bytes())?, record);
-/// # Ok::<(), ebony_account::RecordError>(())
+/// # Ok::<(), Box<dyn std::error::Error>>(())
 /// ```
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -45,9 +52,10 @@
         self.budget.saturating_sub(self.granted)
     }
 
-    /// Grants up to `tokens` and returns how many; 0 if the budget is spent.
-    pub fn grant(&mut self, tokens: u64) -> u64 {
-        let granted = tokens.min(self.left());
+    /// Grants a request and returns how many tokens; 0 if the budget is spent.
+    pub fn grant(&mut self, want: &CoverWant) -> u64 {
+        let spare = self.left() / want.spare_divisor.max(1);
+        let granted = want.tokens.min(want.needed.max(spare)).min(self.left());
         self.granted += granted;
         granted
     }
--- a/crates/ebony_account/src/turn.rs
+++ b/crates/ebony_account/src/turn.rs
@@ -68,10 +68,25 @@
     Borrower,
     /// The owner. It asks for a block, from which it covers turns of all entries.
     Owner,
+    /// An entry in the owner's place. It asks for a smaller block: others may do so as well, and each keeps what its turns
+    /// leave.
+    Deputy,
     /// The owner while the store does not answer it. It asks for as much as it may hand on without an answer.
     OwnerWithoutStore,
 }
 
+impl CoverAsker {
+    /// Returns by what the rest of a budget is divided for the most that is granted beyond what turns wait for. The rest stays
+    /// for entries that act as owners later.
+    pub(crate) fn spare_divisor(self) -> u64 {
+        match self {
+            Self::OwnerWithoutStore => 2,
+            Self::Borrower | Self::Owner => 4,
+            Self::Deputy => 8,
+        }
+    }
+}
+
 /// A request to the store.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -84,6 +99,8 @@
     pub tokens: u64,
     /// The tokens that turns wait for. The owner of a program asks for more.
     pub needed: u64,
+    /// Beyond them, at most what is left divided by this is granted.
+    pub spare_divisor: u64,
     /// Tokens that were handed on without a grant.
     pub debt: u64,
     /// Tokens that earlier turns may have generated, for a program that the store does not know.
--- a/crates/ebony_account/tests/book.rs
+++ b/crates/ebony_account/tests/book.rs
@@ -1,8 +1,8 @@
 //! The account book step by step.
 
 use ebony_account::{
-    AccountBook, AccountOptions, CoverAsker, CoverOutcome, ProgramAllowance, SecureOutcome, SpendOutcome,
-    TurnCover, TurnOpening, TurnRequest,
+    AccountBook, AccountOptions, AccountRecord, CoverAsker, CoverOutcome, ProgramAllowance, SecureOutcome,
+    SpendOutcome, TurnCover, TurnOpening, TurnRequest,
 };
 use ebony_types::{ClockTime, ProgramName};
 
@@ -195,3 +195,26 @@
     assert!(matches!(book.open_turn(&named("c"), later), TurnOpening::Open(_)));
     assert!(!book.contains(first.account()));
 }
+
+/// Guards against a budget that is spent by blocks of gateways that each acted in its owner's place for one turn.
+#[test]
+fn deputies_that_know_nothing_of_each_other_leave_enough_for_turns() {
+    let mut record = AccountRecord::open(100_000);
+    for deputy in 0..30 {
+        let mut book = AccountBook::open(AccountOptions::default());
+        let mut cover = opened(&mut book, &turn(100_000, true));
+        book.secure(&mut cover);
+        let want = book
+            .cover_wanted(cover.account(), CoverAsker::Deputy)
+            .expect("the turn has no cover");
+        let tokens = record.grant(&want);
+        let recorded = record.granted;
+        book.settle_cover(cover.account(), CoverOutcome::Granted { tokens, recorded });
+        assert_eq!(
+            book.secure(&mut cover),
+            SecureOutcome::Secured,
+            "deputy {deputy}, {} left",
+            record.left()
+        );
+    }
+}
--- a/crates/ebony_account/tests/budget_model.rs
+++ b/crates/ebony_account/tests/budget_model.rs
@@ -123,7 +123,7 @@
             None => AccountRecord::open_behind(want.budget, want.unseen),
         };
         record.record_debt(want.debt);
-        let tokens = record.grant(want.tokens);
+        let tokens = record.grant(&want);
         self.row = Some(record);
         if is_answer_lost {
             self.book.settle_cover(account, CoverOutcome::Unavailable);
--- a/crates/ebony_gateway/src/accounts.rs
+++ b/crates/ebony_gateway/src/accounts.rs
@@ -211,7 +211,8 @@
     pub(crate) fn ask_if_due(self: &Rc<Self>, account: AccountKey, program: &ProgramName) {
         let asker = match self.holder(program) {
             CoverHolder::Own if !self.can_record() => CoverAsker::OwnerWithoutStore,
-            CoverHolder::Own | CoverHolder::Deputy => CoverAsker::Owner,
+            CoverHolder::Own => CoverAsker::Owner,
+            CoverHolder::Deputy => CoverAsker::Deputy,
             CoverHolder::Peer(_) | CoverHolder::Unknown => CoverAsker::Borrower,
         };
         let want = self.book.borrow_mut().cover_wanted(account, asker);
@@ -407,7 +408,7 @@
                 None => last_known.unwrap_or(AccountRecord::open_behind(want.budget, want.unseen)),
             };
             record.record_debt(want.debt);
-            let tokens = record.grant(want.tokens);
+            let tokens = record.grant(want);
             let outcome = CoverOutcome::Granted {
                 tokens,
                 recorded: record.granted,
