Count targets that fell silent with their calls and left the list

Cause: an engine that ends without closing its connections looked like one that is slow: a call under it timed out, or its caller left, and nothing was noticed. Requests that had been given up in a target's queue were not suspects either.

--- a/crates/ebony_gateway/src/attempts.rs
+++ b/crates/ebony_gateway/src/attempts.rs
@@ -33,7 +33,7 @@
         let target = attempts.next_target().await?;
         story.record_send();
         let (run, result) = attempts.send(target).await?;
-        let name = run.name.clone();
+        let name = run.name().clone();
         let (outcome, run) = match result {
             Ok((answer, head)) => match attempts.judge(&answer, &head) {
                 AttemptOutcome::Answered => match BegunAnswer::read(call, answer, head, run).await {
@@ -128,7 +128,7 @@
         let late = || self.give_up(ProblemCode::DeadlineExceeded, "the deadline passed");
         let time_left = gateway.time_left(self.call.deadline).ok_or_else(late)?;
         let request = self.request(&record.name, time_left);
-        let run = TargetRun::begin(self.call, target, record.name.clone());
+        let run = TargetRun::begin(self.call, target, record.clone());
         let sending = gateway.client.send(target, record.address, request);
         let patience = self.attempt_patience(time_left);
         let result = match timeout(patience, sending).await {
@@ -205,6 +205,7 @@
         }
         match outcome {
             AttemptOutcome::Broken => run.record_break(),
+            AttemptOutcome::Silent | AttemptOutcome::TimedOut => run.record_silence(),
             _ => run.record_failure(),
         }
         if outcome == AttemptOutcome::NotSent {
--- a/crates/ebony_gateway/src/target_run.rs
+++ b/crates/ebony_gateway/src/target_run.rs
@@ -1,8 +1,9 @@
 //! A call at one target, and what it shows of the target.
 
+use std::cell::Cell;
 use std::rc::Rc;
 
-use ebony_dispatch::{RunKey, TargetKey};
+use ebony_dispatch::{RunKey, TargetKey, TargetRecord};
 use ebony_types::TargetName;
 use http::StatusCode;
 use slog::info;
@@ -12,18 +13,21 @@
 use crate::gateway::Gateway;
 use crate::routed_call::RoutedCall;
 
-/// A call at one target. Dropping it ends the count of the call there.
+/// A call at one target. Dropping it ends the count of the call there; one that got no whole answer is remembered.
 pub(crate) struct TargetRun {
     gateway: Rc<Gateway>,
     pub(crate) target: TargetKey,
-    pub(crate) name: TargetName,
+    /// The target as it was listed when it got the call.
+    record: TargetRecord,
     run: RunKey,
     mark: Rc<RequestMark>,
+    /// Whether it is known how the call ended there.
+    is_settled: Cell<bool>,
 }
 
 impl TargetRun {
     /// Counts a call that is about to be sent to a target.
-    pub(crate) fn begin(call: &RoutedCall, target: TargetKey, name: TargetName) -> Self {
+    pub(crate) fn begin(call: &RoutedCall, target: TargetKey, record: TargetRecord) -> Self {
         let gateway = Rc::clone(&call.gateway);
         let memory = call.engine.map(|engine| engine.memory_tokens);
         let run = gateway
@@ -33,18 +37,25 @@
         Self {
             gateway,
             target,
-            name,
+            record,
             run,
             mark: Rc::clone(&call.mark),
+            is_settled: Cell::default(),
         }
     }
 
+    /// Returns the name of the target.
+    pub(crate) fn name(&self) -> &TargetName {
+        &self.record.name
+    }
+
     pub(crate) fn end_prefill(&self) {
         self.gateway.board.borrow_mut().end_prefill(self.run);
     }
 
     /// Notes a whole answer with this status.
     pub(crate) fn record_success(&self, status: StatusCode) {
+        self.is_settled.set(true);
         // A failure may come from a target that rejected the call before it ran it.
         if status.is_success() {
             self.gateway.crashes.record_whole(&self.mark);
@@ -54,12 +65,13 @@
             self.record_health("recovered");
             if self.gateway.decisions.admits(LineKind::Belief) {
                 info!(self.gateway.logger, "target answers again";
-                    "target" => self.name.as_str(), "failures_before" => failures);
+                    "target" => self.record.name.as_str(), "failures_before" => failures);
             }
         }
     }
 
     pub(crate) fn record_failure(&self) {
+        self.is_settled.set(true);
         let now = self.gateway.clock.now();
         let options = self.gateway.options.get();
         let failures = self
@@ -70,7 +82,7 @@
         self.record_health("failed");
         if self.gateway.decisions.admits(LineKind::Belief) {
             info!(self.gateway.logger, "target is avoided";
-                "target" => self.name.as_str(), "failures" => failures);
+                "target" => self.record.name.as_str(), "failures" => failures);
         }
     }
 
@@ -80,8 +92,15 @@
         TargetInquests::open(&self.gateway, self.target, self.mark.digest());
     }
 
+    /// Notes that the target did not answer in time.
+    pub(crate) fn record_silence(&self) {
+        self.record_failure();
+        self.is_settled.set(false);
+    }
+
     /// Notes that the target has no room for a call.
     pub(crate) fn record_full(&self) {
+        self.is_settled.set(true);
         let now = self.gateway.clock.now();
         let options = self.gateway.options.get();
         self.gateway
@@ -103,5 +122,9 @@
 impl Drop for TargetRun {
     fn drop(&mut self) {
         self.gateway.board.borrow_mut().end(self.run);
+        if !self.is_settled.get() {
+            let suspect = self.mark.digest();
+            TargetInquests::note_silence(&self.gateway, self.target, &self.record, suspect);
+        }
     }
 }
--- a/crates/ebony_gateway/src/watch.rs
+++ b/crates/ebony_gateway/src/watch.rs
@@ -10,6 +10,7 @@
 use slog::{info, warn};
 use tokio::time::sleep;
 
+use crate::crashes::TargetInquests;
 use crate::fleet;
 use crate::gateway::Gateway;
 use crate::leaving::{self, LeavingSource};
@@ -355,6 +356,7 @@
             gateway.crashes.greet(&opened);
         }
         gateway.crashes.expire();
+        TargetInquests::review_silent(&gateway);
         let gauge = |count: usize| i64::try_from(count).unwrap_or(i64::MAX);
         gateway.metrics.accounts.set(gauge(gateway.accounts.len()));
         let conversation_bytes = gauge(gateway.conversations.cache_bytes());
