Keep cleared requests out of rows, and write none for them

Cause: each request that was cleared of one crash cost a write that all gateways read, and stayed in the row. Change: a row tells of suspects, and of cleared requests only if others may have refused them. Linked gateways hear of every clearance as before.

--- a/crates/ebony_gateway/src/crashes/desk.rs
+++ b/crates/ebony_gateway/src/crashes/desk.rs
@@ -185,6 +185,7 @@
             tracker.record_crash(*digest, site.clone(), now);
         }
         self.log_held(&before, suspects.iter().copied(), CrashSource::Own);
+        self.row_due.notify_one();
         self.tell(suspects);
     }
 
@@ -202,6 +203,10 @@
             info!(self.decisions.logger, "request is cleared";
                 "request" => digest.short(), "crashes" => cleared);
         }
+        // Who reads an older row takes a request that was never refused for a suspect, which changes nothing for it.
+        if cleared >= POLICY.most_crashes {
+            self.row_due.notify_one();
+        }
         self.tell(&BTreeSet::from([digest]));
     }
 
@@ -291,8 +296,8 @@
     fn own_reports(&self) -> Vec<CrashReport> {
         let mut reports = self.tracker.borrow().reports(self.clock.now());
         let mut own = self.own.borrow_mut();
-        reports.retain(|report| own.contains(&report.digest));
-        // Requests that made room for others are gone.
+        reports.retain(|report| own.contains(&report.digest) && concerns_others(report));
+        // Requests that were cleared, or made room for others, are gone.
         *own = reports.iter().map(|report| report.digest).collect();
         reports
     }
@@ -305,10 +310,9 @@
         }
     }
 
-    /// Tells all others of requests that this gateway learned something of.
+    /// Tells linked gateways of requests that this one learned something of.
     fn tell(&self, digests: &BTreeSet<RequestDigest>) {
         self.own.borrow_mut().extend(digests);
-        self.row_due.notify_one();
         let mut reports = self.tracker.borrow().reports(self.clock.now());
         reports.retain(|report| digests.contains(&report.digest));
         for part in reports.chunks(FRAME_REPORTS) {
@@ -348,6 +352,12 @@
     }
 }
 
+/// Returns whether gateways that read of a request would treat it otherwise than an unknown one: it is a suspect, or was
+/// cleared after others may have refused it.
+fn concerns_others(report: &CrashReport) -> bool {
+    report.sites.len() >= POLICY.most_crashes || report.sites.iter().any(|site| !site.is_cleared)
+}
+
 /// Returns the refusal of a request, with the time after which it may be tried again.
 fn refusal(hold: Duration) -> CallRefusal {
     CallRefusal::not_run(ProblemCode::RequestHeld, HELD_DETAIL).come_back(hold)
