Probe targets with one piece of code

Cause: the gateway's look at a target repeated what side processes do after a broken connection. Change: the probe moves to ebony_platform and serves both. A connection that is reset while it opens counts as refused for side processes as well, as networks without a listener answer in either way.

--- a/crates/ebony_gateway/src/crashes/inquest.rs
+++ b/crates/ebony_gateway/src/crashes/inquest.rs
@@ -8,17 +8,16 @@
 
 use std::cell::RefCell;
 use std::collections::{BTreeSet, VecDeque};
-use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use ebony_dispatch::{TargetKey, TargetPhase, TargetRecord};
+use ebony_platform::{ProbeOutcome, probe};
 use ebony_types::{ClockTime, RequestDigest};
 use slog::info;
 use slotmap::SecondaryMap;
-use tokio::net::TcpStream;
-use tokio::time::{sleep, timeout};
+use tokio::time::sleep;
 
 use crate::decision_log::LineKind;
 use crate::gateway::Gateway;
@@ -29,9 +28,6 @@
 /// Looks at a target; the wait doubles with each, so that they cover 3 seconds: a target is back after some seconds.
 const MOST_LOOKS: u32 = 7;
 
-/// The longest wait for a connection. A host that is merely busy answers later, and tells nothing.
-const LOOK_TIMEOUT: Duration = Duration::from_millis(250);
-
 /// Requests that are named at one end of a target: more than the slots of today's engines. Further ones are left out.
 const MOST_SUSPECTS: usize = 64;
 
@@ -205,9 +201,9 @@
         Some(_) => return TargetFate::Ended,
         None => {}
     }
-    match timeout(LOOK_TIMEOUT, TcpStream::connect(record.address)).await {
-        Ok(Ok(_)) => TargetFate::Alive,
-        Ok(Err(_)) | Err(_) => TargetFate::Ended,
+    match probe(record.address).await {
+        ProbeOutcome::Open => TargetFate::Alive,
+        ProbeOutcome::Refused | ProbeOutcome::Unknown => TargetFate::Ended,
     }
 }
 
@@ -241,15 +237,11 @@
         if gateway.client.has_idle(target) {
             return TargetFate::Alive;
         }
-        match timeout(LOOK_TIMEOUT, TcpStream::connect(address)).await {
-            Ok(Ok(_)) => return TargetFate::Alive,
-            Ok(Err(error)) if is_refusal(error.kind()) => return TargetFate::Ended,
-            Ok(Err(_)) | Err(_) => {}
+        match probe(address).await {
+            ProbeOutcome::Open => return TargetFate::Alive,
+            ProbeOutcome::Refused => return TargetFate::Ended,
+            ProbeOutcome::Unknown => {}
         }
     }
     TargetFate::Unknown
 }
-
-fn is_refusal(kind: ErrorKind) -> bool {
-    matches!(kind, ErrorKind::ConnectionRefused | ErrorKind::ConnectionReset)
-}
--- a/crates/ebony_platform/src/lib.rs
+++ b/crates/ebony_platform/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod host_list;
 pub mod http;
 pub mod object_store;
+pub mod probe;
 pub mod protocol;
 pub mod service;
 pub mod table;
@@ -28,6 +29,7 @@
         HttpEngine, HttpHosts, HttpObjects, HttpService, HttpTable, HttpWeights, RequestLimits,
     };
     pub use crate::object_store::ObjectStore;
+    pub use crate::probe::{ProbeOutcome, probe};
     pub use crate::service::{ServiceAnswer, ServiceCall, ServiceTarget};
     pub use crate::table::{RowKey, RowRecord, RowVersion, TableService, WriteNonce};
     pub use crate::version_history::VersionHistory;
--- a/crates/ebony_side/src/target/probe.rs
+++ b/crates/ebony_platform/src/probe.rs
@@ -12,7 +12,7 @@
 
 /// What a probe found.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum ProbeOutcome {
+pub enum ProbeOutcome {
     /// The target accepts connections.
     Open,
     /// Nothing listens: the target's process is gone.
@@ -23,10 +23,29 @@
 
 /// Connects to a target and closes the connection. The adapters' errors do not tell a refused connection from a
 /// refused request, and only the former shows a crash.
-pub(crate) async fn probe(address: SocketAddr) -> ProbeOutcome {
+///
+/// ```
+/// use ebony_platform::probe::{ProbeOutcome, probe};
+///
+/// # actix_rt::System::new().block_on(async {
+/// let listener = std::net::TcpListener::bind("127.0.0.1:0")?;
+/// let address = listener.local_addr()?;
+/// assert_eq!(probe(address).await, ProbeOutcome::Open);
+/// drop(listener);
+/// assert_eq!(probe(address).await, ProbeOutcome::Refused);
+/// # Ok::<(), std::io::Error>(())
+/// # })?;
+/// # Ok::<(), std::io::Error>(())
+/// ```
+pub async fn probe(address: SocketAddr) -> ProbeOutcome {
     match timeout(PROBE_TIMEOUT, TcpStream::connect(address)).await {
         Ok(Ok(_)) => ProbeOutcome::Open,
-        Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => ProbeOutcome::Refused,
-        _ => ProbeOutcome::Unknown,
+        // Some networks reset the connection instead of refusing it.
+        Ok(Err(error)) if is_refusal(error.kind()) => ProbeOutcome::Refused,
+        Ok(Err(_)) | Err(_) => ProbeOutcome::Unknown,
     }
 }
+
+fn is_refusal(kind: ErrorKind) -> bool {
+    matches!(kind, ErrorKind::ConnectionRefused | ErrorKind::ConnectionReset)
+}
--- a/crates/ebony_side/src/actor/crash.rs
+++ b/crates/ebony_side/src/actor/crash.rs
@@ -5,6 +5,7 @@
 
 use actix::{ActorFutureExt, AsyncContext, Context, WrapFuture};
 use ebony_ledger::CrashOutcome;
+use ebony_platform::{ProbeOutcome, probe};
 use ebony_types::{CallId, ProblemCode, ProblemReport, ProcessIncarnation, TargetName};
 use ebony_wire::SideFrame;
 use slog::{info, warn};
@@ -12,7 +13,7 @@
 
 use super::ending::cancel_on;
 use super::{SideActor, new_life};
-use crate::target::{ProbeOutcome, TargetAdapter, probe};
+use crate::target::TargetAdapter;
 
 /// The wait before the first probe after a broken connection. A crashed process may close its connections a moment
 /// before its port.
--- a/crates/ebony_side/src/actor/reports.rs
+++ b/crates/ebony_side/src/actor/reports.rs
@@ -3,13 +3,12 @@
 use std::rc::Rc;
 
 use actix::{ActorFutureExt, AsyncContext, Context, WrapFuture};
-use ebony_platform::{CacheNotice, EngineLoad, PlatformError};
+use ebony_platform::{CacheNotice, EngineLoad, PlatformError, ProbeOutcome, probe};
 use ebony_types::TargetName;
 use ebony_wire::{CacheEvent, LoadReport, SideFrame, TargetKind};
 use slog::info;
 
 use super::SideActor;
-use crate::target::{ProbeOutcome, probe};
 
 /// A change of the calls on a target that is reported at once: this many calls, or the following share.
 const MIN_CHANGE: u32 = 4;
--- a/crates/ebony_side/src/run/mod.rs
+++ b/crates/ebony_side/src/run/mod.rs
@@ -10,7 +10,9 @@
 use actix::Addr;
 use bytes::Bytes;
 use ebony_platform::protocol::{CALL_HEADER, IDEMPOTENCY_KEY_HEADER, INCARNATION_HEADER};
-use ebony_platform::{EngineCall, EngineTarget, PlatformError, ServiceAnswer, ServiceCall, ServiceTarget};
+use ebony_platform::{
+    EngineCall, EngineTarget, PlatformError, ProbeOutcome, ServiceAnswer, ServiceCall, ServiceTarget, probe,
+};
 use ebony_types::limits::MAX_CHUNK_BYTES;
 use ebony_types::{CallKind, CallRequest, HeaderField, ProblemCode, ProblemReport, RunVerdict};
 use ebony_wire::AnswerHead;
@@ -19,7 +21,7 @@
 use tokio::time::sleep;
 
 use crate::actor::SideActor;
-use crate::target::{ProbeOutcome, TargetAdapter, probe};
+use crate::target::TargetAdapter;
 
 pub(crate) use self::messages::{RunChunk, RunDoubt, RunEnded, RunHead, RunKey, RunOutcome, RunStep};
 use self::usage::BodyTail;
--- a/crates/ebony_side/src/target/mod.rs
+++ b/crates/ebony_side/src/target/mod.rs
@@ -1,6 +1,5 @@
 //! The targets beside the process.
 
-mod probe;
 mod state;
 
 use std::net::SocketAddr;
@@ -11,7 +10,6 @@
 use ebony_settings::TargetSettings;
 use ebony_wire::{TargetKind, TargetReport};
 
-pub(crate) use self::probe::{ProbeOutcome, probe};
 pub(crate) use self::state::{EngineJob, EngineState, RunningCall, TargetState, WaitingCall, prompt_tokens};
 
 /// The result of opening a target.
