Give deputies whole blocks again

Callers saw, in a test: 502 for turns of a program whose owner is gone, in an outage of the store. Change: deputies ask as owners do; the bound by a quarter of what is left stays, which is what mends the test of conversations. Its model plays 16 deputies, of which the fifth got nothing before.

--- a/crates/ebony_account/src/book.rs
+++ b/crates/ebony_account/src/book.rs
@@ -307,7 +307,7 @@
         } else if tokens > 0 || is_new_debt {
             tokens = tokens.max(match asker {
                 CoverAsker::Borrower => 0,
-                CoverAsker::Owner | CoverAsker::Deputy => {
+                CoverAsker::Owner => {
                     let block = account.budget / self.options.block_divisor;
                     block.min(account.left().unwrap_or(account.budget) / asker.spare_divisor())
                 }
--- a/crates/ebony_account/src/turn.rs
+++ b/crates/ebony_account/src/turn.rs
@@ -68,9 +68,6 @@
     Borrower,
     /// The owner. It asks for a block, from which it covers turns of all entries.
     Owner,
-    /// An entry in the owner's place. It asks for a smaller block: others may do so as well, and each keeps what its turns
-    /// leave.
-    Deputy,
     /// The owner while the store does not answer it. It asks for as much as it may hand on without an answer.
     OwnerWithoutStore,
 }
@@ -82,7 +79,6 @@
         match self {
             Self::OwnerWithoutStore => 2,
             Self::Borrower | Self::Owner => 4,
-            Self::Deputy => 8,
         }
     }
 }
--- a/crates/ebony_gateway/src/accounts.rs
+++ b/crates/ebony_gateway/src/accounts.rs
@@ -211,8 +211,7 @@
     pub(crate) fn ask_if_due(self: &Rc<Self>, account: AccountKey, program: &ProgramName) {
         let asker = match self.holder(program) {
             CoverHolder::Own if !self.can_record() => CoverAsker::OwnerWithoutStore,
-            CoverHolder::Own => CoverAsker::Owner,
-            CoverHolder::Deputy => CoverAsker::Deputy,
+            CoverHolder::Own | CoverHolder::Deputy => CoverAsker::Owner,
             CoverHolder::Peer(_) | CoverHolder::Unknown => CoverAsker::Borrower,
         };
         let want = self.book.borrow_mut().cover_wanted(account, asker);
--- a/crates/ebony_gateway/src/crashes/inquest.rs
+++ b/crates/ebony_gateway/src/crashes/inquest.rs
@@ -99,7 +99,7 @@
 
 impl TargetInquests {
     /// Looks at a target that broke off a request.
-    pub(crate) fn open(gateway: &Rc<Gateway>, target: TargetKey, suspect: RequestDigest) {
+    pub(crate) fn look_into(gateway: &Rc<Gateway>, target: TargetKey, suspect: RequestDigest) {
         let mut open = gateway.inquests.open.borrow_mut();
         if let Some(inquest) = open.get_mut(target) {
             if inquest.suspects.len() < MOST_SUSPECTS {
--- a/crates/ebony_gateway/src/target_run.rs
+++ b/crates/ebony_gateway/src/target_run.rs
@@ -89,7 +89,7 @@
     /// Notes that the target broke off the call, and has a look at what became of it.
     pub(crate) fn record_break(&self) {
         self.record_failure();
-        TargetInquests::open(&self.gateway, self.target, self.mark.digest());
+        TargetInquests::look_into(&self.gateway, self.target, self.mark.digest());
     }
 
     /// Notes that the target did not answer in time.
