--- a/crates/ebony_dialect/src/answer.rs
+++ b/crates/ebony_dialect/src/answer.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use ebony_dispatch::load::LoadNotice;
+use ebony_limit::RequestRate;
 
 /// A target's notice that it is leaving.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -13,6 +14,15 @@
     Unreadable,
 }
 
+/// The request rate to which a target limits all gateways together.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LimitNotice {
+    /// The target names this rate.
+    Limited(RequestRate),
+    /// The value could not be decoded.
+    Unreadable,
+}
+
 /// The decoded header fields of a target's answer.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct AnswerHead {
@@ -24,6 +34,8 @@
     pub has_server_stamp: bool,
     /// The target's notice that it is leaving; `None` if the answer has none.
     pub leaving: Option<LeavingNotice>,
+    /// The limit that the target names; `None` if the answer has none.
+    pub limit: Option<LimitNotice>,
     /// The target's load, if it was reported.
     pub load: Option<LoadNotice>,
     /// The time for which the target keeps the connection open while it is idle.
--- a/crates/ebony_dispatch/src/board.rs
+++ b/crates/ebony_dispatch/src/board.rs
@@ -3,10 +3,12 @@
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 
+use ebony_limit::{LimitChange, LimitObservation, RequestRate};
 use ebony_types::{ClockTime, DomainName, ServiceName, TargetName};
 use slotmap::{SlotMap, new_key_type};
 
 use crate::fault::TargetFault;
+use crate::limits::LimitTable;
 use crate::load::{LoadNotice, TargetLoad};
 use crate::options::DispatchOptions;
 use crate::prompt::{PromptCache, PromptPart};
@@ -96,6 +98,8 @@
     pub fault: TargetFault,
     /// The prompt parts that it is expected to have cached.
     pub cache: PromptCache,
+    /// The rate to which the target limits all gateways together.
+    pub limit: Option<RequestRate>,
     /// When the target is removed unless it is listed again; `None` while it is listed.
     pub expires_at: Option<ClockTime>,
 }
@@ -133,6 +137,7 @@
     names: HashMap<TargetName, TargetKey>,
     runs: SlotMap<RunKey, TargetRun>,
     leaving: LeavingTargets,
+    limits: LimitTable,
 }
 
 /// Targets that announced that they are leaving, with the incarnation that did so.
@@ -190,11 +195,13 @@
                 self.targets.remove(key);
             }
             let name = record.name.clone();
+            let limit = self.limits.rate(&name, record.incarnation());
             let key = self.targets.insert(TargetEntry {
                 record,
                 load: TargetLoad::default(),
                 fault: TargetFault::default(),
                 cache: PromptCache::default(),
+                limit,
                 expires_at: None,
             });
             self.names.insert(name, key);
@@ -227,6 +234,45 @@
         is_new
     }
 
+    /// Records what an answer shows of the rate to which an incarnation of a target limits all gateways together. The
+    /// incarnation need not be listed yet.
+    pub fn observe_limit(
+        &mut self,
+        name: &TargetName,
+        incarnation: TargetIncarnation,
+        observation: LimitObservation,
+    ) -> LimitChange {
+        let change = self.limits.observe(name, incarnation, observation);
+        let key = self.names.get(name);
+        if let Some(target) = key.and_then(|key| self.targets.get_mut(*key))
+            && target.record.incarnation() == incarnation
+        {
+            target.limit = self.limits.rate(name, incarnation);
+        }
+        change
+    }
+
+    /// Returns the observation from which the limit of an incarnation of a target follows; `None` if it named none.
+    pub fn latest_limit(
+        &self,
+        name: &TargetName,
+        incarnation: TargetIncarnation,
+    ) -> Option<LimitObservation> {
+        self.limits.latest(name, incarnation)
+    }
+
+    /// Returns the number of listed targets that limit their rate.
+    pub fn limited_targets(&self) -> usize {
+        let targets = self.targets.values();
+        targets.filter(|target| target.limit.is_some()).count()
+    }
+
+    /// Drops the limits of targets that have not been listed for some time.
+    pub fn expire_limits(&mut self, now: ClockTime) {
+        let names = &self.names;
+        self.limits.expire(now, |name| names.contains_key(name));
+    }
+
     /// Removes a target. Its running calls continue.
     pub fn remove(&mut self, name: &TargetName) -> Option<TargetKey> {
         let key = self.names.remove(name)?;
--- a/crates/ebony_dispatch/src/lib.rs
+++ b/crates/ebony_dispatch/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod admission;
 pub mod board;
 pub mod fault;
+mod limits;
 pub mod load;
 pub mod options;
 pub mod placement;
--- a/crates/ebony_gateway/src/attempts.rs
+++ b/crates/ebony_gateway/src/attempts.rs
@@ -14,11 +14,11 @@
 use crate::answer::StartedAnswer;
 use crate::call_log::{AttemptOutcome, CallLog};
 use crate::crashes::registry::REQUEST_HELD_DETAIL;
-use crate::leaving;
 use crate::refusal::{CallRefusal, NO_TARGET_RETRY_AFTER, Result};
 use crate::routed_call::{RoutedCall, affinity_key};
 use crate::target_client::{OpenAnswer, SendFailure};
 use crate::target_run::TargetRun;
+use crate::{leaving, limits};
 
 /// The delay before all targets are tried again after each of them had no room for the call.
 const ALL_FULL_RETRY_DELAY: Duration = Duration::from_millis(25);
@@ -131,6 +131,7 @@
             .ok_or_else(deadline_passed)?;
         let request = self.request(&record.name, time_left);
         let run = TargetRun::begin(self.call, target, record.clone());
+        let sent_at = gateway.clock.now();
         let sending = gateway.client.send(target, record.address, request);
         let attempt_timeout = self.attempt_timeout(time_left);
         let result = match timeout(attempt_timeout, sending).await {
@@ -142,6 +143,7 @@
                 let head = gateway.dialect.decode_answer(&answer.head.headers);
                 let call = self.call.head.call.as_deref();
                 leaving::apply_answer_notice(gateway, &record, call, answer.head.status, &head);
+                limits::apply_answer_limit(gateway, &record, call, answer.head.status, &head, sent_at);
                 if let Some(notice) = head.load {
                     let now = gateway.clock.now();
                     gateway.board.borrow_mut().record_notice(target, notice, now);
--- a/crates/ebony_gateway/src/lib.rs
+++ b/crates/ebony_gateway/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod gateway;
 pub mod intake;
 mod leaving;
+mod limits;
 pub mod links;
 pub mod listener;
 pub mod metrics;
--- a/crates/ebony_gateway/src/metrics.rs
+++ b/crates/ebony_gateway/src/metrics.rs
@@ -28,6 +28,10 @@
     pub(crate) target_health: IntCounterVec,
     /// Notices of targets that are leaving, by source.
     pub(crate) leaving: IntCounterVec,
+    /// Changes of the limits that targets name, by kind.
+    pub(crate) limits: IntCounterVec,
+    /// Listed targets that limit their rate.
+    pub(crate) limited_targets: IntGauge,
     /// Targets that broke off a call, by the result of their probe.
     pub(crate) target_fates: IntCounterVec,
     /// Requests that were running when targets crashed.
@@ -105,6 +109,15 @@
                 "News of targets that leave, by where it came from.",
                 &["source"],
             )?,
+            limits: registry.counter_family(
+                "gateway_target_limits_total",
+                "Changes of the request rates to which targets limit all gateways, by kind.",
+                &["change"],
+            )?,
+            limited_targets: registry.gauge(
+                "gateway_limited_targets",
+                "Targets that limit their request rate.",
+            )?,
             target_fates: registry.counter_family(
                 "gateway_target_fates_total",
                 "Targets that broke off a call, by what became of them.",
--- a/crates/ebony_gateway/src/watch.rs
+++ b/crates/ebony_gateway/src/watch.rs
@@ -370,6 +370,9 @@
         gateway.metrics.accounts.set(gauge(gateway.accounts.len()));
         let conversation_bytes = gauge(gateway.conversations.cache_bytes());
         gateway.metrics.conversation_bytes.set(conversation_bytes);
+        gateway.board.borrow_mut().expire_limits(now);
+        let limited_targets = gauge(gateway.board.borrow().limited_targets());
+        gateway.metrics.limited_targets.set(limited_targets);
         gateway.metrics.open_calls.set(gauge(gateway.open_calls.get()));
     }
 }
