Divide the limit that a target names among all gateways

Cause: no decision of a gateway knew a rate. What several gateways have to keep together was either not known to any of them or kept by each for itself. Change: a gateway that learns of a limit from an answer tells all others over the links. One gateway per target, the first by rendezvous hashing that is linked, issues its permits at the rate of the limit, at the times at which they are due; a call takes one before it is sent, and returns it if nothing was sent. Whoever acts for a coordinator that may still issue permits issues half as many; whoever reaches less than half of the gateways keeps to an even share. Calls that started programs wait for a permit within their objective, new programs hardly, and the others are refused at once, with times to come back that follow one another. While other targets need no permits, the longest calls by the caller's estimate use them, because a permit is worth the work of its call. Why this works: the sum over the gateways is counted in one place, so that neither uneven callers nor limits below one request a second for each gateway matter, and a call costs two short messages, however many gateways there are. Ruled out: even shares with a floor (0.8 a second among eight gateways lets none or too many through).

--- a/crates/ebony_dialect/src/call.rs
+++ b/crates/ebony_dialect/src/call.rs
@@ -38,6 +38,8 @@
     pub program: Option<ProgramHead>,
     /// The token counts, for a call to a model engine.
     pub tokens: Option<TokenCount>,
+    /// The caller's estimate of the output tokens, which is often far off.
+    pub expected_output: Option<u64>,
     /// The parts of the prompt, in order.
     pub prompt: Vec<PromptPart>,
     /// The turn that this one continues, as sent by the caller. Routes that do not store turns ignore it.
--- a/crates/ebony_dispatch/src/board.rs
+++ b/crates/ebony_dispatch/src/board.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use ebony_limit::{LimitChange, LimitObservation, RequestRate};
 use ebony_types::{ClockTime, DomainName, ServiceName, TargetName};
@@ -100,6 +101,8 @@
     pub cache: PromptCache,
     /// The rate to which the target limits all gateways together.
     pub limit: Option<RequestRate>,
+    /// When the next permit for a call is due, as far as known; only relevant to a target with a limit.
+    pub next_permit: ClockTime,
     /// When the target is removed unless it is listed again; `None` while it is listed.
     pub expires_at: Option<ClockTime>,
 }
@@ -202,6 +205,7 @@
                 fault: TargetFault::default(),
                 cache: PromptCache::default(),
                 limit,
+                next_permit: ClockTime::default(),
                 expires_at: None,
             });
             self.names.insert(name, key);
@@ -248,10 +252,58 @@
             && target.record.incarnation() == incarnation
         {
             target.limit = self.limits.rate(name, incarnation);
+            if change != LimitChange::Confirmed && change != LimitChange::Outdated {
+                target.next_permit = ClockTime::default();
+            }
         }
         change
     }
 
+    /// Records when the next permit for a call to a limited target is due.
+    pub fn record_next_permit(&mut self, key: TargetKey, next_permit: ClockTime) {
+        if let Some(target) = self.targets.get_mut(key) {
+            target.next_permit = next_permit;
+        }
+    }
+
+    /// Returns the time until the next permit of any ready target of the service is due; `None` if none of them limits
+    /// its rate.
+    pub fn permit_wait(&self, service: &ServiceName, now: ClockTime) -> Option<Duration> {
+        let ready = self
+            .targets
+            .values()
+            .filter(|target| target.record.service == *service && target.record.phase == TargetPhase::Ready);
+        let limited = ready.filter(|target| target.limit.is_some());
+        limited.map(|target| target.next_permit.since(now)).min()
+    }
+
+    /// Returns the record of a target that limits its rate; `None` for others.
+    pub fn limited_record(&self, key: TargetKey) -> Option<TargetRecord> {
+        let target = self.targets.get(key)?;
+        target.limit.is_some().then(|| target.record.clone())
+    }
+
+    /// Returns whether a ready target of the service does not limit its rate, and has not failed or been full lately.
+    pub fn has_unlimited(&self, service: &ServiceName, now: ClockTime) -> bool {
+        let mut targets = self.targets.values();
+        targets.any(|target| {
+            target.record.service == *service
+                && target.record.phase == TargetPhase::Ready
+                && target.limit.is_none()
+                && !target.fault.is_avoided(now)
+                && !target.fault.is_full(now)
+        })
+    }
+
+    /// Returns the sum of the limits of the ready targets of the service that have one.
+    pub fn limited_rate(&self, service: &ServiceName) -> RequestRate {
+        let ready = self
+            .targets
+            .values()
+            .filter(|target| target.record.service == *service && target.record.phase == TargetPhase::Ready);
+        ready.filter_map(|target| target.limit).sum()
+    }
+
     /// Returns the observation from which the limit of an incarnation of a target follows; `None` if it named none.
     pub fn latest_limit(
         &self,
@@ -261,6 +313,11 @@
         self.limits.latest(name, incarnation)
     }
 
+    /// Returns the observations from which the limits in force follow.
+    pub fn limit_observations(&self) -> Vec<(TargetName, TargetIncarnation, LimitObservation)> {
+        self.limits.in_force()
+    }
+
     /// Returns the number of listed targets that limit their rate.
     pub fn limited_targets(&self) -> usize {
         let targets = self.targets.values();
--- a/crates/ebony_dispatch/src/lib.rs
+++ b/crates/ebony_dispatch/src/lib.rs
@@ -10,6 +10,7 @@
 mod limits;
 pub mod load;
 pub mod options;
+pub mod permit_bar;
 pub mod placement;
 pub mod prompt;
 
@@ -22,6 +23,7 @@
     pub use crate::fault::TargetFault;
     pub use crate::load::TargetLoad;
     pub use crate::options::{DispatchOptions, PlacementRule};
+    pub use crate::permit_bar::PermitBar;
     pub use crate::placement::{PlacementRequest, place};
     pub use crate::prompt::PromptPart;
 }
--- a/crates/ebony_dispatch/src/limits.rs
+++ b/crates/ebony_dispatch/src/limits.rs
@@ -46,6 +46,17 @@
         (known.incarnation == incarnation).then(|| known.belief.latest())
     }
 
+    /// Returns the observations from which the limits in force follow.
+    pub(crate) fn in_force(&self) -> Vec<(TargetName, TargetIncarnation, LimitObservation)> {
+        let limited = self
+            .limits
+            .iter()
+            .filter(|(_, limit)| limit.belief.rate().is_some());
+        limited
+            .map(|(name, limit)| (name.clone(), limit.incarnation, limit.belief.latest()))
+            .collect()
+    }
+
     /// Applies an observation. Those of an earlier incarnation are outdated.
     pub(crate) fn observe(
         &mut self,
--- a/crates/ebony_dispatch/src/placement.rs
+++ b/crates/ebony_dispatch/src/placement.rs
@@ -4,6 +4,8 @@
 //! them: a program whose turns stay on one target finds its prompt cached there, and a busier target that has cached
 //! more of the prompt may still answer earlier.
 
+use std::time::Duration;
+
 use ebony_types::rendezvous::rendezvous_weight;
 use ebony_types::{ClockTime, DomainName, ServiceName};
 
@@ -30,10 +32,13 @@
     /// This entry's share of the connections that a target accepts. Beyond its limit a target resets connections, and
     /// calls on them may have run.
     pub max_connections: u32,
+    /// How long the call may wait for the permit of a target that limits its rate; `None` if it must not use one.
+    pub max_permit_wait: Option<Duration>,
 }
 
 /// Chooses a target. Returns `None` if no target of the service takes calls or all of them were tried.
 ///
+/// Targets that limit their rate are chosen only if the call may wait until their next permit is due.
 /// Targets that rejected a call as full or have no connection left for this entry are chosen only if no better one is
 /// available, and targets in back-off after failures only if none of those is either.
 pub fn place(
@@ -64,6 +69,7 @@
         target.record.service == *call.service
             && target.record.phase == TargetPhase::Ready
             && !call.tried.contains(key)
+            && may_wait_for_permit(target, call, now)
     };
     let all: Vec<Candidate<'a>> = board.targets().filter(is_candidate).collect();
     let best = all.iter().map(|(_, target)| tier(target)).min();
@@ -72,6 +78,23 @@
         .collect()
 }
 
+/// Returns the time until the target's next permit is due, as far as known; zero if it does not limit its rate.
+fn permit_delay(target: &TargetEntry, now: ClockTime) -> Duration {
+    match target.limit {
+        Some(_) => target.next_permit.since(now),
+        None => Duration::ZERO,
+    }
+}
+
+/// Returns whether the call may wait for a permit of the target.
+fn may_wait_for_permit(target: &TargetEntry, call: &PlacementRequest<'_>, now: ClockTime) -> bool {
+    match (target.limit, call.max_permit_wait) {
+        (None, _) => true,
+        (Some(_), None) => false,
+        (Some(_), Some(max_wait)) => permit_delay(target, now) <= max_wait,
+    }
+}
+
 fn affinity_weight(target: &TargetEntry, call: &PlacementRequest<'_>) -> u64 {
     rendezvous_weight(call.affinity, target.record.name.as_str())
 }
@@ -138,7 +161,8 @@
     let slots = f64::from(target.record.slots.max(1));
     let calls = target.load.calls(options, now);
     let queued = (calls + 1.0 - slots).max(0.0);
-    let queue_delay = queued / slots * options.slot_time_ms;
+    let permit_delay = permit_delay(target, now).as_secs_f64() * 1_000.0;
+    let queue_delay = queued / slots * options.slot_time_ms + permit_delay;
     let is_remote = target.record.domain != *call.domain;
     let domain_delay = if is_remote { options.domain_delay_ms } else { 0.0 };
     if call.prompt.is_empty() {
--- a/crates/ebony_dispatch/tests/admission.rs
+++ b/crates/ebony_dispatch/tests/admission.rs
@@ -101,6 +101,7 @@
             prompt: &[],
             tried: &[],
             max_connections: u32::MAX,
+            max_permit_wait: None,
         };
         let target = place(&self.board, &request, &self.options, Self::now(step)).expect("a target is ready");
         let run = self.board.begin(target, &[], None);
--- a/crates/ebony_dispatch/tests/placement.rs
+++ b/crates/ebony_dispatch/tests/placement.rs
@@ -70,6 +70,7 @@
             prompt,
             tried,
             max_connections: MAX_CONNECTIONS,
+            max_permit_wait: None,
         };
         place(&self.board, &request, &self.options, now)
     }
--- a/crates/ebony_gateway/src/attempts.rs
+++ b/crates/ebony_gateway/src/attempts.rs
@@ -14,6 +14,7 @@
 use crate::answer::StartedAnswer;
 use crate::call_log::{AttemptOutcome, CallLog};
 use crate::crashes::registry::REQUEST_HELD_DETAIL;
+use crate::limits::permits::{self, CallPermit, PermitOutcome};
 use crate::refusal::{CallRefusal, NO_TARGET_RETRY_AFTER, Result};
 use crate::routed_call::{RoutedCall, affinity_key};
 use crate::target_client::{OpenAnswer, SendFailure};
@@ -26,13 +27,18 @@
 /// The fraction of the latency objective for which a call waits for a target with room.
 const WAITING_OBJECTIVE_SHARE: f64 = 0.5;
 
+/// The number of denied permits after which a call uses targets without a limit only. Each costs a round trip between
+/// gateways.
+const MAX_DENIED_PERMITS: u32 = 4;
+
 /// Sends a call to one target after another until one of them answers.
 pub(crate) async fn send_to_targets(call: &RoutedCall, log: &mut CallLog) -> Result<StartedAnswer> {
     let mut attempts = AttemptSeries::open(call);
+    call.record_expected_output();
     loop {
-        let target = attempts.next_target().await?;
+        let (target, permit) = attempts.next_target(log).await?;
         log.record_send();
-        let (run, result) = attempts.send(target).await?;
+        let (run, result) = attempts.send(target, permit).await?;
         let name = run.name().clone();
         let (outcome, run) = match result {
             Ok((answer, head)) => match attempts.classify(&answer, &head) {
@@ -53,6 +59,14 @@
     }
 }
 
+/// Whether a call may be sent to the chosen target.
+enum PermitStep {
+    /// It may, with a permit if the target limits its rate.
+    Ready(Option<CallPermit>),
+    /// Another target has to be chosen.
+    Denied,
+}
+
 /// The attempts of one call.
 struct AttemptSeries<'c> {
     call: &'c RoutedCall,
@@ -60,6 +74,8 @@
     tried: Vec<TargetKey>,
     /// The number of targets that may have run the call.
     reached: u32,
+    /// The number of permits that were asked for and denied.
+    denied_permits: u32,
 }
 
 impl<'c> AttemptSeries<'c> {
@@ -68,33 +84,103 @@
             call,
             tried: Vec::new(),
             reached: 0,
+            denied_permits: 0,
         }
     }
 
-    /// Waits until a target can be chosen for the call.
-    async fn next_target(&mut self) -> Result<TargetKey> {
+    /// Waits until a target can be chosen for the call, and has a permit for it if the target limits its rate.
+    async fn next_target(&mut self, log: &mut CallLog) -> Result<(TargetKey, Option<CallPermit>)> {
         let call = self.call;
         let waiting_limit = call.arrived + call.route.objective.mul_f64(WAITING_OBJECTIVE_SHARE);
         loop {
-            let gateway = &call.gateway;
-            if gateway.time_left(call.deadline).is_none() {
-                return Err(self.refuse(ProblemCode::DeadlineExceeded, "the deadline passed"));
-            }
-            if !gateway.crashes.may_send(&call.fingerprint, call.permit) {
-                return Err(self.refuse(ProblemCode::RequestHeld, REQUEST_HELD_DETAIL));
-            }
+            self.check_may_send()?;
             if let Some(target) = self.place() {
-                return Ok(target);
+                match self.take_permit(target, log).await? {
+                    PermitStep::Ready(permit) => return Ok((target, permit)),
+                    PermitStep::Denied => continue,
+                }
             }
-            if self.tried.is_empty() || gateway.time_left(waiting_limit).is_none() {
-                return Err(self.refuse(ProblemCode::Overloaded, "no target takes the call at present"));
+            if self.tried.is_empty() || call.gateway.time_left(waiting_limit).is_none() {
+                return Err(self.refuse_unplaced());
             }
             sleep(ALL_FULL_RETRY_DELAY).await;
             self.tried.clear();
         }
     }
 
+    /// Checks that the call is still wanted and may run.
+    fn check_may_send(&self) -> Result<()> {
+        let call = self.call;
+        let gateway = &call.gateway;
+        if gateway.time_left(call.deadline).is_none() {
+            return Err(self.refuse(ProblemCode::DeadlineExceeded, "the deadline passed"));
+        }
+        if !gateway.crashes.may_send(&call.fingerprint, call.permit) {
+            return Err(self.refuse(ProblemCode::RequestHeld, REQUEST_HELD_DETAIL));
+        }
+        Ok(())
+    }
+
+    /// Waits for a permit if the target limits its rate.
+    async fn take_permit(&mut self, target: TargetKey, log: &mut CallLog) -> Result<PermitStep> {
+        let gateway = &self.call.gateway;
+        let Some(record) = gateway.board.borrow().limited_record(target) else {
+            return Ok(PermitStep::Ready(None));
+        };
+        let max_wait = self.call.permit_patience();
+        let Some(outcome) = permits::take(gateway, &record, max_wait).await else {
+            return Ok(PermitStep::Ready(None));
+        };
+        self.call.record_permit(target, &outcome);
+        let (permit, wait) = match outcome {
+            PermitOutcome::Granted(permit, wait) => (permit, wait),
+            PermitOutcome::Denied(wait) => {
+                self.denied_permits += 1;
+                log.record_denied_permit(record.name.as_str(), wait);
+                return Ok(PermitStep::Denied);
+            }
+        };
+        if wait.is_zero() {
+            return Ok(PermitStep::Ready(Some(permit)));
+        }
+        log.record_permit_wait(wait);
+        sleep(wait).await;
+        self.check_may_send()?;
+        let is_ready = gateway.board.borrow().is_ready(target);
+        Ok(match is_ready {
+            true => PermitStep::Ready(Some(permit)),
+            false => PermitStep::Denied,
+        })
+    }
+
+    /// Returns the refusal of a call for which there is no target.
+    fn refuse_unplaced(&self) -> CallRefusal {
+        let gateway = &self.call.gateway;
+        let wait = gateway
+            .board
+            .borrow()
+            .permit_wait(&self.call.service, gateway.clock.now());
+        let Some(wait) = wait.filter(|_| self.reached == 0) else {
+            return self.refuse(ProblemCode::Overloaded, "no target takes the call at present");
+        };
+        let detail = "the targets limit their rate, and no permit is due in time";
+        let retry_after = limits::return_delay(gateway, &self.call.service, wait);
+        self.refuse(ProblemCode::Overloaded, detail)
+            .retry_after(retry_after)
+    }
+
+    /// Chooses a target. A call that leaves the permits of limited targets to others uses them if there is no other
+    /// choice.
     fn place(&self) -> Option<TargetKey> {
+        let may_ask = self.denied_permits < MAX_DENIED_PERMITS;
+        let patience = may_ask.then(|| self.call.permit_patience());
+        if self.call.leaves_permits_to_others() {
+            return self.place_within(None).or_else(|| self.place_within(patience));
+        }
+        self.place_within(patience)
+    }
+
+    fn place_within(&self, max_permit_wait: Option<Duration>) -> Option<TargetKey> {
         let gateway = &self.call.gateway;
         let request = PlacementRequest {
             service: &self.call.service,
@@ -103,6 +189,7 @@
             prompt: &self.call.head.prompt,
             tried: &self.tried,
             max_connections: self.call.max_connections,
+            max_permit_wait,
         };
         place(
             &gateway.board.borrow(),
@@ -116,6 +203,7 @@
     async fn send(
         &self,
         target: TargetKey,
+        permit: Option<CallPermit>,
     ) -> Result<(TargetRun, Result<(OpenAnswer, AnswerHead), AttemptOutcome>)> {
         let gateway = &self.call.gateway;
         let delisted = || self.refuse(ProblemCode::NoTarget, "the target left");
@@ -134,7 +222,13 @@
         let sent_at = gateway.clock.now();
         let sending = gateway.client.send(target, record.address, request);
         let attempt_timeout = self.attempt_timeout(time_left);
-        let result = match timeout(attempt_timeout, sending).await {
+        // A call that is abandoned while it is sent may reach the target.
+        let permit = permit.and_then(CallPermit::mark_used);
+        let sent = timeout(attempt_timeout, sending).await;
+        if let (Some(permit), Ok(Err(SendFailure::NotSent(_)))) = (permit, &sent) {
+            permit.put_back();
+        }
+        let result = match sent {
             Err(_) if attempt_timeout < time_left => Err(AttemptOutcome::Silent),
             Err(_) => Err(AttemptOutcome::TimedOut),
             Ok(Err(SendFailure::NotSent(_))) => Err(AttemptOutcome::NotSent),
--- a/crates/ebony_gateway/src/call_log.rs
+++ b/crates/ebony_gateway/src/call_log.rs
@@ -2,6 +2,7 @@
 
 use std::fmt::Write as _;
 use std::rc::Rc;
+use std::time::Duration;
 
 use ebony_types::{ClockTime, ProblemCode, RunVerdict};
 
@@ -90,6 +91,10 @@
     first_bytes: Option<ClockTime>,
     /// Target and outcome of each attempt.
     attempts: String,
+    /// The targets whose permit was denied, with the milliseconds until the next one was due.
+    denied_permits: String,
+    /// The time for which the call waited for permits.
+    permit_wait: Duration,
     events: u32,
     has_ended: bool,
 }
@@ -111,6 +116,8 @@
             first_sent: None,
             first_bytes: None,
             attempts: String::new(),
+            denied_permits: String::new(),
+            permit_wait: Duration::ZERO,
             events: 0,
             has_ended: false,
         }
@@ -168,6 +175,19 @@
         let _ = write!(self.attempts, "{target}:{outcome}");
     }
 
+    /// Records a target that was passed over, because its next permit is due only after `wait`.
+    pub(crate) fn record_denied_permit(&mut self, target: &str, wait: Duration) {
+        if !self.denied_permits.is_empty() {
+            self.denied_permits.push(' ');
+        }
+        // Writing to a string does not fail.
+        let _ = write!(self.denied_permits, "{target}:{}", wait.as_millis());
+    }
+
+    pub(crate) fn record_permit_wait(&mut self, wait: Duration) {
+        self.permit_wait += wait;
+    }
+
     pub(crate) fn record_first_bytes(&mut self) {
         if self.first_bytes.is_none() {
             let now = self.gateway.clock.now();
@@ -245,6 +265,8 @@
             "load" => self.load,
             "request" => self.request(),
             "attempts" => &self.attempts,
+            "denied_permits" => Some(&self.denied_permits).filter(|denied| !denied.is_empty()),
+            "permit_wait_ms" => Some(self.permit_wait).filter(|wait| !wait.is_zero()).map(|wait| wait.as_millis() as u64),
             "events" => self.events,
             "outcome" => outcome,
             "detail" => detail,
--- a/crates/ebony_gateway/src/fleet.rs
+++ b/crates/ebony_gateway/src/fleet.rs
@@ -151,6 +151,11 @@
         others.map(|(name, address)| (name.clone(), *address)).collect()
     }
 
+    /// Returns whether a gateway is registered.
+    pub(crate) fn is_registered(&self, name: &str) -> bool {
+        self.entries.borrow().contains_key(name)
+    }
+
     /// Returns whether this gateway owns an item, by rendezvous hashing over all registered gateways. Every gateway
     /// computes the same owner, whether the owner is alive or not.
     pub(crate) fn owns(&self, item: &str) -> bool {
--- a/crates/ebony_gateway/src/gateway.rs
+++ b/crates/ebony_gateway/src/gateway.rs
@@ -6,7 +6,8 @@
 use std::time::Duration;
 
 use ebony_dialect::{CallDialect, RecordDialect};
-use ebony_dispatch::{DispatchOptions, PlacementRule, ProgramGate, TargetBoard};
+use ebony_dispatch::{DispatchOptions, PermitBar, PlacementRule, ProgramGate, TargetBoard};
+use ebony_limit::{PermitDesk, ReturnSchedule};
 use ebony_platform::{RowFeed, TableService, VersionHistory};
 use ebony_routing::RoutingTable;
 use ebony_settings::{GatewayPolicy, GatewaySettings};
@@ -62,6 +63,12 @@
     pub(crate) board: RefCell<TargetBoard>,
     /// The admission of new programs, for each service of engines.
     pub(crate) gates: RefCell<HashMap<ServiceName, ProgramGate>>,
+    /// The permits that this gateway issues for limited targets.
+    pub(crate) permits: RefCell<PermitDesk>,
+    /// The calls that use permits, for each service with targets that limit their rate.
+    pub(crate) permit_bars: RefCell<HashMap<ServiceName, PermitBar>>,
+    /// The callers that were refused for the limits of targets, for each service.
+    pub(crate) returns: RefCell<HashMap<ServiceName, ReturnSchedule>>,
     /// Whether the list of targets has been read.
     pub(crate) has_targets: Cell<bool>,
     /// Whether the table of gateways has been read, which includes the requests to refuse.
@@ -148,6 +155,9 @@
             routing: RefCell::default(),
             board: RefCell::default(),
             gates: RefCell::default(),
+            permits: RefCell::default(),
+            returns: RefCell::default(),
+            permit_bars: RefCell::default(),
             has_targets: Cell::default(),
             has_fleet: Cell::default(),
             client,
--- a/crates/ebony_gateway/src/links/messages.rs
+++ b/crates/ebony_gateway/src/links/messages.rs
@@ -8,6 +8,7 @@
 use ebony_wire::CrashReport;
 use serde::{Deserialize, Serialize};
 
+use crate::limits::report::{LimitReport, PermitReply};
 use crate::open_turn::CoverError;
 
 /// A request to another gateway.
@@ -77,6 +78,29 @@
         /// The target's address.
         address: SocketAddr,
     },
+    /// Reports limits that targets named, and limits that ended.
+    TellLimits {
+        /// The reports.
+        reports: Vec<LimitReport>,
+    },
+    /// Asks for a permit to send a call to a limited target.
+    TakePermit {
+        /// The number that the reply repeats.
+        number: u64,
+        /// The target, and what the asking gateway knows of its limit.
+        limit: LimitReport,
+        /// The microseconds that the call may wait.
+        max_wait_us: u64,
+        /// Whether another gateway was asked first. It is then not passed on again.
+        is_relayed: bool,
+    },
+    /// Returns a permit whose call was not sent.
+    ReturnPermit {
+        /// The target.
+        target: TargetName,
+        /// The start of the incarnation, as in the target's entry in the list.
+        born: u64,
+    },
     /// Asks a gateway that reaches the store to write the record of a turn.
     KeepTurn {
         /// The number that the reply repeats.
@@ -121,6 +145,13 @@
         /// What the answering gateway knows of the turn.
         found: PeerTurn,
     },
+    /// Answers a request for a permit.
+    Permit {
+        /// The number of the request.
+        number: u64,
+        /// The permit.
+        permit: PermitReply,
+    },
     /// Answers a request to write the record of a turn.
     Kept {
         /// The number of the request.
@@ -138,6 +169,7 @@
             Self::Lending { number, .. }
             | Self::Recorded { number, .. }
             | Self::Turn { number, .. }
+            | Self::Permit { number, .. }
             | Self::Kept { number, .. } => Some(*number),
         }
     }
--- a/crates/ebony_gateway/src/links/mod.rs
+++ b/crates/ebony_gateway/src/links/mod.rs
@@ -1,8 +1,8 @@
 //! Links to the other gateways.
 //!
 //! A gateway borrows the cover of a turn from the owner of the program and returns what the turn did not need. An owner
-//! that does not reach the store records its requests through another gateway. Crashes and leaving targets are
-//! broadcast to all.
+//! that does not reach the store records its requests through another gateway. Crashes, leaving targets and the limits
+//! of targets are broadcast to all, and calls to limited targets get their permits from other gateways.
 
 mod messages;
 mod server;
@@ -16,6 +16,7 @@
 use bytes::Bytes;
 use ebony_account::{CoverOutcome, CoverRequest, TurnRequest};
 use ebony_dispatch::TargetIncarnation;
+use ebony_limit::{PeerState, division_role};
 use ebony_link::{LinkIdentity, LinkOptions, LinkSender, OpenLink, dial};
 use ebony_types::{ClockTime, ProcessIncarnation, ProgramName, TargetName, TurnName};
 use ebony_wire::{ClusterKey, CrashReport, LinkRole};
@@ -29,6 +30,8 @@
 
 use crate::fleet::FleetView;
 use crate::gateway::GatewayClock;
+use crate::limits::permits::RoleOf;
+use crate::limits::report::{LimitReport, PermitReply};
 
 pub use messages::{Lending, PeerReply, PeerRequest, PeerTurn};
 pub(crate) use server::serve;
@@ -61,6 +64,8 @@
     sender: LinkSender<PeerRequest>,
     pending: PendingReplies,
     reaches_store: Rc<Cell<bool>>,
+    /// Whether the last request for a permit timed out, and nothing was received since.
+    is_silent: Rc<Cell<bool>>,
 }
 
 /// The links that this gateway dialed.
@@ -154,6 +159,88 @@
         });
     }
 
+    /// Sends reports on the limits of targets to a gateway. One that misses them learns the limits from the targets'
+    /// answers.
+    pub(crate) fn send_limits(&self, peer: &str, reports: &[LimitReport]) {
+        if let Some(link) = self.links.borrow().get(peer) {
+            let request = PeerRequest::TellLimits {
+                reports: reports.to_vec(),
+            };
+            link.sender.send(&request).ok();
+        }
+    }
+
+    /// Sends a report on the limit of a target to all linked gateways.
+    pub(crate) fn broadcast_limit(&self, report: LimitReport) {
+        self.broadcast(&PeerRequest::TellLimits {
+            reports: vec![report],
+        });
+    }
+
+    /// Returns this gateway's role in the division of a target's limit.
+    pub(crate) fn division_role(&self, target: &TargetName) -> RoleOf {
+        self.division_role_without(target, &[])
+    }
+
+    /// Returns the role that this gateway would have without the links to some gateways.
+    pub(crate) fn division_role_without(&self, target: &TargetName, unlinked: &[String]) -> RoleOf {
+        let peers = self.fleet.peers();
+        let links = self.links.borrow();
+        let unregistered = links.keys().filter(|name| !self.fleet.is_registered(name));
+        let names = peers.iter().map(|(name, _)| name).chain(unregistered);
+        let state = |name: &String| match links.get(name) {
+            Some(_) if unlinked.contains(name) => PeerState::Gone,
+            Some(link) if link.is_silent.get() => PeerState::Silent,
+            Some(_) => PeerState::Linked,
+            None if self.is_presumed_gone(name) => PeerState::Gone,
+            None => PeerState::Lost,
+        };
+        let states = names.map(|name| (name.as_str(), state(name)));
+        RoleOf::from(division_role(target.as_str(), self.fleet.process(), states))
+    }
+
+    /// Returns the number of gateways that are registered.
+    pub(crate) fn gateways(&self) -> usize {
+        self.fleet.peers().len() + 1
+    }
+
+    /// Asks a gateway for a permit. Returns `None` if it does not answer.
+    pub(crate) async fn take_permit(
+        &self,
+        peer: &str,
+        limit: LimitReport,
+        max_wait: Duration,
+        is_relayed: bool,
+    ) -> Option<PermitReply> {
+        let max_wait_us = u64::try_from(max_wait.as_micros()).unwrap_or(u64::MAX);
+        let request = |number| PeerRequest::TakePermit {
+            number,
+            limit,
+            max_wait_us,
+            is_relayed,
+        };
+        match self.exchange(peer, request).await {
+            Some(PeerReply::Permit { permit, .. }) => Some(permit),
+            _ => {
+                if let Some(link) = self.links.borrow().get(peer) {
+                    link.is_silent.set(true);
+                }
+                None
+            }
+        }
+    }
+
+    /// Returns a permit whose call was not sent. One that does not arrive is lost.
+    pub(crate) fn return_permit(&self, peer: &str, target: &TargetName, born: u64) {
+        if let Some(link) = self.links.borrow().get(peer) {
+            let request = PeerRequest::ReturnPermit {
+                target: target.clone(),
+                born,
+            };
+            link.sender.send(&request).ok();
+        }
+    }
+
     fn broadcast(&self, request: &PeerRequest) {
         for link in self.links.borrow().values() {
             // A link whose queue stays full times out and is closed.
@@ -352,16 +439,19 @@
         let (sender, mut receiver) = link.split::<PeerRequest, PeerReply>();
         let pending = PendingReplies::default();
         let reaches_store = Rc::new(Cell::new(false));
+        let is_silent = Rc::new(Cell::new(false));
         let entry = DialedLink {
             sender: sender.clone(),
             pending: Rc::clone(&pending),
             reaches_store: Rc::clone(&reaches_store),
+            is_silent: Rc::clone(&is_silent),
         };
         self.links.borrow_mut().insert(name.to_owned(), entry);
         self.unlinked_since.borrow_mut().remove(name);
         self.newly_linked.borrow_mut().push(name.to_owned());
         let receiving = async {
             while let Ok(reply) = receiver.next().await {
+                is_silent.set(false);
                 match reply {
                     PeerReply::Pong {
                         reaches_store: reaches,
--- a/crates/ebony_gateway/src/links/server.rs
+++ b/crates/ebony_gateway/src/links/server.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use ebony_account::{CoverOutcome, TurnRequest};
 use ebony_dispatch::TargetIncarnation;
@@ -13,6 +14,7 @@
 use crate::crashes::CrashSource;
 use crate::gateway::Gateway;
 use crate::leaving::{self, LeavingSource};
+use crate::limits::{self, permits};
 
 /// Accepts links and answers the requests on them. Waits until the key for links is known and the address can be bound.
 pub(crate) async fn serve(gateway: Rc<Gateway>, address: SocketAddr) {
@@ -93,6 +95,25 @@
                     LeavingSource::Peer,
                 );
             }
+            PeerRequest::TellLimits { reports } => {
+                for report in &reports {
+                    limits::observe_report(&gateway, report);
+                }
+            }
+            PeerRequest::TakePermit {
+                number,
+                limit,
+                max_wait_us,
+                is_relayed,
+            } => {
+                let gateway = Rc::clone(&gateway);
+                let max_wait = Duration::from_micros(max_wait_us);
+                tokio::task::spawn_local(async move {
+                    let permit = permits::take_for_peer(&gateway, &limit, max_wait, is_relayed).await;
+                    sender.send(&PeerReply::Permit { number, permit }).ok();
+                });
+            }
+            PeerRequest::ReturnPermit { target, born } => permits::put_back(&gateway, &target, born),
             PeerRequest::ShareTurn { turn, record } => gateway.conversations.cache_shared(&turn, &record),
             PeerRequest::KeepTurn { number, turn, record } => {
                 let conversations = Rc::clone(&gateway.conversations);
--- a/crates/ebony_gateway/src/metrics.rs
+++ b/crates/ebony_gateway/src/metrics.rs
@@ -30,6 +30,8 @@
     pub(crate) leaving: IntCounterVec,
     /// Changes of the limits that targets name, by kind.
     pub(crate) limits: IntCounterVec,
+    /// Requests for permits to call limited targets, by outcome.
+    pub(crate) permits: IntCounterVec,
     /// Listed targets that limit their rate.
     pub(crate) limited_targets: IntGauge,
     /// Targets that broke off a call, by the result of their probe.
@@ -114,6 +116,11 @@
                 "Changes of the request rates to which targets limit all gateways, by kind.",
                 &["change"],
             )?,
+            permits: registry.counter_family(
+                "gateway_permits_total",
+                "Requests for permits to call limited targets, by outcome.",
+                &["outcome"],
+            )?,
             limited_targets: registry.gauge(
                 "gateway_limited_targets",
                 "Targets that limit their request rate.",
--- a/crates/ebony_gateway/src/watch.rs
+++ b/crates/ebony_gateway/src/watch.rs
@@ -15,6 +15,7 @@
 use crate::fleet;
 use crate::gateway::Gateway;
 use crate::leaving::{self, LeavingSource};
+use crate::limits;
 
 /// The long-poll time of requests for changes of the configuration or of the list of targets. With the timeout of the
 /// answer, a silent connection is detected within 1.3 s; a draining target and a new configuration have to be noticed
@@ -363,6 +364,7 @@
         if !opened.is_empty() {
             gateway.accounts.return_idle_cover();
             gateway.crashes.send_all(&opened);
+            limits::send_all(&gateway, &opened);
         }
         gateway.crashes.expire();
         TargetProbes::probe_unanswered(&gateway);
@@ -370,7 +372,7 @@
         gateway.metrics.accounts.set(gauge(gateway.accounts.len()));
         let conversation_bytes = gauge(gateway.conversations.cache_bytes());
         gateway.metrics.conversation_bytes.set(conversation_bytes);
-        gateway.board.borrow_mut().expire_limits(now);
+        limits::expire(&gateway);
         let limited_targets = gauge(gateway.board.borrow().limited_targets());
         gateway.metrics.limited_targets.set(limited_targets);
         gateway.metrics.open_calls.set(gauge(gateway.open_calls.get()));
--- a/crates/ebony_limit/src/rate.rs
+++ b/crates/ebony_limit/src/rate.rs
@@ -1,6 +1,7 @@
 //! Request rates.
 
 use std::fmt;
+use std::iter::Sum;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -8,9 +9,12 @@
 /// Micro-requests in one request.
 const MICROS: f64 = 1_000_000.0;
 
-/// The longest interval between two requests. It ends a limit of zero as well: only the answer to a request can show
-/// that the target has lifted its limit.
-const MAX_INTERVAL: Duration = Duration::from_secs(10);
+/// The lowest rate at which a limited target is called, in micro-requests a second: one request in 10 s. Only the answer
+/// to a request can show that the target has lifted its limit, even one of zero.
+const TRIAL_RATE: RequestRate = RequestRate(100_000);
+
+/// The interval of a rate of zero.
+const MAX_INTERVAL: Duration = Duration::from_secs(24 * 60 * 60);
 
 /// Why a number is not a request rate.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -58,7 +62,13 @@
         self.0 as f64 / MICROS
     }
 
-    /// Returns the interval between two requests, at most 10 s, so that a limit of zero can be found to have ended.
+    /// Returns the rate, or that of one request in 10 s if it is lower, so that the end of any limit is noticed.
+    #[must_use]
+    pub fn at_least_trials(self) -> Self {
+        self.max(TRIAL_RATE)
+    }
+
+    /// Returns the interval between two requests, at most a day.
     pub fn interval(self) -> Duration {
         let seconds = 1.0 / self.as_per_second();
         Duration::try_from_secs_f64(seconds).map_or(MAX_INTERVAL, |interval| interval.min(MAX_INTERVAL))
@@ -80,6 +90,12 @@
     }
 }
 
+impl Sum for RequestRate {
+    fn sum<I: Iterator<Item = Self>>(rates: I) -> Self {
+        Self(rates.fold(0, |sum, rate| sum.saturating_add(rate.0)))
+    }
+}
+
 impl fmt::Display for RequestRate {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(formatter, "{}", self.as_per_second())
