--- a/crates/ebony_gateway/src/links/mod.rs
+++ b/crates/ebony_gateway/src/links/mod.rs
@@ -115,6 +115,11 @@
         }
     }
 
+    /// Returns the number of open links.
+    pub(crate) fn len(&self) -> usize {
+        self.links.borrow().len()
+    }
+
     /// Returns whether there is a link to a gateway.
     pub(crate) fn is_linked(&self, peer: &str) -> bool {
         self.links.borrow().contains_key(peer)
--- a/crates/ebony_gateway/src/metrics.rs
+++ b/crates/ebony_gateway/src/metrics.rs
@@ -46,6 +46,8 @@
     pub(crate) open_calls: IntGauge,
     /// Accounts of programs.
     pub(crate) accounts: IntGauge,
+    /// Open links to other gateways.
+    pub(crate) links: IntGauge,
     /// Targets on the board.
     pub(crate) targets: IntGauge,
     /// The version of the configuration in force.
@@ -144,6 +146,7 @@
             )?,
             open_calls: registry.gauge("gateway_open_calls", "Calls under way.")?,
             accounts: registry.gauge("gateway_accounts", "Accounts of programs.")?,
+            links: registry.gauge("gateway_links", "Open links to other gateways.")?,
             targets: registry.gauge("gateway_targets", "Targets on the board.")?,
             routing_version: registry.gauge(
                 "gateway_routing_version",
--- a/crates/ebony_gateway/src/watch.rs
+++ b/crates/ebony_gateway/src/watch.rs
@@ -373,6 +373,7 @@
         let conversation_bytes = gauge(gateway.conversations.cache_bytes());
         gateway.metrics.conversation_bytes.set(conversation_bytes);
         limits::expire(&gateway);
+        gateway.metrics.links.set(gauge(gateway.links.len()));
         let limited_targets = gauge(gateway.board.borrow().limited_targets());
         gateway.metrics.limited_targets.set(limited_targets);
         gateway.metrics.open_calls.set(gauge(gateway.open_calls.get()));
