Spread the shares of gateways that do not reach each other

Cause: found by thinking of 300 gateways without links: permits of even shares that no call used were kept, so that all gateways could use one at the same moment, 300 requests at a target that takes 5 a second.

--- a/crates/ebony_gateway/src/gateway.rs
+++ b/crates/ebony_gateway/src/gateway.rs
@@ -155,7 +155,7 @@
             routing: RefCell::default(),
             board: RefCell::default(),
             gates: RefCell::default(),
-            permits: RefCell::default(),
+            permits: RefCell::new(PermitDesk::open(&settings.process)),
             returns: RefCell::default(),
             permit_bars: RefCell::default(),
             has_targets: Cell::default(),
--- a/crates/ebony_limit/src/bucket.rs
+++ b/crates/ebony_limit/src/bucket.rs
@@ -9,6 +9,16 @@
 /// How long unused permits are kept, so that calls that arrive in a burst need not wait for each other.
 const BURST_TIME: Duration = Duration::from_millis(250);
 
+/// What happens to permits that no call uses.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum UnusedPermits {
+    /// They are kept for [`BURST_TIME`], and the last one for an interval.
+    Kept,
+    /// They expire after [`BURST_TIME`]. Otherwise many gateways with a small share each could use kept permits at the
+    /// same time.
+    Expire,
+}
+
 /// Whether a call may be sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum PermitDecision {
@@ -48,6 +58,7 @@
     rate: RequestRate,
     /// When the next permit is due.
     next_at: ClockTime,
+    unused: UnusedPermits,
 }
 
 impl PermitBucket {
@@ -57,9 +68,25 @@
         Self {
             rate,
             next_at: now + rate.interval(),
+            unused: UnusedPermits::Kept,
+        }
+    }
+
+    /// Creates the bucket of a small share, whose permits are due at fixed times. The first one is due after a `phase`,
+    /// from 0 to 1, of the interval; gateways with different phases spread their requests.
+    pub fn open_share(rate: RequestRate, now: ClockTime, phase: f64) -> Self {
+        Self {
+            rate,
+            next_at: now + rate.interval().mul_f64(phase.clamp(0.0, 1.0)),
+            unused: UnusedPermits::Expire,
         }
     }
 
+    /// Returns the rate.
+    pub fn rate(&self) -> RequestRate {
+        self.rate
+    }
+
     /// Changes the rate. The permits that are issued ahead stay issued.
     pub fn set_rate(&mut self, rate: RequestRate, now: ClockTime) {
         if rate == self.rate {
@@ -79,8 +106,13 @@
 
     /// Issues a permit for a call that waits `max_wait` at most.
     pub fn take(&mut self, now: ClockTime, max_wait: Duration) -> PermitDecision {
-        let oldest = ClockTime::from_micros(now.as_micros().saturating_sub(BURST_TIME.as_micros() as u64));
-        let due = self.next_at.max(oldest);
+        let due = match self.unused {
+            UnusedPermits::Kept => {
+                let kept = BURST_TIME.max(self.rate.interval());
+                self.next_at.max(earlier(now, kept))
+            }
+            UnusedPermits::Expire => self.next_unexpired(now),
+        };
         let wait = due.since(now);
         if wait > max_wait {
             return PermitDecision::Denied { wait };
@@ -89,9 +121,22 @@
         PermitDecision::Granted { wait }
     }
 
+    /// Returns when the first permit is due that has not expired.
+    fn next_unexpired(&self, now: ClockTime) -> ClockTime {
+        let expired = earlier(now, BURST_TIME).since(self.next_at);
+        let interval = self.rate.interval().max(Duration::from_micros(1));
+        let missed = expired.as_micros().div_ceil(interval.as_micros());
+        let missed = u32::try_from(missed).unwrap_or(u32::MAX);
+        self.next_at + interval.saturating_mul(missed)
+    }
+
     /// Takes back a permit whose call was not sent.
     pub fn put_back(&mut self) {
-        let interval = self.rate.interval().as_micros() as u64;
-        self.next_at = ClockTime::from_micros(self.next_at.as_micros().saturating_sub(interval));
+        self.next_at = earlier(self.next_at, self.rate.interval());
     }
 }
+
+fn earlier(time: ClockTime, by: Duration) -> ClockTime {
+    let by = u64::try_from(by.as_micros()).unwrap_or(u64::MAX);
+    ClockTime::from_micros(time.as_micros().saturating_sub(by))
+}
