Refuse new programs before the targets without a limit are overrun

Cause: while some engines limit their rate, the load for the admission of programs counted their free slots, which no call may use. Their load now counts from 1.6 calls a slot on.

--- a/crates/ebony_dispatch/src/admission.rs
+++ b/crates/ebony_dispatch/src/admission.rs
@@ -6,7 +6,7 @@
 
 use ebony_types::{ClockTime, ServiceName};
 
-use crate::board::{TargetBoard, TargetPhase};
+use crate::board::{TargetBoard, TargetEntry, TargetPhase};
 use crate::options::DispatchOptions;
 
 /// Whether a program may start.
@@ -78,8 +78,15 @@
     }
 }
 
+/// The load of the targets without a limit, beside targets that limit their rate, that counts like a load of 1. The calls
+/// that limited targets do not take pass through these targets, which serve them in somewhat longer time.
+const UNLIMITED_LOAD: f64 = 1.6;
+
 /// Returns the estimated load of a service, in calls per slot of its ready targets; 0 if it has none.
 ///
+/// The slots of targets that limit their rate stay partly free, so that the load of the other targets counts if it is
+/// much higher.
+///
 /// ```
 /// use ebony_dispatch::{DispatchOptions, TargetBoard, service_load};
 /// use ebony_types::{ClockTime, ServiceName};
@@ -98,9 +105,43 @@
     let targets = board.targets().map(|(_, target)| target);
     let ready = targets
         .filter(|target| target.record.service == *service && target.record.phase == TargetPhase::Ready);
-    let (calls, slots) = ready.fold((0.0, 0.0), |(calls, slots), target| {
-        let target_slots = f64::from(target.record.slots.max(1));
-        (calls + target.load.calls(options, now), slots + target_slots)
-    });
-    if slots > 0.0 { calls / slots } else { 0.0 }
+    let (limited, unlimited): (Vec<_>, Vec<_>) = ready.partition(|target| target.limit.is_some());
+    let unlimited = LoadSum::of(&unlimited, options, now);
+    if limited.is_empty() {
+        return unlimited.per_slot();
+    }
+    let all = LoadSum::of(&limited, options, now).plus(unlimited);
+    all.per_slot().max(unlimited.per_slot() / UNLIMITED_LOAD)
+}
+
+/// The calls and the slots of some targets.
+#[derive(Clone, Copy, Debug, Default)]
+struct LoadSum {
+    calls: f64,
+    slots: f64,
+}
+
+impl LoadSum {
+    fn of(targets: &[&TargetEntry], options: &DispatchOptions, now: ClockTime) -> Self {
+        let sums = targets.iter().map(|target| Self {
+            calls: target.load.calls(options, now),
+            slots: f64::from(target.record.slots.max(1)),
+        });
+        sums.fold(Self::default(), Self::plus)
+    }
+
+    fn plus(self, other: Self) -> Self {
+        Self {
+            calls: self.calls + other.calls,
+            slots: self.slots + other.slots,
+        }
+    }
+
+    fn per_slot(self) -> f64 {
+        if self.slots > 0.0 {
+            self.calls / self.slots
+        } else {
+            0.0
+        }
+    }
 }
