Name the limits of targets in a refusal only if permits were missing

Cause: found by reading. A call for which limited targets had failed or were full was refused with the text for missing permits, although one was due.

--- a/crates/ebony_gateway/src/attempts.rs
+++ b/crates/ebony_gateway/src/attempts.rs
@@ -160,7 +160,8 @@
             .board
             .borrow()
             .permit_wait(&self.call.service, gateway.clock.now());
-        let Some(wait) = wait.filter(|_| self.reached == 0) else {
+        let lacks_permit = |wait: &Duration| self.denied_permits > 0 || *wait > self.call.permit_patience();
+        let Some(wait) = wait.filter(|wait| self.reached == 0 && lacks_permit(wait)) else {
             return self.refuse(ProblemCode::Overloaded, "no target takes the call at present");
         };
         let detail = "the targets limit their rate, and no permit is due in time";
