Let ebonyctl explain show the limits that refuse calls

Cause: the lines on changed limits and on the permits of a target were not among the states that explain lists, so that a call refused for a limit could not be traced to it.

--- a/crates/ebonyctl/src/run/explain.rs
+++ b/crates/ebonyctl/src/run/explain.rs
@@ -18,12 +18,14 @@
 const HEAD_MEMBERS: [&str; 5] = ["ts", "process", "msg", "level", "role"];
 
 /// Messages on the state of a process as it knew it, which explain its decisions.
-const STATE_MESSAGES: [&str; 13] = [
+const STATE_MESSAGES: [&str; 15] = [
     "accounts are not recorded",
     "accounts are recorded again",
     "configuration in force",
     "drained",
     "graceful stop began",
+    "limit of a target changed",
+    "permits of a limited target",
     "process serves",
     "readiness changed",
     "settings reloaded",
