Let ebonyctl explain show the state of each target that a call names

Cause: of several messages of one kind only the latest was shown, so that a call that passed over four targets showed the limit of one, which need not be among them. Each target that the call tried or passed over keeps its latest message.

--- a/crates/ebonyctl/src/run/explain.rs
+++ b/crates/ebonyctl/src/run/explain.rs
@@ -153,8 +153,13 @@
                     .and_then(Value::as_u64)
                     .unwrap_or_default();
             } else if STATE_MESSAGES.contains(&line.message.as_str()) {
-                // A later message of the same kind replaces an earlier one.
-                latest.retain(|known| known.process != line.process || known.message != line.message);
+                // A later message of the same kind replaces an earlier one, except that each target that the call tried or
+                // passed over keeps its own.
+                let target = self.named_target(&line);
+                latest.retain(|known| {
+                    let is_same_kind = known.process == line.process && known.message == line.message;
+                    !is_same_kind || self.named_target(known) != target
+                });
                 latest.push(line);
             }
         }
@@ -162,6 +167,16 @@
         self.states = latest;
     }
 
+    /// Returns the target of a message if a line of the call or the program names that target.
+    fn named_target<'l>(&self, message: &'l LogLine) -> Option<&'l str> {
+        let target = message.members.get("target")?.as_str()?;
+        let members = self.lines.iter().flat_map(|line| line.members.values());
+        let mut words = members
+            .filter_map(Value::as_str)
+            .flat_map(|text| text.split([' ', ':']));
+        words.any(|word| word == target).then_some(target)
+    }
+
     /// Returns the timeline as text, with the numbers of lines that are missing from it.
     pub fn to_text(&self) -> String {
         let mut output = String::new();
--- a/crates/ebonyctl/tests/explain.rs
+++ b/crates/ebonyctl/tests/explain.rs
@@ -65,3 +65,15 @@
 "#;
     insta::assert_snapshot!(LogTimeline::read("t1", [log]).to_text());
 }
+
+#[test]
+fn a_refused_call_shows_the_limits_of_the_targets_that_it_passed_over() {
+    let log = r#"
+{"ts":"1","process":"g-1","msg":"limit of a target changed","target":"e-1","change":"begun","rate":2.5,"source":"answer"}
+{"ts":"2","process":"g-1","msg":"limit of a target changed","target":"e-2","change":"begun","rate":4,"source":"peer"}
+{"ts":"3","process":"g-1","msg":"limit of a target changed","target":"e-1","change":"changed","rate":1,"before":2.5}
+{"ts":"4","process":"g-1","msg":"limit of a target changed","target":"e-9","change":"begun","rate":8,"source":"peer"}
+{"ts":"5","process":"g-1","msg":"call ended","call":"c1","denied_permits":"e-1:700 e-2:210","outcome":"refused"}
+"#;
+    insta::assert_snapshot!(LogTimeline::read("c1", [log.trim()]).to_text());
+}
