Keep the link to a gateway when its earlier process ends

Callers could be refused, and budgets, conversations and limits kept apart: a gateway that was started again at another address, while its earlier process still drained, was taken for gone by all others. Cause: links are kept by name. The end of the earlier process's link removed the entry of the new one, which stayed open and was therefore not dialed again. In the logs, 'link lost' for a gateway that serves, and two gateways with part=whole for one target. An entry is now removed by its own link only. Ruled out: the permits; all of them were issued at the right rate, by two.

--- a/crates/ebony_gateway/src/links/mod.rs
+++ b/crates/ebony_gateway/src/links/mod.rs
@@ -482,8 +482,20 @@
             () = receiving => {}
             () = pinging => {}
         }
-        self.links.borrow_mut().remove(name);
-        self.mark_unlinked(name);
+        self.end_link(name, &pending);
+    }
+
+    /// Removes a link that ended, unless another one to the same gateway has taken its place, as happens when a gateway
+    /// is started again at another address before its earlier process ends.
+    fn end_link(&self, name: &str, pending: &PendingReplies) {
+        let mut links = self.links.borrow_mut();
+        let is_current = links
+            .get(name)
+            .is_some_and(|link| Rc::ptr_eq(&link.pending, pending));
+        if is_current {
+            links.remove(name);
+            self.mark_unlinked(name);
+        }
     }
 
     fn mark_unlinked(&self, name: &str) {
