Let only gateways with links in both directions divide a limit

A gateway counted a link that it had dialed, although the other end could not dial back, and issued the whole limit, while the others took it for gone and had another issuer. Both ends know of both links, so that a link counts if it exists in both directions, between the same processes; a gateway that is linked in one direction is alive and may be issuing, so that whoever acts for it issues half.

--- a/crates/ebony_gateway/src/links/mod.rs
+++ b/crates/ebony_gateway/src/links/mod.rs
@@ -19,7 +19,7 @@
 use ebony_limit::{PeerState, division_role};
 use ebony_link::{LinkIdentity, LinkOptions, LinkSender, OpenLink, dial};
 use ebony_types::{ClockTime, ProcessIncarnation, ProgramName, TargetName, TurnName};
-use ebony_wire::{ClusterKey, CrashReport, LinkRole};
+use ebony_wire::{ClusterKey, CrashReport, LinkRole, PeerIdentity};
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 use rand::SeedableRng;
@@ -61,6 +61,8 @@
 
 /// An open link that this gateway dialed.
 struct DialedLink {
+    /// The process at the other end.
+    incarnation: ProcessIncarnation,
     sender: LinkSender<PeerRequest>,
     pending: PendingReplies,
     reaches_store: Rc<Cell<bool>>,
@@ -68,10 +70,12 @@
     is_silent: Rc<Cell<bool>>,
 }
 
-/// The links that this gateway dialed.
+/// The links that this gateway dialed, and those that others dialed to it.
 pub(crate) struct PeerLinks {
     fleet: Rc<FleetView>,
     links: RefCell<HashMap<String, DialedLink>>,
+    /// The processes of each gateway that have dialed this one. A gateway that is being replaced has two.
+    accepted: RefCell<HashMap<String, Vec<ProcessIncarnation>>>,
     /// Gateways with a task that maintains a link, and the addresses that the tasks dial.
     dialed: RefCell<HashMap<String, SocketAddr>>,
     /// Since when registered gateways have had no link.
@@ -89,6 +93,7 @@
         Rc::new(Self {
             fleet,
             links: RefCell::default(),
+            accepted: RefCell::default(),
             dialed: RefCell::default(),
             unlinked_since: RefCell::default(),
             clock,
@@ -188,22 +193,45 @@
     }
 
     /// Returns the role that this gateway would have without the links to some gateways.
+    ///
+    /// Only gateways that are linked in both directions count as linked. Both ends know of both links, so that they agree
+    /// on who can ask whom, also if one of them has an outdated address of the other.
     pub(crate) fn division_role_without(&self, target: &TargetName, unlinked: &[String]) -> RoleOf {
         let peers = self.fleet.peers();
         let links = self.links.borrow();
-        let unregistered = links.keys().filter(|name| !self.fleet.is_registered(name));
+        let accepted = self.accepted.borrow();
+        let linked = links
+            .keys()
+            .chain(accepted.keys().filter(|name| !links.contains_key(*name)));
+        let unregistered = linked.filter(|name| !self.fleet.is_registered(name));
         let names = peers.iter().map(|(name, _)| name).chain(unregistered);
-        let state = |name: &String| match links.get(name) {
-            Some(_) if unlinked.contains(name) => PeerState::Gone,
-            Some(link) if link.is_silent.get() => PeerState::Silent,
-            Some(_) => PeerState::Linked,
-            None if self.is_presumed_gone(name) => PeerState::Gone,
-            None => PeerState::Lost,
+        let state = |name: &String| match (links.get(name), accepted.get(name)) {
+            _ if unlinked.contains(name) => PeerState::Gone,
+            (Some(link), Some(processes)) if processes.contains(&link.incarnation) => {
+                if link.is_silent.get() {
+                    PeerState::Silent
+                } else {
+                    PeerState::Linked
+                }
+            }
+            (None, None) if self.is_presumed_gone(name) => PeerState::Gone,
+            _ => PeerState::Lost,
         };
         let states = names.map(|name| (name.as_str(), state(name)));
         RoleOf::from(division_role(target.as_str(), self.fleet.process(), states))
     }
 
+    /// Records a link that another gateway dialed, until the guard is dropped.
+    pub(crate) fn record_accepted(self: &Rc<Self>, peer: &PeerIdentity) -> AcceptedLinkGuard {
+        let mut accepted = self.accepted.borrow_mut();
+        let processes = accepted.entry(peer.process.clone()).or_default();
+        processes.push(peer.incarnation);
+        AcceptedLinkGuard {
+            links: Rc::clone(self),
+            peer: peer.clone(),
+        }
+    }
+
     /// Returns the number of gateways that are registered.
     pub(crate) fn gateways(&self) -> usize {
         self.fleet.peers().len() + 1
@@ -441,11 +469,13 @@
     }
 
     async fn run_link(&self, name: &str, link: OpenLink) {
+        let incarnation = link.peer().incarnation;
         let (sender, mut receiver) = link.split::<PeerRequest, PeerReply>();
         let pending = PendingReplies::default();
         let reaches_store = Rc::new(Cell::new(false));
         let is_silent = Rc::new(Cell::new(false));
         let entry = DialedLink {
+            incarnation,
             sender: sender.clone(),
             pending: Rc::clone(&pending),
             reaches_store: Rc::clone(&reaches_store),
@@ -504,6 +534,31 @@
     }
 }
 
+/// Records a link that another gateway dialed.
+pub(crate) struct AcceptedLinkGuard {
+    links: Rc<PeerLinks>,
+    peer: PeerIdentity,
+}
+
+impl Drop for AcceptedLinkGuard {
+    fn drop(&mut self) {
+        let mut accepted = self.links.accepted.borrow_mut();
+        let Some(processes) = accepted.get_mut(&self.peer.process) else {
+            return;
+        };
+        // A process may have dialed again before its earlier link ended.
+        if let Some(at) = processes
+            .iter()
+            .position(|process| *process == self.peer.incarnation)
+        {
+            processes.swap_remove(at);
+        }
+        if processes.is_empty() {
+            accepted.remove(&self.peer.process);
+        }
+    }
+}
+
 fn identity(key: ClusterKey, process: &str, incarnation: ProcessIncarnation) -> LinkIdentity {
     LinkIdentity {
         key,
--- a/crates/ebony_gateway/src/links/server.rs
+++ b/crates/ebony_gateway/src/links/server.rs
@@ -35,8 +35,13 @@
         }
     };
     while let Some(link) = listener.next().await {
+        let accepted = gateway.links.record_accepted(link.peer());
         let (sender, receiver) = link.split();
-        tokio::task::spawn_local(answer(Rc::clone(&gateway), sender, receiver));
+        let gateway = Rc::clone(&gateway);
+        tokio::task::spawn_local(async move {
+            let _accepted = accepted;
+            answer(gateway, sender, receiver).await;
+        });
     }
 }
 
--- a/crates/ebony_limit/tests/division_model.rs
+++ b/crates/ebony_limit/tests/division_model.rs
@@ -73,6 +73,8 @@
     All,
     /// No gateway ever reaches another one.
     NoLinks,
+    /// Each gateway only reaches those with higher numbers.
+    OneWayLinks,
 }
 
 struct ModelGateway {
@@ -88,6 +90,8 @@
     lost_at: BTreeMap<usize, ClockTime>,
     frozen_until: ClockTime,
     cut_until: ClockTime,
+    /// Until when no other gateway can link to it, because they have an outdated address. Its own links stay open.
+    unreachable_until: ClockTime,
     /// When it first passed on an answer that names a limit, in this life.
     bound_at: Option<ClockTime>,
     /// Until when a fault of its own excuses it.
@@ -124,11 +128,14 @@
             reached: 0,
             faults,
         };
-        if faults == Faults::NoLinks {
-            for gateway in 0..gateways {
-                let others = (0..gateways).filter(|other| *other != gateway);
-                model.gateways[gateway].lost_at = others.map(|other| (other, ClockTime::default())).collect();
-            }
+        for gateway in 0..gateways {
+            let lost = match faults {
+                Faults::NoLinks => 0..gateways,
+                Faults::OneWayLinks => 0..gateway,
+                Faults::None | Faults::All => 0..0,
+            };
+            let lost = lost.filter(|other| *other != gateway);
+            model.gateways[gateway].lost_at = lost.map(|other| (other, ClockTime::default())).collect();
         }
         // Callers are uneven: each gateway gets a part of three times the limit.
         let weights: Vec<f64> = (0..gateways).map(|_| model.rng.random_range(0.05..1.0)).collect();
@@ -200,13 +207,14 @@
         let others = (0..self.gateways.len()).filter(|other| *other != gateway);
         let known = others.filter(|other| own.list.contains(other));
         let states = known.map(|other| {
-            let lost_at = own.lost_at.get(&other).copied();
-            let state = match lost_at {
-                None if !self.is_linked(gateway, other) => PeerState::Lost,
-                None if own.silent.contains(&other) => PeerState::Silent,
-                None => PeerState::Linked,
-                Some(lost_at) if self.now.since(lost_at) >= PRESUMED_GONE_AFTER => PeerState::Gone,
-                Some(_) => PeerState::Lost,
+            let state = match (self.is_linked(gateway, other), self.is_linked(other, gateway)) {
+                (true, true) if own.silent.contains(&other) => PeerState::Silent,
+                (true, true) => PeerState::Linked,
+                (true, false) | (false, true) => PeerState::Lost,
+                (false, false) => match own.lost_at.get(&other) {
+                    Some(lost_at) if self.now.since(*lost_at) >= PRESUMED_GONE_AFTER => PeerState::Gone,
+                    _ => PeerState::Lost,
+                },
             };
             (self.gateways[other].name.as_str(), state)
         });
@@ -369,7 +377,7 @@
         let gateway = self.rng.random_range(0..self.gateways.len());
         let other = self.rng.random_range(0..self.gateways.len());
         let (now, lasting) = (self.now, Duration::from_millis(self.rng.random_range(200..4_000)));
-        match self.rng.random_range(0..7) {
+        match self.rng.random_range(0..8) {
             0 => self.restart(gateway),
             1 => {
                 self.gateways[gateway].frozen_until = now + lasting;
@@ -384,6 +392,12 @@
                 self.gateways[gateway].lost_at.insert(other, now);
                 self.gateways[other].lost_at.insert(gateway, now);
             }
+            7 => {
+                self.gateways[gateway].unreachable_until = now + 3 * lasting;
+                for dialer in (0..self.gateways.len()).filter(|dialer| *dialer != gateway) {
+                    self.gateways[dialer].lost_at.insert(gateway, now);
+                }
+            }
             // A gateway whose list is out of date.
             4 if gateway != other => {
                 self.gateways[gateway].list.remove(&other);
@@ -413,19 +427,21 @@
 
     /// Restores links and lists after a second, and clears silent gateways that answer again.
     fn exchange_pongs(&mut self) {
-        if self.faults == Faults::NoLinks {
+        if matches!(self.faults, Faults::NoLinks | Faults::OneWayLinks) {
             return;
         }
         let (now, gateways) = (self.now, self.gateways.len());
         for gateway in 0..gateways {
             for other in (0..gateways).filter(|other| *other != gateway) {
                 let is_reached = self.is_up(other) && self.gateways[other].cut_until <= now;
+                let is_unreachable = self.gateways[other].unreachable_until > now;
                 let own = &mut self.gateways[gateway];
                 if is_reached {
                     own.silent.remove(&other);
                 }
                 let was_lost = own.lost_at.get(&other).copied();
-                if was_lost.is_some_and(|lost_at| is_reached && now.since(lost_at) >= PONG_INTERVAL) {
+                let is_due = |lost_at: ClockTime| is_reached && now.since(lost_at) >= PONG_INTERVAL;
+                if was_lost.is_some_and(is_due) && !is_unreachable {
                     own.lost_at.remove(&other);
                 }
                 if own.cut_until > now || self.gateways[other].cut_until > now {
@@ -479,6 +495,7 @@
             lost_at: BTreeMap::new(),
             frozen_until: ClockTime::default(),
             cut_until: ClockTime::default(),
+            unreachable_until: ClockTime::default(),
             bound_at: None,
             excused_until: ClockTime::default(),
         }
@@ -563,3 +580,13 @@
         assert!(worst <= 1.0, "{gateways} gateways, {limit} a second: {worst:.2}");
     }
 }
+
+#[test]
+fn gateways_with_links_in_one_direction_do_not_issue_a_limit_twice() {
+    for (seed, (gateways, limit)) in [(3, 15.0), (8, 8.0), (30, 5.0)].into_iter().enumerate() {
+        let mut model = Model::open(seed as u64, gateways, limit, Faults::OneWayLinks);
+        model.run();
+        let worst = model.worst_window();
+        assert!(worst <= 1.0, "{gateways} gateways, {limit} a second: {worst:.2}");
+    }
+}
