--- a/review/standins/engine.rs
+++ b/review/standins/engine.rs
@@ -2,10 +2,10 @@
 
 use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use crate::http::{Request, read_request, write_answer};
 use crate::record::Record;
@@ -21,14 +21,17 @@
     pub event_gap: Duration,
     record: Arc<Record>,
     running: Arc<AtomicUsize>,
-    /// The value of `Server-Limit`; empty if the engine names none.
-    pub limit: Arc<std::sync::Mutex<String>>,
+    pub address: SocketAddr,
+    /// Whether all answers say that the engine leaves.
+    is_leaving: Arc<AtomicBool>,
     /// When each request arrived, and its attempt.
-    pub arrivals: Arc<std::sync::Mutex<Vec<(std::time::Instant, String)>>>,
+    pub arrivals: Arc<Mutex<Vec<(Instant, String)>>>,
 }
 
 impl Engine {
-    pub fn open(id: &str, service: &str, record: &Arc<Record>) -> (Self, SocketAddr) {
+    pub fn open(id: &str, service: &str, record: &Arc<Record>) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = listener.local_addr().expect("an address");
         let engine = Self {
             id: id.to_owned(),
             service: service.to_owned(),
@@ -36,11 +39,10 @@
             event_gap: Duration::from_millis(8),
             record: Arc::clone(record),
             running: Arc::default(),
-            limit: Arc::default(),
+            address,
+            is_leaving: Arc::default(),
             arrivals: Arc::default(),
         };
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
-        let address = listener.local_addr().expect("an address");
         let serving = engine.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
@@ -48,18 +50,28 @@
                 thread::spawn(move || engine.serve(stream));
             }
         });
-        (engine, address)
+        engine
     }
 
     /// Returns the engine's entry in the store.
-    pub fn entry(&self, address: SocketAddr) -> String {
+    pub fn entry(&self) -> String {
+        self.entry_with(1, "ready")
+    }
+
+    /// Returns a heartbeat with a number and a state.
+    pub fn entry_with(&self, seq: u64, state: &str) -> String {
+        let address = self.address;
         format!(
             "{{\"service\":\"{}\",\"address\":\"{address}\",\"zone\":\"kgn-a\",\"version\":\"v1\",\"slots\":{},\
-             \"state\":\"ready\",\"coldLeftMs\":0,\"seq\":1,\"born\":1764900000000}}",
+             \"state\":\"{state}\",\"coldLeftMs\":0,\"seq\":{seq},\"born\":1764900000000}}",
             self.service, self.slots
         )
     }
 
+    pub fn leave(&self) {
+        self.is_leaving.store(true, Ordering::SeqCst);
+    }
+
     fn serve(&self, mut stream: TcpStream) {
         stream.set_nodelay(true).ok();
         let Ok(copy) = stream.try_clone() else { return };
@@ -80,14 +92,11 @@
             return write_answer(stream, 421, &format!("X-Instance-Id: {}\r\n", self.id), b"");
         }
         self.record.note(&format!("run engine={} attempt={attempt} target={}", self.id, request.target));
-        self.arrivals.lock().unwrap().push((std::time::Instant::now(), attempt.clone()));
+        self.arrivals.lock().unwrap().push((Instant::now(), attempt.clone()));
         let running = self.running.fetch_add(1, Ordering::SeqCst) + 1;
-        let limit = match self.limit.lock().unwrap().as_str() {
-            "" => String::new(),
-            limit => format!("Server-Limit: {limit}\r\n"),
-        };
+        let leaving = if self.is_leaving.load(Ordering::SeqCst) { "Server-Leaving: 1\r\n" } else { "" };
         let marks = format!(
-            "{limit}X-Attempt-Id: {attempt}\r\nX-Server-Stamp: {}.{attempt}\r\nX-Instance-Load: {running},0,{}\r\n",
+            "{leaving}X-Attempt-Id: {attempt}\r\nX-Server-Stamp: {}.{attempt}\r\nX-Instance-Load: {running},0,{}\r\n",
             self.id, self.slots
         );
         let result = match request.header("x-token-count") {
--- a/review/standins/floor.rs
+++ b/review/standins/floor.rs
@@ -40,8 +40,8 @@
         let services = ["i-02d9e6b4", "i-5c5c5c5c"].map(|id| (id, SERVICE));
         let mut engines = Vec::new();
         for (id, service) in models.into_iter().chain(services) {
-            let (engine, address) = Engine::open(id, service, &record);
-            store.put("servers", id, &engine.entry(address));
+            let engine = Engine::open(id, service, &record);
+            store.put("servers", id, &engine.entry());
             engines.push(engine);
         }
         let work = std::env::temp_dir().join(format!("ebony-review-{}", std::process::id()));
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -8,6 +8,7 @@
 mod gateway;
 mod http;
 mod json;
+mod late_beat;
 mod record;
 mod store;
 
@@ -30,6 +31,7 @@
     let folder = Path::new(folder);
     let played = std::panic::catch_unwind(|| match case.as_str() {
         "budget" => budget::play(folder, has_trouble),
+        "late-beat" => late_beat::play(folder, has_trouble),
         "changes" => changes::play(folder, has_trouble),
         _ => cannot_run("there is no such case"),
     });
