--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -4,4 +4,9 @@
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.." || exit 2
 [ -x target/review/cases ] && [ -x target/release/ebonyswitch ] || { echo "cannot run: not built"; exit 2; }
-exec target/review/cases late-beat "$here"
+# The driver and the gateways are one process group, so that none of them is left if the script is stopped.
+set -m
+target/review/cases late-beat "$here" &
+driver=$!
+trap 'kill -TERM -- "-$driver"; exit 2' INT TERM
+wait "$driver"
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -2,13 +2,14 @@
 //! writes the record to FOLDER and exits with 1 if the rule was broken, 0 if it held and 2 if the case could not run.
 
 mod budget;
-mod changes;
 mod engine;
 mod floor;
 mod gateway;
 mod http;
 mod json;
 mod late_beat;
+mod lost_writes;
+mod random;
 mod record;
 mod store;
 
@@ -32,7 +33,7 @@
     let played = std::panic::catch_unwind(|| match case.as_str() {
         "budget" => budget::play(folder, has_trouble),
         "late-beat" => late_beat::play(folder, has_trouble),
-        "changes" => changes::play(folder, has_trouble),
+        "lost-writes" => lost_writes::play(folder, has_trouble),
         _ => cannot_run("there is no such case"),
     });
     std::process::exit(match played {
--- a/review/standins/store.rs
+++ b/review/standins/store.rs
@@ -11,6 +11,7 @@
 
 use crate::http::{Request, read_request, write_answer};
 use crate::json::Json;
+use crate::random::below;
 
 /// How the store treats the calls of one gateway.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -18,12 +19,8 @@
     Serving,
     /// No call is done or answered.
     Silent,
-    /// Every call is answered 503, and nothing is done.
-    Busy,
-    /// Answers take this much longer.
-    Slow(Duration),
-    /// Transactions are done after this time, if their condition still holds, and not answered. Reads are served.
-    LateWrites(Duration),
+    /// Transactions are done 1 to 6 s later, if their condition still holds, and not answered. Reads are served.
+    LateWrites,
 }
 
 type Name = (String, String, String);
@@ -41,6 +38,8 @@
 }
 
 pub struct Store {
+    /// The transactions since [`Store::start_count`], and how many of them were not answered.
+    counts: Mutex<(u64, u64)>,
     state: Mutex<State>,
     changed: Condvar,
     started: Instant,
@@ -66,7 +65,7 @@
 
 impl Store {
     pub fn open() -> Arc<Self> {
-        Arc::new(Self { state: Mutex::default(), changed: Condvar::new(), started: Instant::now() })
+        Arc::new(Self { counts: Mutex::default(), state: Mutex::default(), changed: Condvar::new(), started: Instant::now() })
     }
 
     pub fn endpoint(self: &Arc<Self>) -> Endpoint {
@@ -91,11 +90,18 @@
         self.changed.notify_all();
     }
 
-    /// Returns the rows of a table as (part, key, bytes).
-    pub fn rows(&self, table: &str) -> Vec<(String, String, String)> {
-        let state = self.state.lock().unwrap();
-        let rows = state.rows.iter().filter(|((name, ..), _)| name == table);
-        rows.map(|((_, part, key), (value, _))| (part.clone(), key.clone(), value.clone())).collect()
+    pub fn start_count(&self) {
+        *self.counts.lock().unwrap() = (0, 0);
+    }
+
+    /// Returns the transactions since [`Store::start_count`], and how many of them were not answered.
+    pub fn counts(&self) -> (u64, u64) {
+        *self.counts.lock().unwrap()
+    }
+
+    fn count(&self, lost: u64) {
+        let mut counts = self.counts.lock().unwrap();
+        *counts = (counts.0 + 1, counts.1 + lost);
     }
 
     fn serve(&self, mut stream: TcpStream, mode: &Mutex<Mode>) {
@@ -107,18 +113,13 @@
             let is_write = request.path() == "/rows-tx";
             match now {
                 Mode::Silent => return hold(stream),
-                Mode::Busy => {
-                    if write_answer(&mut stream, 503, "", b"{}").is_err() {
-                        return;
-                    }
-                    continue;
-                }
-                Mode::LateWrites(delay) if is_write => {
-                    thread::sleep(delay);
+                Mode::LateWrites if is_write => {
+                    self.count(1);
+                    thread::sleep(Duration::from_millis(1_000 + below(5_000)));
                     self.answer(&request, mode);
                     return hold(stream);
                 }
-                Mode::Slow(delay) => thread::sleep(delay),
+                _ if is_write => self.count(0),
                 _ => {}
             }
             thread::sleep(if is_write { ANSWER_TIME + TRANSACTION_TIME } else { ANSWER_TIME });
