--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -2,6 +2,7 @@
 //! writes the record to FOLDER and exits with 1 if the rule was broken, 0 if it held and 2 if the case could not run.
 
 mod budget;
+mod dark_crash;
 mod engine;
 mod floor;
 mod gateway;
@@ -32,6 +33,7 @@
     let folder = Path::new(folder);
     let played = std::panic::catch_unwind(|| match case.as_str() {
         "budget" => budget::play(folder, has_trouble),
+        "dark-crash" => dark_crash::play(folder, has_trouble),
         "late-beat" => late_beat::play(folder, has_trouble),
         "lost-writes" => lost_writes::play(folder, has_trouble),
         _ => cannot_run("there is no such case"),
