--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -6,7 +6,7 @@
 [ -x target/review/cases ] && [ -x target/release/ebonyswitch ] || { echo "cannot run: not built"; exit 2; }
 # The driver and the gateways are one process group, so that none of them is left if the script is stopped.
 set -m
-target/review/cases dark-crash "$here" &
+target/review/cases late-beat "$here" &
 driver=$!
 trap 'kill -TERM -- "-$driver"; exit 2' INT TERM
 wait "$driver"
