--- a/review/standins/gateway.rs
+++ b/review/standins/gateway.rs
@@ -78,17 +78,6 @@
         }
     }
 
-    /// Sends a signal, such as `TERM`.
-    pub fn signal(&self, signal: &str) {
-        if let Some(child) = &self.child {
-            Command::new("kill").arg(format!("-{signal}")).arg(child.id().to_string()).status().ok();
-        }
-    }
-
-    pub fn is_running(&mut self) -> bool {
-        self.child.as_mut().is_some_and(|child| matches!(child.try_wait(), Ok(None)))
-    }
-
     /// Kills the process with SIGKILL.
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
--- a/review/standins/http.rs
+++ b/review/standins/http.rs
@@ -5,7 +5,6 @@
 use std::time::{Duration, Instant};
 
 pub struct Request {
-    pub method: String,
     pub target: String,
     pub headers: Vec<(String, String)>,
     pub body: Vec<u8>,
@@ -88,7 +87,7 @@
 pub fn read_request(reader: &mut impl BufRead) -> io::Result<Option<Request>> {
     let Some((first, headers)) = read_head(reader)? else { return Ok(None) };
     let mut words = first.split(' ');
-    let (method, target) = (words.next().unwrap_or(""), words.next().unwrap_or(""));
+    let target = words.nth(1).unwrap_or("");
     let mut body = Vec::new();
     if find(&headers, "transfer-encoding").is_some() {
         loop {
@@ -102,7 +101,7 @@
         body = vec![0; length.parse().unwrap_or(0)];
         reader.read_exact(&mut body)?;
     }
-    Ok(Some(Request { method: method.to_owned(), target: target.to_owned(), headers, body }))
+    Ok(Some(Request { target: target.to_owned(), headers, body }))
 }
 
 pub fn write_answer(stream: &mut TcpStream, status: u16, headers: &str, body: &[u8]) -> io::Result<()> {
