Customers: names, rules, key lookup and the identity of a call

Gateways must know on whose behalf a call is made. Adds CustomerName, CustomerRule, CallerIdentity and CustomerDirectory; RoutingTable::identify decides from the digest of a key, and RoutedCall carries the identity and the urgency that follows from it. X-Tenant is reserved and sent to targets, credentials are not sent to targets while customers are configured, and the fingerprint of a request has the customer's name. Customers are not read from the configuration yet.

Run: cargo build -p ebony_gateway -p ebony_adapter; cargo test -p ebony_types -p ebony_routing.

--- a/crates/ebony_dialect/src/call.rs
+++ b/crates/ebony_dialect/src/call.rs
@@ -44,6 +44,8 @@
     pub prompt: Vec<PromptPart>,
     /// The turn that this one continues, as sent by the caller. Routes that do not store turns ignore it.
     pub previous_turn: Option<String>,
+    /// The object that the call is about, as named by the caller.
+    pub object: Option<String>,
     /// The last event of this stream that the caller has received.
     pub resumes_after: Option<u64>,
 }
--- a/crates/ebony_dialect/src/lib.rs
+++ b/crates/ebony_dialect/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod answer;
 pub mod attempt;
 pub mod call;
+pub mod credential;
 pub mod records;
 
 use http::{HeaderMap, HeaderName, HeaderValue};
@@ -14,6 +15,7 @@
 pub use answer::{AnswerHead, LeavingNotice, LimitNotice};
 pub use attempt::AttemptHead;
 pub use call::{CallHead, ProgramHead, TokenCount};
+pub use credential::CallerCredential;
 pub use records::{DecodeError, RecordDialect};
 
 /// Translates the header fields of calls and answers.
@@ -21,6 +23,12 @@
     /// Decodes the header fields of a call. A malformed field counts as absent.
     fn decode_call(&self, headers: &HeaderMap) -> CallHead;
 
+    /// Decodes the credential of a call. It is asked for only if the configuration has customers.
+    fn decode_credential(&self, headers: &HeaderMap) -> CallerCredential;
+
+    /// Returns whether a field contains a credential. If the configuration has customers, targets do not get it.
+    fn is_credential(&self, name: &HeaderName) -> bool;
+
     /// Returns whether a field from a caller is dropped, because only the system may set it.
     fn is_reserved(&self, name: &HeaderName) -> bool;
 
--- a/crates/ebony_gateway/src/attempts.rs
+++ b/crates/ebony_gateway/src/attempts.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use ebony_dialect::{AnswerHead, AttemptHead};
 use ebony_dispatch::{PlacementRequest, TargetKey, place};
-use ebony_routing::CallSemantics;
+use ebony_routing::{CallSemantics, CallerIdentity};
 use ebony_types::{ProblemCode, TargetName};
 use http::Request;
 use http_body_util::Full;
@@ -266,9 +266,12 @@
         let mut request = Request::new(Full::new(call.body.clone()));
         *request.method_mut() = call.request.method.clone();
         *request.uri_mut() = call.request.uri.clone();
+        // With customers configured, a credential is an API key, which concerns the gateways only.
+        let hides_credential = *call.identity() != CallerIdentity::Unrestricted;
         let headers = request.headers_mut();
         for (name, value) in &call.request.headers {
-            if !dialect.is_reserved(name) {
+            let is_dropped = dialect.is_reserved(name) || (hides_credential && dialect.is_credential(name));
+            if !is_dropped {
                 headers.append(name, value.clone());
             }
         }
@@ -276,6 +279,7 @@
             target,
             time_left,
             urgency: None,
+            customer: call.customer(),
             resumes_after: None,
         };
         for (name, value) in dialect.encode_attempt(&attempt) {
--- a/crates/ebony_gateway/src/call.rs
+++ b/crates/ebony_gateway/src/call.rs
@@ -20,6 +20,7 @@
 use crate::conversations::store::FindError;
 use crate::crashes::RequestFingerprint;
 use crate::gateway::{Gateway, OpenCallGuard};
+use crate::identity;
 use crate::intake::{self, RequestHead};
 use crate::open_turn::{CoverError, OpenTurn};
 use crate::refusal::{CallRefusal, NO_TARGET_RETRY_AFTER, Result};
@@ -128,24 +129,27 @@
     }
     let routing = gateway.routing().ok_or_else(unavailable)?;
     let limits = routing.limits();
+    if routing.has_customers() {
+        // Refuses the call before its body is read.
+        let route = intake::find_route(&request, &routing)?;
+        identity::identify(gateway, &request.headers, route, &routing, log)?;
+    }
     intake::check_size(&request, limits)?;
     let body = intake::read_body(payload, limits).await?;
     // The configuration may have changed while the body arrived.
     let routing = gateway.routing().ok_or_else(unavailable)?;
-    let no_route = || CallRefusal::not_run(ProblemCode::NotFound, "no route for the host and path");
-    let route = routing
-        .route(&request.host, request.path())
-        .ok_or_else(no_route)?;
-    log.set_route(&route.name, routing.version().0);
+    let route = intake::find_route(&request, &routing)?;
+    let identity = identity::identify(gateway, &request.headers, route, &routing, log)?;
+    let urgency = identity::urgency(&identity, route, &routing);
     let service = route
         .service_for(rendezvous_weight(affinity_key(&head), &route.name))
-        .ok_or_else(no_route)?;
+        .ok_or_else(intake::no_route)?;
     let timeout = head.time_left.unwrap_or(route.timeout).min(route.timeout);
     let rule = routing.service(service);
     let engine = rule.and_then(|rule| rule.engine);
     let connections = rule.map_or(u32::MAX, |rule| rule.target_connections);
     let gateways = u32::try_from(gateway.fleet.len()).unwrap_or(u32::MAX);
-    let fingerprint = RequestFingerprint::open(&request, &body);
+    let fingerprint = RequestFingerprint::open(&request, &identity, &body);
     log.set_fingerprint(&fingerprint);
     let permit = gateway.crashes.admit(&fingerprint)?;
     Ok(RoutedCall {
@@ -153,6 +157,8 @@
         fingerprint,
         permit,
         route: Rc::clone(route),
+        identity,
+        urgency,
         service: service.clone(),
         engine,
         max_connections: (connections / gateways.max(1)).max(MIN_TARGET_CONNECTIONS),
@@ -223,7 +229,7 @@
     let gate = gates
         .entry(call.service.clone())
         .or_insert_with(|| ProgramGate::open(now));
-    match gate.admit(load, call.route.urgency, &options, now) {
+    match gate.admit(load, call.urgency(), &options, now) {
         ProgramAdmission::Admitted => Ok(()),
         ProgramAdmission::Refused { load } => {
             log.set_load(load);
--- a/crates/ebony_gateway/src/call_log.rs
+++ b/crates/ebony_gateway/src/call_log.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use ebony_types::{ClockTime, ProblemCode, RunVerdict};
+use ebony_types::{ClockTime, CustomerName, ProblemCode, RunVerdict};
 
 use crate::crashes::RequestFingerprint;
 use crate::decision_log::LineKind;
@@ -77,6 +77,10 @@
     program: String,
     route: String,
     routing_version: u64,
+    /// The customer that the call is made for.
+    customer: Option<CustomerName>,
+    /// Why the call has no customer, if it was refused for that.
+    credential: Option<&'static str>,
     /// The program's budget and the turn's maximum tokens, if there is a budget.
     budget: Option<(u64, u64)>,
     /// The turn that this one continues.
@@ -107,6 +111,8 @@
             program: program.to_owned(),
             route: String::new(),
             routing_version: 0,
+            customer: None,
+            credential: None,
             budget: None,
             previous: None,
             chain: None,
@@ -128,6 +134,15 @@
         self.routing_version = routing_version;
     }
 
+    pub(crate) fn set_customer(&mut self, customer: Option<&CustomerName>) {
+        self.customer = customer.cloned();
+    }
+
+    /// Sets why the call has no customer.
+    pub(crate) fn set_credential(&mut self, credential: &'static str) {
+        self.credential = Some(credential);
+    }
+
     pub(crate) fn set_budget(&mut self, budget: u64, most_tokens: u64) {
         self.budget = Some((budget, most_tokens));
     }
@@ -257,6 +272,8 @@
             "program" => &self.program,
             "route" => &self.route,
             "routing_version" => self.routing_version,
+            "customer" => self.customer.as_ref().map(CustomerName::as_str),
+            "credential" => self.credential,
             "budget" => self.budget.map(|(budget, _)| budget),
             "most_tokens" => self.budget.map(|(_, most)| most),
             "previous" => &self.previous,
--- /dev/null
+++ b/crates/ebony_gateway/src/identity.rs
@@ -0,0 +1,58 @@
+//! Decides on whose behalf a call is made.
+
+use ebony_dialect::CallerCredential;
+use ebony_routing::{CallerIdentity, KeyError, RouteRule, RoutingTable};
+use ebony_types::ProblemCode;
+use http::HeaderMap;
+
+use crate::call_log::CallLog;
+use crate::gateway::Gateway;
+use crate::refusal::{CallRefusal, Result};
+
+/// Decides on whose behalf a call on a route is made.
+///
+/// # Errors
+///
+/// Fails if the route requires a known key and the call has none. The refusal does not say whether several customers
+/// have the key, because that would show that it exists.
+pub(crate) fn identify(
+    gateway: &Gateway,
+    headers: &HeaderMap,
+    route: &RouteRule,
+    routing: &RoutingTable,
+    log: &mut CallLog,
+) -> Result<CallerIdentity> {
+    log.set_route(&route.name, routing.version().0);
+    if !routing.has_customers() {
+        return Ok(CallerIdentity::Unrestricted);
+    }
+    let credential = gateway.dialect.decode_credential(headers);
+    match routing.identify(route, credential.key()) {
+        Ok(identity) => {
+            log.set_customer(identity.customer());
+            Ok(identity)
+        }
+        Err(error) => {
+            log.set_customer(None);
+            log.set_credential(credential_text(&credential, error));
+            let detail = "the route requires a known API key";
+            Err(CallRefusal::not_run(ProblemCode::Unauthorized, detail))
+        }
+    }
+}
+
+/// Returns why a call has no customer, as text for logs.
+fn credential_text(credential: &CallerCredential, error: KeyError) -> &'static str {
+    match error {
+        KeyError::Missing => credential.as_str(),
+        KeyError::Unknown => "unknown_key",
+        KeyError::Shared => "shared_key",
+    }
+}
+
+/// Returns the urgency of a call: that of its customer, or else of its route.
+pub(crate) fn urgency(identity: &CallerIdentity, route: &RouteRule, routing: &RoutingTable) -> u8 {
+    let customer = identity.customer().and_then(|name| routing.customer(name));
+    let priority = customer.and_then(|customer| customer.priority);
+    priority.unwrap_or(route.urgency)
+}
--- a/crates/ebony_gateway/src/intake.rs
+++ b/crates/ebony_gateway/src/intake.rs
@@ -1,13 +1,14 @@
 //! Reads and validates the head and the body of a caller's request.
 
 use std::cell::Cell;
+use std::rc::Rc;
 use std::time::Duration;
 
 use actix_web::HttpRequest;
 use actix_web::http::header as caller_header;
 use actix_web::web::Payload;
 use bytes::{Bytes, BytesMut};
-use ebony_routing::CallerLimits;
+use ebony_routing::{CallerLimits, RouteRule, RoutingTable};
 use ebony_types::ProblemCode;
 use futures_util::StreamExt;
 use http::header::{HeaderMap, HeaderName, HeaderValue};
@@ -129,6 +130,20 @@
     timeout(BODY_TIMEOUT, reading).await.unwrap_or(Err(too_slow))
 }
 
+/// Returns the route of a request.
+///
+/// # Errors
+///
+/// Fails if there is none.
+pub(crate) fn find_route<'t>(head: &RequestHead, routing: &'t RoutingTable) -> Result<&'t Rc<RouteRule>> {
+    routing.route(&head.host, head.path()).ok_or_else(no_route)
+}
+
+/// Returns the refusal of a request without a route.
+pub(crate) fn no_route() -> CallRefusal {
+    CallRefusal::not_run(ProblemCode::NotFound, "no route for the host and path")
+}
+
 fn bad_request(detail: &'static str) -> CallRefusal {
     CallRefusal::not_run(ProblemCode::BadRequest, detail)
 }
--- a/crates/ebony_gateway/src/lib.rs
+++ b/crates/ebony_gateway/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod events;
 pub mod fleet;
 pub mod gateway;
+mod identity;
 pub mod intake;
 mod leaving;
 mod limits;
--- a/crates/ebony_gateway/src/limits/patience.rs
+++ b/crates/ebony_gateway/src/limits/patience.rs
@@ -20,7 +20,7 @@
     /// started, and less if refusing it wastes less work.
     pub(crate) fn permit_patience(&self) -> Duration {
         let has_started = self.head.program.is_some() && (self.engine.is_none() || self.has_history());
-        let share = match self.route.urgency {
+        let share = match self.urgency() {
             _ if has_started => STARTED_PERMIT_SHARE,
             _ if self.head.program.is_some() => FIRST_TURN_PERMIT_SHARE,
             0 => URGENT_PERMIT_SHARE,
--- a/crates/ebony_gateway/src/routed_call.rs
+++ b/crates/ebony_gateway/src/routed_call.rs
@@ -4,8 +4,8 @@
 
 use bytes::Bytes;
 use ebony_dialect::CallHead;
-use ebony_routing::{EngineRule, RouteRule};
-use ebony_types::{ClockTime, ServiceName};
+use ebony_routing::{CallerIdentity, EngineRule, RouteRule};
+use ebony_types::{ClockTime, CustomerName, ServiceName};
 
 use crate::conversations::KeptTurn;
 use crate::crashes::{CrashPermit, RequestFingerprint};
@@ -26,6 +26,10 @@
     /// The turn, if its route keeps conversations.
     pub(crate) kept: Option<KeptTurn>,
     pub(crate) route: Rc<RouteRule>,
+    /// On whose behalf the call is made, by the configuration that was in force when its body had been read.
+    pub(crate) identity: CallerIdentity,
+    /// The urgency of the customer, or else of the route; 0 is the most urgent.
+    pub(crate) urgency: u8,
     pub(crate) service: ServiceName,
     pub(crate) engine: Option<EngineRule>,
     /// The maximum number of connections from this gateway to one target.
@@ -38,6 +42,21 @@
 const FIRST_TURN_PARTS: usize = 2;
 
 impl RoutedCall {
+    /// Returns on whose behalf the call is made.
+    pub(crate) fn identity(&self) -> &CallerIdentity {
+        &self.identity
+    }
+
+    /// Returns the customer of the call, if it has one.
+    pub(crate) fn customer(&self) -> Option<&CustomerName> {
+        self.identity.customer()
+    }
+
+    /// Returns the urgency of the call, which is that of its customer or else of its route; 0 is the most urgent.
+    pub(crate) fn urgency(&self) -> u8 {
+        self.urgency
+    }
+
     /// Returns whether the prompt contains earlier turns of the program.
     pub(crate) fn has_history(&self) -> bool {
         match &self.kept {
--- a/crates/ebony_routing/src/route.rs
+++ b/crates/ebony_routing/src/route.rs
@@ -80,6 +80,10 @@
     pub services: Vec<ServiceShare>,
     /// The rule for agent programs, if the route carries their turns.
     pub program: Option<ProgramRule>,
+    /// Whether calls need no key although customers are configured.
+    pub is_public: bool,
+    /// Whether calls about one object prefer the target that served it before.
+    pub is_sticky: bool,
 }
 
 impl RouteRule {
--- a/crates/ebony_routing/src/table.rs
+++ b/crates/ebony_routing/src/table.rs
@@ -4,8 +4,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use ebony_types::ServiceName;
+use ebony_types::{CustomerName, ServiceName};
 
+use crate::customer::{CallerIdentity, CustomerFault, CustomerRule, KeyDigest};
+use crate::directory::{CustomerDirectory, Result};
 use crate::route::RouteRule;
 use crate::service::ServiceRule;
 
@@ -49,6 +51,8 @@
 ///     urgency: 0,
 ///     services: Vec::new(),
 ///     program: None,
+///     is_public: false,
+///     is_sticky: false,
 /// };
 /// let routes = vec![rule("all", "/"), rule("stock", "/stock/")];
 /// let table = RoutingTable::open(RoutingVersion(7), routes, Vec::new(), limits);
@@ -63,6 +67,8 @@
     routes: HashMap<String, Vec<Rc<RouteRule>>>,
     services: HashMap<ServiceName, ServiceRule>,
     limits: CallerLimits,
+    /// The customers; `None` if the configuration has none, so that calls need no key.
+    customers: Option<CustomerDirectory>,
 }
 
 impl RoutingTable {
@@ -89,9 +95,18 @@
                 .map(|rule| (rule.name.clone(), rule))
                 .collect(),
             limits,
+            customers: None,
         }
     }
 
+    /// Adds customers. From then on, calls on routes that are not public need a known key, even if there are no
+    /// customers in the directory.
+    #[must_use]
+    pub fn with_customers(mut self, customers: CustomerDirectory) -> Self {
+        self.customers = Some(customers);
+        self
+    }
+
     /// Returns the version.
     pub fn version(&self) -> RoutingVersion {
         self.version
@@ -115,6 +130,49 @@
         self.routes.values().flatten()
     }
 
+    /// Returns whether customers are configured, which includes an empty list of them.
+    pub fn has_customers(&self) -> bool {
+        self.customers.is_some()
+    }
+
+    /// Returns a customer.
+    pub fn customer(&self, name: &CustomerName) -> Option<&Rc<CustomerRule>> {
+        self.customers.as_ref()?.customer(name)
+    }
+
+    /// Returns all customers, in unspecified order.
+    pub fn customers(&self) -> impl Iterator<Item = &Rc<CustomerRule>> {
+        self.customers.iter().flat_map(CustomerDirectory::customers)
+    }
+
+    /// Returns the parts of the list of customers that could not be used as they were written.
+    pub fn customer_faults(&self) -> &[CustomerFault] {
+        self.customers.as_ref().map_or(&[], CustomerDirectory::faults)
+    }
+
+    /// Decides on whose behalf a call is made. `key` is `None` if the call has no usable key.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the route requires a known key and the call has none.
+    pub fn identify(&self, route: &RouteRule, key: Option<&KeyDigest>) -> Result<CallerIdentity> {
+        let Some(customers) = &self.customers else {
+            return Ok(CallerIdentity::Unrestricted);
+        };
+        match customers.find(key) {
+            Ok(rule) => Ok(CallerIdentity::Customer(rule.name.clone())),
+            Err(_) if route.is_public => Ok(CallerIdentity::Public),
+            Err(error) => Err(error),
+        }
+    }
+
+    /// Replaces the quotas that could not be read by those that were in force in `before`.
+    pub fn keep_quotas(&mut self, before: &Self) {
+        if let (Some(customers), Some(before)) = (&mut self.customers, &before.customers) {
+            customers.keep_quotas(before);
+        }
+    }
+
     /// Returns a service.
     pub fn service(&self, name: &ServiceName) -> Option<&ServiceRule> {
         self.services.get(name)
--- a/crates/ebony_routing/tests/routes.rs
+++ b/crates/ebony_routing/tests/routes.rs
@@ -21,6 +21,8 @@
         urgency: 0,
         services: services.collect(),
         program: None,
+        is_public: false,
+        is_sticky: false,
     }
 }
 
--- a/crates/ebony_types/src/lib.rs
+++ b/crates/ebony_types/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod budget;
 pub mod call;
 pub mod clock_time;
+pub mod customer;
 pub mod id;
 pub mod limits;
 pub mod name;
@@ -18,6 +19,7 @@
     pub use crate::budget::{BudgetUse, ProgramBudget};
     pub use crate::call::{CallKind, CallRequest, CallUsage, HeaderField, RequestDigest};
     pub use crate::clock_time::ClockTime;
+    pub use crate::customer::CustomerName;
     pub use crate::id::{CallId, FencingToken, ProcessIncarnation, ProgramId, SessionId, ShardKey};
     pub use crate::name::{
         CallerName, DomainName, HostName, IdempotencyKey, ModelName, ProgramName, ServiceName, TargetName,
