--- a/crates/ebony_gateway/src/call.rs
+++ b/crates/ebony_gateway/src/call.rs
@@ -139,7 +139,7 @@
     let routing = gateway.routing().ok_or_else(unavailable)?;
     let route = intake::find_route(&request, &routing)?;
     let identity = identity::identify(gateway, &request.headers, route, &routing, log)?;
-    let urgency = identity::urgency(&identity, route, &routing);
+    let urgency = routing.urgency(route, &identity);
     // Turns of programs stay at the engine that has their prompt cached, whatever object they are about.
     let object = match route.program {
         Some(_) => None,
--- a/crates/ebony_gateway/src/identity.rs
+++ b/crates/ebony_gateway/src/identity.rs
@@ -55,10 +55,3 @@
         KeyError::Shared => "shared_key",
     }
 }
-
-/// Returns the urgency of a call: that of its customer, or else of its route.
-pub(crate) fn urgency(identity: &CallerIdentity, route: &RouteRule, routing: &RoutingTable) -> u8 {
-    let customer = identity.customer().and_then(|name| routing.customer(name));
-    let priority = customer.and_then(|customer| customer.priority);
-    priority.unwrap_or(route.urgency)
-}
--- a/crates/ebony_routing/src/table.rs
+++ b/crates/ebony_routing/src/table.rs
@@ -166,6 +166,13 @@
         }
     }
 
+    /// Returns the urgency of a call: that of its customer, or else of its route; 0 is the most urgent.
+    pub fn urgency(&self, route: &RouteRule, identity: &CallerIdentity) -> u8 {
+        let customer = identity.customer().and_then(|name| self.customer(name));
+        let priority = customer.and_then(|customer| customer.priority);
+        priority.unwrap_or(route.urgency)
+    }
+
     /// Replaces the quotas that could not be read by those that were in force in `before`.
     pub fn keep_quotas(&mut self, before: &Self) {
         if let (Some(customers), Some(before)) = (&mut self.customers, &before.customers) {
