--- a/crates/ebony_gateway/src/call.rs
+++ b/crates/ebony_gateway/src/call.rs
@@ -127,16 +127,21 @@
         return Err(refusal.retry_after(STOPPING_RETRY_AFTER));
     }
     let routing = gateway.routing().ok_or_else(unavailable)?;
+    log.set_version(routing.version());
     let limits = routing.limits();
     if routing.has_customers() {
         // Refuses the call before its body is read.
-        let route = intake::find_route(&request, &routing)?;
-        identity::identify(gateway, &request.headers, route, &routing, log)?;
+        let checked = identity::check_head(gateway, &request, &routing, log);
+        if let Err(refusal) = checked {
+            let is_discarded = intake::discard_body(payload).await;
+            return Err(refusal.close_connection(!is_discarded));
+        }
     }
     intake::check_size(&request, limits)?;
     let body = intake::read_body(payload, limits).await?;
     // The configuration may have changed while the body arrived.
     let routing = gateway.routing().ok_or_else(unavailable)?;
+    log.set_version(routing.version());
     let route = intake::find_route(&request, &routing)?;
     let identity = identity::identify(gateway, &request.headers, route, &routing, log)?;
     let urgency = routing.urgency(route, &identity);
--- a/crates/ebony_gateway/src/call_log.rs
+++ b/crates/ebony_gateway/src/call_log.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use ebony_routing::RoutingVersion;
 use ebony_types::{ClockTime, CustomerName, ProblemCode, RunVerdict};
 
 use crate::conversations::FindError;
@@ -133,9 +134,13 @@
         }
     }
 
-    pub(crate) fn set_route(&mut self, route: &str, routing_version: u64) {
+    /// Sets the version of the configuration by which the call is decided.
+    pub(crate) fn set_version(&mut self, version: RoutingVersion) {
+        self.routing_version = version.0;
+    }
+
+    pub(crate) fn set_route(&mut self, route: &str) {
         route.clone_into(&mut self.route);
-        self.routing_version = routing_version;
     }
 
     pub(crate) fn set_customer(&mut self, customer: Option<&CustomerName>) {
--- a/crates/ebony_gateway/src/customers.rs
+++ b/crates/ebony_gateway/src/customers.rs
@@ -16,8 +16,8 @@
 /// The label of the calls of all other customers.
 const OTHER_CUSTOMERS: &str = "others";
 
-/// The maximum number of log lines on the faults of one version of the configuration. Metrics count all of them.
-const MAX_FAULT_LINES: usize = 20;
+/// The maximum number of faults of one version of the configuration in a log line. Metrics count all of them.
+const MAX_LOGGED_FAULTS: usize = 20;
 
 /// The outcomes of calls, which are removed together with the label of a customer.
 const OUTCOMES: [&str; 4] = ["answered", "refused", "broken_off", "caller_left"];
@@ -72,16 +72,16 @@
 /// Logs and counts the parts of the list of customers that could not be used as they were written.
 pub(crate) fn report_faults(gateway: &Gateway, routing: &RoutingTable) {
     let faults = routing.customer_faults();
-    for (index, fault) in faults.iter().enumerate() {
-        let kind = fault.kind.as_str();
-        gateway.metrics.customer_faults.with_label_values(&[kind]).inc();
-        if index < MAX_FAULT_LINES {
-            warn!(gateway.logger, "a customer's entry cannot be used as it is";
-                "kind" => kind, "place" => &fault.place, "version" => routing.version().0);
-        }
+    if faults.is_empty() {
+        return;
     }
-    if faults.len() > MAX_FAULT_LINES {
-        warn!(gateway.logger, "more entries of customers cannot be used as they are";
-            "entries" => faults.len() - MAX_FAULT_LINES, "version" => routing.version().0);
+    for fault in faults {
+        let labels = [fault.kind.as_str()];
+        gateway.metrics.customer_faults.with_label_values(&labels).inc();
     }
+    let shown = faults.iter().take(MAX_LOGGED_FAULTS);
+    let shown = shown.map(|fault| format!("{} at {}", fault.kind.as_str(), fault.place));
+    warn!(gateway.logger, "some customers are not configured as written";
+        "version" => routing.version().0, "faults" => faults.len(),
+        "places" => shown.collect::<Vec<_>>().join("; "));
 }
--- a/crates/ebony_gateway/src/identity.rs
+++ b/crates/ebony_gateway/src/identity.rs
@@ -7,6 +7,7 @@
 
 use crate::call_log::CallLog;
 use crate::gateway::Gateway;
+use crate::intake::{self, RequestHead};
 use crate::refusal::{CallRefusal, Result};
 
 /// Decides on whose behalf a call on a route is made.
@@ -22,7 +23,7 @@
     routing: &RoutingTable,
     log: &mut CallLog,
 ) -> Result<CallerIdentity> {
-    log.set_route(&route.name, routing.version().0);
+    log.set_route(&route.name);
     if !routing.has_customers() {
         return Ok(CallerIdentity::Unrestricted);
     }
@@ -47,6 +48,21 @@
     }
 }
 
+/// Checks by the head of a request whether its route exists and whether it has the key that the route requires.
+///
+/// # Errors
+///
+/// Fails if there is no route, or if the route requires a known key and the request has none.
+pub(crate) fn check_head(
+    gateway: &Gateway,
+    head: &RequestHead,
+    routing: &RoutingTable,
+    log: &mut CallLog,
+) -> Result<()> {
+    let route = intake::find_route(head, routing)?;
+    identify(gateway, &head.headers, route, routing, log).map(drop)
+}
+
 /// Returns why a call has no customer, as text for logs.
 fn credential_text(credential: &CallerCredential, error: KeyError) -> &'static str {
     match error {
--- a/crates/ebony_gateway/src/intake.rs
+++ b/crates/ebony_gateway/src/intake.rs
@@ -20,6 +20,13 @@
 /// The time within which the whole body has to arrive.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// The largest body of a refused request that is read and discarded. Turns of programs are below it.
+const MAX_DISCARDED_BYTES: usize = 64 * 1024;
+
+/// The time within which the body of a refused request has to arrive, if the connection is to stay open. It covers a
+/// body that callers send in segments of their own behind the head, and delays the refusal of those that do not.
+const DISCARD_TIMEOUT: Duration = Duration::from_millis(50);
+
 /// Header fields that are not forwarded, because they are hop-by-hop or depend on how one connection frames the
 /// message. Of a request, those that `Connection` names are dropped as well.
 const CONNECTION_FIELDS: [&str; 9] = [
@@ -130,6 +137,22 @@
     timeout(BODY_TIMEOUT, reading).await.unwrap_or(Err(too_slow))
 }
 
+/// Discards the body of a request that was refused by its head, if it is small and arrives at once, so that the
+/// connection can be used for the next request. Returns whether the whole body was discarded.
+pub(crate) async fn discard_body(mut payload: Payload) -> bool {
+    let reading = async {
+        let mut bytes = 0;
+        while let Some(chunk) = payload.next().await {
+            bytes += chunk.map_or(MAX_DISCARDED_BYTES + 1, |chunk| chunk.len());
+            if bytes > MAX_DISCARDED_BYTES {
+                return false;
+            }
+        }
+        true
+    };
+    timeout(DISCARD_TIMEOUT, reading).await.unwrap_or(false)
+}
+
 /// Returns the route of a request.
 ///
 /// # Errors
--- a/crates/ebony_gateway/src/refusal.rs
+++ b/crates/ebony_gateway/src/refusal.rs
@@ -20,6 +20,8 @@
     pub report: ProblemReport,
     /// The time after which the caller may retry; set only if the call has not run.
     pub retry_after: Option<Duration>,
+    /// Whether the connection is closed after the answer, because the rest of the request was not read.
+    pub closes_connection: bool,
 }
 
 /// The result of a step of a call.
@@ -39,6 +41,7 @@
         Self {
             report: ProblemReport::not_run(code, detail),
             retry_after: None,
+            closes_connection: false,
         }
     }
 
@@ -47,6 +50,7 @@
         Self {
             report: ProblemReport::may_have_run(code, detail),
             retry_after: None,
+            closes_connection: false,
         }
     }
 
@@ -58,6 +62,14 @@
         self
     }
 
+    /// Sets whether the connection is closed after the answer. Callers are told, so that they send no further request on
+    /// it.
+    #[must_use]
+    pub(crate) fn close_connection(mut self, closes: bool) -> Self {
+        self.closes_connection = closes;
+        self
+    }
+
     /// Returns the response to the caller.
     pub(crate) fn into_response(self, call: Option<&str>, dialect: &dyn CallDialect) -> HttpResponse {
         let status = StatusCode::from_u16(self.report.status()).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
@@ -72,6 +84,9 @@
                 response.insert_header((name, value));
             }
         }
+        if self.closes_connection {
+            response.force_close();
+        }
         response.json(self.report.to_json())
     }
 }
--- a/crates/ebonyctl/src/run/explain.rs
+++ b/crates/ebonyctl/src/run/explain.rs
@@ -18,7 +18,7 @@
 const HEAD_MEMBERS: [&str; 5] = ["ts", "process", "msg", "level", "role"];
 
 /// Messages on the state of a process as it knew it, which explain its decisions.
-const STATE_MESSAGES: [&str; 15] = [
+const STATE_MESSAGES: [&str; 16] = [
     "accounts are not recorded",
     "accounts are recorded again",
     "configuration in force",
@@ -29,6 +29,7 @@
     "process serves",
     "readiness changed",
     "settings reloaded",
+    "some customers are not configured as written",
     "target broke off",
     "target is leaving",
     "target removed",
--- a/crates/ebonyctl/tests/explain.rs
+++ b/crates/ebonyctl/tests/explain.rs
@@ -77,3 +77,17 @@
 "#;
     insta::assert_snapshot!(LogTimeline::read("c1", [log.trim()]).to_text());
 }
+
+/// Guards against refused calls of customers whose line does not show what decided, and in which configuration.
+#[test]
+fn refused_calls_show_their_customer_their_credential_and_the_configuration() {
+    let log = r#"
+{"ts":"1","process":"g-1","msg":"configuration in force","version":3,"customers":2}
+{"ts":"2","process":"g-1","msg":"some customers are not configured as written","version":4,"faults":1,"places":"shared_key at lali, derua"}
+{"ts":"2","process":"g-1","msg":"configuration in force","version":4,"customers":2}
+{"ts":"3","process":"g-1","msg":"call ended","call":"c1","route":"look","routing_version":4,"credential":"shared_key","outcome":"refused","detail":"unauthorized: the route requires a known API key","run":"not_run"}
+{"ts":"4","process":"g-1","msg":"call ended","call":"c2","program":"c1","route":"talk","routing_version":4,"customer":"lali","previous":"t1","previous_error":"the turn of this name belongs to another customer","outcome":"refused","detail":"unknown_turn: the previous turn was not kept","run":"not_run"}
+{"ts":"5","process":"g-1","msg":"call ended","call":"c3","program":"c1","route":"","routing_version":4,"outcome":"refused","detail":"not_found: no route for the host and path","run":"not_run"}
+"#;
+    insta::assert_snapshot!(LogTimeline::read("c1", [log.trim()]).to_text());
+}
