--- a/crates/ebony_gateway/src/refusal.rs
+++ b/crates/ebony_gateway/src/refusal.rs
@@ -4,13 +4,16 @@
 
 use actix_web::HttpResponse;
 use actix_web::http::StatusCode;
-use actix_web::http::header::{HeaderName, HeaderValue, RETRY_AFTER};
+use actix_web::http::header::{HeaderName, HeaderValue, RETRY_AFTER, WWW_AUTHENTICATE};
 use ebony_dialect::CallDialect;
 use ebony_types::{ProblemCode, ProblemReport, RunVerdict};
 
 /// The `Retry-After` of a call that found no target: a heartbeat of the list of targets.
 pub(crate) const NO_TARGET_RETRY_AFTER: Duration = Duration::from_millis(500);
 
+/// The scheme of credentials that a call without a known key is asked for.
+const KEY_SCHEME: &str = "Bearer";
+
 /// The reason why no target answers a call, and whether the call may have run.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(thiserror::Error)]
@@ -74,6 +77,9 @@
     pub(crate) fn into_response(self, call: Option<&str>, dialect: &dyn CallDialect) -> HttpResponse {
         let status = StatusCode::from_u16(self.report.status()).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
         let mut response = HttpResponse::build(status);
+        if status == StatusCode::UNAUTHORIZED {
+            response.insert_header((WWW_AUTHENTICATE, KEY_SCHEME));
+        }
         if let Some(after) = self.retry_after {
             response.insert_header((RETRY_AFTER, format!("{:.3}", after.as_secs_f64())));
         }
