--- a/crates/ebony_limit/src/lib.rs
+++ b/crates/ebony_limit/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod bucket;
 pub mod desk;
 pub mod division;
+pub mod quota;
 pub mod rate;
 pub mod return_schedule;
 
