--- a/crates/ebony_limit/src/quota/block.rs
+++ b/crates/ebony_limit/src/quota/block.rs
@@ -97,14 +97,26 @@
     pub fn take(&mut self, is_first_turn: bool, now: ClockTime) -> Option<ClockTime> {
         self.expire(now);
         let is_usable = |block: &&mut TokenBlock| block.usable_at <= now;
-        if is_first_turn && !self.usable().any(|block| block.usable_at <= now && block.programs > 0) {
+        if is_first_turn
+            && !self
+                .usable()
+                .any(|block| block.usable_at <= now && block.programs > 0)
+        {
             return None;
         }
-        let token = self.blocks.iter_mut().filter(is_usable).find(|block| block.tokens > 0)?;
+        let token = self
+            .blocks
+            .iter_mut()
+            .filter(is_usable)
+            .find(|block| block.tokens > 0)?;
         token.tokens -= 1;
         let expires_at = token.expires_at;
         if is_first_turn {
-            let program = self.blocks.iter_mut().filter(is_usable).find(|block| block.programs > 0);
+            let program = self
+                .blocks
+                .iter_mut()
+                .filter(is_usable)
+                .find(|block| block.programs > 0);
             if let Some(program) = program {
                 program.programs -= 1;
             }
--- a/crates/ebony_limit/src/quota/issuer.rs
+++ b/crates/ebony_limit/src/quota/issuer.rs
@@ -34,9 +34,7 @@
     pub linked: usize,
     /// The number of gateways among which the quota is divided.
     pub gateways: usize,
-    /// The time for which another gateway may still be issuing.
-    pub doubt: Duration,
-    /// Since when the links to other gateways have been the same.
+    /// Since when it has heard from the same gateways.
     pub stable_since: ClockTime,
 }
 
@@ -51,6 +49,8 @@
 struct CustomerBooks {
     rule: QuotaRule,
     version: u64,
+    /// Until when another gateway may issue tokens too, because it has not heard yet that this one does.
+    doubt_until: ClockTime,
     requests: TokenBucket,
     programs: TokenBucket,
     need: ProgramNeed,
@@ -64,7 +64,6 @@
 /// Issues the tokens of customers.
 ///
 /// ```
-/// use std::time::Duration;
 /// use ebony_limit::RequestRate;
 /// use ebony_limit::quota::{IssuerView, QuotaAsk, QuotaIssuer, QuotaRule};
 /// use ebony_types::ClockTime;
@@ -72,7 +71,6 @@
 /// let view = IssuerView {
 ///     linked: 1,
 ///     gateways: 1,
-///     doubt: Duration::ZERO,
 ///     stable_since: ClockTime::default(),
 /// };
 /// let rule = QuotaRule::open(RequestRate::per_second(10.0)?, 5.0)?;
@@ -129,15 +127,16 @@
 
 impl CustomerBooks {
     fn open(ask: &QuotaAsk, view: IssuerView, now: ClockTime) -> Self {
-        // Another gateway may have issued tokens until the links changed.
-        let issuing = now.since(view.stable_since + UNHEARD_AFTER).as_secs_f64();
-        let due = issuing * effective_rate(&ask.rule, view);
+        // Another gateway may have issued tokens until it heard from this one.
+        let doubt_until = view.stable_since + UNHEARD_AFTER;
+        let due = now.since(doubt_until).as_secs_f64() * shares_rate(&ask.rule, view);
         let need = ProgramNeed::open(now);
         let level = due.min(ask.rule.capacity());
         let program_level = due.min(program_capacity(&ask.rule, need.requests()));
         Self {
             rule: ask.rule,
             version: ask.version,
+            doubt_until,
             requests: TokenBucket::open(level, now),
             programs: TokenBucket::open(program_level, now),
             need,
@@ -154,11 +153,8 @@
             (self.rule, self.version) = (ask.rule, ask.version);
         }
         self.need.record(ask.sent, ask.began, now);
-        self.credit(holder, ask, view, now);
-        let rate = effective_rate(&self.rule, view);
-        if !view.doubt.is_zero() {
-            return self.grant(0, 0, rate, view.doubt.as_secs_f64());
-        }
+        let rate = self.rate(view, now);
+        self.credit(holder, ask, rate, now);
         let ahead = rate * GRANT_AHEAD.as_secs_f64();
         let programs = self.take_programs(ask.programs);
         let due = whole(self.requests.level()).min(ask.wanted);
@@ -166,26 +162,31 @@
         let tokens = due.max(early.saturating_add(due).min(ask.waiting));
         self.requests.draw(f64::from(tokens));
         self.record_held(holder, ask.held.saturating_add(tokens), now);
-        self.grant(tokens, programs, rate, 0.0)
+        self.grant(tokens, programs, rate)
+    }
+
+    /// Returns the requests a second that may be granted: the shares of the gateways that the issuer hears from, and a
+    /// part of them while another gateway may be issuing them too.
+    fn rate(&self, view: IssuerView, now: ClockTime) -> f64 {
+        let part = if now < self.doubt_until {
+            self.rule.doubtful_part()
+        } else {
+            1.0
+        };
+        part * shares_rate(&self.rule, view)
     }
 
     /// Applies what became due and what the gateway reports of its earlier tokens.
-    fn credit(&mut self, holder: &str, ask: &QuotaAsk, view: IssuerView, now: ClockTime) {
+    fn credit(&mut self, holder: &str, ask: &QuotaAsk, rate: f64, now: ClockTime) {
         let known = self.held.get(holder).map_or(0, |held| held.tokens);
         self.record_held(holder, ask.held.min(known), now);
         self.expire_held(now);
-        let rate = effective_rate(&self.rule, view);
         let need = self.need.requests();
         let room = (self.rule.capacity() - self.outstanding as f64).max(0.0);
         self.requests.draw(-f64::from(ask.unused));
         self.programs.draw(-f64::from(ask.unused_programs) * need);
-        if view.doubt.is_zero() {
-            self.requests.fill(rate, room, now);
-            self.programs.fill(rate, program_capacity(&self.rule, need), now);
-        } else {
-            self.requests = TokenBucket::open(self.requests.level().min(0.0), now);
-            self.programs = TokenBucket::open(self.programs.level().min(0.0), now);
-        }
+        self.requests.fill(rate, room, now);
+        self.programs.fill(rate, program_capacity(&self.rule, need), now);
     }
 
     /// Takes the tokens of programs that may begin. None begins while the programs under way use all that is due.
@@ -199,25 +200,19 @@
         programs
     }
 
-    fn grant(&self, tokens: u32, programs: u32, rate: f64, doubt_s: f64) -> QuotaGrant {
+    fn grant(&self, tokens: u32, programs: u32, rate: f64) -> QuotaGrant {
         let need = self.need.requests();
         let ahead = rate * GRANT_AHEAD.as_secs_f64();
-        let holders = self.held.len().max(1) as f64;
-        let interval = 1.0 / rate.max(f64::EPSILON);
+        let due = self.requests.wait_for(0.0, rate);
+        let interval = self.held.len().max(1) as f64 / rate.max(f64::EPSILON);
         QuotaGrant {
             tokens,
             programs,
-            wait_us: micros(self.requests.wait_for(0.0, rate)),
-            next_token_us: micros(doubt_s + self.requests.wait_for((1.0 - ahead).max(0.0), rate)),
-            next_program_us: micros(
-                doubt_s
-                    + self
-                        .programs
-                        .wait_for(need, rate)
-                        .max(self.requests.wait_for(0.0, rate)),
-            ),
-            token_interval_us: micros(holders * interval),
-            program_interval_us: micros(holders * interval * need),
+            wait_us: micros(due),
+            next_token_us: micros(self.requests.wait_for((1.0 - ahead).max(0.0), rate)),
+            next_program_us: micros(self.programs.wait_for(need, rate).max(due)),
+            token_interval_us: micros(interval),
+            program_interval_us: micros(interval * need),
         }
     }
 
@@ -241,8 +236,8 @@
     }
 }
 
-/// Returns the requests a second that the issuer may grant: the shares of the gateways that it hears from.
-fn effective_rate(rule: &QuotaRule, view: IssuerView) -> f64 {
+/// Returns the shares of the gateways that the issuer hears from, in requests a second.
+fn shares_rate(rule: &QuotaRule, view: IssuerView) -> f64 {
     let linked = view.linked.min(view.gateways) as f64;
     rule.rate.as_per_second() * linked / view.gateways.max(1) as f64
 }
--- a/crates/ebony_limit/src/quota/purse.rs
+++ b/crates/ebony_limit/src/quota/purse.rs
@@ -13,8 +13,10 @@
 use super::rule::QuotaRule;
 use crate::return_schedule::ReturnSchedule;
 
-/// The time whose calls a block covers, and the time before it runs out at which the next one is asked for.
+/// The time whose calls a block covers, the fewest calls in it, and the time before it runs out at which the next one is
+/// asked for.
 const COVERED_TIME: Duration = Duration::from_millis(300);
+const MIN_COVERED_CALLS: f64 = 1.5;
 const REFILL_TIME: Duration = Duration::from_millis(100);
 
 /// The shortest and the longest time between two requests for tokens while there are too few.
@@ -180,8 +182,8 @@
         let lacking = waiting.saturating_sub(held);
         let demand = self.demand.per_second(now);
         let covered = demand * COVERED_TIME.as_secs_f64();
-        // A customer with fewer calls asks for each of them.
-        if covered < 1.0 {
+        // A customer with fewer calls asks for each of them; most tokens that are asked for earlier would expire.
+        if covered < MIN_COVERED_CALLS {
             return (lacking, lacking);
         }
         let spare = f64::from(held.saturating_sub(waiting));
@@ -321,7 +323,9 @@
             expires_at: now,
         };
         let tickets = waiting.into_keys().map(|(_, ticket)| ticket);
-        tickets.map(|ticket| (ticket, PurseDecision::Taken(stamp))).collect()
+        tickets
+            .map(|ticket| (ticket, PurseDecision::Taken(stamp)))
+            .collect()
     }
 
     /// Returns when a refused caller should come back.
@@ -331,12 +335,18 @@
             _ => (&mut self.token_returns, self.next_ask_at, self.intervals.0),
         };
         let wait = at.since(now).max(MIN_RETURN_DELAY);
-        schedule.delay(now, wait, interval).unwrap_or(CROWDED_RETURN_DELAY)
+        schedule
+            .delay(now, wait, interval)
+            .unwrap_or(CROWDED_RETURN_DELAY)
     }
 
     /// Returns whether the purse may be dropped: no call waits, and nothing was used for a time.
     pub(super) fn is_unused(&self, now: ClockTime, unused_time: Duration, share_time: Duration) -> bool {
-        let kept = if self.share.is_some() { share_time } else { unused_time };
+        let kept = if self.share.is_some() {
+            share_time
+        } else {
+            unused_time
+        };
         self.waiting.is_empty() && self.asked_at.is_none() && now.since(self.used_at) >= kept
     }
 }
--- a/crates/ebony_limit/src/quota/role.rs
+++ b/crates/ebony_limit/src/quota/role.rs
@@ -44,8 +44,6 @@
         linked: usize,
         /// The number of gateways among which the quota is divided.
         gateways: usize,
-        /// The time for which a gateway of higher rank may still be issuing.
-        doubt: Duration,
     },
     /// It asks this gateway for tokens.
     Asks {
@@ -54,10 +52,12 @@
         /// The number of gateways among which the quota is divided.
         gateways: usize,
     },
-    /// It reaches at most half of the gateways, and uses its own share only.
+    /// It has no issuer, and uses its own share only.
     Alone {
         /// The number of gateways among which the quota is divided.
         gateways: usize,
+        /// Whether another gateway may be issuing this share. If not, the gateway reaches at most half of the others.
+        in_doubt: bool,
     },
 }
 
@@ -76,8 +76,8 @@
 /// };
 /// let mut ranks = RankCache::default();
 /// let cut = [peer("b", PeerState::Gone, 9_000), peer("d", PeerState::Linked, 2_000)];
-/// assert_eq!(quota_role("c", "a", &cut, &mut ranks), QuotaRole::Alone { gateways: 3 });
-/// let role = QuotaRole::Issues { linked: 1, gateways: 1, doubt: Duration::ZERO };
+/// assert_eq!(quota_role("c", "a", &cut, &mut ranks), QuotaRole::Alone { gateways: 3, in_doubt: false });
+/// let role = QuotaRole::Issues { linked: 1, gateways: 1 };
 /// assert_eq!(quota_role("c", "a", &[], &mut ranks), role);
 /// ```
 pub fn quota_role<'a>(
@@ -89,7 +89,7 @@
     let own_rank = (ranks.weight(customer, own), own);
     let (mut gateways, mut reached, mut linked) = (1, 1, 1);
     let mut first: Option<(u64, &'a str)> = None;
-    let mut doubt = Duration::ZERO;
+    let mut in_doubt = false;
     for peer in peers.iter().filter(|peer| !peer.has_ended) {
         let is_reached = peer.is_linked() && peer.unheard_for < UNHEARD_AFTER;
         gateways += 1;
@@ -102,18 +102,18 @@
         if is_reached && peer.state == PeerState::Linked {
             first = first.max(Some(rank));
         } else {
-            doubt = doubt.max(UNHEARD_AFTER.saturating_sub(peer.unheard_for));
+            in_doubt |= peer.unheard_for < UNHEARD_AFTER;
         }
     }
     if reached * 2 <= gateways && gateways > 1 {
-        return QuotaRole::Alone { gateways };
+        return QuotaRole::Alone {
+            gateways,
+            in_doubt: false,
+        };
     }
     match first {
         Some((_, issuer)) => QuotaRole::Asks { issuer, gateways },
-        None => QuotaRole::Issues {
-            linked,
-            gateways,
-            doubt,
-        },
+        None if in_doubt => QuotaRole::Alone { gateways, in_doubt },
+        None => QuotaRole::Issues { linked, gateways },
     }
 }
--- a/crates/ebony_limit/src/quota/rule.rs
+++ b/crates/ebony_limit/src/quota/rule.rs
@@ -13,13 +13,17 @@
 /// the rate and 20 requests are tolerated beyond the burst; the rest of them is left for changes of the issuer. One
 /// second of the rate, the most that a bucket without a burst holds, would exceed that from 40 requests a second on.
 const MIN_CAPACITY_TIME: Duration = Duration::from_millis(300);
-const MIN_CAPACITY_TOKENS: f64 = 10.0;
+const MIN_CAPACITY_TOKENS: f64 = 7.0;
 const MAX_UNSTATED_TIME: Duration = Duration::from_secs(1);
 
+/// The least capacity, in tokens. With less, a customer of a few requests a second is refused for two that come together,
+/// and cannot use its quota.
+const LEAST_CAPACITY: f64 = 6.0;
+
 /// What gateways may use of a share that another one may still be issuing, in seconds of the rate and in tokens: a part
 /// of what the tolerance leaves, divided by the time for which it is uncertain.
-const DOUBT_ALLOWANCE_TIME: Duration = Duration::from_millis(200);
-const DOUBT_ALLOWANCE_TOKENS: f64 = 8.0;
+const DOUBT_ALLOWANCE_TIME: Duration = Duration::from_millis(100);
+const DOUBT_ALLOWANCE_TOKENS: f64 = 4.0;
 const DOUBT_TIME: Duration = Duration::from_millis(1_200);
 
 /// Why a number is not a burst.
@@ -80,7 +84,7 @@
         let rate = self.rate.as_per_second();
         let tolerated = rate * MIN_CAPACITY_TIME.as_secs_f64() + MIN_CAPACITY_TOKENS;
         let unstated = rate * MAX_UNSTATED_TIME.as_secs_f64();
-        self.burst().max(unstated.min(tolerated)).max(1.0)
+        self.burst().max(unstated.min(tolerated)).max(LEAST_CAPACITY)
     }
 
     /// Returns the part of its own share that a gateway may use while another one may still be issuing it.
@@ -92,7 +96,7 @@
     /// let part = |rate| Ok::<_, Box<dyn std::error::Error>>(
     ///     QuotaRule::open(RequestRate::per_second(rate)?, 0.0)?.doubtful_part(),
     /// );
-    /// assert_eq!(part(5.0)?, 1.0);
+    /// assert_eq!(part(3.0)?, 1.0);
     /// assert!(part(1_000.0)? < 0.2);
     /// # Ok::<(), Box<dyn std::error::Error>>(())
     /// ```
--- a/crates/ebony_limit/src/quota/wallet.rs
+++ b/crates/ebony_limit/src/quota/wallet.rs
@@ -141,6 +141,12 @@
         }
     }
 
+    /// Returns whether the request that was sent at a time is not answered yet.
+    pub fn is_asked(&self, customer: &str, asked_at: ClockTime) -> bool {
+        let purse = self.purses.get(customer);
+        purse.is_some_and(|purse| purse.asked_at == Some(asked_at))
+    }
+
     /// Records that a request that was sent at a time has no answer. The gateway then uses a part of its own share of
     /// the quota, which is divided among this number of gateways.
     pub fn fail(
@@ -156,15 +162,24 @@
         };
         purse.fail(asked_at, now);
         if let Some(in_doubt) = purse.lacks_issuer(now) {
-            let part = if in_doubt { rule.doubtful_part() } else { 1.0 };
-            purse.open_share(&self.own, customer, rule, part / gateways.max(1) as f64, now);
+            let part = share_part(rule, gateways, in_doubt);
+            purse.open_share(&self.own, customer, rule, part, now);
         }
     }
 
-    /// Lets a gateway without an issuer use its share of the quota, which is divided among this number of gateways.
-    pub fn spend_share(&mut self, customer: &str, rule: &QuotaRule, gateways: usize, now: ClockTime) {
+    /// Lets a gateway without an issuer use its share of the quota, which is divided among this number of gateways, or a
+    /// part of the share while another gateway may be issuing it.
+    pub fn spend_share(
+        &mut self,
+        customer: &str,
+        rule: &QuotaRule,
+        gateways: usize,
+        in_doubt: bool,
+        now: ClockTime,
+    ) {
         if let Some(purse) = self.purses.get_mut(customer) {
-            purse.open_share(&self.own, customer, rule, 1.0 / gateways.max(1) as f64, now);
+            let part = share_part(rule, gateways, in_doubt);
+            purse.open_share(&self.own, customer, rule, part, now);
             purse.stay_alone(now);
         }
     }
@@ -189,7 +204,10 @@
 
     /// Returns when [`QuotaWallet::due`] or [`QuotaWallet::ready`] should be called next, if nothing else happens.
     pub fn next_wake(&self, now: ClockTime) -> Option<ClockTime> {
-        self.purses.values().filter_map(|purse| purse.next_wake(now)).min()
+        self.purses
+            .values()
+            .filter_map(|purse| purse.next_wake(now))
+            .min()
     }
 
     /// Drops customers without calls.
@@ -209,6 +227,12 @@
     }
 }
 
+/// Returns the part of a quota that a gateway without an issuer may use.
+fn share_part(rule: &QuotaRule, gateways: usize, in_doubt: bool) -> f64 {
+    let part = if in_doubt { rule.doubtful_part() } else { 1.0 };
+    part / gateways.max(1) as f64
+}
+
 fn outcome(ticket: u64, decision: PurseDecision) -> TakeOutcome {
     match decision {
         PurseDecision::Taken(stamp) => TakeOutcome::Taken(stamp),
