Gateways take a token of the customer's quota for each request that runs

Cause: customers with a quota were not limited. Change: module quotas of the gateway, frames over links, problem code quota_exceeded.

--- a/crates/ebony_gateway/src/attempts.rs
+++ b/crates/ebony_gateway/src/attempts.rs
@@ -6,7 +6,7 @@
 use ebony_dialect::{AnswerHead, AttemptHead};
 use ebony_dispatch::{PlacementRequest, TargetKey, place};
 use ebony_routing::{CallSemantics, CallerIdentity};
-use ebony_types::{ProblemCode, TargetName};
+use ebony_types::{ProblemCode, RunVerdict, TargetName};
 use http::Request;
 use http_body_util::Full;
 use tokio::time::{sleep, timeout};
@@ -15,6 +15,7 @@
 use crate::call_log::{AttemptOutcome, CallLog};
 use crate::crashes::registry::REQUEST_HELD_DETAIL;
 use crate::limits::permits::{self, CallPermit, PermitOutcome};
+use crate::quotas::{self, QuotaRefusal, QuotaToken};
 use crate::refusal::{CallRefusal, NO_TARGET_RETRY_AFTER, Result};
 use crate::routed_call::RoutedCall;
 use crate::target_client::{OpenAnswer, SendFailure};
@@ -76,6 +77,8 @@
     reached: u32,
     /// The number of permits that were asked for and denied.
     denied_permits: u32,
+    /// The token of the customer's quota for the next attempt; `None` if there is no quota, or it has not been taken.
+    token: Option<QuotaToken>,
 }
 
 impl<'c> AttemptSeries<'c> {
@@ -85,6 +88,7 @@
             tried: Vec::new(),
             reached: 0,
             denied_permits: 0,
+            token: None,
         }
     }
 
@@ -94,6 +98,7 @@
         let waiting_limit = call.arrived + call.route.objective.mul_f64(WAITING_OBJECTIVE_SHARE);
         loop {
             self.check_may_send()?;
+            self.take_token(log).await?;
             if let Some(target) = self.place() {
                 match self.take_permit(target, log).await? {
                     PermitStep::Ready(permit) => return Ok((target, permit)),
@@ -108,6 +113,43 @@
         }
     }
 
+    /// Takes a token of the customer's quota unless the call has one.
+    async fn take_token(&mut self, log: &mut CallLog) -> Result<()> {
+        if self.token.as_ref().is_some_and(|token| !token.has_expired()) {
+            return Ok(());
+        }
+        self.token = None;
+        let clock = self.call.gateway.clock;
+        let asked_at = clock.now();
+        let Some(taken) = quotas::take(self.call, self.reached > 0).await else {
+            return Ok(());
+        };
+        log.record_quota_wait(clock.now().since(asked_at));
+        match taken {
+            Ok(token) => {
+                self.token = Some(token);
+                self.check_may_send()
+            }
+            Err(refusal) => {
+                log.record_quota_refusal(refusal.retry_after);
+                Err(self.refuse_over_quota(refusal))
+            }
+        }
+    }
+
+    /// Returns the refusal of a call that is over its customer's quota.
+    fn refuse_over_quota(&self, refusal: QuotaRefusal) -> CallRefusal {
+        let detail = match refusal.is_first_turn {
+            true => "the customer's quota carries no further program at present",
+            false => "the customer's quota is used up",
+        };
+        let refused = self.refuse(ProblemCode::QuotaExceeded, detail);
+        match refused.report.run {
+            RunVerdict::NotRun => refused.retry_after(refusal.retry_after),
+            _ => refused,
+        }
+    }
+
     /// Checks that the call is still wanted and may run.
     fn check_may_send(&self) -> Result<()> {
         let call = self.call;
@@ -203,7 +245,7 @@
 
     /// Sends the call to a target and waits for the head of its answer.
     async fn send(
-        &self,
+        &mut self,
         target: TargetKey,
         permit: Option<CallPermit>,
     ) -> Result<(TargetRun, Result<(OpenAnswer, AnswerHead), AttemptOutcome>)> {
@@ -226,6 +268,9 @@
         let attempt_timeout = self.attempt_timeout(time_left);
         // A call that is abandoned while it is sent may reach the target.
         let permit = permit.and_then(CallPermit::mark_used);
+        if let Some(token) = &mut self.token {
+            token.set_used(true);
+        }
         let sent = timeout(attempt_timeout, sending).await;
         if let (Some(permit), Ok(Err(SendFailure::NotSent(_)))) = (permit, &sent) {
             permit.put_back();
@@ -307,6 +352,11 @@
     /// Returns the refusal of the call if it must not be sent to another target.
     fn record_failure(&mut self, run: &TargetRun, outcome: AttemptOutcome) -> Result<()> {
         self.tried.push(run.target);
+        match (&mut self.token, outcome) {
+            // The next attempt uses the same token.
+            (Some(token), AttemptOutcome::NotRun | AttemptOutcome::NotSent) => token.set_used(false),
+            _ => self.token = None,
+        }
         if outcome == AttemptOutcome::NotRun {
             run.record_full();
             return Ok(());
--- a/crates/ebony_gateway/src/call.rs
+++ b/crates/ebony_gateway/src/call.rs
@@ -226,8 +226,7 @@
 
 /// Refuses the first turn of a program while the engines are busy with programs that have started.
 fn admit(call: &RoutedCall, log: &mut CallLog) -> Result<()> {
-    let begins = call.engine.is_some() && call.head.program.is_some() && !call.has_history();
-    if !begins {
+    if !call.begins_program() {
         return Ok(());
     }
     let gateway = &call.gateway;
--- a/crates/ebony_gateway/src/call_log.rs
+++ b/crates/ebony_gateway/src/call_log.rs
@@ -103,6 +103,10 @@
     denied_permits: String,
     /// The time for which the call waited for permits.
     permit_wait: Duration,
+    /// The time for which the call waited for tokens of its customer's quota.
+    quota_wait: Duration,
+    /// The `Retry-After` of a call over its customer's quota.
+    quota_return: Option<Duration>,
     events: u32,
     has_ended: bool,
 }
@@ -129,6 +133,8 @@
             attempts: String::new(),
             denied_permits: String::new(),
             permit_wait: Duration::ZERO,
+            quota_wait: Duration::ZERO,
+            quota_return: None,
             events: 0,
             has_ended: false,
         }
@@ -218,6 +224,15 @@
         self.permit_wait += wait;
     }
 
+    pub(crate) fn record_quota_wait(&mut self, wait: Duration) {
+        self.quota_wait += wait;
+    }
+
+    /// Records that the call is over its customer's quota, and when it may come back.
+    pub(crate) fn record_quota_refusal(&mut self, retry_after: Duration) {
+        self.quota_return = Some(retry_after);
+    }
+
     pub(crate) fn record_first_bytes(&mut self) {
         if self.first_bytes.is_none() {
             let now = self.gateway.clock.now();
@@ -303,6 +318,8 @@
             "attempts" => &self.attempts,
             "denied_permits" => Some(&self.denied_permits).filter(|denied| !denied.is_empty()),
             "permit_wait_ms" => Some(self.permit_wait).filter(|wait| !wait.is_zero()).map(|wait| wait.as_millis() as u64),
+            "quota_wait_ms" => Some(self.quota_wait).filter(|wait| wait.as_millis() > 0).map(|wait| wait.as_millis() as u64),
+            "quota_return_ms" => self.quota_return.map(|wait| wait.as_millis() as u64),
             "events" => self.events,
             "outcome" => outcome,
             "detail" => detail,
--- a/crates/ebony_gateway/src/gateway.rs
+++ b/crates/ebony_gateway/src/gateway.rs
@@ -24,6 +24,7 @@
 use crate::fleet::FleetView;
 use crate::links::PeerLinks;
 use crate::metrics::GatewayMetrics;
+use crate::quotas::QuotaManager;
 use crate::target_client::TargetClient;
 
 /// A protocol for both calls and stored records.
@@ -69,6 +70,8 @@
     pub(crate) permit_bars: RefCell<HashMap<ServiceName, PermitBar>>,
     /// The callers that were refused for the limits of targets, for each service.
     pub(crate) returns: RefCell<HashMap<ServiceName, ReturnSchedule>>,
+    /// The tokens of customers' quotas that this gateway holds and issues.
+    pub(crate) quotas: QuotaManager,
     /// Whether the list of targets has been read.
     pub(crate) has_targets: Cell<bool>,
     /// Whether the table of gateways has been read, which includes the requests to refuse.
@@ -158,6 +161,7 @@
             permits: RefCell::new(PermitDesk::open(&settings.process)),
             returns: RefCell::default(),
             permit_bars: RefCell::default(),
+            quotas: QuotaManager::open(&settings.process, clock.now()),
             has_targets: Cell::default(),
             has_fleet: Cell::default(),
             client,
--- a/crates/ebony_gateway/src/lib.rs
+++ b/crates/ebony_gateway/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod metrics;
 pub mod open_turn;
 pub mod process;
+mod quotas;
 pub mod refusal;
 pub mod routed_call;
 pub mod sweeper;
--- a/crates/ebony_gateway/src/links/messages.rs
+++ b/crates/ebony_gateway/src/links/messages.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use ebony_account::{CoverRequest, LentCover};
+use ebony_limit::quota::{QuotaAsk, QuotaReply};
 use ebony_types::{ProgramName, TargetName, TurnName};
 use ebony_wire::CrashReport;
 use serde::{Deserialize, Serialize};
@@ -110,6 +111,13 @@
         /// The encoded record.
         record: Bytes,
     },
+    /// Asks for tokens of customers. It is only sent to gateways whose pongs say that they know it.
+    TakeQuota {
+        /// The number that the reply repeats.
+        number: u64,
+        /// What is asked for, for each customer.
+        asks: Vec<QuotaAsk>,
+    },
 }
 
 /// The reply to a request for cover: the tokens that the requesting gateway may spend, or why there are none.
@@ -123,6 +131,10 @@
     Pong {
         /// Whether the answering gateway reaches the store.
         reaches_store: bool,
+        /// Whether the answering gateway takes part in quotas. Absent in pongs of earlier builds, which close a link on
+        /// which a request arrives that they do not know.
+        #[serde(default)]
+        knows_quotas: bool,
     },
     /// Answers a request for cover.
     Lending {
@@ -159,6 +171,13 @@
         /// Whether the store has the record.
         is_kept: bool,
     },
+    /// Answers a request for tokens of customers.
+    Quota {
+        /// The number of the request.
+        number: u64,
+        /// The tokens, in the order of the request.
+        replies: Vec<QuotaReply>,
+    },
 }
 
 impl PeerReply {
@@ -170,7 +189,8 @@
             | Self::Recorded { number, .. }
             | Self::Turn { number, .. }
             | Self::Permit { number, .. }
-            | Self::Kept { number, .. } => Some(*number),
+            | Self::Kept { number, .. }
+            | Self::Quota { number, .. } => Some(*number),
         }
     }
 }
--- a/crates/ebony_gateway/src/links/mod.rs
+++ b/crates/ebony_gateway/src/links/mod.rs
@@ -6,10 +6,11 @@
 
 mod division;
 mod messages;
+mod quotas;
 mod server;
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -32,6 +33,7 @@
 use crate::gateway::GatewayClock;
 
 pub use messages::{Lending, PeerReply, PeerRequest, PeerTurn};
+pub(crate) use quotas::PeerReach;
 pub(crate) use server::serve;
 
 /// The interval of pings. A link without a frame for three intervals is closed.
@@ -64,8 +66,10 @@
     sender: LinkSender<PeerRequest>,
     pending: PendingReplies,
     reaches_store: Rc<Cell<bool>>,
-    /// Whether the last request for a permit timed out, and nothing was received since.
+    /// Whether the last request for a permit or a token timed out, and nothing was received since.
     is_silent: Rc<Cell<bool>>,
+    /// Whether the other gateway takes part in quotas; `None` until its first pong.
+    knows_quotas: Rc<Cell<Option<bool>>>,
 }
 
 /// The links that this gateway dialed, and those that others dialed to it.
@@ -78,6 +82,10 @@
     dialed: RefCell<HashMap<String, SocketAddr>>,
     /// Since when registered gateways have had no link.
     unlinked_since: RefCell<HashMap<String, ClockTime>>,
+    /// When something was last received from each gateway, on any link.
+    heard: RefCell<HashMap<String, ClockTime>>,
+    /// Registered gateways at whose address no process listens.
+    ended: RefCell<HashSet<String>>,
     clock: GatewayClock,
     next_number: Cell<u64>,
     /// Gateways that were linked since [`PeerLinks::take_newly_linked`] was last called.
@@ -94,6 +102,8 @@
             accepted: RefCell::default(),
             dialed: RefCell::default(),
             unlinked_since: RefCell::default(),
+            heard: RefCell::default(),
+            ended: RefCell::default(),
             clock,
             next_number: Cell::default(),
             newly_linked: RefCell::default(),
@@ -344,11 +354,15 @@
         while self.fleet.peers().contains(&(name.clone(), address)) {
             if let Some(key) = self.fleet.cluster_key() {
                 let identity = identity(key, self.fleet.process(), self.incarnation);
-                if let Ok(link) = dial(address, &identity, &LinkOptions::default()).await {
-                    info!(self.logger, "link opened"; "peer" => &name);
-                    self.run_link(&name, link).await;
-                    info!(self.logger, "link lost"; "peer" => &name);
-                    delay = FIRST_DIAL_DELAY;
+                match dial(address, &identity, &LinkOptions::default()).await {
+                    Ok(link) => {
+                        self.ended.borrow_mut().remove(&name);
+                        info!(self.logger, "link opened"; "peer" => &name);
+                        self.run_link(&name, link).await;
+                        info!(self.logger, "link lost"; "peer" => &name);
+                        delay = FIRST_DIAL_DELAY;
+                    }
+                    Err(error) => self.record_dial_error(&name, &error),
                 }
             }
             sleep(delay).await;
@@ -357,6 +371,7 @@
         let mut dialed = self.dialed.borrow_mut();
         if dialed.get(&name) == Some(&address) {
             dialed.remove(&name);
+            self.ended.borrow_mut().remove(&name);
             self.unlinked_since.borrow_mut().remove(&name);
         }
     }
@@ -367,12 +382,14 @@
         let pending = PendingReplies::default();
         let reaches_store = Rc::new(Cell::new(false));
         let is_silent = Rc::new(Cell::new(false));
+        let knows_quotas = Rc::new(Cell::new(None));
         let entry = DialedLink {
             incarnation,
             sender: sender.clone(),
             pending: Rc::clone(&pending),
             reaches_store: Rc::clone(&reaches_store),
             is_silent: Rc::clone(&is_silent),
+            knows_quotas: Rc::clone(&knows_quotas),
         };
         self.links.borrow_mut().insert(name.to_owned(), entry);
         self.unlinked_since.borrow_mut().remove(name);
@@ -380,10 +397,15 @@
         let receiving = async {
             while let Ok(reply) = receiver.next().await {
                 is_silent.set(false);
+                self.record_heard(name);
                 match reply {
                     PeerReply::Pong {
                         reaches_store: reaches,
-                    } => reaches_store.set(reaches),
+                        knows_quotas: knows,
+                    } => {
+                        reaches_store.set(reaches);
+                        knows_quotas.set(Some(knows));
+                    }
                     reply => {
                         let number = reply.number();
                         let waiting = number.and_then(|number| pending.borrow_mut().remove(&number));
--- a/crates/ebony_gateway/src/links/server.rs
+++ b/crates/ebony_gateway/src/links/server.rs
@@ -15,6 +15,7 @@
 use crate::gateway::Gateway;
 use crate::leaving::{self, LeavingSource};
 use crate::limits::{self, permits};
+use crate::quotas;
 
 /// Accepts links and answers the requests on them. Waits until the key for links is known and the address can be bound.
 pub(crate) async fn serve(gateway: Rc<Gateway>, address: SocketAddr) {
@@ -36,21 +37,24 @@
     };
     while let Some(link) = listener.next().await {
         let accepted = gateway.links.record_accepted(link.peer());
+        let peer = link.peer().process.clone();
         let (sender, receiver) = link.split();
         let gateway = Rc::clone(&gateway);
         tokio::task::spawn_local(async move {
             let _accepted = accepted;
-            answer(gateway, sender, receiver).await;
+            answer(gateway, &peer, sender, receiver).await;
         });
     }
 }
 
 async fn answer(
     gateway: Rc<Gateway>,
+    peer: &str,
     sender: LinkSender<PeerReply>,
     mut receiver: LinkReceiver<PeerRequest>,
 ) {
     while let Ok(request) = receiver.next().await {
+        gateway.links.record_heard(peer);
         let accounts = Rc::clone(&gateway.accounts);
         let sender = sender.clone();
         // Tokens of a reply that cannot be queued count as spent. A link whose queue stays full times out and is
@@ -58,7 +62,11 @@
         match request {
             PeerRequest::Ping => {
                 let reaches_store = accounts.serves_relays();
-                sender.send(&PeerReply::Pong { reaches_store }).ok();
+                let pong = PeerReply::Pong {
+                    reaches_store,
+                    knows_quotas: true,
+                };
+                sender.send(&pong).ok();
             }
             PeerRequest::GiveBack {
                 program,
@@ -119,6 +127,10 @@
                 });
             }
             PeerRequest::ReturnPermit { target, born } => permits::put_back(&gateway, &target, born),
+            PeerRequest::TakeQuota { number, asks } => {
+                let replies = quotas::answer(&gateway, peer, asks);
+                sender.send(&PeerReply::Quota { number, replies }).ok();
+            }
             PeerRequest::ShareTurn { turn, record } => gateway.conversations.cache_shared(&turn, &record),
             PeerRequest::KeepTurn { number, turn, record } => {
                 let conversations = Rc::clone(&gateway.conversations);
--- a/crates/ebony_gateway/src/metrics.rs
+++ b/crates/ebony_gateway/src/metrics.rs
@@ -40,6 +40,12 @@
     pub(crate) limits: IntCounterVec,
     /// Requests for permits to call limited targets, by outcome.
     pub(crate) permits: IntCounterVec,
+    /// Tokens of customers' quotas, by customer and event.
+    pub(crate) quota_tokens: IntCounterVec,
+    /// Requests for tokens of customers, by outcome.
+    pub(crate) quota_asks: IntCounterVec,
+    /// Changes of this gateway's role for the quota of a customer, by the new role.
+    pub(crate) quota_roles: IntCounterVec,
     /// Listed targets that limit their rate.
     pub(crate) limited_targets: IntGauge,
     /// Targets that broke off a call, by the result of their probe.
@@ -146,6 +152,21 @@
                 "Requests for permits to call limited targets, by outcome.",
                 &["outcome"],
             )?,
+            quota_tokens: registry.counter_family(
+                "gateway_quota_tokens_total",
+                "Tokens of customers' quotas, by customer and by what became of them.",
+                &["customer", "event"],
+            )?,
+            quota_asks: registry.counter_family(
+                "gateway_quota_asks_total",
+                "Requests for tokens of customers' quotas, by outcome.",
+                &["outcome"],
+            )?,
+            quota_roles: registry.counter_family(
+                "gateway_quota_roles_total",
+                "Changes of the gateway's role for the quota of a customer, by the new role.",
+                &["role"],
+            )?,
             limited_targets: registry.gauge(
                 "gateway_limited_targets",
                 "Targets that limit their request rate.",
--- a/crates/ebony_gateway/src/process.rs
+++ b/crates/ebony_gateway/src/process.rs
@@ -14,7 +14,7 @@
 use crate::gateway::{Gateway, GatewayDialect, GatewayStore, dispatch_options};
 use crate::links;
 use crate::listener::CallerListener;
-use crate::{sweeper, watch};
+use crate::{quotas, sweeper, watch};
 
 /// How long a draining gateway continues to accept calls. The load balancer checks readiness every second and stops
 /// sending new callers after two failed checks.
@@ -110,6 +110,7 @@
         tokio::task::spawn_local(watch::run_maintenance(Rc::clone(&gateway)));
         tokio::task::spawn_local(watch::watch_memory(Rc::clone(&gateway)));
         tokio::task::spawn_local(sweeper::sweep(Rc::clone(&gateway)));
+        tokio::task::spawn_local(quotas::run(Rc::clone(&gateway)));
         let port = self.listener.serve(Rc::clone(&gateway)).await?;
         Ok(ServingGateway {
             gateway,
--- a/crates/ebony_gateway/src/routed_call.rs
+++ b/crates/ebony_gateway/src/routed_call.rs
@@ -75,6 +75,11 @@
         }
     }
 
+    /// Returns whether the call is the first turn of a program.
+    pub(crate) fn begins_program(&self) -> bool {
+        self.engine.is_some() && self.head.program.is_some() && !self.has_history()
+    }
+
     /// Returns the maximum number of targets that may run the call.
     pub(crate) fn max_targets(&self) -> u32 {
         match self.permit {
--- a/crates/ebony_limit/src/quota/issuer.rs
+++ b/crates/ebony_limit/src/quota/issuer.rs
@@ -114,6 +114,11 @@
             .retain(|_, books| now.since(books.used_at) < unused_time);
     }
 
+    /// Returns the names of the customers.
+    pub fn customers(&self) -> Vec<String> {
+        self.customers.keys().cloned().collect()
+    }
+
     /// Returns the number of customers.
     pub fn len(&self) -> usize {
         self.customers.len()
--- a/crates/ebony_limit/src/quota/role.rs
+++ b/crates/ebony_limit/src/quota/role.rs
@@ -25,8 +25,9 @@
     pub state: PeerState,
     /// The time since anything was received from it on a link.
     pub unheard_for: Duration,
-    /// Whether its host reports that no process listens at its address.
-    pub has_ended: bool,
+    /// Whether it takes no part in quotas: its host reports that no process listens at its address, or its build does not
+    /// know quotas.
+    pub is_absent: bool,
 }
 
 impl QuotaPeer<'_> {
@@ -72,7 +73,7 @@
 ///     name,
 ///     state,
 ///     unheard_for: Duration::from_millis(millis),
-///     has_ended: false,
+///     is_absent: false,
 /// };
 /// let mut ranks = RankCache::default();
 /// let cut = [peer("b", PeerState::Gone, 9_000), peer("d", PeerState::Linked, 2_000)];
@@ -90,7 +91,7 @@
     let (mut gateways, mut reached, mut linked) = (1, 1, 1);
     let mut first: Option<(u64, &'a str)> = None;
     let mut in_doubt = false;
-    for peer in peers.iter().filter(|peer| !peer.has_ended) {
+    for peer in peers.iter().filter(|peer| !peer.is_absent) {
         let is_reached = peer.is_linked() && peer.unheard_for < UNHEARD_AFTER;
         gateways += 1;
         reached += usize::from(is_reached);
--- a/crates/ebony_limit/tests/quota_fleet/gateway.rs
+++ b/crates/ebony_limit/tests/quota_fleet/gateway.rs
@@ -114,7 +114,7 @@
                     name: &self.gateways[other].name,
                     state,
                     unheard_for: self.now.since(heard_at),
-                    has_ended: false,
+                    is_absent: false,
                 }
             })
             .collect();
--- a/crates/ebony_types/src/problem.rs
+++ b/crates/ebony_types/src/problem.rs
@@ -76,6 +76,8 @@
     InvalidConfig = 422, "invalid_config";
     /// The request crashed two targets and will not run again.
     CrashingRequest = 422, "crashing_request";
+    /// The customer sent more requests than its quota allows.
+    QuotaExceeded = 429, "quota_exceeded";
     /// The program's budget of tokens, calls, time or depth is spent.
     BudgetExhausted = 429, "budget_exhausted";
     /// The request head is larger than the limit.
