--- a/crates/ebony_gateway/src/attempts.rs
+++ b/crates/ebony_gateway/src/attempts.rs
@@ -131,7 +131,7 @@
                 self.check_may_send()
             }
             Err(refusal) => {
-                log.record_quota_refusal(refusal.retry_after);
+                log.record_quota_refusal(refusal);
                 Err(self.refuse_over_quota(refusal))
             }
         }
--- a/crates/ebony_gateway/src/call_log.rs
+++ b/crates/ebony_gateway/src/call_log.rs
@@ -11,6 +11,7 @@
 use crate::crashes::RequestFingerprint;
 use crate::decision_log::LineKind;
 use crate::gateway::Gateway;
+use crate::quotas::QuotaRefusal;
 
 /// How an attempt at a target ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -105,8 +106,8 @@
     permit_wait: Duration,
     /// The time for which the call waited for tokens of its customer's quota.
     quota_wait: Duration,
-    /// The `Retry-After` of a call over its customer's quota.
-    quota_return: Option<Duration>,
+    /// Why the call is over its customer's quota.
+    quota_refusal: Option<QuotaRefusal>,
     events: u32,
     has_ended: bool,
 }
@@ -134,7 +135,7 @@
             denied_permits: String::new(),
             permit_wait: Duration::ZERO,
             quota_wait: Duration::ZERO,
-            quota_return: None,
+            quota_refusal: None,
             events: 0,
             has_ended: false,
         }
@@ -228,9 +229,9 @@
         self.quota_wait += wait;
     }
 
-    /// Records that the call is over its customer's quota, and when it may come back.
-    pub(crate) fn record_quota_refusal(&mut self, retry_after: Duration) {
-        self.quota_return = Some(retry_after);
+    /// Records that the call is over its customer's quota.
+    pub(crate) fn record_quota_refusal(&mut self, refusal: QuotaRefusal) {
+        self.quota_refusal = Some(refusal);
     }
 
     pub(crate) fn record_first_bytes(&mut self) {
@@ -319,7 +320,9 @@
             "denied_permits" => Some(&self.denied_permits).filter(|denied| !denied.is_empty()),
             "permit_wait_ms" => Some(self.permit_wait).filter(|wait| !wait.is_zero()).map(|wait| wait.as_millis() as u64),
             "quota_wait_ms" => Some(self.quota_wait).filter(|wait| wait.as_millis() > 0).map(|wait| wait.as_millis() as u64),
-            "quota_return_ms" => self.quota_return.map(|wait| wait.as_millis() as u64),
+            "quota_rate" => self.quota_refusal.map(|refusal| refusal.rule.rate.as_per_second()),
+            "quota_burst" => self.quota_refusal.map(|refusal| refusal.rule.burst()),
+            "quota_return_ms" => self.quota_refusal.map(|refusal| refusal.retry_after.as_millis() as u64),
             "events" => self.events,
             "outcome" => outcome,
             "detail" => detail,
--- a/crates/ebony_gateway/src/gateway.rs
+++ b/crates/ebony_gateway/src/gateway.rs
@@ -161,7 +161,7 @@
             permits: RefCell::new(PermitDesk::open(&settings.process)),
             returns: RefCell::default(),
             permit_bars: RefCell::default(),
-            quotas: QuotaManager::open(&settings.process, clock.now()),
+            quotas: QuotaManager::open(&settings.process),
             has_targets: Cell::default(),
             has_fleet: Cell::default(),
             client,
--- a/crates/ebony_gateway/src/quotas/manager.rs
+++ b/crates/ebony_gateway/src/quotas/manager.rs
@@ -4,11 +4,10 @@
 use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 
-use ebony_limit::quota::role::UNHEARD_AFTER;
+use ebony_limit::RequestRate;
 use ebony_limit::quota::{
-    IssuerView, QuotaIssuer, QuotaRole, QuotaRule, QuotaWallet, RankCache, WaitTicket, quota_role,
+    IssuerView, QuotaIssuer, QuotaRole, QuotaRule, QuotaWallet, RankCache, ReachLog, WaitTicket, quota_role,
 };
-use ebony_limit::{PeerState, RequestRate};
 use ebony_types::{ClockTime, CustomerName};
 use slog::info;
 use tokio::sync::{Notify, oneshot};
@@ -59,16 +58,14 @@
     pub(super) planned_wake: Cell<Option<ClockTime>>,
     ranks: RefCell<RankCache>,
     reach: RefCell<(ClockTime, Vec<PeerReach>)>,
-    reached: RefCell<HashSet<String>>,
-    /// Since when the gateway has heard from the same gateways.
-    stable_since: Cell<ClockTime>,
+    reach_log: RefCell<ReachLog>,
     /// The kinds of the roles that were last logged.
     roles: RefCell<HashMap<String, &'static str>>,
 }
 
 impl QuotaManager {
     /// Creates the state of the gateway with this name.
-    pub(crate) fn open(own: &str, now: ClockTime) -> Self {
+    pub(crate) fn open(own: &str) -> Self {
         Self {
             wallet: RefCell::new(QuotaWallet::open(own)),
             issuer: RefCell::default(),
@@ -77,8 +74,7 @@
             planned_wake: Cell::default(),
             ranks: RefCell::default(),
             reach: RefCell::default(),
-            reached: RefCell::default(),
-            stable_since: Cell::new(now),
+            reach_log: RefCell::default(),
             roles: RefCell::default(),
         }
     }
@@ -105,7 +101,7 @@
         QuotaRole::Issues { linked, gateways } => RoleOf::Issuer(IssuerView {
             linked,
             gateways,
-            stable_since: quotas.stable_since.get(),
+            doubt_until: quotas.reach_log.borrow().doubt_until(),
         }),
         QuotaRole::Asks { issuer, gateways } => RoleOf::Asker(issuer.to_owned(), gateways),
         QuotaRole::Alone { gateways, in_doubt } => RoleOf::Alone(gateways, in_doubt),
@@ -139,20 +135,11 @@
         return;
     }
     let reach = gateway.links.reach();
-    let is_reached = |peer: &&PeerReach| {
-        let is_linked = matches!(peer.state, PeerState::Linked | PeerState::Silent);
-        is_linked && now.since(peer.heard_at) < UNHEARD_AFTER
-    };
-    let reached: HashSet<String> = reach
-        .iter()
-        .filter(is_reached)
-        .map(|peer| peer.name.clone())
-        .collect();
+    let peers: Vec<_> = reach.iter().map(|peer| peer.as_peer(now)).collect();
+    let has_changed = quotas.reach_log.borrow_mut().update(&peers, now);
+    drop(peers);
     *quotas.reach.borrow_mut() = (now, reach);
-    let has_changed = *quotas.reached.borrow() != reached;
     if has_changed {
-        *quotas.reached.borrow_mut() = reached;
-        quotas.stable_since.set(now);
         review_roles(gateway);
     }
 }
--- a/crates/ebony_gateway/src/quotas/take.rs
+++ b/crates/ebony_gateway/src/quotas/take.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use ebony_limit::quota::{CallClass, TakeOutcome, WaitTicket};
+use ebony_limit::quota::{CallClass, QuotaRule, TakeOutcome, WaitTicket};
 use ebony_types::CustomerName;
 use tokio::sync::oneshot;
 use tokio::time::timeout;
@@ -25,6 +25,8 @@
 pub(crate) struct QuotaRefusal {
     /// Whether the program could not begin, so that no token for the request itself was missing.
     pub(crate) is_first_turn: bool,
+    /// The quota.
+    pub(crate) rule: QuotaRule,
     /// When it can be served.
     pub(crate) retry_after: Duration,
 }
@@ -37,7 +39,7 @@
 pub(crate) async fn take(call: &RoutedCall, is_repeated: bool) -> Option<Result<QuotaToken, QuotaRefusal>> {
     let gateway = &call.gateway;
     let customer = call.customer()?;
-    rule_of(gateway, customer)?;
+    let (rule, _) = rule_of(gateway, customer)?;
     let class = class_of(call, is_repeated);
     let decision = decide(gateway, customer, class, call.permit_patience()).await;
     Some(decision.map_err(|retry_after| {
@@ -46,6 +48,7 @@
         tokens.with_label_values(&[label, "refused"]).inc();
         QuotaRefusal {
             is_first_turn: class == CallClass::FirstTurn,
+            rule,
             retry_after,
         }
     }))
--- a/crates/ebony_limit/src/quota/issuer.rs
+++ b/crates/ebony_limit/src/quota/issuer.rs
@@ -9,7 +9,6 @@
 use super::bucket::TokenBucket;
 use super::message::{QuotaAsk, QuotaGrant};
 use super::need::ProgramNeed;
-use super::role::UNHEARD_AFTER;
 use super::rule::QuotaRule;
 
 /// How far ahead of time tokens are granted to calls that wait, so that no token is left over between two requests of a
@@ -34,8 +33,8 @@
     pub linked: usize,
     /// The number of gateways among which the quota is divided.
     pub gateways: usize,
-    /// Since when it has heard from the same gateways.
-    pub stable_since: ClockTime,
+    /// Until when another gateway may issue tokens too, if this one has just begun to; see [`super::ReachLog`].
+    pub doubt_until: ClockTime,
 }
 
 /// The tokens of one gateway that may be unused.
@@ -49,7 +48,7 @@
 struct CustomerBooks {
     rule: QuotaRule,
     version: u64,
-    /// Until when another gateway may issue tokens too, because it has not heard yet that this one does.
+    /// Until when another gateway may issue tokens too.
     doubt_until: ClockTime,
     requests: TokenBucket,
     programs: TokenBucket,
@@ -71,7 +70,7 @@
 /// let view = IssuerView {
 ///     linked: 1,
 ///     gateways: 1,
-///     stable_since: ClockTime::default(),
+///     doubt_until: ClockTime::default(),
 /// };
 /// let rule = QuotaRule::open(RequestRate::per_second(10.0)?, 5.0)?;
 /// let ask = QuotaAsk { wanted: 20, ..QuotaAsk::open("c", rule, 1) };
@@ -132,8 +131,7 @@
 
 impl CustomerBooks {
     fn open(ask: &QuotaAsk, view: IssuerView, now: ClockTime) -> Self {
-        // Another gateway may have issued tokens until it heard from this one.
-        let doubt_until = view.stable_since + UNHEARD_AFTER;
+        let doubt_until = view.doubt_until;
         let due = now.since(doubt_until).as_secs_f64() * shares_rate(&ask.rule, view);
         let need = ProgramNeed::open(now);
         let level = due.min(ask.rule.capacity());
--- a/crates/ebony_limit/src/quota/mod.rs
+++ b/crates/ebony_limit/src/quota/mod.rs
@@ -14,6 +14,7 @@
 pub mod own_share;
 pub mod purse;
 pub mod rank;
+pub mod reach;
 pub mod role;
 pub mod rule;
 pub mod wallet;
@@ -24,6 +25,7 @@
     pub use super::message::{QuotaAsk, QuotaGrant, QuotaReply};
     pub use super::purse::{CallClass, QuotaStamp};
     pub use super::rank::RankCache;
+    pub use super::reach::ReachLog;
     pub use super::role::{QuotaPeer, QuotaRole, quota_role};
     pub use super::rule::{QuotaRule, RuleError};
     pub use super::wallet::{QuotaWallet, TakeOutcome, WaitTicket};
--- a/crates/ebony_limit/src/quota/role.rs
+++ b/crates/ebony_limit/src/quota/role.rs
@@ -31,7 +31,7 @@
 }
 
 impl QuotaPeer<'_> {
-    fn is_linked(&self) -> bool {
+    pub(super) fn is_linked(&self) -> bool {
         matches!(self.state, PeerState::Linked | PeerState::Silent)
     }
 }
--- a/crates/ebony_limit/tests/quota_fleet/faults.rs
+++ b/crates/ebony_limit/tests/quota_fleet/faults.rs
@@ -2,7 +2,6 @@
 
 use std::time::Duration;
 
-use ebony_limit::quota::role::UNHEARD_AFTER;
 use ebony_types::ClockTime;
 use rand::Rng;
 
@@ -94,7 +93,6 @@
             life,
             // It listens again after a time.
             frozen_until: now + Duration::from_millis(300),
-            stable_since: now,
             version: self.versions.len() as u64 - 1,
             cut_until: self.gateways[gateway].cut_until,
             heard_at,
@@ -119,7 +117,6 @@
         let (now, gateways) = (self.now, self.gateways.len());
         let phase = (now.as_micros() / 100_000) as usize % 10;
         for gateway in 0..gateways {
-            let mut has_changed = false;
             for other in (0..gateways).filter(|other| *other != gateway) {
                 let is_cut = |number: usize| self.gateways[number].cut_until > now;
                 let is_sound = is_cut(gateway) == is_cut(other) && self.is_up(gateway) && self.is_up(other);
@@ -129,21 +126,17 @@
                         self.gateways[gateway].lost_at.remove(&other);
                         self.gateways[other].lost_at.remove(&gateway);
                         self.hear(gateway, other, now);
-                        has_changed = true;
                     }
                     None if is_sound && (gateway + other) % 10 == phase => self.hear(gateway, other, now),
                     None if self.is_up(gateway)
                         && now.since(self.gateways[gateway].heard_at[other]) >= LINK_TIMEOUT =>
                     {
                         self.gateways[gateway].lost_at.insert(other, now);
-                        has_changed = true;
                     }
                     _ => {}
                 }
             }
-            let heard = self.count_heard(gateway);
-            if (has_changed || heard != self.gateways[gateway].heard) && self.is_up(gateway) {
-                self.gateways[gateway].heard = heard;
+            if self.is_up(gateway) {
                 self.review_roles(gateway);
             }
             if self.rng.random_bool(0.03) {
@@ -152,15 +145,6 @@
         }
     }
 
-    /// Returns the number of gateways that a gateway hears from.
-    fn count_heard(&self, gateway: usize) -> usize {
-        let heard_at = &self.gateways[gateway].heard_at;
-        heard_at
-            .iter()
-            .filter(|at| self.now.since(**at) < UNHEARD_AFTER)
-            .count()
-    }
-
     fn hear(&mut self, gateway: usize, other: usize, now: ClockTime) {
         for (own, peer) in [(gateway, other), (other, gateway)] {
             self.gateways[own].heard_at[peer] = now;
--- a/crates/ebony_limit/tests/quota_fleet/gateway.rs
+++ b/crates/ebony_limit/tests/quota_fleet/gateway.rs
@@ -5,7 +5,7 @@
 
 use ebony_limit::PeerState;
 use ebony_limit::quota::{
-    IssuerView, QuotaIssuer, QuotaPeer, QuotaReply, QuotaRole, QuotaWallet, RankCache, TakeOutcome,
+    IssuerView, QuotaIssuer, QuotaPeer, QuotaReply, QuotaRole, QuotaWallet, RankCache, ReachLog, TakeOutcome,
     WaitTicket, quota_role,
 };
 use ebony_types::ClockTime;
@@ -31,11 +31,9 @@
     pub silent: BTreeSet<usize>,
     /// When something was last received from others.
     pub heard_at: Vec<ClockTime>,
-    /// The number of gateways that it heard from when it last looked.
-    pub heard: usize,
     pub frozen_until: ClockTime,
     pub cut_until: ClockTime,
-    pub stable_since: ClockTime,
+    pub reach: ReachLog,
     /// The version of the configuration that it knows.
     pub version: u64,
     pub wake_at: Option<ClockTime>,
@@ -63,10 +61,9 @@
             lost_at: lost.map(|other| (other, ClockTime::default())).collect(),
             silent: BTreeSet::new(),
             heard_at: vec![ClockTime::default(); options.gateways],
-            heard: options.gateways,
             frozen_until: ClockTime::default(),
             cut_until: ClockTime::default(),
-            stable_since: ClockTime::default(),
+            reach: ReachLog::default(),
             version: 0,
             wake_at: None,
         }
@@ -89,14 +86,14 @@
         is_lost(from, to) || is_lost(to, from)
     }
 
-    fn role(&mut self, gateway: usize, customer: &str) -> ModelRole {
-        let mut ranks = std::mem::take(&mut self.gateways[gateway].ranks);
+    /// Returns what a gateway knows of the others.
+    fn peers(&self, gateway: usize) -> Vec<QuotaPeer<'_>> {
         let own = &self.gateways[gateway];
         let is_known = |other: &usize| {
             *other != gateway && (own.list.contains(other) || !own.lost_at.contains_key(other))
         };
         let others = (0..self.gateways.len()).filter(is_known);
-        let peers: Vec<QuotaPeer<'_>> = others
+        others
             .map(|other| {
                 let state = match own.lost_at.get(&other) {
                     Some(lost_at) if self.now.since(*lost_at) >= PRESUMED_GONE_AFTER => PeerState::Gone,
@@ -117,12 +114,18 @@
                     is_absent: false,
                 }
             })
-            .collect();
+            .collect()
+    }
+
+    fn role(&mut self, gateway: usize, customer: &str) -> ModelRole {
+        let mut ranks = std::mem::take(&mut self.gateways[gateway].ranks);
+        let own = &self.gateways[gateway];
+        let peers = self.peers(gateway);
         let role = match quota_role(customer, &own.name, &peers, &mut ranks) {
             QuotaRole::Issues { linked, gateways } => ModelRole::Issues(IssuerView {
                 linked,
                 gateways,
-                stable_since: own.stable_since,
+                doubt_until: own.reach.doubt_until(),
             }),
             QuotaRole::Asks { issuer, .. } => {
                 let number = issuer.trim_start_matches("gateway-").parse();
@@ -356,9 +359,14 @@
         wallet.fail(customer, &rule, gateways, asked_at, now);
     }
 
-    /// Drops the buckets of customers whose tokens a gateway no longer issues.
+    /// Drops the buckets of customers whose tokens a gateway no longer issues, if it hears from others than before.
     pub(crate) fn review_roles(&mut self, gateway: usize) {
-        self.gateways[gateway].stable_since = self.now;
+        let mut reach = std::mem::take(&mut self.gateways[gateway].reach);
+        let has_changed = reach.update(&self.peers(gateway), self.now);
+        self.gateways[gateway].reach = reach;
+        if !has_changed {
+            return;
+        }
         for customer in 0..self.options.rates.len() {
             let customer = name_of(customer);
             if !matches!(self.role(gateway, &customer), ModelRole::Issues(_)) {
--- a/crates/ebonyctl/src/run/explain.rs
+++ b/crates/ebonyctl/src/run/explain.rs
@@ -18,7 +18,7 @@
 const HEAD_MEMBERS: [&str; 5] = ["ts", "process", "msg", "level", "role"];
 
 /// Messages on the state of a process as it knew it, which explain its decisions.
-const STATE_MESSAGES: [&str; 16] = [
+const STATE_MESSAGES: [&str; 17] = [
     "accounts are not recorded",
     "accounts are recorded again",
     "configuration in force",
@@ -28,6 +28,7 @@
     "permits of a limited target",
     "process serves",
     "readiness changed",
+    "role for a customer's quota",
     "settings reloaded",
     "some customers are not configured as written",
     "target broke off",
@@ -153,7 +154,7 @@
                     .get("lines")
                     .and_then(Value::as_u64)
                     .unwrap_or_default();
-            } else if STATE_MESSAGES.contains(&line.message.as_str()) {
+            } else if STATE_MESSAGES.contains(&line.message.as_str()) && self.concerns_customer(&line) {
                 // A later message of the same kind replaces an earlier one, except that each target that the call tried or
                 // passed over keeps its own.
                 let target = self.named_target(&line);
@@ -168,6 +169,15 @@
         self.states = latest;
     }
 
+    /// Returns whether a message names no customer, or the customer of a line of the call or the program.
+    fn concerns_customer(&self, message: &LogLine) -> bool {
+        let Some(customer) = message.members.get("customer") else {
+            return true;
+        };
+        let mut lines = self.lines.iter();
+        lines.any(|line| line.members.get("customer") == Some(customer))
+    }
+
     /// Returns the target of a message if a line of the call or the program names that target.
     fn named_target<'l>(&self, message: &'l LogLine) -> Option<&'l str> {
         let target = message.members.get("target")?.as_str()?;
