--- a/crates/ebony_limit/src/quota/issuer.rs
+++ b/crates/ebony_limit/src/quota/issuer.rs
@@ -135,7 +135,8 @@
         let due = now.since(doubt_until).as_secs_f64() * shares_rate(&ask.rule, view);
         let need = ProgramNeed::open(now);
         let level = due.min(ask.rule.capacity());
-        let program_level = due.min(program_capacity(&ask.rule, need.requests()));
+        // Programs that begin too early wait for their tokens, but do not exceed the quota.
+        let program_level = program_capacity(&ask.rule, need.requests()) / 2.0;
         Self {
             rule: ask.rule,
             version: ask.version,
--- a/crates/ebony_limit/src/quota/reach.rs
+++ b/crates/ebony_limit/src/quota/reach.rs
@@ -9,7 +9,7 @@
 
 /// How long after a link was opened another gateway may not know of it: the time in which a gateway that starts is
 /// dialed by all others, and each of them has sent its first ping.
-const LINKING_TIME: Duration = Duration::from_millis(400);
+const LINKING_TIME: Duration = Duration::from_millis(700);
 
 /// Whether a gateway was heard from when it was last looked at.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -46,7 +46,7 @@
 /// let peer = |state, is_absent| QuotaPeer { name: "b", state, unheard_for: Duration::ZERO, is_absent };
 /// let mut log = ReachLog::default();
 /// assert!(log.update(&[peer(PeerState::Linked, false)], at(10_000)));
-/// assert_eq!(log.doubt_until(), at(10_400));
+/// assert_eq!(log.doubt_until(), at(10_700));
 /// // The gateway may be cut off and still issue tokens.
 /// assert!(log.update(&[peer(PeerState::Lost, false)], at(20_000)));
 /// assert_eq!(log.doubt_until(), at(21_400));
