Targets' slow-downs are decoded and their speeds learned

Engines of one deployment differ in speed by 2.4 times, and hosts turn 2.5 times slower for spells of about 600 ms. The load report's fourth figure says so, and was ignored. Cause of uneven queues besides: the speed of a target was unknown.

The report's fourth figure is decoded into LoadNotice::slowdown, with counted faults, and loses half of its weight in 300 ms. The board learns each target's time factor relative to its service from own calls. Neither is used for placement yet.

--- a/crates/ebony_dialect/src/answer.rs
+++ b/crates/ebony_dialect/src/answer.rs
@@ -23,6 +23,35 @@
     Unreadable,
 }
 
+/// What was wrong with a report of a target's load.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LoadFault {
+    /// The figures could not be decoded, and the report is ignored.
+    Unreadable,
+    /// The slow-down could not be decoded; the other figures count.
+    UnreadableSlowdown,
+    /// The slow-down was beyond its bounds and counts as the nearest bound.
+    UnboundedSlowdown,
+    /// There were more figures than known, and the further ones are ignored.
+    ExtraFigures,
+}
+
+impl LoadFault {
+    /// Returns the label of the fault.
+    ///
+    /// ```
+    /// assert_eq!(ebony_dialect::LoadFault::Unreadable.as_str(), "unreadable");
+    /// ```
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Unreadable => "unreadable",
+            Self::UnreadableSlowdown => "unreadable_slowdown",
+            Self::UnboundedSlowdown => "unbounded_slowdown",
+            Self::ExtraFigures => "extra_figures",
+        }
+    }
+}
+
 /// The decoded header fields of a target's answer.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct AnswerHead {
@@ -38,6 +67,8 @@
     pub limit: Option<LimitNotice>,
     /// The target's load, if it was reported.
     pub load: Option<LoadNotice>,
+    /// What was wrong with the report of the load.
+    pub load_fault: Option<LoadFault>,
     /// The time for which the target keeps the connection open while it is idle.
     pub keep_alive_timeout: Option<Duration>,
 }
--- a/crates/ebony_dialect/src/lib.rs
+++ b/crates/ebony_dialect/src/lib.rs
@@ -11,7 +11,7 @@
 
 use http::{HeaderMap, HeaderName, HeaderValue};
 
-pub use answer::{AnswerHead, LeavingNotice, LimitNotice};
+pub use answer::{AnswerHead, LeavingNotice, LimitNotice, LoadFault};
 pub use attempt::AttemptHead;
 pub use call::{CallHead, ProgramHead, TokenCount};
 pub use records::{DecodeError, RecordDialect};
--- a/crates/ebony_dispatch/src/board.rs
+++ b/crates/ebony_dispatch/src/board.rs
@@ -13,6 +13,9 @@
 use crate::load::{LoadNotice, TargetLoad};
 use crate::options::DispatchOptions;
 use crate::prompt::{PromptCache, PromptPart};
+use crate::slowdown::ReportedSlowdown;
+use crate::speed::{ServicePace, TargetSpeed};
+use crate::timing::RunTiming;
 
 /// The assumed cache capacity, in tokens, of a target whose memory is not configured.
 const DEFAULT_MEMORY_TOKENS: u64 = 100_000;
@@ -95,6 +98,10 @@
     pub record: TargetRecord,
     /// The load estimate.
     pub load: TargetLoad,
+    /// The slow-down of its host, as last reported.
+    pub slowdown: ReportedSlowdown,
+    /// Its speed, as learned from the entry's own calls.
+    pub speed: TargetSpeed,
     /// Recent failures.
     pub fault: TargetFault,
     /// The prompt parts that it is expected to have cached.
@@ -108,9 +115,13 @@
 }
 
 #[derive(Clone, Debug)]
-struct TargetRun {
-    target: TargetKey,
+pub(crate) struct TargetRun {
+    pub(crate) target: TargetKey,
     prefill: u64,
+    /// Whether the call has no prompt.
+    pub(crate) is_plain: bool,
+    /// `None` if the time of the call is not measured.
+    pub(crate) timing: Option<RunTiming>,
 }
 
 /// The targets that an entry may send calls to.
@@ -136,9 +147,11 @@
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct TargetBoard {
-    targets: SlotMap<TargetKey, TargetEntry>,
+    pub(crate) targets: SlotMap<TargetKey, TargetEntry>,
     names: HashMap<TargetName, TargetKey>,
-    runs: SlotMap<RunKey, TargetRun>,
+    pub(crate) runs: SlotMap<RunKey, TargetRun>,
+    /// The usual times of services.
+    pub(crate) paces: HashMap<ServiceName, ServicePace>,
     leaving: LeavingTargets,
     limits: LimitTable,
 }
@@ -202,6 +215,8 @@
             let key = self.targets.insert(TargetEntry {
                 record,
                 load: TargetLoad::default(),
+                slowdown: ReportedSlowdown::default(),
+                speed: TargetSpeed::default(),
                 fault: TargetFault::default(),
                 cache: PromptCache::default(),
                 limit,
@@ -354,6 +369,12 @@
         for name in &names {
             self.remove(name);
         }
+        if !names.is_empty() {
+            let targets = &self.targets;
+            let is_listed =
+                |service: &ServiceName| targets.values().any(|target| target.record.service == *service);
+            self.paces.retain(|service, _| is_listed(service));
+        }
         names
     }
 
@@ -389,7 +410,12 @@
                 .cache
                 .record(prompt, memory_tokens.unwrap_or(DEFAULT_MEMORY_TOKENS));
         }
-        self.runs.insert(TargetRun { target, prefill })
+        self.runs.insert(TargetRun {
+            target,
+            prefill,
+            is_plain: prompt.is_empty(),
+            timing: None,
+        })
     }
 
     /// Records that the first part of the answer arrived, so that the prompt has been prefilled.
@@ -414,6 +440,9 @@
     pub fn record_notice(&mut self, key: TargetKey, notice: LoadNotice, now: ClockTime) {
         if let Some(target) = self.targets.get_mut(key) {
             target.load.record_notice(notice, now);
+            if let Some(slowdown) = notice.slowdown {
+                target.slowdown.record(slowdown, now);
+            }
         }
     }
 
--- a/crates/ebony_dispatch/src/lib.rs
+++ b/crates/ebony_dispatch/src/lib.rs
@@ -13,6 +13,9 @@
 pub mod permit_bar;
 pub mod placement;
 pub mod prompt;
+pub mod slowdown;
+pub mod speed;
+mod timing;
 
 /// Re-exports the board, placement and admission.
 pub mod prelude {
--- a/crates/ebony_dispatch/src/load.rs
+++ b/crates/ebony_dispatch/src/load.rs
@@ -3,6 +3,7 @@
 use ebony_types::ClockTime;
 
 use crate::options::DispatchOptions;
+use crate::slowdown::SlowdownFactor;
 
 /// The load that a target reported with an answer.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -13,6 +14,8 @@
     pub waiting: u32,
     /// The most calls that run at once.
     pub slots: u32,
+    /// How long work takes on the target's host now, relative to the usual time; `None` if the target does not say.
+    pub slowdown: Option<SlowdownFactor>,
 }
 
 /// The load of a target: the entry's own calls, and an estimate of those of other entries.
@@ -27,7 +30,7 @@
 /// let now = ClockTime::default();
 /// let mut load = TargetLoad::default();
 /// load.begin(1_000);
-/// load.record_notice(LoadNotice { running: 5, waiting: 0, slots: 8 }, now);
+/// load.record_notice(LoadNotice { running: 5, slots: 8, ..LoadNotice::default() }, now);
 /// assert_eq!(load.calls(&options, now), 5.0);
 /// // The share of other entries decays with the age of the report.
 /// assert_eq!(load.calls(&options, now + options.report_half_life), 3.0);
--- a/crates/ebony_dispatch/tests/admission.rs
+++ b/crates/ebony_dispatch/tests/admission.rs
@@ -130,6 +130,7 @@
                 running: running.len() as u32,
                 waiting: queue.len() as u32,
                 slots: SLOTS,
+                ..LoadNotice::default()
             };
             self.board.record_notice(*key, notice, Self::now(step));
         }
--- a/crates/ebony_dispatch/tests/limits.rs
+++ b/crates/ebony_dispatch/tests/limits.rs
@@ -122,6 +122,7 @@
         running,
         waiting: running,
         slots: SLOTS,
+        ..LoadNotice::default()
     };
     for (key, running) in keys.iter().zip([1, 1, 1, SLOTS]) {
         board.record_notice(*key, notice(running), NOW);
--- a/crates/ebony_dispatch/tests/placement.rs
+++ b/crates/ebony_dispatch/tests/placement.rs
@@ -148,6 +148,7 @@
         running: 8,
         waiting: 40,
         slots: 8,
+        ..LoadNotice::default()
     };
     entry.board.record_notice(home, notice, NOW);
     let other = entry.place("p", &prompt, &[], NOW).expect("a target is ready");
--- a/crates/ebony_gateway/src/answer.rs
+++ b/crates/ebony_gateway/src/answer.rs
@@ -20,6 +20,7 @@
 use tokio::time::{sleep, timeout};
 
 use crate::call_log::{AttemptOutcome, CallLog, CallOutcome};
+use crate::event_timer::EventTimer;
 use crate::events::EventSplitter;
 use crate::gateway::OpenCallGuard;
 use crate::intake::is_forwarded;
@@ -83,6 +84,7 @@
     /// Bytes that were read and not yet forwarded.
     read: EventSplitter,
     is_stream: bool,
+    timer: EventTimer,
     /// The unread rest of the body, with its connection; `None` once the answer was read completely.
     rest: Option<AnswerRest>,
     run: TargetRun,
@@ -132,6 +134,7 @@
                 watchdog: None,
             }),
             is_stream: call.is_stream() && answer.head.status.is_success(),
+            timer: EventTimer::default(),
             head: answer.head,
             keep_alive_timeout: head.keep_alive_timeout,
             read: EventSplitter::default(),
@@ -154,6 +157,9 @@
                 false => self.read.len() > MAX_BUFFERED_BYTES,
             };
             if is_enough || !self.read_more().await? {
+                if self.is_stream {
+                    self.run.record_first_event();
+                }
                 self.run.end_prefill();
                 return Ok(());
             }
@@ -165,7 +171,10 @@
         let Some(rest) = &mut self.rest else {
             return Ok(false);
         };
-        match rest.body.frame().await {
+        let wait_start = self.run.now();
+        let frame = rest.body.frame().await;
+        self.timer.record_wait(self.run.now().since(wait_start));
+        match frame {
             Some(Ok(frame)) => {
                 if let Some(data) = frame.data_ref() {
                     self.read.push(data);
@@ -376,6 +385,7 @@
     /// Fails if the budget is spent or the turn's output is too large.
     async fn next_events(&mut self) -> Result<Bytes> {
         let mut events = BytesMut::new();
+        let mut taken = 0;
         while let Some(event) = self.answer.read.next_event() {
             if let Some(turn) = self.turn.as_ref().filter(|_| event.number.is_some()) {
                 turn.spend(self.call.event_tokens())
@@ -387,6 +397,13 @@
             }
             self.log.record_event();
             events.extend_from_slice(&event.bytes);
+            taken += 1;
+        }
+        if taken > 0 {
+            let answer = &mut self.answer;
+            if let Some((events, elapsed)) = answer.timer.record_events(taken, answer.run.now()) {
+                answer.run.record_events(events, elapsed);
+            }
         }
         Ok(events.freeze())
     }
--- a/crates/ebony_gateway/src/attempts.rs
+++ b/crates/ebony_gateway/src/attempts.rs
@@ -239,6 +239,10 @@
                 let call = self.call.head.call.as_deref();
                 leaving::apply_answer_notice(gateway, &record, call, answer.head.status, &head);
                 limits::apply_answer_limit(gateway, &record, call, answer.head.status, &head, sent_at);
+                if let Some(fault) = head.load_fault {
+                    let faults = &gateway.metrics.load_faults;
+                    faults.with_label_values(&[fault.as_str()]).inc();
+                }
                 if let Some(notice) = head.load {
                     let now = gateway.clock.now();
                     gateway.board.borrow_mut().record_notice(target, notice, now);
--- a/crates/ebony_gateway/src/lib.rs
+++ b/crates/ebony_gateway/src/lib.rs
@@ -12,6 +12,7 @@
 mod conversations;
 mod crashes;
 pub mod decision_log;
+mod event_timer;
 pub mod events;
 pub mod fleet;
 pub mod gateway;
--- a/crates/ebony_gateway/src/metrics.rs
+++ b/crates/ebony_gateway/src/metrics.rs
@@ -30,6 +30,8 @@
     pub(crate) leaving: IntCounterVec,
     /// Changes of the limits that targets name, by kind.
     pub(crate) limits: IntCounterVec,
+    /// Load reports of targets with figures that were ignored or bounded, by kind.
+    pub(crate) load_faults: IntCounterVec,
     /// Requests for permits to call limited targets, by outcome.
     pub(crate) permits: IntCounterVec,
     /// Listed targets that limit their rate.
@@ -118,6 +120,11 @@
                 "Changes of the request rates to which targets limit all gateways, by kind.",
                 &["change"],
             )?,
+            load_faults: registry.counter_family(
+                "gateway_load_faults_total",
+                "Load reports of targets with figures that were ignored or bounded, by kind.",
+                &["fault"],
+            )?,
             permits: registry.counter_family(
                 "gateway_permits_total",
                 "Requests for permits to call limited targets, by outcome.",
--- a/crates/ebony_gateway/src/target_run.rs
+++ b/crates/ebony_gateway/src/target_run.rs
@@ -2,9 +2,10 @@
 
 use std::cell::Cell;
 use std::rc::Rc;
+use std::time::Duration;
 
 use ebony_dispatch::{RunKey, TargetKey, TargetRecord};
-use ebony_types::TargetName;
+use ebony_types::{ClockTime, TargetName};
 use http::StatusCode;
 use slog::info;
 
@@ -31,10 +32,11 @@
     pub(crate) fn begin(call: &RoutedCall, target: TargetKey, record: TargetRecord) -> Self {
         let gateway = Rc::clone(&call.gateway);
         let memory = call.engine.map(|engine| engine.memory_tokens);
-        let run = gateway
-            .board
-            .borrow_mut()
-            .begin(target, &call.head.prompt, memory);
+        let mut board = gateway.board.borrow_mut();
+        let run = board.begin(target, &call.head.prompt, memory);
+        let options = gateway.options.get();
+        board.start_timing(run, &gateway.domain, &options, gateway.clock.now());
+        drop(board);
         Self {
             gateway,
             target,
@@ -50,16 +52,37 @@
         &self.record.name
     }
 
+    /// Returns the time on the gateway's clock.
+    pub(crate) fn now(&self) -> ClockTime {
+        self.gateway.clock.now()
+    }
+
     pub(crate) fn end_prefill(&self) {
         self.gateway.board.borrow_mut().end_prefill(self.run);
     }
 
+    /// Records that the first event of a stream arrived.
+    pub(crate) fn record_first_event(&self) {
+        let now = self.gateway.clock.now();
+        self.gateway.board.borrow_mut().record_first_event(self.run, now);
+    }
+
+    /// Records the time of consecutive events of a stream.
+    pub(crate) fn record_events(&self, events: u32, elapsed: Duration) {
+        let now = self.gateway.clock.now();
+        let options = self.gateway.options.get();
+        let mut board = self.gateway.board.borrow_mut();
+        board.record_events(self.run, events, elapsed, &options, now);
+    }
+
     /// Records a complete answer.
     pub(crate) fn record_success(&self, status: StatusCode) {
         self.is_settled.set(true);
         // A target may answer with a failure without having run the call, which does not clear the request.
         if status.is_success() {
             self.gateway.crashes.record_completion(&self.fingerprint);
+            let now = self.gateway.clock.now();
+            self.gateway.board.borrow_mut().record_finish(self.run, now);
         }
         let failures = self.gateway.board.borrow_mut().record_success(self.target);
         if failures > 0 {
