Even load: a few random targets are compared by expected time

All gateways chose the target with the least estimated delay from old reports, and so the same one.

With policy.even_load, and automatically for services whose targets report a slow-down, a gateway compares two random targets by expected time, which counts learned speed, slow-down, and other gateways' calls at the mean of the service where reports are old. Turns also consider the home target and those with the history cached. Plain calls choose from a subset that differs between gateways, and prefer idle connections. Targets without memory for a call are left out.

--- a/crates/ebony_dispatch/src/board.rs
+++ b/crates/ebony_dispatch/src/board.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use ebony_limit::{LimitChange, LimitObservation, RequestRate};
+use ebony_types::rendezvous::rendezvous_weight;
 use ebony_types::{ClockTime, DomainName, ServiceName, TargetName};
 use slotmap::{SlotMap, new_key_type};
 
@@ -24,6 +25,9 @@
 /// deployment once, and the largest deployments have a few hundred targets.
 const MAX_LEAVING_TARGETS: usize = 1_024;
 
+/// The most services whose usual times are kept, listed and unlisted ones together.
+const MAX_SERVICES: usize = 1_024;
+
 new_key_type! {
     /// A target on the board. A restarted target gets a new key.
     pub struct TargetKey;
@@ -108,6 +112,8 @@
     pub cache: PromptCache,
     /// The rate to which the target limits all gateways together.
     pub limit: Option<RequestRate>,
+    /// The target's place in the order in which this entry prefers targets; orders of entries differ.
+    pub rank: u64,
     /// When the next permit for a call is due, as far as known; only relevant to a target with a limit.
     pub next_permit: ClockTime,
     /// When the target is removed unless it is listed again; `None` while it is listed.
@@ -117,7 +123,9 @@
 #[derive(Clone, Debug)]
 pub(crate) struct TargetRun {
     pub(crate) target: TargetKey,
-    prefill: u64,
+    pub(crate) prefill: u64,
+    /// The memory that the call needs at its target.
+    pub(crate) tokens: u64,
     /// Whether the call has no prompt.
     pub(crate) is_plain: bool,
     /// `None` if the time of the call is not measured.
@@ -154,6 +162,8 @@
     pub(crate) paces: HashMap<ServiceName, ServicePace>,
     leaving: LeavingTargets,
     limits: LimitTable,
+    /// The name of the entry.
+    chooser: String,
 }
 
 /// Targets that announced that they are leaving, with the incarnation that did so.
@@ -196,6 +206,14 @@
 }
 
 impl TargetBoard {
+    /// Opens the board of an entry with a name. Entries with different names prefer different targets.
+    pub fn open(chooser: &str) -> Self {
+        Self {
+            chooser: chooser.to_owned(),
+            ..Self::default()
+        }
+    }
+
     /// Adds or updates a target from a record of the platform's list. A target that announced that it is leaving is
     /// treated as draining for the rest of this incarnation, even if the platform still lists it as ready.
     pub fn apply(&mut self, mut record: TargetRecord) -> TargetChange {
@@ -212,6 +230,9 @@
             }
             let name = record.name.clone();
             let limit = self.limits.rate(&name, record.incarnation());
+            if self.paces.len() < MAX_SERVICES && !self.paces.contains_key(&record.service) {
+                self.paces.insert(record.service.clone(), ServicePace::default());
+            }
             let key = self.targets.insert(TargetEntry {
                 record,
                 load: TargetLoad::default(),
@@ -220,6 +241,7 @@
                 fault: TargetFault::default(),
                 cache: PromptCache::default(),
                 limit,
+                rank: rendezvous_weight(&self.chooser, name.as_str()),
                 next_permit: ClockTime::default(),
                 expires_at: None,
             });
@@ -413,6 +435,7 @@
         self.runs.insert(TargetRun {
             target,
             prefill,
+            tokens: 0,
             is_plain: prompt.is_empty(),
             timing: None,
         })
@@ -433,6 +456,7 @@
         let Some(run) = self.runs.remove(run) else { return };
         if let Some(target) = self.targets.get_mut(run.target) {
             target.load.end();
+            target.load.free_tokens(run.tokens);
         }
     }
 
@@ -443,6 +467,10 @@
             if let Some(slowdown) = notice.slowdown {
                 target.slowdown.record(slowdown, now);
             }
+            let others = f64::from(target.load.other_calls()) / f64::from(target.record.slots.max(1));
+            if let Some(pace) = self.paces.get_mut(&target.record.service) {
+                pace.record_notice(others, notice.slowdown.is_some());
+            }
         }
     }
 
--- a/crates/ebony_dispatch/src/lib.rs
+++ b/crates/ebony_dispatch/src/lib.rs
@@ -6,9 +6,12 @@
 
 pub mod admission;
 pub mod board;
+pub mod even_load;
+mod expected_time;
 pub mod fault;
 mod limits;
 pub mod load;
+mod memory;
 pub mod options;
 pub mod permit_bar;
 pub mod placement;
@@ -23,11 +26,12 @@
     pub use crate::board::{
         RunKey, TargetBoard, TargetChange, TargetIncarnation, TargetKey, TargetPhase, TargetRecord,
     };
+    pub use crate::even_load::{CallDemand, EvenLoad};
     pub use crate::fault::TargetFault;
     pub use crate::load::TargetLoad;
     pub use crate::options::{DispatchOptions, PlacementRule};
     pub use crate::permit_bar::PermitBar;
-    pub use crate::placement::{PlacementRequest, place};
+    pub use crate::placement::{PlacementRequest, place, place_with};
     pub use crate::prompt::PromptPart;
 }
 
--- a/crates/ebony_dispatch/src/load.rs
+++ b/crates/ebony_dispatch/src/load.rs
@@ -39,6 +39,7 @@
 pub struct TargetLoad {
     own_calls: u32,
     own_prefill: u64,
+    own_tokens: u64,
     other_calls: u32,
     reported_at: ClockTime,
 }
@@ -60,6 +61,21 @@
         self.own_calls = self.own_calls.saturating_sub(1);
     }
 
+    /// Counts the memory that a call of this entry needs.
+    pub fn hold_tokens(&mut self, tokens: u64) {
+        self.own_tokens = self.own_tokens.saturating_add(tokens);
+    }
+
+    /// Records that a call of this entry needs no memory any more.
+    pub fn free_tokens(&mut self, tokens: u64) {
+        self.own_tokens = self.own_tokens.saturating_sub(tokens);
+    }
+
+    /// Returns the memory that the entry's own calls need, in tokens.
+    pub fn own_tokens(&self) -> u64 {
+        self.own_tokens
+    }
+
     /// Takes over the load that the target reported. What exceeds the entry's own calls counts for other entries.
     pub fn record_notice(&mut self, notice: LoadNotice, now: ClockTime) {
         let total = notice.running.saturating_add(notice.waiting);
@@ -77,6 +93,20 @@
         self.own_prefill
     }
 
+    /// Returns the number of calls of other entries, as last reported.
+    pub fn other_calls(&self) -> u32 {
+        self.other_calls
+    }
+
+    /// Returns the weight of the last report, which halves with each half-life; 0 without a report.
+    pub fn report_weight(&self, options: &DispatchOptions, now: ClockTime) -> f64 {
+        if self.reported_at == ClockTime::default() {
+            return 0.0;
+        }
+        let age = now.since(self.reported_at).as_secs_f64();
+        0.5_f64.powf(age / options.report_half_life.as_secs_f64())
+    }
+
     /// Returns the estimated number of calls of all entries.
     pub fn calls(&self, options: &DispatchOptions, now: ClockTime) -> f64 {
         let age = now.since(self.reported_at).as_secs_f64();
--- a/crates/ebony_dispatch/src/options.rs
+++ b/crates/ebony_dispatch/src/options.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use crate::even_load::EvenLoad;
+
 /// The algorithm that chooses a target.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum PlacementRule {
@@ -41,6 +43,8 @@
 pub struct DispatchOptions {
     /// The algorithm that chooses a target.
     pub rule: PlacementRule,
+    /// Which services get even load. Only [`PlacementRule::EstimatedDelay`] heeds it.
+    pub even_load: EvenLoad,
     /// How many more of the entry's own calls than the least loaded target the home target may have.
     pub home_extra_calls: u32,
     /// Prompt tokens that an engine prefills in a millisecond. The default is the slower of the two deployments, whose
@@ -74,6 +78,7 @@
     fn default() -> Self {
         Self {
             rule: PlacementRule::default(),
+            even_load: EvenLoad::default(),
             home_extra_calls: 8,
             prefill_tokens_per_ms: 61.0,
             domain_delay_ms: 1.8,
--- a/crates/ebony_dispatch/src/placement.rs
+++ b/crates/ebony_dispatch/src/placement.rs
@@ -10,6 +10,7 @@
 use ebony_types::{ClockTime, DomainName, ServiceName};
 
 use crate::board::{TargetBoard, TargetEntry, TargetKey, TargetPhase};
+use crate::even_load::{CallDemand, least_time, retain_with_memory};
 use crate::options::{DispatchOptions, PlacementRule};
 use crate::prompt::PromptPart;
 
@@ -47,7 +48,28 @@
     options: &DispatchOptions,
     now: ClockTime,
 ) -> Option<TargetKey> {
-    let candidates = candidates(board, call, now);
+    place_with(board, call, &CallDemand::default(), options, now)
+}
+
+/// Chooses a target like [`place`], given also what the call needs of a target. For services with even load, the
+/// estimated delay is compared for a few targets only, see [`crate::even_load`].
+pub fn place_with(
+    board: &TargetBoard,
+    call: &PlacementRequest<'_>,
+    demand: &CallDemand<'_>,
+    options: &DispatchOptions,
+    now: ClockTime,
+) -> Option<TargetKey> {
+    let is_even =
+        options.rule == PlacementRule::EstimatedDelay && options.even_load.applies(board, call.service);
+    if is_even {
+        let mut candidates = eligible_targets(board, call, now);
+        retain_with_memory(board, &mut candidates, call, demand, options, now);
+        retain_best_tier(&mut candidates, call, now);
+        return least_time(board, &candidates, call, demand, options, now);
+    }
+    let mut candidates = eligible_targets(board, call, now);
+    retain_best_tier(&mut candidates, call, now);
     match options.rule {
         PlacementRule::LeastOwnLoad => least_own_load(&candidates, call),
         PlacementRule::HomeTarget => home_target(&candidates, call, options),
@@ -55,31 +77,37 @@
     }
 }
 
-type Candidate<'a> = (TargetKey, &'a TargetEntry);
+pub(crate) type Candidate<'a> = (TargetKey, &'a TargetEntry);
+
+/// Returns the targets that may get the call.
+fn eligible_targets<'a>(
+    board: &'a TargetBoard,
+    call: &PlacementRequest<'_>,
+    now: ClockTime,
+) -> Vec<Candidate<'a>> {
+    let is_eligible = |(key, target): &Candidate<'_>| {
+        target.record.service == *call.service
+            && target.record.phase == TargetPhase::Ready
+            && !call.tried.contains(key)
+            && may_wait_for_permit(target, call, now)
+    };
+    board.targets().filter(is_eligible).collect()
+}
 
-/// Returns the eligible targets of the best availability tier that is not empty.
-fn candidates<'a>(board: &'a TargetBoard, call: &PlacementRequest<'_>, now: ClockTime) -> Vec<Candidate<'a>> {
+/// Keeps the targets of the best availability tier that is not empty.
+fn retain_best_tier(candidates: &mut Vec<Candidate<'_>>, call: &PlacementRequest<'_>, now: ClockTime) {
     let tier = |target: &TargetEntry| match () {
         () if target.fault.is_avoided(now) => 2,
         () if target.fault.is_full(now) => 1,
         () if target.load.own_calls() >= call.max_connections => 1,
         () => 0,
     };
-    let is_candidate = |(key, target): &Candidate<'_>| {
-        target.record.service == *call.service
-            && target.record.phase == TargetPhase::Ready
-            && !call.tried.contains(key)
-            && may_wait_for_permit(target, call, now)
-    };
-    let all: Vec<Candidate<'a>> = board.targets().filter(is_candidate).collect();
-    let best = all.iter().map(|(_, target)| tier(target)).min();
-    all.into_iter()
-        .filter(|(_, target)| Some(tier(target)) == best)
-        .collect()
+    let best = candidates.iter().map(|(_, target)| tier(target)).min();
+    candidates.retain(|(_, target)| Some(tier(target)) == best);
 }
 
 /// Returns the time until the target's next permit is due, as far as known; zero if it does not limit its rate.
-fn permit_delay(target: &TargetEntry, now: ClockTime) -> Duration {
+pub(crate) fn permit_delay(target: &TargetEntry, now: ClockTime) -> Duration {
     match target.limit {
         Some(_) => target.next_permit.since(now),
         None => Duration::ZERO,
@@ -95,7 +123,7 @@
     }
 }
 
-fn affinity_weight(target: &TargetEntry, call: &PlacementRequest<'_>) -> u64 {
+pub(crate) fn affinity_weight(target: &TargetEntry, call: &PlacementRequest<'_>) -> u64 {
     rendezvous_weight(call.affinity, target.record.name.as_str())
 }
 
@@ -194,23 +222,26 @@
     mean_running: f64,
     options: &DispatchOptions,
 ) -> f64 {
-    let earlier_parts = call.prompt.len().saturating_sub(1);
-    let has_earlier =
-        earlier_parts > SHARED_PREFIX_PARTS && target.cache.cached_parts(call.prompt) >= earlier_parts;
-    if call.prompt.is_empty() || is_home || has_earlier {
+    if call.prompt.is_empty() || is_home || has_history(target, call) {
         return 0.0;
     }
     prompt_tokens(call) as f64 / options.prefill_tokens_per_ms * (1.0 + mean_running)
 }
 
+/// Returns whether the target is expected to have cached the program's earlier turns.
+pub(crate) fn has_history(target: &TargetEntry, call: &PlacementRequest<'_>) -> bool {
+    let earlier_parts = call.prompt.len().saturating_sub(1);
+    earlier_parts > SHARED_PREFIX_PARTS && target.cache.cached_parts(call.prompt) >= earlier_parts
+}
+
 /// Returns the prompt tokens that the target has to prefill. The home target is assumed to have cached the program's
 /// earlier turns, because other entries send them there.
-fn prefill_tokens(target: &TargetEntry, is_home: bool, call: &PlacementRequest<'_>) -> u64 {
+pub(crate) fn prefill_tokens(target: &TargetEntry, is_home: bool, call: &PlacementRequest<'_>) -> u64 {
     let uncached = prompt_tokens(call) - target.cache.cached_tokens(call.prompt);
     let last = call.prompt.last().map_or(0, |part| u64::from(part.tokens));
     if is_home { uncached.min(last) } else { uncached }
 }
 
-fn prompt_tokens(call: &PlacementRequest<'_>) -> u64 {
+pub(crate) fn prompt_tokens(call: &PlacementRequest<'_>) -> u64 {
     call.prompt.iter().map(|part| u64::from(part.tokens)).sum()
 }
--- a/crates/ebony_dispatch/src/speed.rs
+++ b/crates/ebony_dispatch/src/speed.rs
@@ -29,6 +29,9 @@
 /// The share of a sample in the usual time of a service, once there are many.
 const PACE_SHARE: f64 = 0.02;
 
+/// The share of a report in the mean load of a service.
+const NOTICE_SHARE: f64 = 0.1;
+
 /// The assumed weight of the configured slot time, in samples.
 const SLOT_TIME_PRIOR: f64 = 10.0;
 
@@ -118,6 +121,9 @@
     samples: [u32; 3],
     slot_millis: f64,
     slot_weight: f64,
+    others_per_slot: f64,
+    call_tokens: f64,
+    reports_slowdown: bool,
 }
 
 impl ServicePace {
@@ -147,6 +153,33 @@
         Some(ratio)
     }
 
+    /// Records the calls of other entries per slot that a target reported, and whether it reported a slow-down.
+    pub fn record_notice(&mut self, others_per_slot: f64, has_slowdown: bool) {
+        self.others_per_slot += NOTICE_SHARE * (others_per_slot - self.others_per_slot);
+        self.reports_slowdown |= has_slowdown;
+    }
+
+    /// Returns the mean of the calls of other entries per slot, as reported.
+    pub fn others_per_slot(&self) -> f64 {
+        self.others_per_slot
+    }
+
+    /// Returns whether a target reported a slow-down.
+    pub fn reports_slowdown(&self) -> bool {
+        self.reports_slowdown
+    }
+
+    /// Records the memory that a call needs, in tokens.
+    pub fn record_tokens(&mut self, tokens: u64) {
+        let share = if self.call_tokens == 0.0 { 1.0 } else { PACE_SHARE };
+        self.call_tokens += share * (tokens as f64 - self.call_tokens);
+    }
+
+    /// Returns the mean of the memory that a call needs, in tokens.
+    pub fn call_tokens(&self) -> f64 {
+        self.call_tokens
+    }
+
     /// Records the time for which a call occupied a slot, with the target's speed and queueing taken out.
     pub fn record_slot_time(&mut self, millis: f64) {
         let kept = 1.0 - PACE_SHARE;
--- a/crates/ebony_dispatch/src/timing.rs
+++ b/crates/ebony_dispatch/src/timing.rs
@@ -2,11 +2,11 @@
 
 use std::time::Duration;
 
-use ebony_types::{ClockTime, DomainName};
+use ebony_types::{ClockTime, DomainName, ServiceName};
 
 use crate::board::{RunKey, TargetBoard, TargetEntry, TargetKey};
 use crate::options::DispatchOptions;
-use crate::speed::WorkKind;
+use crate::speed::{ServicePace, WorkKind};
 
 /// The fewest prompt tokens whose prefill time is measured. For shorter prompts, other delays prevail.
 const MIN_PREFILL_TOKENS: u64 = 256;
@@ -18,9 +18,6 @@
 /// The shortest measured time, in milliseconds. Shorter ones are within the variation of the network's delay.
 const MIN_MILLIS: f64 = 0.1;
 
-/// The most services whose usual times are kept, listed and unlisted ones together.
-const MAX_SERVICES: usize = 1_024;
-
 /// What was known when a call was sent.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct RunTiming {
@@ -118,16 +115,17 @@
         let Some(target) = self.targets.get_mut(key) else {
             return;
         };
-        let service = &target.record.service;
-        if self.paces.len() >= MAX_SERVICES && !self.paces.contains_key(service) {
-            return;
-        }
-        let pace = self.paces.entry(service.clone()).or_default();
+        let pace = self.paces.get_mut(&target.record.service);
         let usual_host = millis / target.slowdown.factor(now);
-        if let Some(ratio) = pace.record(kind, usual_host, &target.speed, now) {
+        if let Some(ratio) = pace.and_then(|pace| pace.record(kind, usual_host, &target.speed, now)) {
             target.speed.record(ratio, now);
         }
     }
+
+    /// Returns whether targets of the service report the slow-down of their hosts.
+    pub fn reports_slowdown(&self, service: &ServiceName) -> bool {
+        self.paces.get(service).is_some_and(ServicePace::reports_slowdown)
+    }
 }
 
 impl TargetEntry {
--- a/crates/ebony_gateway/src/attempts.rs
+++ b/crates/ebony_gateway/src/attempts.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use ebony_dialect::{AnswerHead, AttemptHead};
-use ebony_dispatch::{PlacementRequest, TargetKey, place};
+use ebony_dispatch::{CallDemand, PlacementRequest, TargetKey, place_with};
 use ebony_routing::CallSemantics;
 use ebony_types::{ProblemCode, TargetName};
 use http::Request;
@@ -192,9 +192,16 @@
             max_connections: self.call.max_connections,
             max_permit_wait,
         };
-        place(
-            &gateway.board.borrow(),
+        let demand = CallDemand {
+            max_output: self.call.max_output(),
+            memory_tokens: self.call.engine.map(|engine| engine.memory_tokens),
+            has_idle: &|target| gateway.client.has_idle(target),
+        };
+        let board = gateway.board.borrow();
+        place_with(
+            &board,
             &request,
+            &demand,
             &gateway.options.get(),
             gateway.clock.now(),
         )
--- a/crates/ebony_gateway/src/gateway.rs
+++ b/crates/ebony_gateway/src/gateway.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use ebony_dialect::{CallDialect, RecordDialect};
-use ebony_dispatch::{DispatchOptions, PermitBar, PlacementRule, ProgramGate, TargetBoard};
+use ebony_dispatch::{DispatchOptions, EvenLoad, PermitBar, PlacementRule, ProgramGate, TargetBoard};
 use ebony_limit::{PermitDesk, ReturnSchedule};
 use ebony_platform::{RowFeed, TableService, VersionHistory};
 use ebony_routing::RoutingTable;
@@ -153,7 +153,7 @@
             domain: settings.failure_domain.clone(),
             options: Cell::new(dispatch_options(&settings.policy)),
             routing: RefCell::default(),
-            board: RefCell::default(),
+            board: RefCell::new(TargetBoard::open(&settings.process)),
             gates: RefCell::default(),
             permits: RefCell::new(PermitDesk::open(&settings.process)),
             returns: RefCell::default(),
@@ -206,8 +206,9 @@
 /// Returns the dispatch options for the settings.
 pub(crate) fn dispatch_options(policy: &GatewayPolicy) -> DispatchOptions {
     DispatchOptions {
-        // The schema of the settings allows existing rules only.
+        // The schema of the settings allows existing rules and modes only.
         rule: PlacementRule::from_name(&policy.placement).unwrap_or_default(),
+        even_load: EvenLoad::from_name(&policy.even_load).unwrap_or_default(),
         ..DispatchOptions::default()
     }
 }
--- a/crates/ebony_gateway/src/process.rs
+++ b/crates/ebony_gateway/src/process.rs
@@ -145,7 +145,8 @@
         }
         self.gateway.options.set(dispatch_options(&applied.policy));
         info!(logger, "settings reloaded";
-            "placement" => &applied.policy.placement, "drain_ms" => applied.drain_time.as_millis() as u64);
+            "placement" => &applied.policy.placement, "even_load" => &applied.policy.even_load,
+            "drain_ms" => applied.drain_time.as_millis() as u64);
         self.settings = applied;
     }
 
--- a/crates/ebony_gateway/src/routed_call.rs
+++ b/crates/ebony_gateway/src/routed_call.rs
@@ -54,6 +54,11 @@
         }
     }
 
+    /// Returns the most tokens of the answer.
+    pub(crate) fn max_output(&self) -> u64 {
+        self.head.tokens.map_or(0, |tokens| u64::from(tokens.max_output))
+    }
+
     /// Returns whether the answer is a stream of events.
     pub(crate) fn is_stream(&self) -> bool {
         self.route.semantics.is_stream()
--- a/crates/ebony_gateway/src/target_run.rs
+++ b/crates/ebony_gateway/src/target_run.rs
@@ -34,6 +34,7 @@
         let memory = call.engine.map(|engine| engine.memory_tokens);
         let mut board = gateway.board.borrow_mut();
         let run = board.begin(target, &call.head.prompt, memory);
+        board.hold_tokens(run, &call.head.prompt, call.max_output());
         let options = gateway.options.get();
         board.start_timing(run, &gateway.domain, &options, gateway.clock.now());
         drop(board);
--- a/crates/ebony_settings/src/gateway_settings.rs
+++ b/crates/ebony_settings/src/gateway_settings.rs
@@ -110,4 +110,6 @@
 pub struct GatewayPolicy {
     /// The placement rule, as written in the file.
     pub placement: String,
+    /// Which services get even load, as written in the file.
+    pub even_load: String,
 }
--- a/crates/ebony_settings/src/schema/gateway_keys.rs
+++ b/crates/ebony_settings/src/schema/gateway_keys.rs
@@ -149,10 +149,18 @@
 };
 
 static POLICY: SectionSpec = SectionSpec {
-    keys: &[KeySpec::defaults_to(
-        "estimated_delay",
-        "placement",
-        ValueKind::Choice(&["least_own_load", "home_target", "estimated_delay"]),
-        "How the target of a call is chosen. The first two are baselines.",
-    )],
+    keys: &[
+        KeySpec::defaults_to(
+            "estimated_delay",
+            "placement",
+            ValueKind::Choice(&["least_own_load", "home_target", "estimated_delay"]),
+            "How the target of a call is chosen. The first two are baselines.",
+        ),
+        KeySpec::defaults_to(
+            "automatic",
+            "even_load",
+            ValueKind::Choice(&["automatic", "always", "never"]),
+            "Which services get even load by speed and random choice. Automatic: those whose targets report a slow-down, and all if customers are configured.",
+        ),
+    ],
 };
