--- a/crates/ebony_dispatch/src/even_load.rs
+++ b/crates/ebony_dispatch/src/even_load.rs
@@ -104,8 +104,8 @@
     }
 }
 
-/// Chooses the target with the least expected time among a few ones: random ones, and for turns also the home target
-/// and those that have the program's history cached.
+/// Chooses the target with the least expected time among a few ones: random ones, for turns also the home target and
+/// those that have the program's history cached, and for calls about an object the home target.
 pub(crate) fn least_time(
     board: &TargetBoard,
     candidates: &[Candidate<'_>],
@@ -116,10 +116,8 @@
 ) -> Option<TargetKey> {
     let view = ServiceView::of(board, call.service, options, now);
     let mut rng = StdRng::seed_from_u64(decision_seed(call, now));
-    let home = match call.prompt.is_empty() {
-        true => None,
-        false => home_target(candidates, call),
-    };
+    let has_home = !call.prompt.is_empty() || call.is_sticky;
+    let home = has_home.then(|| home_target(candidates, call)).flatten();
     let compare = |best: &mut BestTarget, (key, target): &Candidate<'_>| {
         let is_home = Some(*key) == home;
         let time = expected_time(target, is_home, (demand.has_idle)(*key), call, &view);
@@ -127,6 +125,8 @@
     };
     let mut best = BestTarget::default();
     if call.prompt.is_empty() {
+        let home = candidates.iter().filter(|(key, _)| Some(*key) == home);
+        home.for_each(|target| compare(&mut best, target));
         sample(near_targets(candidates), &mut rng, |target| {
             compare(&mut best, target)
         });
--- a/crates/ebony_dispatch/src/expected_time.rs
+++ b/crates/ebony_dispatch/src/expected_time.rs
@@ -10,6 +10,9 @@
 /// smallest hosts.
 const NEW_CONNECTION_MS: f64 = 5.0;
 
+/// The share of the usual time in which a target runs calls about an object that it served recently.
+const OBJECT_RUN_SHARE: f64 = 0.5;
+
 /// What an entry knows of a service as a whole.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct ServiceView<'a> {
@@ -47,7 +50,8 @@
         weight * f64::from(target.load.other_calls()) + (1.0 - weight) * usual
     }
 
-    fn calls(&self, target: &TargetEntry) -> f64 {
+    /// Returns the estimated calls of all entries at a target.
+    pub(crate) fn calls(&self, target: &TargetEntry) -> f64 {
         f64::from(target.load.own_calls()) + self.other_calls(target)
     }
 }
@@ -76,7 +80,9 @@
     let calls = view.calls(target);
     let slots = slots(target);
     let time_factor = target.time_factor(view.now);
-    let slot_time = view.slot_time_ms * (1.0 + queue_rounds(target, view)) * time_factor;
+    let serves_object = call.is_sticky && is_home && call.prompt.is_empty();
+    let run_share = if serves_object { OBJECT_RUN_SHARE } else { 1.0 };
+    let slot_time = view.slot_time_ms * (run_share + queue_rounds(target, view)) * time_factor;
     let permit_delay = permit_delay(target, view.now).as_secs_f64() * 1_000.0;
     let is_remote = target.record.domain != *call.domain;
     let domain_delay = if is_remote { options.domain_delay_ms } else { 0.0 };
@@ -107,6 +113,7 @@
     prompt_tokens(call) as f64 / view.options.prefill_tokens_per_ms * (1.0 + usual_running)
 }
 
-fn slots(target: &TargetEntry) -> f64 {
+/// Returns the number of calls that the target runs at once.
+pub(crate) fn slots(target: &TargetEntry) -> f64 {
     f64::from(target.record.slots.max(1))
 }
--- a/crates/ebony_dispatch/src/lib.rs
+++ b/crates/ebony_dispatch/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod prompt;
 pub mod slowdown;
 pub mod speed;
+pub mod spread;
 mod timing;
 
 /// Re-exports the board, placement and admission.
--- a/crates/ebony_dispatch/tests/even_load/model.rs
+++ b/crates/ebony_dispatch/tests/even_load/model.rs
@@ -125,6 +125,7 @@
         service: &service,
         domain: &domain,
         affinity: &affinity,
+        is_sticky: false,
         prompt: &[],
         tried: choice.tried,
         max_connections: 30,
--- a/crates/ebony_dispatch/tests/unchanged.rs
+++ b/crates/ebony_dispatch/tests/unchanged.rs
@@ -55,6 +55,7 @@
             service: &service,
             domain: &domain,
             affinity: &format!("program-{program}"),
+            is_sticky: false,
             prompt: &prompt,
             tried: &tried,
             max_connections: 12,
--- a/crates/ebony_gateway/src/call.rs
+++ b/crates/ebony_gateway/src/call.rs
@@ -16,14 +16,14 @@
 use crate::answer::{self, StartedAnswer};
 use crate::attempts::send_to_targets;
 use crate::call_log::{CallLog, CallOutcome};
-use crate::conversations::KeptTurn;
-use crate::conversations::store::FindError;
+use crate::conversations::{FindError, KeptTurn};
 use crate::crashes::RequestFingerprint;
 use crate::gateway::{Gateway, OpenCallGuard};
+use crate::identity;
 use crate::intake::{self, RequestHead};
 use crate::open_turn::{CoverError, OpenTurn};
 use crate::refusal::{CallRefusal, NO_TARGET_RETRY_AFTER, Result};
-use crate::routed_call::{RoutedCall, affinity_key};
+use crate::routed_call::{RoutedCall, affinity_key, object_key};
 
 /// The `Retry-After` of a call that a stopping gateway refuses. It is short because another gateway takes the call at
 /// once.
@@ -127,25 +127,39 @@
         return Err(refusal.retry_after(STOPPING_RETRY_AFTER));
     }
     let routing = gateway.routing().ok_or_else(unavailable)?;
+    log.set_version(routing.version());
     let limits = routing.limits();
+    if routing.has_customers() {
+        // Refuses the call before its body is read.
+        let checked = identity::check_head(gateway, &request, &routing, log);
+        if let Err(refusal) = checked {
+            let is_discarded = intake::discard_body(payload).await;
+            return Err(refusal.close_connection(!is_discarded));
+        }
+    }
     intake::check_size(&request, limits)?;
     let body = intake::read_body(payload, limits).await?;
     // The configuration may have changed while the body arrived.
     let routing = gateway.routing().ok_or_else(unavailable)?;
-    let no_route = || CallRefusal::not_run(ProblemCode::NotFound, "no route for the host and path");
-    let route = routing
-        .route(&request.host, request.path())
-        .ok_or_else(no_route)?;
-    log.set_route(&route.name, routing.version().0);
+    log.set_version(routing.version());
+    let route = intake::find_route(&request, &routing)?;
+    let identity = identity::identify(gateway, &request.headers, route, &routing, log)?;
+    let urgency = routing.urgency(route, &identity);
+    // Turns of programs stay at the engine that has their prompt cached, whatever object they are about.
+    let object = match route.program {
+        Some(_) => None,
+        None => object_key(route, &identity, &head),
+    };
+    let seed = object.as_deref().unwrap_or_else(|| affinity_key(&head));
     let service = route
-        .service_for(rendezvous_weight(affinity_key(&head), &route.name))
-        .ok_or_else(no_route)?;
+        .service_for(rendezvous_weight(seed, &route.name))
+        .ok_or_else(intake::no_route)?;
     let timeout = head.time_left.unwrap_or(route.timeout).min(route.timeout);
     let rule = routing.service(service);
     let engine = rule.and_then(|rule| rule.engine);
     let connections = rule.map_or(u32::MAX, |rule| rule.target_connections);
     let gateways = u32::try_from(gateway.fleet.len()).unwrap_or(u32::MAX);
-    let fingerprint = RequestFingerprint::open(&request, &body);
+    let fingerprint = RequestFingerprint::open(&request, &identity, &body);
     log.set_fingerprint(&fingerprint);
     let permit = gateway.crashes.admit(&fingerprint)?;
     Ok(RoutedCall {
@@ -153,6 +167,9 @@
         fingerprint,
         permit,
         route: Rc::clone(route),
+        identity,
+        object: object.filter(|_| engine.is_none()),
+        urgency,
         service: service.clone(),
         engine,
         max_connections: (connections / gateways.max(1)).max(MIN_TARGET_CONNECTIONS),
@@ -186,7 +203,7 @@
     };
     let program = call.head.program.as_ref();
     let program = program.map(|program| program.program.clone());
-    let turn = KeptTurn::open(name, program, chain, call.body.clone());
+    let turn = KeptTurn::open(name, program, chain, call.body.clone()).with_customer(call.customer());
     call.body = turn.prompt();
     call.kept = Some(turn);
     Ok(())
@@ -199,7 +216,9 @@
     let name = TurnName::parse(previous).map_err(|_| FindError::Absent.into_refusal())?;
     let limit = call.deadline.min(gateway.clock.now() + RESUME_TIMEOUT);
     let program = call.head.program.as_ref().map(|program| &program.program);
-    let found = gateway.conversations.find_chain(&name, program, limit).await;
+    let reader = call.identity();
+    let finding = gateway.conversations.find_chain(&name, program, reader, limit);
+    let found = finding.await.inspect_err(|error| log.set_find_error(*error));
     let chain = found.map_err(FindError::into_refusal)?;
     log.set_chain(chain.len(), chain.bytes());
     Ok(chain)
@@ -223,7 +242,7 @@
     let gate = gates
         .entry(call.service.clone())
         .or_insert_with(|| ProgramGate::open(now));
-    match gate.admit(load, call.route.urgency, &options, now) {
+    match gate.admit(load, call.urgency(), &options, now) {
         ProgramAdmission::Admitted => Ok(()),
         ProgramAdmission::Refused { load } => {
             log.set_load(load);
--- a/crates/ebony_gateway/src/gateway.rs
+++ b/crates/ebony_gateway/src/gateway.rs
@@ -180,6 +180,17 @@
         self.routing.borrow().clone()
     }
 
+    /// Returns the options of placement for the configuration in force.
+    pub(crate) fn placement_options(&self) -> DispatchOptions {
+        let options = self.options.get();
+        let routing = self.routing.borrow();
+        let has_customers = routing.as_ref().is_some_and(|routing| routing.has_customers());
+        DispatchOptions {
+            even_load: options.even_load.with_customers(has_customers),
+            ..options
+        }
+    }
+
     /// Updates the readiness. The process is ready if the configuration, the targets and the requests that crash
     /// targets have been read, and it is not draining.
     pub(crate) fn update_health(&self) {
--- a/crates/ebony_gateway/src/lib.rs
+++ b/crates/ebony_gateway/src/lib.rs
@@ -11,11 +11,13 @@
 pub mod call_log;
 mod conversations;
 mod crashes;
+mod customers;
 pub mod decision_log;
 mod event_timer;
 pub mod events;
 pub mod fleet;
 pub mod gateway;
+mod identity;
 pub mod intake;
 mod leaving;
 mod limits;
@@ -29,6 +31,7 @@
 pub mod sweeper;
 pub mod target_client;
 pub mod target_run;
+mod target_spread;
 pub mod watch;
 
 /// The process and the types that a program needs to run it.
--- a/crates/ebony_gateway/src/metrics.rs
+++ b/crates/ebony_gateway/src/metrics.rs
@@ -4,12 +4,20 @@
 use ebony_telemetry::metrics::Result;
 use prometheus::{Histogram, IntCounter, IntCounterVec, IntGauge};
 
+use crate::customers::CustomerCalls;
+
 /// The metrics of a gateway.
 pub(crate) struct GatewayMetrics {
     /// Calls that ended, by outcome and verdict.
     pub(crate) calls: IntCounterVec,
     /// Calls that the gateway refused, by code.
     pub(crate) refusals: IntCounterVec,
+    /// Calls that were refused for lack of a known key, by what their credential was.
+    pub(crate) unauthorized: IntCounterVec,
+    /// Calls that ended, by customer.
+    pub(crate) customer_calls: CustomerCalls,
+    /// Parts of the list of customers that could not be used as they were written, by kind.
+    pub(crate) customer_faults: IntCounterVec,
     /// Attempts at targets, by outcome.
     pub(crate) attempts: IntCounterVec,
     /// Seconds from the call to its first target.
@@ -30,6 +38,8 @@
     pub(crate) leaving: IntCounterVec,
     /// Changes of the limits that targets name, by kind.
     pub(crate) limits: IntCounterVec,
+    /// How load and speeds differ between the targets of a service, in percent.
+    pub(crate) target_spread: prometheus::IntGaugeVec,
     /// Load reports of targets with figures that were ignored or bounded, by kind.
     pub(crate) load_faults: IntCounterVec,
     /// Requests for permits to call limited targets, by outcome.
@@ -73,6 +83,21 @@
                 "Calls that the gateway answered itself, by code.",
                 &["code"],
             )?,
+            unauthorized: registry.counter_family(
+                "gateway_unauthorized_total",
+                "Calls that were refused for lack of a known key, by what their credential was.",
+                &["credential"],
+            )?,
+            customer_calls: CustomerCalls::open(registry.counter_family(
+                "gateway_customer_calls_total",
+                "Calls that ended, by customer and outcome.",
+                &["customer", "outcome"],
+            )?),
+            customer_faults: registry.counter_family(
+                "gateway_customer_faults_total",
+                "Parts of the list of customers that could not be used as they were written, by kind.",
+                &["kind"],
+            )?,
             attempts: registry.counter_family(
                 "gateway_attempts_total",
                 "Attempts at targets, by outcome.",
@@ -120,6 +145,11 @@
                 "Changes of the request rates to which targets limit all gateways, by kind.",
                 &["change"],
             )?,
+            target_spread: registry.gauge_family(
+                "gateway_target_spread_percent",
+                "Calls per slot, learned times of work and slow-downs over the targets of a service, in percent.",
+                &["service", "figure", "statistic"],
+            )?,
             load_faults: registry.counter_family(
                 "gateway_load_faults_total",
                 "Load reports of targets with figures that were ignored or bounded, by kind.",
