--- a/crates/ebony_dispatch/src/board.rs
+++ b/crates/ebony_dispatch/src/board.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use ebony_limit::{LimitChange, LimitObservation, RequestRate};
+use ebony_types::rendezvous::rendezvous_weight;
 use ebony_types::{ClockTime, DomainName, ServiceName, TargetName};
 use slotmap::{SlotMap, new_key_type};
 
@@ -13,6 +14,9 @@
 use crate::load::{LoadNotice, TargetLoad};
 use crate::options::DispatchOptions;
 use crate::prompt::{PromptCache, PromptPart};
+use crate::slowdown::ReportedSlowdown;
+use crate::speed::{ServicePace, TargetSpeed};
+use crate::timing::RunTiming;
 
 /// The assumed cache capacity, in tokens, of a target whose memory is not configured.
 const DEFAULT_MEMORY_TOKENS: u64 = 100_000;
@@ -21,6 +25,9 @@
 /// deployment once, and the largest deployments have a few hundred targets.
 const MAX_LEAVING_TARGETS: usize = 1_024;
 
+/// The most services whose usual times are kept, listed and unlisted ones together.
+const MAX_SERVICES: usize = 1_024;
+
 new_key_type! {
     /// A target on the board. A restarted target gets a new key.
     pub struct TargetKey;
@@ -95,12 +102,18 @@
     pub record: TargetRecord,
     /// The load estimate.
     pub load: TargetLoad,
+    /// The slow-down of its host, as last reported.
+    pub slowdown: ReportedSlowdown,
+    /// Its speed, as learned from the entry's own calls.
+    pub speed: TargetSpeed,
     /// Recent failures.
     pub fault: TargetFault,
     /// The prompt parts that it is expected to have cached.
     pub cache: PromptCache,
     /// The rate to which the target limits all gateways together.
     pub limit: Option<RequestRate>,
+    /// The target's place in the order in which this entry prefers targets; orders of entries differ.
+    pub rank: u64,
     /// When the next permit for a call is due, as far as known; only relevant to a target with a limit.
     pub next_permit: ClockTime,
     /// When the target is removed unless it is listed again; `None` while it is listed.
@@ -108,9 +121,15 @@
 }
 
 #[derive(Clone, Debug)]
-struct TargetRun {
-    target: TargetKey,
-    prefill: u64,
+pub(crate) struct TargetRun {
+    pub(crate) target: TargetKey,
+    pub(crate) prefill: u64,
+    /// The memory that the call needs at its target.
+    pub(crate) tokens: u64,
+    /// Whether the call has no prompt.
+    pub(crate) is_plain: bool,
+    /// `None` if the time of the call is not measured.
+    pub(crate) timing: Option<RunTiming>,
 }
 
 /// The targets that an entry may send calls to.
@@ -136,11 +155,15 @@
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct TargetBoard {
-    targets: SlotMap<TargetKey, TargetEntry>,
+    pub(crate) targets: SlotMap<TargetKey, TargetEntry>,
     names: HashMap<TargetName, TargetKey>,
-    runs: SlotMap<RunKey, TargetRun>,
+    pub(crate) runs: SlotMap<RunKey, TargetRun>,
+    /// The usual times of services.
+    pub(crate) paces: HashMap<ServiceName, ServicePace>,
     leaving: LeavingTargets,
     limits: LimitTable,
+    /// The name of the entry.
+    chooser: String,
 }
 
 /// Targets that announced that they are leaving, with the incarnation that did so.
@@ -183,6 +206,14 @@
 }
 
 impl TargetBoard {
+    /// Opens the board of an entry with a name. Entries with different names prefer different targets.
+    pub fn open(chooser: &str) -> Self {
+        Self {
+            chooser: chooser.to_owned(),
+            ..Self::default()
+        }
+    }
+
     /// Adds or updates a target from a record of the platform's list. A target that announced that it is leaving is
     /// treated as draining for the rest of this incarnation, even if the platform still lists it as ready.
     pub fn apply(&mut self, mut record: TargetRecord) -> TargetChange {
@@ -199,12 +230,18 @@
             }
             let name = record.name.clone();
             let limit = self.limits.rate(&name, record.incarnation());
+            if self.paces.len() < MAX_SERVICES && !self.paces.contains_key(&record.service) {
+                self.paces.insert(record.service.clone(), ServicePace::default());
+            }
             let key = self.targets.insert(TargetEntry {
                 record,
                 load: TargetLoad::default(),
+                slowdown: ReportedSlowdown::default(),
+                speed: TargetSpeed::default(),
                 fault: TargetFault::default(),
                 cache: PromptCache::default(),
                 limit,
+                rank: rendezvous_weight(&self.chooser, name.as_str()),
                 next_permit: ClockTime::default(),
                 expires_at: None,
             });
@@ -354,6 +391,12 @@
         for name in &names {
             self.remove(name);
         }
+        if !names.is_empty() {
+            let targets = &self.targets;
+            let is_listed =
+                |service: &ServiceName| targets.values().any(|target| target.record.service == *service);
+            self.paces.retain(|service, _| is_listed(service));
+        }
         names
     }
 
@@ -389,7 +432,13 @@
                 .cache
                 .record(prompt, memory_tokens.unwrap_or(DEFAULT_MEMORY_TOKENS));
         }
-        self.runs.insert(TargetRun { target, prefill })
+        self.runs.insert(TargetRun {
+            target,
+            prefill,
+            tokens: 0,
+            is_plain: prompt.is_empty(),
+            timing: None,
+        })
     }
 
     /// Records that the first part of the answer arrived, so that the prompt has been prefilled.
@@ -407,6 +456,7 @@
         let Some(run) = self.runs.remove(run) else { return };
         if let Some(target) = self.targets.get_mut(run.target) {
             target.load.end();
+            target.load.free_tokens(run.tokens);
         }
     }
 
@@ -414,6 +464,13 @@
     pub fn record_notice(&mut self, key: TargetKey, notice: LoadNotice, now: ClockTime) {
         if let Some(target) = self.targets.get_mut(key) {
             target.load.record_notice(notice, now);
+            if let Some(slowdown) = notice.slowdown {
+                target.slowdown.record(slowdown, now);
+            }
+            let others = f64::from(target.load.other_calls()) / f64::from(target.record.slots.max(1));
+            if let Some(pace) = self.paces.get_mut(&target.record.service) {
+                pace.record_notice(others, notice.slowdown.is_some());
+            }
         }
     }
 
--- a/crates/ebony_gateway/src/attempts.rs
+++ b/crates/ebony_gateway/src/attempts.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use ebony_dialect::{AnswerHead, AttemptHead};
-use ebony_dispatch::{PlacementRequest, TargetKey, place};
+use ebony_dispatch::{CallDemand, PlacementRequest, TargetKey, place_with};
 use ebony_routing::{CallSemantics, CallerIdentity};
 use ebony_types::{ProblemCode, RunVerdict, TargetName};
 use http::Request;
@@ -235,10 +235,17 @@
             max_connections: self.call.max_connections,
             max_permit_wait,
         };
-        place(
-            &gateway.board.borrow(),
+        let demand = CallDemand {
+            max_output: self.call.max_output(),
+            memory_tokens: self.call.engine.map(|engine| engine.memory_tokens),
+            has_idle: &|target| gateway.client.has_idle(target),
+        };
+        let board = gateway.board.borrow();
+        place_with(
+            &board,
             &request,
-            &gateway.options.get(),
+            &demand,
+            &gateway.placement_options(),
             gateway.clock.now(),
         )
     }
@@ -285,6 +292,10 @@
                 let call = self.call.head.call.as_deref();
                 leaving::apply_answer_notice(gateway, &record, call, answer.head.status, &head);
                 limits::apply_answer_limit(gateway, &record, call, answer.head.status, &head, sent_at);
+                if let Some(fault) = head.load_fault {
+                    let faults = &gateway.metrics.load_faults;
+                    faults.with_label_values(&[fault.as_str()]).inc();
+                }
                 if let Some(notice) = head.load {
                     let now = gateway.clock.now();
                     gateway.board.borrow_mut().record_notice(target, notice, now);
--- a/crates/ebony_gateway/src/gateway.rs
+++ b/crates/ebony_gateway/src/gateway.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use ebony_dialect::{CallDialect, RecordDialect};
-use ebony_dispatch::{DispatchOptions, PermitBar, PlacementRule, ProgramGate, TargetBoard};
+use ebony_dispatch::{DispatchOptions, EvenLoad, PermitBar, PlacementRule, ProgramGate, TargetBoard};
 use ebony_limit::{PermitDesk, ReturnSchedule};
 use ebony_platform::{RowFeed, TableService, VersionHistory};
 use ebony_routing::RoutingTable;
@@ -156,7 +156,7 @@
             domain: settings.failure_domain.clone(),
             options: Cell::new(dispatch_options(&settings.policy)),
             routing: RefCell::default(),
-            board: RefCell::default(),
+            board: RefCell::new(TargetBoard::open(&settings.process)),
             gates: RefCell::default(),
             permits: RefCell::new(PermitDesk::open(&settings.process)),
             returns: RefCell::default(),
@@ -184,6 +184,17 @@
         self.routing.borrow().clone()
     }
 
+    /// Returns the options of placement for the configuration in force.
+    pub(crate) fn placement_options(&self) -> DispatchOptions {
+        let options = self.options.get();
+        let routing = self.routing.borrow();
+        let has_customers = routing.as_ref().is_some_and(|routing| routing.has_customers());
+        DispatchOptions {
+            even_load: options.even_load.with_customers(has_customers),
+            ..options
+        }
+    }
+
     /// Updates the readiness. The process is ready if the configuration, the targets and the requests that crash
     /// targets have been read, and it is not draining.
     pub(crate) fn update_health(&self) {
@@ -210,8 +221,9 @@
 /// Returns the dispatch options for the settings.
 pub(crate) fn dispatch_options(policy: &GatewayPolicy) -> DispatchOptions {
     DispatchOptions {
-        // The schema of the settings allows existing rules only.
+        // The schema of the settings allows existing rules and modes only.
         rule: PlacementRule::from_name(&policy.placement).unwrap_or_default(),
+        even_load: EvenLoad::from_name(&policy.even_load).unwrap_or_default(),
         ..DispatchOptions::default()
     }
 }
--- a/crates/ebony_gateway/src/lib.rs
+++ b/crates/ebony_gateway/src/lib.rs
@@ -13,6 +13,7 @@
 mod crashes;
 mod customers;
 pub mod decision_log;
+mod event_timer;
 pub mod events;
 pub mod fleet;
 pub mod gateway;
@@ -31,6 +32,7 @@
 pub mod sweeper;
 pub mod target_client;
 pub mod target_run;
+mod target_spread;
 pub mod watch;
 
 /// The process and the types that a program needs to run it.
--- a/crates/ebony_gateway/src/metrics.rs
+++ b/crates/ebony_gateway/src/metrics.rs
@@ -38,6 +38,10 @@
     pub(crate) leaving: IntCounterVec,
     /// Changes of the limits that targets name, by kind.
     pub(crate) limits: IntCounterVec,
+    /// How load and speeds differ between the targets of a service, in percent.
+    pub(crate) target_spread: prometheus::IntGaugeVec,
+    /// Load reports of targets with figures that were ignored or bounded, by kind.
+    pub(crate) load_faults: IntCounterVec,
     /// Requests for permits to call limited targets, by outcome.
     pub(crate) permits: IntCounterVec,
     /// Tokens of customers' quotas, by customer and event.
@@ -147,6 +151,16 @@
                 "Changes of the request rates to which targets limit all gateways, by kind.",
                 &["change"],
             )?,
+            target_spread: registry.gauge_family(
+                "gateway_target_spread_percent",
+                "Calls per slot, learned times of work and slow-downs over the targets of a service, in percent.",
+                &["service", "figure", "statistic"],
+            )?,
+            load_faults: registry.counter_family(
+                "gateway_load_faults_total",
+                "Load reports of targets with figures that were ignored or bounded, by kind.",
+                &["fault"],
+            )?,
             permits: registry.counter_family(
                 "gateway_permits_total",
                 "Requests for permits to call limited targets, by outcome.",
--- a/crates/ebony_gateway/src/process.rs
+++ b/crates/ebony_gateway/src/process.rs
@@ -14,7 +14,7 @@
 use crate::gateway::{Gateway, GatewayDialect, GatewayStore, dispatch_options};
 use crate::links;
 use crate::listener::CallerListener;
-use crate::{quotas, sweeper, watch};
+use crate::{quotas, sweeper, target_spread, watch};
 
 /// How long a draining gateway continues to accept calls. The load balancer checks readiness every second and stops
 /// sending new callers after two failed checks.
@@ -109,6 +109,7 @@
         tokio::task::spawn_local(Rc::clone(&gateway.links).maintain_links());
         tokio::task::spawn_local(watch::run_maintenance(Rc::clone(&gateway)));
         tokio::task::spawn_local(watch::watch_memory(Rc::clone(&gateway)));
+        tokio::task::spawn_local(target_spread::watch_spread(Rc::clone(&gateway)));
         tokio::task::spawn_local(sweeper::sweep(Rc::clone(&gateway)));
         tokio::task::spawn_local(quotas::run(Rc::clone(&gateway)));
         let port = self.listener.serve(Rc::clone(&gateway)).await?;
@@ -146,7 +147,8 @@
         }
         self.gateway.options.set(dispatch_options(&applied.policy));
         info!(logger, "settings reloaded";
-            "placement" => &applied.policy.placement, "drain_ms" => applied.drain_time.as_millis() as u64);
+            "placement" => &applied.policy.placement, "even_load" => &applied.policy.even_load,
+            "drain_ms" => applied.drain_time.as_millis() as u64);
         self.settings = applied;
     }
 
