Draining targets stay draining after late entries

Cause: the store may perform a heartbeat seconds late, after the one that says draining, and the board took the phase of any entry of the same incarnation.

Targets without a start time keep the phase of their latest entry. Ruled out: the sequence number of entries, because a change of it alone does not change the entry in the feed, so a gateway's number is outdated; and a removal as a sign of leaving, because entries lapse in outages.

Run: tests of ebony_dispatch; leaving_targets, rate_limits.

--- a/crates/ebony_dispatch/src/board.rs
+++ b/crates/ebony_dispatch/src/board.rs
@@ -1,6 +1,6 @@
 //! The targets that the platform lists, with their state as observed by the entry's own calls.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -12,15 +12,12 @@
 use crate::limits::LimitTable;
 use crate::load::{LoadNotice, TargetLoad};
 use crate::options::DispatchOptions;
+use crate::past::{LeavingTargets, RemovedTargets};
 use crate::prompt::{PromptCache, PromptPart};
 
 /// The assumed cache capacity, in tokens, of a target whose memory is not configured.
 const DEFAULT_MEMORY_TOKENS: u64 = 100_000;
 
-/// The most leaving targets that are remembered, listed and unlisted ones together. A release replaces each target of a
-/// deployment once, and the largest deployments have a few hundred targets.
-const MAX_LEAVING_TARGETS: usize = 1_024;
-
 new_key_type! {
     /// A target on the board. A restarted target gets a new key.
     pub struct TargetKey;
@@ -52,7 +49,8 @@
     pub slots: u32,
     /// Whether it accepts new calls.
     pub phase: TargetPhase,
-    /// The start time. A different value under the same name means that the target was restarted.
+    /// The start time. A different value under the same name means that the target was restarted. 0 if the entry names
+    /// none, so that a restart cannot be told from a late entry.
     pub born: u64,
 }
 
@@ -85,7 +83,7 @@
     /// Nothing that affects calls changed.
     Unchanged(TargetKey),
     /// The record was ignored, because it describes an earlier incarnation of the target and arrived late.
-    Outdated(TargetKey),
+    Outdated,
 }
 
 /// A target on the board.
@@ -140,58 +138,31 @@
     names: HashMap<TargetName, TargetKey>,
     runs: SlotMap<RunKey, TargetRun>,
     leaving: LeavingTargets,
+    removed: RemovedTargets,
     limits: LimitTable,
 }
 
-/// Targets that announced that they are leaving, with the incarnation that did so.
-///
-/// They are kept even after the target has gone from the list, so that a target that is listed again in the same
-/// incarnation gets no calls.
-#[derive(Clone, Debug, Default)]
-struct LeavingTargets {
-    incarnations: HashMap<TargetName, TargetIncarnation>,
-    /// Names by the time of their first insertion, oldest first.
-    order: VecDeque<TargetName>,
-}
-
-impl LeavingTargets {
-    fn contains(&self, name: &TargetName, incarnation: TargetIncarnation) -> bool {
-        self.incarnations.get(name) == Some(&incarnation)
-    }
-
-    /// Adds an incarnation, and returns whether it was new.
-    fn insert(&mut self, name: &TargetName, incarnation: TargetIncarnation) -> bool {
-        match self.incarnations.get(name) {
-            // An announcement of an earlier incarnation may arrive late.
-            Some(known) if known.born >= incarnation.born => false,
-            Some(_) => {
-                self.incarnations.insert(name.clone(), incarnation);
-                true
-            }
-            None => {
-                self.incarnations.insert(name.clone(), incarnation);
-                self.order.push_back(name.clone());
-                if self.order.len() > MAX_LEAVING_TARGETS
-                    && let Some(oldest) = self.order.pop_front()
-                {
-                    self.incarnations.remove(&oldest);
-                }
-                true
-            }
-        }
-    }
-}
-
 impl TargetBoard {
-    /// Adds or updates a target from a record of the platform's list. A target that announced that it is leaving is
-    /// treated as draining for the rest of this incarnation, even if the platform still lists it as ready.
+    /// Adds or updates a target from a record of the platform's list.
+    ///
+    /// A target that announced that it is leaving, or that was listed as draining, is treated as draining for the rest
+    /// of this incarnation, even if it is listed as ready: the store may perform an earlier write of the target after
+    /// later ones, also after the removal of the entry. A removal alone is no sign of leaving, because entries lapse
+    /// during outages of the store. The phase of a target without a start time is that of its latest entry.
     pub fn apply(&mut self, mut record: TargetRecord) -> TargetChange {
-        if self.leaving.contains(&record.name, record.incarnation()) {
+        let known = self.names.get(&record.name).copied();
+        if known.is_some_and(|key| self.is_later_incarnation(key, &record))
+            || self.removed.had_later(&record.name, record.born)
+        {
+            return TargetChange::Outdated;
+        }
+        if self.leaving.contains(&record.name, record.incarnation())
+            || known.is_some_and(|key| self.is_leaving(key, &record))
+        {
             record.phase = TargetPhase::Draining;
         }
-        let known = self.names.get(&record.name).copied();
-        if let Some(key) = known.filter(|key| self.is_later_incarnation(*key, &record)) {
-            return TargetChange::Outdated(key);
+        if record.phase == TargetPhase::Draining && record.born > 0 {
+            self.leaving.insert_listed(&record.name, record.incarnation());
         }
         let Some(key) = known.filter(|key| self.is_same_incarnation(*key, &record)) else {
             if let Some(key) = known {
@@ -228,7 +199,7 @@
     ///
     /// Returns whether the announcement was new.
     pub fn record_leaving(&mut self, name: &TargetName, incarnation: TargetIncarnation) -> bool {
-        let is_new = self.leaving.insert(name, incarnation);
+        let is_new = self.leaving.insert_announced(name, incarnation);
         let key = self.names.get(name);
         if let Some(target) = key.and_then(|key| self.targets.get_mut(*key))
             && target.record.incarnation() == incarnation
@@ -330,10 +301,13 @@
         self.limits.expire(now, |name| names.contains_key(name));
     }
 
-    /// Removes a target. Its running calls continue.
-    pub fn remove(&mut self, name: &TargetName) -> Option<TargetKey> {
+    /// Removes a target. Its running calls continue. Records of earlier incarnations are ignored for the time in which
+    /// the store may perform their writes late.
+    pub fn remove(&mut self, name: &TargetName, now: ClockTime) -> Option<TargetKey> {
         let key = self.names.remove(name)?;
-        self.targets.remove(key);
+        if let Some(target) = self.targets.remove(key) {
+            self.removed.insert(target.record.name, target.record.born, now);
+        }
         Some(key)
     }
 
@@ -348,11 +322,12 @@
 
     /// Removes the targets that were not listed again in time, and returns their names.
     pub fn remove_expired(&mut self, now: ClockTime) -> Vec<TargetName> {
+        self.removed.expire(now);
         let is_expired = |target: &TargetEntry| target.expires_at.is_some_and(|until| now >= until);
         let expired = self.targets.values().filter(|target| is_expired(target));
         let names: Vec<TargetName> = expired.map(|target| target.record.name.clone()).collect();
         for name in &names {
-            self.remove(name);
+            self.remove(name, now);
         }
         names
     }
@@ -453,6 +428,16 @@
         target.is_some_and(|target| target.record.born > record.born)
     }
 
+    /// Returns whether the target on the board is leaving, in the incarnation of the record.
+    fn is_leaving(&self, key: TargetKey, record: &TargetRecord) -> bool {
+        let target = self.targets.get(key);
+        target.is_some_and(|target| {
+            target.record.phase == TargetPhase::Draining
+                && record.born > 0
+                && target.record.incarnation() == record.incarnation()
+        })
+    }
+
     fn is_same_incarnation(&self, key: TargetKey, record: &TargetRecord) -> bool {
         self.targets.get(key).is_some_and(|target| {
             let known = &target.record;
--- a/crates/ebony_dispatch/src/lib.rs
+++ b/crates/ebony_dispatch/src/lib.rs
@@ -10,6 +10,7 @@
 mod limits;
 pub mod load;
 pub mod options;
+mod past;
 pub mod permit_bar;
 pub mod placement;
 pub mod prompt;
--- a/crates/ebony_gateway/src/watch.rs
+++ b/crates/ebony_gateway/src/watch.rs
@@ -295,7 +295,7 @@
             TargetChange::Draining(_) => {
                 leaving::log_and_count(&self.gateway, &name, incarnation, LeavingSource::Store)
             }
-            TargetChange::Outdated(_) => {
+            TargetChange::Outdated => {
                 info!(logger, "the entry of an earlier incarnation of a target was ignored"; "target" => &row.key)
             }
             TargetChange::Unchanged(_) => {}
@@ -315,7 +315,7 @@
                 info!(self.gateway.logger, "target lapsed"; "target" => name.as_str());
                 board.mark_unlisted(name, until);
             }
-            _ if board.remove(name).is_some() => {
+            _ if board.remove(name, now).is_some() => {
                 info!(self.gateway.logger, "target removed"; "target" => name.as_str());
             }
             _ => {}
