Tokens that a lost owner let pass in an outage are recorded by others

Cause: in an outage of the store for all, the owner of a program forwards tokens without a record. Any gateway that covers a program without its owner is concerned, not only the next one by weight.

It is excluded while the gateway reaches the store and more than half of the others do, because an owner needs links to half of the others that all do not reach it. Ruled out: recording it always, which cost a program of six turns one turn without any outage (test unused_tokens_of_a_turn_serve_the_next_one_while_the_owner_is_unreachable); refusing turns in outages.

--- a/crates/ebony_account/src/book.rs
+++ b/crates/ebony_account/src/book.rs
@@ -5,7 +5,7 @@
 use ebony_types::{ClockTime, ProgramName};
 use slotmap::SlotMap;
 
-use crate::allowance::{ProgramAllowance, unseen_tokens};
+use crate::allowance::{ProgramAllowance, repeated_tokens, unseen_tokens};
 use crate::options::AccountOptions;
 use crate::program_account::{CoverOutcome, ProgramAccount, ProgramOrigin, ReserveOutcome, SpendOutcome};
 use crate::turn::{AccountKey, CoverRequest, CoverRequester, LentCover, TurnCover, TurnOpening, TurnRequest};
@@ -114,7 +114,11 @@
         account.last_used = now;
         account.open_turns += 1;
         account.turn_tokens = turn.most_tokens;
-        account.has_later_turn |= turn.has_history;
+        if turn.has_history && !account.has_later_turn {
+            account.has_later_turn = true;
+            // The first turn was answered, so that more may have been forwarded without a record since.
+            account.unseen = account.unseen.max(unseen_tokens(account.budget));
+        }
         TurnOpening::Open(TurnCover {
             account: key,
             most_tokens: turn.most_tokens,
@@ -205,6 +209,24 @@
         }
     }
 
+    /// Records that this entry covers the program without its owner, which may have forwarded tokens without a record
+    /// before it was gone.
+    ///
+    /// The entry cannot tell the first turn of a program from the repeat of one that the owner answered. If the program
+    /// has no row, the most that the owner may have forwarded is recorded, less the one turn by which a budget may be
+    /// exceeded.
+    pub fn record_lost_owner(&mut self, key: AccountKey) {
+        if let Some(account) = self.accounts.get_mut(key)
+            && account.knows_all_turns
+        {
+            account.knows_all_turns = false;
+            account.unseen = match account.has_later_turn {
+                true => unseen_tokens(account.budget),
+                false => repeated_tokens(account.budget),
+            };
+        }
+    }
+
     /// Returns whether the owner of the program lately reported that the budget is spent. The store's record alone does
     /// not show that, because the owner may have granted tokens that no turn uses.
     pub fn is_reported_spent(&self, key: AccountKey) -> bool {
--- a/crates/ebony_account/tests/budget_model.rs
+++ b/crates/ebony_account/tests/budget_model.rs
@@ -16,10 +16,13 @@
 
 const NOW: ClockTime = ClockTime::from_millis(0);
 
-/// The state of the owner's process, the store and the caller.
+/// The state of one gateway's process, the store and the caller. The gateway is the program's owner, or another one that
+/// serves the program while the owner is gone.
 struct World {
     budget: u64,
     book: AccountBook,
+    /// Whether the gateway is the owner. Others forward only what is recorded.
+    is_owner: bool,
     /// Open turns, and whether tokens are reserved for them. Only those with a reservation forward events.
     turns: Vec<(TurnCover, bool)>,
     /// The pending request.
@@ -37,6 +40,7 @@
         Self {
             budget,
             book: AccountBook::open(AccountOptions::default()),
+            is_owner: true,
             turns: Vec::new(),
             request: None,
             row: None,
@@ -79,15 +83,20 @@
                     // The store is slow. The entry stops waiting, although the grant may still be recorded.
                     false => ProgramAllowance::OneTurn,
                 };
-                *is_reserved = self.book.reserve_by_allowance(cover, allowance);
+                *is_reserved = self.is_owner && self.book.reserve_by_allowance(cover, allowance);
             }
             ReserveOutcome::Exhausted => {}
         }
         let account = cover.account();
         if self.request.is_none() {
-            let requester = match self.is_store_away {
-                true => CoverRequester::OwnerWithoutStore,
-                false => CoverRequester::Owner,
+            if !self.is_owner {
+                self.book.record_lost_owner(account);
+            }
+            let requester = match (self.is_owner, self.is_store_away) {
+                (true, true) => CoverRequester::OwnerWithoutStore,
+                // A gateway that has just lost the owner requests cover for single turns, and blocks later.
+                (false, _) if self.turns.len() == 1 => CoverRequester::Borrower,
+                (_, _) => CoverRequester::Owner,
             };
             self.request = self
                 .book
@@ -144,9 +153,17 @@
 
     fn kill(&mut self) {
         self.book = AccountBook::open_after_restart(AccountOptions::default(), NOW);
+        self.is_owner = true;
         self.turns.clear();
         self.request = None;
     }
+
+    /// Kills the gateway. Another one that was part of the first start and knows nothing of the program takes its place.
+    fn kill_and_replace(&mut self) {
+        self.kill();
+        self.book = AccountBook::open(AccountOptions::default());
+        self.is_owner = false;
+    }
 }
 
 fn run_history(input: &mut Unstructured<'_>, budget: u64) -> arbitrary::Result<u64> {
@@ -162,13 +179,58 @@
             200..=239 => world.settle(false),
             240..=241 => world.settle(true),
             242..=251 => world.is_store_away = !world.is_store_away,
-            252..=254 => world.kill(),
+            252..=253 => world.kill(),
+            254 => world.kill_and_replace(),
             255 => {}
         }
     }
     Ok(world.forwarded)
 }
 
+/// A history in which the caller repeats the first turn, at the owner and at gateways that take its place, until the turn
+/// is answered.
+fn run_first_turns(input: &mut Unstructured<'_>, budget: u64) -> arbitrary::Result<u64> {
+    let mut world = World::open(budget);
+    world.is_store_away = input.arbitrary()?;
+    // Each kill loses a grant, so that many of them hide what is not recorded.
+    let mut kills = input.int_in_range(0..=3_u8)?;
+    while !input.is_empty() {
+        let at = usize::from(input.int_in_range(0..=4_u8)?);
+        match input.arbitrary::<u8>()? {
+            0..=31 => world.open_turn_as(world.has_later_turn),
+            32..=95 => world.reserve(at),
+            96..=191 => (0..EVENTS_AT_ONCE).for_each(|_| world.forward(at)),
+            192..=207 => world.close_turn(at),
+            208..=239 => world.settle(false),
+            240..=245 => world.is_store_away = !world.is_store_away,
+            246..=252 if kills > 0 => {
+                kills -= 1;
+                if input.arbitrary()? {
+                    world.kill();
+                } else {
+                    world.kill_and_replace();
+                }
+            }
+            253 => world.has_later_turn |= world.forwarded > 0,
+            246..=255 => {}
+        }
+    }
+    Ok(world.forwarded)
+}
+
+/// Guards against a gateway that takes a repeated first turn for the first one, and does not record what a killed owner
+/// let pass in an outage (review, case 3).
+#[test]
+fn first_turns_repeated_at_other_gateways_exceed_the_budget_by_at_most_one_turn() {
+    for budget in [560, 860, 2_300, 10_800] {
+        check_seeds(300, 4_000, |input| {
+            let forwarded = run_first_turns(input, budget)?;
+            assert!(forwarded <= budget + MOST_TOKENS, "{forwarded} of {budget}");
+            Ok(())
+        });
+    }
+}
+
 #[test]
 fn random_kills_and_outages_exceed_the_budget_by_at_most_one_turn() {
     for budget in [560, 860, 2_300, 10_800] {
--- a/crates/ebony_gateway/src/accounts.rs
+++ b/crates/ebony_gateway/src/accounts.rs
@@ -90,6 +90,11 @@
     failing_since: Cell<Option<ClockTime>>,
     /// Notified when the store answers again.
     store_back: Notify,
+    /// Until when an owner that is gone may have forwarded tokens without a record; see
+    /// [`Self::note_possible_outage`].
+    outage_possible_until: Cell<ClockTime>,
+    /// How long accounts are kept.
+    retention: Duration,
     /// Until when requests of other gateways are declined because the store is slow.
     relays_suspended_until: Cell<ClockTime>,
     pub(crate) clock: GatewayClock,
@@ -122,6 +127,8 @@
             links,
             failing_since: Cell::default(),
             store_back: Notify::new(),
+            outage_possible_until: Cell::default(),
+            retention: options.retention,
             relays_suspended_until: Cell::default(),
             clock,
             random: RefCell::new(StdRng::from_os_rng()),
@@ -217,13 +224,31 @@
     pub(crate) fn mark_store_unreachable(&self, cause: &str) {
         if self.failing_since.get().is_none() {
             self.failing_since.set(Some(self.clock.now()));
+            self.note_possible_outage();
             warn!(self.decisions.logger, "accounts are not recorded"; "cause" => cause);
         }
     }
 
+    /// Notes that the store may be away for all gateways, unless this gateway and enough others reach it. Owners forward
+    /// tokens without a record in such an outage, and may be gone after it.
+    ///
+    /// An owner relies on no gateway reaching the store that it is linked to, and on links to half of the others. This
+    /// cannot be so while more than half of the gateways besides any owner reach the store.
+    pub(crate) fn note_possible_outage(&self) {
+        let others = self.fleet.peers().len();
+        let reaching = self.links.count_reaching_store() + 1;
+        if !self.reaches_store() || reaching * 2 <= others {
+            self.outage_possible_until.set(self.clock.now() + self.retention);
+        }
+    }
+
     /// Requests cover for an account in the background, if it needs some and no request is pending.
     pub(crate) fn request_cover_if_due(self: &Rc<Self>, account: AccountKey, program: &ProgramName) {
-        let requester = match self.holder(program) {
+        let holder = self.holder(program);
+        if holder != CoverHolder::Own && self.clock.now() < self.outage_possible_until.get() {
+            self.book.borrow_mut().record_lost_owner(account);
+        }
+        let requester = match holder {
             CoverHolder::Own if !self.can_record() => CoverRequester::OwnerWithoutStore,
             CoverHolder::Own | CoverHolder::ActingOwner => CoverRequester::Owner,
             CoverHolder::Peer(_) | CoverHolder::Unknown => CoverRequester::Borrower,
--- a/crates/ebony_gateway/src/links/mod.rs
+++ b/crates/ebony_gateway/src/links/mod.rs
@@ -290,6 +290,12 @@
         self.peer_with_store().is_some()
     }
 
+    /// Returns the number of linked gateways that report that they reach the store.
+    pub(crate) fn count_reaching_store(&self) -> usize {
+        let links = self.links.borrow();
+        links.values().filter(|link| link.reaches_store.get()).count()
+    }
+
     /// Returns whether no linked gateway reaches the store, and at least half of the other gateways are linked.
     pub(crate) fn is_store_unreachable_for_all(&self) -> bool {
         let others = self.fleet.peers().len();
--- a/crates/ebony_gateway/src/watch.rs
+++ b/crates/ebony_gateway/src/watch.rs
@@ -360,6 +360,7 @@
             .client
             .prune(|target| gateway.board.borrow().is_ready(target));
         gateway.accounts.evict_idle();
+        gateway.accounts.note_possible_outage();
         let opened = gateway.links.take_newly_linked();
         if !opened.is_empty() {
             gateway.accounts.return_idle_cover();
