A debt is settled only by the write that records it

Change: the answer of the own write alone settles the debt. While that write is under way, other requests leave the debt out; if it ends without an answer, the debt is requested again. The model with such requests showed a neighbour: beside a debt of more than one turn, which an outage leaves, the other gateway granted the rest of the budget. Such a debt is recorded before another gateway is asked.

Run: tests of ebony_account.

--- a/crates/ebony_account/src/book.rs
+++ b/crates/ebony_account/src/book.rs
@@ -325,7 +325,8 @@
         let needed = account.awaited.saturating_sub(account.free());
         let mut tokens = needed;
         // The first debt of a program without a row is recorded with a grant, which covers what is forwarded meanwhile.
-        let is_new_debt = account.debt > 0 && account.recorded.is_none();
+        let debt = account.debt.saturating_sub(account.requested_debt);
+        let is_new_debt = debt > 0 && account.recorded.is_none();
         if account.left() == Some(0) {
             tokens = 0;
         } else if tokens > 0 || is_new_debt {
@@ -338,23 +339,24 @@
                 CoverRequester::OwnerWithoutStore => unseen_tokens(account.left().unwrap_or(account.budget)),
             });
         }
-        if tokens == 0 && account.debt == 0 {
+        if tokens == 0 && debt == 0 {
             return None;
         }
-        let requested = tokens + account.debt;
+        let requested = tokens + debt;
         account.least_requested = Some(
             account
                 .least_requested
                 .map_or(requested, |least| least.min(requested)),
         );
         account.has_pending_request = true;
+        account.requested_debt += debt;
         Some(CoverRequest {
             program: account.program.clone(),
             budget: account.budget,
             tokens,
             needed,
             spare_divisor: requester.spare_divisor(),
-            debt: account.debt,
+            debt,
             unseen: match account.knows_all_turns {
                 true => 0,
                 false => account.unseen,
@@ -382,10 +384,29 @@
         }
     }
 
-    /// Records that the store has recorded the debt of a request.
+    /// Records that the store has recorded the debt of a request. Only the answer to a write that contained the debt
+    /// shows this: a duplicate of the request, such as [`CoverRequest::needed_alone`], does not contain it, and the
+    /// write that does may never be performed.
     pub fn settle_debt(&mut self, key: AccountKey, debt: u64) {
         if let Some(account) = self.accounts.get_mut(key) {
             account.debt = account.debt.saturating_sub(debt);
+            account.requested_debt = account.requested_debt.saturating_sub(debt);
+        }
+    }
+
+    /// Returns whether another entry may record a request in place of this one without its debt, which is recorded
+    /// later. A debt of more than one turn has to be recorded first: the store would grant the rest of the budget beside
+    /// it.
+    pub fn may_hedge(&self, key: AccountKey, request: &CoverRequest) -> bool {
+        let account = self.accounts.get(key);
+        account.is_some_and(|account| request.debt <= account.turn_tokens)
+    }
+
+    /// Records that the write that contained the debt of a request ended without an answer. The debt is part of the next
+    /// request.
+    pub fn release_debt(&mut self, key: AccountKey, debt: u64) {
+        if let Some(account) = self.accounts.get_mut(key) {
+            account.requested_debt = account.requested_debt.saturating_sub(debt);
         }
     }
 
--- a/crates/ebony_account/src/program_account.rs
+++ b/crates/ebony_account/src/program_account.rs
@@ -75,6 +75,8 @@
     pub(crate) reserved: u64,
     /// The part of `covered` that is not recorded yet.
     pub(crate) debt: u64,
+    /// The part of `debt` that a request contains which has not ended.
+    pub(crate) requested_debt: u64,
     /// Tokens that waiting turns need.
     pub(crate) awaited: u64,
     /// Whether this entry saw the program's first turn, and no other entry has acted as the program's owner since.
@@ -113,6 +115,7 @@
             spent: 0,
             reserved: 0,
             debt: 0,
+            requested_debt: 0,
             awaited: 0,
             turn_tokens: 0,
             open_turns: 0,
--- a/crates/ebony_account/tests/budget_model.rs
+++ b/crates/ebony_account/tests/budget_model.rs
@@ -27,6 +27,8 @@
     turns: Vec<(TurnCover, bool)>,
     /// The pending request.
     request: Option<(ebony_account::AccountKey, CoverRequest)>,
+    /// A request whose part that turns wait for was recorded by another gateway, while the own write has not ended.
+    hedged: Option<(ebony_account::AccountKey, CoverRequest)>,
     row: Option<AccountRecord>,
     is_store_away: bool,
     turns_opened: u32,
@@ -43,6 +45,7 @@
             is_owner: true,
             turns: Vec::new(),
             request: None,
+            hedged: None,
             row: None,
             is_store_away: false,
             turns_opened: 0,
@@ -127,28 +130,62 @@
             return;
         };
         if self.is_store_away {
+            self.book.release_debt(account, request.debt);
             self.book.settle_cover(account, CoverOutcome::Unavailable);
             return;
         }
+        let outcome = self.record(&request);
+        if is_reply_lost {
+            self.book.release_debt(account, request.debt);
+            self.book.settle_cover(account, CoverOutcome::Unavailable);
+            return;
+        }
+        self.book.settle_debt(account, request.debt);
+        self.book.settle_cover(account, outcome);
+    }
+
+    /// Performs a request in the store.
+    fn record(&mut self, request: &CoverRequest) -> CoverOutcome {
         let mut record = match self.row {
             Some(record) => record,
             None => AccountRecord::open_with_unrecorded(request.budget, request.unseen),
         };
         record.record_debt(request.debt);
-        let tokens = record.grant(&request);
+        let tokens = record.grant(request);
         self.row = Some(record);
-        if is_reply_lost {
-            self.book.settle_cover(account, CoverOutcome::Unavailable);
+        CoverOutcome::Granted {
+            tokens,
+            recorded: record.granted,
+        }
+    }
+
+    /// Has another gateway record the part of the pending request that turns wait for. The own write has not ended.
+    fn hedge(&mut self) {
+        if self.is_store_away || self.hedged.is_some() {
             return;
         }
-        self.book.settle_debt(account, request.debt);
-        self.book.settle_cover(
-            account,
-            CoverOutcome::Granted {
-                tokens,
-                recorded: record.granted,
-            },
-        );
+        let may_hedge = |(account, request): &mut (_, CoverRequest)| self.book.may_hedge(*account, request);
+        let Some((account, request)) = self.request.take_if(may_hedge) else {
+            return;
+        };
+        let outcome = self.record(&request.needed_alone());
+        self.book.settle_cover(account, outcome);
+        self.hedged = Some((account, request));
+    }
+
+    /// Ends the own write of a hedged request. It may be performed or not, and be answered or not.
+    fn end_hedged(&mut self, is_performed: bool, is_answered: bool) {
+        let Some((account, request)) = self.hedged.take() else {
+            return;
+        };
+        let outcome = is_performed.then(|| self.record(&request));
+        match outcome {
+            Some(CoverOutcome::Granted { tokens, recorded }) if is_answered => {
+                self.book.credit(account, tokens, recorded);
+                self.book.settle_debt(account, request.debt);
+            }
+            _ => self.book.release_debt(account, request.debt),
+        }
     }
 
     fn kill(&mut self) {
@@ -156,6 +193,7 @@
         self.is_owner = true;
         self.turns.clear();
         self.request = None;
+        self.hedged = None;
     }
 
     /// Kills the gateway. Another one that was part of the first start and knows nothing of the program takes its place.
@@ -218,6 +256,39 @@
     Ok(world.forwarded)
 }
 
+/// A history without kills, in which another gateway often records for the owner.
+fn run_hedges(input: &mut Unstructured<'_>, budget: u64) -> arbitrary::Result<u64> {
+    let mut world = World::open(budget);
+    while !input.is_empty() {
+        let at = usize::from(input.int_in_range(0..=4_u8)?);
+        match input.arbitrary::<u8>()? {
+            0..=31 => world.open_turn(),
+            32..=95 => world.reserve(at),
+            96..=175 => (0..EVENTS_AT_ONCE).for_each(|_| world.forward(at)),
+            176..=199 => world.close_turn(at),
+            200..=215 => world.settle(false),
+            216..=217 => world.settle(true),
+            218..=239 => world.hedge(),
+            240..=251 => world.end_hedged(input.arbitrary()?, input.arbitrary()?),
+            252..=255 => world.is_store_away = !world.is_store_away,
+        }
+    }
+    Ok(world.forwarded)
+}
+
+/// Guards against a debt that counts as recorded when another gateway has recorded the request without it (review,
+/// case 2).
+#[test]
+fn requests_recorded_by_another_gateway_exceed_the_budget_by_at_most_one_turn() {
+    for budget in [560, 860, 2_300, 10_800] {
+        check_seeds(300, 4_000, |input| {
+            let forwarded = run_hedges(input, budget)?;
+            assert!(forwarded <= budget + MOST_TOKENS, "{forwarded} of {budget}");
+            Ok(())
+        });
+    }
+}
+
 /// Guards against a gateway that takes a repeated first turn for the first one, and does not record what a killed owner
 /// let pass in an outage (review, case 3).
 #[test]
--- a/crates/ebony_gateway/src/accounts.rs
+++ b/crates/ebony_gateway/src/accounts.rs
@@ -261,15 +261,15 @@
     }
 
     async fn request_cover(self: Rc<Self>, account: AccountKey, request: CoverRequest) {
-        let outcome = self.record_or_relay(account, &request).await;
+        let (outcome, recorded_debt) = self.record_or_relay(account, &request).await;
         match outcome {
             CoverOutcome::Granted { tokens, recorded } => {
                 let is_spent = tokens == 0 && request.tokens > 0;
                 if self.count_and_admit(if is_spent { "spent" } else { "granted" }) {
                     info!(self.decisions.logger, "tokens granted"; "program" => request.program.as_str(),
-                        "asked" => request.tokens, "tokens" => tokens, "debt" => request.debt, "recorded" => recorded);
+                        "asked" => request.tokens, "tokens" => tokens, "debt" => recorded_debt, "recorded" => recorded);
                 }
-                self.book.borrow_mut().settle_debt(account, request.debt);
+                self.book.borrow_mut().settle_debt(account, recorded_debt);
             }
             CoverOutcome::Unavailable => {
                 if self.count_and_admit("unavailable") {
@@ -277,6 +277,7 @@
                         "program" => request.program.as_str(), "asked" => request.tokens);
                 }
                 self.rows.borrow_mut().remove(account);
+                self.book.borrow_mut().release_debt(account, request.debt);
                 self.notify(account);
                 let delay = match self.reaches_store() {
                     true => RETRY_DELAY,
@@ -292,16 +293,21 @@
         self.request_cover_if_due(account, &request.program);
     }
 
-    /// Records a request in the store, or through another gateway if this one does not reach the store.
-    async fn record_or_relay(self: &Rc<Self>, account: AccountKey, request: &CoverRequest) -> CoverOutcome {
+    /// Records a request in the store, or through another gateway if this one does not reach the store. Returns the
+    /// outcome and the debt that was recorded with it.
+    async fn record_or_relay(
+        self: &Rc<Self>,
+        account: AccountKey,
+        request: &CoverRequest,
+    ) -> (CoverOutcome, u64) {
         if self.reaches_store() {
             match self.record_or_hedge(account, request).await {
-                Ok(outcome) => return outcome,
+                Ok(recorded) => return recorded,
                 Err(error) => self.mark_store_unreachable(&error.to_string()),
             }
         }
         self.rows.borrow_mut().remove(account);
-        match self.links.record(request).await {
+        let outcome = match self.links.record(request).await {
             Some(outcome) => outcome,
             None => match self.record(Some(account), request).await {
                 Ok(outcome) => {
@@ -310,49 +316,70 @@
                 }
                 Err(_) => CoverOutcome::Unavailable,
             },
-        }
+        };
+        (outcome, request.debt)
     }
 
     /// Records a request in the store. If the store does not answer within [`HEDGE_DELAY`], another gateway also
     /// records the part that turns wait for. The first answer counts; a later grant is added to the cover.
+    ///
+    /// Returns the outcome and the debt that was recorded with it. The other gateway records no debt: it is settled by
+    /// the answer to the own write, which may arrive later or never.
     async fn record_or_hedge(
         self: &Rc<Self>,
         account: AccountKey,
         request: &CoverRequest,
-    ) -> Result<CoverOutcome, PlatformError> {
+    ) -> Result<(CoverOutcome, u64), PlatformError> {
+        let debt = request.debt;
         let (manager, own_request) = (Rc::clone(self), request.clone());
         let mut recording = Box::pin(async move { manager.record(Some(account), &own_request).await });
         if let Ok(result) = timeout(HEDGE_DELAY, &mut recording).await {
-            return result;
+            return result.map(|outcome| (outcome, debt));
+        }
+        if !self.book.borrow().may_hedge(account, request) {
+            return recording.await.map(|outcome| (outcome, debt));
         }
         let (manager, needed) = (Rc::clone(self), request.needed_alone());
         let relaying = Box::pin(async move { manager.links.record(&needed).await });
         match select(relaying, recording).await {
             Either::Left((Some(outcome), recording)) => {
                 self.mark_store_unreachable("another gateway answered first");
-                self.credit_late_grant(account, recording.map(Result::ok));
-                Ok(outcome)
+                self.credit_late_grant(account, request, recording.map(Result::ok), debt);
+                Ok((outcome, 0))
             }
-            Either::Left((None, recording)) => recording.await,
+            Either::Left((None, recording)) => recording.await.map(|outcome| (outcome, debt)),
             Either::Right((result, relaying)) => {
-                self.credit_late_grant(account, relaying);
-                result
+                self.credit_late_grant(account, request, relaying, 0);
+                result.map(|outcome| (outcome, debt))
             }
         }
     }
 
-    /// Adds the grant of the hedged request that was answered last, if it is answered.
+    /// Adds the grant of the hedged request that was answered last, if it is answered, and settles the debt that it
+    /// contained. Without an answer the debt is requested again.
     fn credit_late_grant(
         self: &Rc<Self>,
         account: AccountKey,
+        request: &CoverRequest,
         late: impl Future<Output = Option<CoverOutcome>> + 'static,
+        debt: u64,
     ) {
-        let manager = Rc::clone(self);
+        let (manager, program) = (Rc::clone(self), request.program.clone());
         tokio::task::spawn_local(async move {
-            if let Some(CoverOutcome::Granted { tokens, recorded }) = late.await {
-                manager.book.borrow_mut().credit(account, tokens, recorded);
-                manager.notify(account);
+            match late.await {
+                Some(CoverOutcome::Granted { tokens, recorded }) => {
+                    let mut book = manager.book.borrow_mut();
+                    book.credit(account, tokens, recorded);
+                    book.settle_debt(account, debt);
+                }
+                Some(CoverOutcome::Unavailable) | None => {
+                    manager.book.borrow_mut().release_debt(account, debt);
+                    if debt > 0 {
+                        manager.request_cover_if_due(account, &program);
+                    }
+                }
             }
+            manager.notify(account);
         });
     }
 
