--- a/crates/ebony_dispatch/src/lib.rs
+++ b/crates/ebony_dispatch/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod permit_bar;
 pub mod placement;
 pub mod prompt;
+pub mod work_admission;
 
 /// Re-exports the board, placement and admission.
 pub mod prelude {
@@ -26,6 +27,7 @@
     pub use crate::permit_bar::PermitBar;
     pub use crate::placement::{PlacementRequest, place};
     pub use crate::prompt::PromptPart;
+    pub use crate::work_admission::{ProgramRequest, SharedSlots, WorkAdmission, WorkDecision, WorkRefusal};
 }
 
 pub use prelude::*;
