--- a/crates/ebony_dispatch/tests/admission_load/gateways.rs
+++ b/crates/ebony_dispatch/tests/admission_load/gateways.rs
@@ -36,7 +36,6 @@
     admission: Admission,
     options: DispatchOptions,
     service: ServiceName,
-    domain: DomainName,
     gateways: usize,
 }
 
@@ -73,7 +72,6 @@
             },
             options: DispatchOptions::default(),
             service,
-            domain,
             gateways,
         }
     }
