--- a/crates/ebony_dispatch/src/work_admission/mod.rs
+++ b/crates/ebony_dispatch/src/work_admission/mod.rs
@@ -174,6 +174,7 @@
     /// Records a turn or tool call of a program that has begun.
     pub fn record_call(&mut self, program: &ProgramName, now: ClockTime) {
         self.programs.record_call(program, now);
+        self.record_ended(now);
     }
 
     /// Records the end of a turn that was `run_time` at an engine, with the load that the engine reported.
@@ -202,9 +203,7 @@
             self.programs.record_call(request.program, now);
             return WorkDecision::Admitted;
         }
-        for ended in self.programs.remove_ended(now) {
-            self.routes.record_end(&ended.route, ended.time, now);
-        }
+        self.record_ended(now);
         let load = self.load(now);
         self.budget.advance(slots, load, now);
         let refuse = |reason, retry_after| WorkDecision::Refused {
@@ -229,6 +228,13 @@
         WorkDecision::Admitted
     }
 
+    /// Learns from the programs that ended lately.
+    fn record_ended(&mut self, now: ClockTime) {
+        for ended in self.programs.remove_ended(now) {
+            self.routes.record_end(&ended.route, ended.time, now);
+        }
+    }
+
     /// Returns the load of the engines or of the tools, whichever is higher: programs are late if either is overloaded.
     fn load(&self, now: ClockTime) -> Option<f64> {
         let (engines, tools) = (self.engine_load.mean(now), self.tool_load.mean(now));
--- a/crates/ebony_gateway/src/admission.rs
+++ b/crates/ebony_gateway/src/admission.rs
@@ -8,7 +8,8 @@
 use ebony_dispatch::{
     AdmissionRule, ProgramRequest, SharedSlots, TargetPhase, WorkAdmission, WorkDecision, WorkRefusal,
 };
-use ebony_types::{ClockTime, ProblemCode, ServiceName};
+use ebony_routing::CallerIdentity;
+use ebony_types::{ClockTime, CustomerName, ProblemCode, ServiceName};
 
 use crate::call_log::CallLog;
 use crate::gateway::Gateway;
@@ -35,11 +36,12 @@
     }
 }
 
-/// Returns whether programs are admitted by work.
-pub(crate) fn is_by_work(gateway: &Gateway) -> bool {
-    match gateway.options.get().admission {
+/// Returns whether the program of a call is admitted by work.
+pub(crate) fn is_by_work(call: &RoutedCall) -> bool {
+    match call.gateway.options.get().admission {
         AdmissionRule::ByWork => true,
-        AdmissionRule::ByLoad | AdmissionRule::Automatic => false,
+        AdmissionRule::ByLoad => false,
+        AdmissionRule::Automatic => *call.identity() != CallerIdentity::Unrestricted,
     }
 }
 
@@ -57,8 +59,8 @@
     let request = ProgramRequest {
         program: &head.program,
         route: &call.route.name,
-        customer: "",
-        urgency: call.route.urgency,
+        customer: call.customer().map_or("", CustomerName::as_str),
+        urgency: call.urgency(),
         time_left: head.time_left.unwrap_or(call_time),
     };
     let slots = shared_slots(gateway, &call.service);
@@ -113,15 +115,8 @@
     let Some(head) = &call.head.program else {
         return;
     };
-    let gateway = &call.gateway;
-    let now = gateway.clock.now();
-    if call.engine.is_some() {
-        let record = |admission: &mut WorkAdmission| admission.record_call(&head.program, now);
-        gateway.admissions.with(&call.service, now, record);
-    } else {
-        let record = |admission: &mut WorkAdmission| admission.record_call(&head.program, now);
-        gateway.admissions.for_each(record);
-    }
+    let now = call.gateway.clock.now();
+    record(call, |admission| admission.record_call(&head.program, now));
 }
 
 /// Records the load that the target of a call of a program reported.
@@ -129,15 +124,22 @@
     if call.head.program.is_none() {
         return;
     }
+    let now = call.gateway.clock.now();
+    record(call, |admission| match call.engine {
+        Some(_) => admission.record_engine_load(notice, now),
+        None => admission.record_tool_load(notice, now),
+    });
+}
+
+/// Tells the admission to the call's engines, or to all engines if it is a tool call, whose program may use any of them.
+fn record(call: &RoutedCall, mut act: impl FnMut(&mut WorkAdmission)) {
+    if !is_by_work(call) {
+        return;
+    }
     let gateway = &call.gateway;
-    let now = gateway.clock.now();
-    if call.engine.is_some() {
-        let record = |admission: &mut WorkAdmission| admission.record_engine_load(notice, now);
-        gateway.admissions.with(&call.service, now, record);
-    } else {
-        gateway
-            .admissions
-            .for_each(|admission| admission.record_tool_load(notice, now));
+    match call.engine {
+        Some(_) => gateway.admissions.with(&call.service, gateway.clock.now(), act),
+        None => gateway.admissions.for_each(&mut act),
     }
 }
 
--- a/crates/ebony_gateway/src/attempts.rs
+++ b/crates/ebony_gateway/src/attempts.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use ebony_dialect::{AnswerHead, AttemptHead};
 use ebony_dispatch::{PlacementRequest, TargetKey, place};
-use ebony_routing::CallSemantics;
+use ebony_routing::{CallSemantics, CallerIdentity};
 use ebony_types::{ClockTime, ProblemCode, TargetName};
 use http::Request;
 use http_body_util::Full;
@@ -16,7 +16,7 @@
 use crate::crashes::registry::REQUEST_HELD_DETAIL;
 use crate::limits::permits::{self, CallPermit, PermitOutcome};
 use crate::refusal::{CallRefusal, NO_TARGET_RETRY_AFTER, Result};
-use crate::routed_call::{RoutedCall, affinity_key};
+use crate::routed_call::RoutedCall;
 use crate::target_client::{OpenAnswer, SendFailure};
 use crate::target_run::TargetRun;
 use crate::{admission, leaving, limits};
@@ -195,7 +195,8 @@
         let request = PlacementRequest {
             service: &self.call.service,
             domain: &gateway.domain,
-            affinity: affinity_key(&self.call.head),
+            affinity: self.call.affinity(),
+            is_sticky: self.call.object.is_some(),
             prompt: &self.call.head.prompt,
             tried: &self.tried,
             max_connections: self.call.max_connections,
@@ -277,9 +278,12 @@
         let mut request = Request::new(Full::new(call.body.clone()));
         *request.method_mut() = call.request.method.clone();
         *request.uri_mut() = call.request.uri.clone();
+        // With customers configured, a credential is an API key, which concerns the gateways only.
+        let hides_credential = *call.identity() != CallerIdentity::Unrestricted;
         let headers = request.headers_mut();
         for (name, value) in &call.request.headers {
-            if !dialect.is_reserved(name) {
+            let is_dropped = dialect.is_reserved(name) || (hides_credential && dialect.is_credential(name));
+            if !is_dropped {
                 headers.append(name, value.clone());
             }
         }
@@ -287,6 +291,7 @@
             target,
             time_left,
             urgency: None,
+            customer: call.customer(),
             resumes_after: None,
         };
         for (name, value) in dialect.encode_attempt(&attempt) {
--- a/crates/ebony_gateway/src/call_log.rs
+++ b/crates/ebony_gateway/src/call_log.rs
@@ -4,8 +4,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use ebony_types::{ClockTime, ProblemCode, RunVerdict};
+use ebony_routing::RoutingVersion;
+use ebony_types::{ClockTime, CustomerName, ProblemCode, RunVerdict};
 
+use crate::conversations::FindError;
 use crate::crashes::RequestFingerprint;
 use crate::decision_log::LineKind;
 use crate::gateway::Gateway;
@@ -77,10 +79,16 @@
     program: String,
     route: String,
     routing_version: u64,
+    /// The customer that the call is made for.
+    customer: Option<CustomerName>,
+    /// Why the call has no customer, if it was refused for that.
+    credential: Option<&'static str>,
     /// The program's budget and the turn's maximum tokens, if there is a budget.
     budget: Option<(u64, u64)>,
     /// The turn that this one continues.
     previous: Option<String>,
+    /// Why the conversation cannot be continued from that turn.
+    find_error: Option<FindError>,
     /// The numbers of records and bytes of the conversation so far.
     chain: Option<(usize, usize)>,
     /// The load of the service for which a new program was refused, in calls per slot.
@@ -109,8 +117,11 @@
             program: program.to_owned(),
             route: String::new(),
             routing_version: 0,
+            customer: None,
+            credential: None,
             budget: None,
             previous: None,
+            find_error: None,
             chain: None,
             load: None,
             admission: None,
@@ -126,9 +137,22 @@
         }
     }
 
-    pub(crate) fn set_route(&mut self, route: &str, routing_version: u64) {
+    /// Sets the version of the configuration by which the call is decided.
+    pub(crate) fn set_version(&mut self, version: RoutingVersion) {
+        self.routing_version = version.0;
+    }
+
+    pub(crate) fn set_route(&mut self, route: &str) {
         route.clone_into(&mut self.route);
-        self.routing_version = routing_version;
+    }
+
+    pub(crate) fn set_customer(&mut self, customer: Option<&CustomerName>) {
+        self.customer = customer.cloned();
+    }
+
+    /// Sets why the call has no customer.
+    pub(crate) fn set_credential(&mut self, credential: &'static str) {
+        self.credential = Some(credential);
     }
 
     pub(crate) fn set_budget(&mut self, budget: u64, most_tokens: u64) {
@@ -140,6 +164,12 @@
         self.previous = Some(previous.to_owned());
     }
 
+    /// Sets why the conversation cannot be continued from the previous turn. The caller does not learn whether a turn is
+    /// absent or belongs to another customer.
+    pub(crate) fn set_find_error(&mut self, error: FindError) {
+        self.find_error = Some(error);
+    }
+
     /// Sets the size of the conversation so far.
     pub(crate) fn set_chain(&mut self, records: usize, bytes: usize) {
         self.chain = Some((records, bytes));
@@ -242,6 +272,9 @@
                 ("caller_left", String::new(), run, LineKind::Failure)
             }
         };
+        if let Some(customer) = &self.customer {
+            self.gateway.metrics.customer_calls.count(customer, name);
+        }
         let labels = [name, run.as_str()];
         self.gateway.metrics.calls.with_label_values(&labels).inc();
         if self.gateway.decisions.admits(kind) {
@@ -265,9 +298,12 @@
             "program" => &self.program,
             "route" => &self.route,
             "routing_version" => self.routing_version,
+            "customer" => self.customer.as_ref().map(CustomerName::as_str),
+            "credential" => self.credential,
             "budget" => self.budget.map(|(budget, _)| budget),
             "most_tokens" => self.budget.map(|(_, most)| most),
             "previous" => &self.previous,
+            "previous_error" => self.find_error.map(|error| error.to_string()),
             "chain_records" => self.chain.map(|(records, _)| records),
             "chain_bytes" => self.chain.map(|(_, bytes)| bytes),
             "load" => self.load,
--- a/crates/ebony_gateway/src/target_run.rs
+++ b/crates/ebony_gateway/src/target_run.rs
@@ -25,7 +25,7 @@
     record: TargetRecord,
     run: RunKey,
     fingerprint: Rc<RequestFingerprint>,
-    /// The route, if the call is a turn of a program.
+    /// The route, if the call is a turn of a program that is admitted by work.
     turn_route: Option<Rc<RouteRule>>,
     began_at: ClockTime,
     /// The load that the target reported with its answer.
@@ -43,7 +43,7 @@
             .board
             .borrow_mut()
             .begin(target, &call.head.prompt, memory);
-        let is_turn = call.engine.is_some() && call.head.program.is_some();
+        let is_turn = call.engine.is_some() && call.head.program.is_some() && admission::is_by_work(call);
         Self {
             turn_route: is_turn.then(|| Rc::clone(&call.route)),
             began_at: gateway.clock.now(),
