--- a/crates/ebony_dispatch/src/lib.rs
+++ b/crates/ebony_dispatch/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod speed;
 pub mod spread;
 mod timing;
+pub mod work_admission;
 
 /// Re-exports the board, placement and admission.
 pub mod prelude {
@@ -31,10 +32,11 @@
     pub use crate::even_load::{CallDemand, EvenLoad};
     pub use crate::fault::TargetFault;
     pub use crate::load::TargetLoad;
-    pub use crate::options::{DispatchOptions, PlacementRule};
+    pub use crate::options::{AdmissionRule, DispatchOptions, PlacementRule};
     pub use crate::permit_bar::PermitBar;
     pub use crate::placement::{PlacementRequest, place, place_with};
     pub use crate::prompt::PromptPart;
+    pub use crate::work_admission::{ProgramRequest, SharedSlots, WorkAdmission, WorkDecision, WorkRefusal};
 }
 
 pub use prelude::*;
--- a/crates/ebony_dispatch/src/options.rs
+++ b/crates/ebony_dispatch/src/options.rs
@@ -38,6 +38,37 @@
     }
 }
 
+/// The rule by which programs are admitted.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum AdmissionRule {
+    /// By work in configurations with customers, and by load in others.
+    #[default]
+    Automatic,
+    /// By the work that programs bring: [`crate::WorkAdmission`].
+    ByWork,
+    /// By the load of the engines: [`crate::ProgramGate`].
+    ByLoad,
+}
+
+impl AdmissionRule {
+    /// Parses the name of a rule; `None` if it is unknown.
+    ///
+    /// ```
+    /// use ebony_dispatch::AdmissionRule;
+    ///
+    /// assert_eq!(AdmissionRule::from_name("by_work"), Some(AdmissionRule::ByWork));
+    /// assert_eq!(AdmissionRule::from_name("always"), None);
+    /// ```
+    pub fn from_name(name: &str) -> Option<Self> {
+        match name {
+            "automatic" => Some(Self::Automatic),
+            "by_work" => Some(Self::ByWork),
+            "by_load" => Some(Self::ByLoad),
+            _ => None,
+        }
+    }
+}
+
 /// Options of a [`crate::TargetBoard`] and of [`crate::place`].
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct DispatchOptions {
@@ -45,6 +76,8 @@
     pub rule: PlacementRule,
     /// Which services get even load. Only [`PlacementRule::EstimatedDelay`] heeds it.
     pub even_load: EvenLoad,
+    /// The rule by which programs are admitted.
+    pub admission: AdmissionRule,
     /// How many more of the entry's own calls than the least loaded target the home target may have.
     pub home_extra_calls: u32,
     /// Prompt tokens that an engine prefills in a millisecond. The default is the slower of the two deployments, whose
@@ -84,6 +117,7 @@
         Self {
             rule: PlacementRule::default(),
             even_load: EvenLoad::default(),
+            admission: AdmissionRule::default(),
             home_extra_calls: 8,
             prefill_tokens_per_ms: 61.0,
             domain_delay_ms: 1.8,
--- a/crates/ebony_gateway/src/metrics.rs
+++ b/crates/ebony_gateway/src/metrics.rs
@@ -12,6 +12,8 @@
     pub(crate) calls: IntCounterVec,
     /// Calls that the gateway refused, by code.
     pub(crate) refusals: IntCounterVec,
+    /// First turns of programs, by the decision on them.
+    pub(crate) admissions: IntCounterVec,
     /// Calls that were refused for lack of a known key, by what their credential was.
     pub(crate) unauthorized: IntCounterVec,
     /// Calls that ended, by customer.
@@ -89,6 +91,11 @@
                 "Calls that the gateway answered itself, by code.",
                 &["code"],
             )?,
+            admissions: registry.counter_family(
+                "gateway_admissions_total",
+                "First turns of programs, by the decision on them.",
+                &["decision"],
+            )?,
             unauthorized: registry.counter_family(
                 "gateway_unauthorized_total",
                 "Calls that were refused for lack of a known key, by what their credential was.",
--- a/crates/ebony_gateway/src/process.rs
+++ b/crates/ebony_gateway/src/process.rs
@@ -148,6 +148,7 @@
         self.gateway.options.set(dispatch_options(&applied.policy));
         info!(logger, "settings reloaded";
             "placement" => &applied.policy.placement, "even_load" => &applied.policy.even_load,
+            "admission" => &applied.policy.admission,
             "drain_ms" => applied.drain_time.as_millis() as u64);
         self.settings = applied;
     }
--- a/crates/ebony_gateway/src/target_run.rs
+++ b/crates/ebony_gateway/src/target_run.rs
@@ -4,11 +4,14 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use ebony_dispatch::load::LoadNotice;
 use ebony_dispatch::{RunKey, TargetKey, TargetRecord};
+use ebony_routing::RouteRule;
 use ebony_types::{ClockTime, TargetName};
 use http::StatusCode;
 use slog::info;
 
+use crate::admission;
 use crate::crashes::{RequestFingerprint, TargetProbes};
 use crate::decision_log::LineKind;
 use crate::gateway::Gateway;
@@ -23,6 +26,11 @@
     record: TargetRecord,
     run: RunKey,
     fingerprint: Rc<RequestFingerprint>,
+    /// The route, if the call is a turn of a program that is admitted by work.
+    turn_route: Option<Rc<RouteRule>>,
+    began_at: ClockTime,
+    /// The load that the target reported with its answer.
+    notice: Cell<Option<LoadNotice>>,
     /// Whether the outcome of the run is known.
     is_settled: Cell<bool>,
 }
@@ -38,7 +46,11 @@
         let options = gateway.options.get();
         board.start_timing(run, &gateway.domain, &options, gateway.clock.now());
         drop(board);
+        let is_turn = call.engine.is_some() && call.head.program.is_some() && admission::is_by_work(call);
         Self {
+            turn_route: is_turn.then(|| Rc::clone(&call.route)),
+            began_at: gateway.clock.now(),
+            notice: Cell::default(),
             gateway,
             target,
             record,
@@ -76,6 +88,11 @@
         board.record_events(self.run, events, elapsed, &options, now);
     }
 
+    /// Records the load that the target reported with its answer.
+    pub(crate) fn record_notice(&self, notice: LoadNotice) {
+        self.notice.set(Some(notice));
+    }
+
     /// Records a complete answer.
     pub(crate) fn record_success(&self, status: StatusCode) {
         self.is_settled.set(true);
@@ -84,6 +101,7 @@
             self.gateway.crashes.record_completion(&self.fingerprint);
             let now = self.gateway.clock.now();
             self.gateway.board.borrow_mut().record_finish(self.run, now);
+            self.record_turn();
         }
         let failures = self.gateway.board.borrow_mut().record_success(self.target);
         if failures > 0 {
@@ -95,6 +113,15 @@
         }
     }
 
+    fn record_turn(&self) {
+        let Some(route) = &self.turn_route else {
+            return;
+        };
+        let run_time = self.gateway.clock.now().since(self.began_at);
+        let service = &self.record.service;
+        admission::record_turn(&self.gateway, service, &route.name, run_time, self.notice.get());
+    }
+
     pub(crate) fn record_failure(&self) {
         self.is_settled.set(true);
         let now = self.gateway.clock.now();
--- a/crates/ebony_settings/src/schema/gateway_keys.rs
+++ b/crates/ebony_settings/src/schema/gateway_keys.rs
@@ -59,7 +59,7 @@
             "{}",
             "policy",
             ValueKind::Section(&POLICY),
-            "The choice of targets.",
+            "The choice of targets and the admission of programs.",
         ),
     ],
 };
@@ -162,5 +162,11 @@
             ValueKind::Choice(&["automatic", "always", "never"]),
             "Which services get even load by speed and random choice. Automatic: those whose targets report a slow-down, and all if customers are configured.",
         ),
+        KeySpec::defaults_to(
+            "automatic",
+            "admission",
+            ValueKind::Choice(&["automatic", "by_work", "by_load"]),
+            "Whether new programs are admitted by the work that they bring or by the load of the engines. `automatic` is by work if the configuration has customers.",
+        ),
     ],
 };
