A later life of a target shows that it crashed

Cause: a call that broke off made its request a suspect only if the target was still listed in the same incarnation and its port was closed. Calls without an answer were kept by the board's key, whose place the next incarnation takes over.

A later incarnation in the list makes their requests suspects; a closed port does so as before; an open port alone acquits none. Targets that leave as planned drop their calls, and a request that completes drops its own.

Run: crash_model, crashing_requests.

--- a/crates/ebony_dispatch/src/board.rs
+++ b/crates/ebony_dispatch/src/board.rs
@@ -156,8 +156,9 @@
         {
             return TargetChange::Outdated;
         }
-        if self.leaving.contains(&record.name, record.incarnation())
-            || known.is_some_and(|key| self.is_leaving(key, &record))
+        let incarnation = record.incarnation();
+        if self.leaving.contains(&record.name, incarnation)
+            || (record.born > 0 && known.is_some_and(|key| self.is_listed_as_draining(key, incarnation)))
         {
             record.phase = TargetPhase::Draining;
         }
@@ -428,13 +429,19 @@
         target.is_some_and(|target| target.record.born > record.born)
     }
 
-    /// Returns whether the target on the board is leaving, in the incarnation of the record.
-    fn is_leaving(&self, key: TargetKey, record: &TargetRecord) -> bool {
+    /// Returns whether an incarnation of a target ends as planned: it announced that it is leaving, or was listed as
+    /// draining.
+    pub fn is_planned_end(&self, name: &TargetName, incarnation: TargetIncarnation) -> bool {
+        let key = self.names.get(name);
+        self.leaving.contains(name, incarnation)
+            || key.is_some_and(|key| self.is_listed_as_draining(*key, incarnation))
+    }
+
+    /// Returns whether the target on the board is draining, in this incarnation.
+    fn is_listed_as_draining(&self, key: TargetKey, incarnation: TargetIncarnation) -> bool {
         let target = self.targets.get(key);
         target.is_some_and(|target| {
-            target.record.phase == TargetPhase::Draining
-                && record.born > 0
-                && target.record.incarnation() == record.incarnation()
+            target.record.phase == TargetPhase::Draining && target.record.incarnation() == incarnation
         })
     }
 
--- a/crates/ebony_gateway/src/crashes/probe.rs
+++ b/crates/ebony_gateway/src/crashes/probe.rs
@@ -1,25 +1,26 @@
-//! Probes that determine whether a target crashed after an answer of it broke off.
+//! Decides whether a target crashed after calls broke off there or got no answer.
 //!
-//! The port of a process that ended refuses connections, while a target that only reset a connection or sent a
-//! malformed answer accepts the next one. A target that is draining or was removed from the list ends as planned, and
-//! no request is suspected.
-//!
-//! A target may also stop answering without closing its connections. Calls without a complete answer are kept for a
-//! while, and become suspects as well if their target turns out to have ended.
+//! A target crashed if a later incarnation of it is listed, or if its port refuses connections. An open port alone does
+//! not show that the process is the same: a crashed target may be back before the list or the probe shows that it was
+//! gone. Calls without a complete answer are therefore kept for some time after an open port too, and become suspects
+//! once a later incarnation is listed. A target that is draining or announced that it is leaving ends as planned, and no
+//! request is suspected.
 
 use std::cell::RefCell;
-use std::collections::{BTreeSet, VecDeque};
+use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use ebony_dispatch::{TargetKey, TargetPhase, TargetRecord};
+use ebony_dispatch::{TargetBoard, TargetIncarnation, TargetKey, TargetPhase, TargetRecord};
+use ebony_ledger::{CallLoss, LifeStanding, LifeVerdict, TargetLife, UnansweredTable};
 use ebony_platform::{ProbeOutcome, probe};
-use ebony_types::{ClockTime, RequestDigest};
+use ebony_types::{RequestDigest, TargetName};
 use slog::info;
 use slotmap::SecondaryMap;
 use tokio::time::sleep;
 
+use super::RequestFingerprint;
 use crate::decision_log::LineKind;
 use crate::gateway::Gateway;
 
@@ -33,12 +34,8 @@
 /// The maximum number of suspects of one crash, which is more than the slots of the engines. Further ones are ignored.
 const MAX_SUSPECTS: usize = 64;
 
-/// How long a call without a complete answer is kept. The list drops a silent target after three heartbeats of 1.2 s;
-/// the rest allows for a slow store.
-const UNANSWERED_CALL_RETENTION: Duration = Duration::from_secs(10);
-
-/// The maximum number of calls without a complete answer that are kept for one target. The oldest ones are dropped.
-const MAX_UNANSWERED_CALLS: usize = 16;
+/// The maximum number of targets with calls without a complete answer. Beyond it, those of other targets are not kept.
+const MAX_UNANSWERED_TARGETS: usize = 1_024;
 
 /// The state of a target after it broke off a call.
 ///
@@ -65,45 +62,86 @@
 
 /// A target that is being probed, and the requests that it broke off.
 struct OpenProbe {
-    record: TargetRecord,
+    life: TargetLife,
     suspects: BTreeSet<RequestDigest>,
 }
 
-/// The calls of one target that got no complete answer.
-struct UnansweredCalls {
-    record: TargetRecord,
-    /// The requests, and when each was abandoned.
-    suspects: VecDeque<(RequestDigest, ClockTime)>,
+/// The listed targets by name and by address.
+struct ListedLives<'b> {
+    by_name: HashMap<&'b TargetName, &'b TargetRecord>,
+    /// The latest target at each address. Entries of earlier ones are listed until they lapse.
+    by_address: HashMap<SocketAddr, &'b TargetRecord>,
 }
 
-impl UnansweredCalls {
-    fn add(&mut self, suspect: RequestDigest, now: ClockTime) {
-        if self.suspects.len() == MAX_UNANSWERED_CALLS {
-            self.suspects.pop_front();
+impl<'b> ListedLives<'b> {
+    fn open(board: &'b TargetBoard) -> Self {
+        let mut lives = Self {
+            by_name: HashMap::new(),
+            by_address: HashMap::new(),
+        };
+        for (_, entry) in board.targets() {
+            let record = &entry.record;
+            lives.by_name.insert(&record.name, record);
+            let latest = lives.by_address.entry(record.address).or_insert(record);
+            if latest.born < record.born {
+                *latest = record;
+            }
+        }
+        lives
+    }
+
+    fn standing(&self, life: &TargetLife) -> LifeStanding {
+        let named = self.by_name.get(&life.target);
+        let mut others = named.into_iter().chain(self.by_address.get(&life.address));
+        let incarnation = incarnation_of(life);
+        let is_replaced = others.any(|other| other.incarnation() != incarnation && other.born >= life.born);
+        match named {
+            _ if is_replaced => LifeStanding::Replaced,
+            Some(_) => LifeStanding::Current,
+            None => LifeStanding::Missing,
         }
-        self.suspects.push_back((suspect, now));
     }
+}
 
-    fn drop_old(&mut self, now: ClockTime) {
-        self.suspects
-            .retain(|(_, abandoned)| now.since(*abandoned) < UNANSWERED_CALL_RETENTION);
+fn life_of(record: &TargetRecord) -> TargetLife {
+    TargetLife {
+        target: record.name.clone(),
+        born: record.born,
+        address: record.address,
     }
+}
 
-    fn digests(&self) -> impl Iterator<Item = RequestDigest> {
-        self.suspects.iter().map(|(digest, _)| *digest)
+fn incarnation_of(life: &TargetLife) -> TargetIncarnation {
+    TargetIncarnation {
+        born: life.born,
+        address: life.address,
     }
 }
 
-/// The running probes and the unanswered calls of all targets. Bounded by the targets on the board.
-#[derive(Default)]
+/// The running probes, bounded by the targets on the board, and the calls without a complete answer.
 pub(crate) struct TargetProbes {
     open: RefCell<SecondaryMap<TargetKey, OpenProbe>>,
-    unanswered: RefCell<SecondaryMap<TargetKey, UnansweredCalls>>,
+    unanswered: RefCell<UnansweredTable>,
+}
+
+impl Default for TargetProbes {
+    fn default() -> Self {
+        Self {
+            open: RefCell::default(),
+            unanswered: RefCell::new(UnansweredTable::open(MAX_UNANSWERED_TARGETS)),
+        }
+    }
 }
 
 impl TargetProbes {
-    /// Starts to probe a target that broke off a request, or adds the request to the probe that is running.
-    pub(crate) fn probe_after_break(gateway: &Rc<Gateway>, target: TargetKey, suspect: RequestDigest) {
+    /// Keeps a request that a target broke off, and probes the target unless a probe is running or it is not listed.
+    pub(crate) fn probe_after_break(
+        gateway: &Rc<Gateway>,
+        target: TargetKey,
+        record: &TargetRecord,
+        suspect: RequestDigest,
+    ) {
+        Self::keep(gateway, record, suspect, CallLoss::Broken);
         let mut open = gateway.probes.open.borrow_mut();
         if let Some(probe) = open.get_mut(target) {
             if probe.suspects.len() < MAX_SUSPECTS {
@@ -117,7 +155,7 @@
             return;
         };
         let probe = OpenProbe {
-            record: record.clone(),
+            life: life_of(record),
             suspects: BTreeSet::from([suspect]),
         };
         let address = record.address;
@@ -126,63 +164,56 @@
         tokio::task::spawn_local(async move {
             let fate = probe_listed(&gateway, target, address).await;
             let closed = gateway.probes.open.borrow_mut().remove(target);
-            if let Some(mut probe) = closed {
-                if fate == TargetFate::Ended {
-                    probe.suspects.extend(gateway.probes.take_unanswered(target));
-                }
+            if let Some(probe) = closed {
                 probe.close(&gateway, fate);
             }
         });
     }
 
-    /// Keeps a request that got no complete answer. Its target may have been removed from the list meanwhile.
-    pub(crate) fn record_unanswered(
-        gateway: &Gateway,
-        target: TargetKey,
-        record: &TargetRecord,
-        suspect: RequestDigest,
-    ) {
+    /// Keeps a request that got no complete answer in time. Its target may have been removed from the list meanwhile.
+    pub(crate) fn record_silence(gateway: &Gateway, record: &TargetRecord, suspect: RequestDigest) {
+        Self::keep(gateway, record, suspect, CallLoss::Silent);
+    }
+
+    fn keep(gateway: &Gateway, record: &TargetRecord, suspect: RequestDigest, loss: CallLoss) {
         let mut unanswered = gateway.probes.unanswered.borrow_mut();
-        if let Some(entry) = unanswered.entry(target) {
-            let calls = entry.or_insert_with(|| UnansweredCalls {
-                record: record.clone(),
-                suspects: VecDeque::new(),
-            });
-            calls.add(suspect, gateway.clock.now());
-        }
+        unanswered.keep(&life_of(record), suspect, loss, gateway.clock.now());
     }
 
-    fn take_unanswered(&self, target: TargetKey) -> BTreeSet<RequestDigest> {
-        let calls = self.unanswered.borrow_mut().remove(target);
-        calls.iter().flat_map(UnansweredCalls::digests).collect()
+    /// Drops the calls of a request that was completed.
+    pub(crate) fn record_completion(&self, fingerprint: &RequestFingerprint) {
+        let mut unanswered = self.unanswered.borrow_mut();
+        if !unanswered.is_empty() {
+            unanswered.record_completion(fingerprint.digest());
+        }
     }
 
-    /// Probes targets with unanswered calls that have been removed from the list.
+    /// Decides on targets with unanswered calls, by the list. Silent ones that are not listed are probed.
     pub(crate) fn probe_unanswered(gateway: &Rc<Gateway>) {
-        let now = gateway.clock.now();
-        let mut gone = Vec::new();
-        {
-            let board = gateway.board.borrow();
+        let verdicts = {
             let mut unanswered = gateway.probes.unanswered.borrow_mut();
-            unanswered.retain(|target, calls| {
-                calls.drop_old(now);
-                match board.target(target) {
-                    _ if calls.suspects.is_empty() => false,
-                    Some(entry) => entry.record.phase == TargetPhase::Ready,
-                    None => {
-                        gone.push(OpenProbe {
-                            record: calls.record.clone(),
-                            suspects: calls.digests().collect(),
-                        });
-                        false
-                    }
+            if unanswered.is_empty() {
+                return;
+            }
+            let board = gateway.board.borrow();
+            let lives = ListedLives::open(&board);
+            unanswered.decide(gateway.clock.now(), |life| {
+                match board.is_planned_end(&life.target, incarnation_of(life)) {
+                    true => LifeStanding::Leaving,
+                    false => lives.standing(life),
                 }
-            });
-        }
-        for probe in gone {
+            })
+        };
+        for (life, verdict) in verdicts {
+            let suspects = BTreeSet::new();
+            let probe = OpenProbe { life, suspects };
+            if verdict == LifeVerdict::Ended {
+                probe.close(gateway, TargetFate::Ended);
+                continue;
+            }
             let gateway = Rc::clone(gateway);
             tokio::task::spawn_local(async move {
-                let fate = probe_delisted(&gateway, &probe.record).await;
+                let fate = probe_delisted(probe.life.address).await;
                 probe.close(&gateway, fate);
             });
         }
@@ -191,28 +222,20 @@
 
 /// Probes a target that is no longer listed. One whose entry was removed before its process ended still accepts
 /// connections.
-async fn probe_delisted(gateway: &Gateway, record: &TargetRecord) -> TargetFate {
-    let successor = {
-        let board = gateway.board.borrow();
-        let mut listed = board.targets().map(|(_, entry)| &entry.record);
-        listed
-            .find(|other| other.address == record.address || other.name == record.name)
-            .map(TargetRecord::incarnation)
-    };
-    match successor {
-        // The same process is listed again, because its entry had only lapsed.
-        Some(incarnation) if incarnation == record.incarnation() => return TargetFate::Alive,
-        Some(_) => return TargetFate::Ended,
-        None => {}
-    }
-    match probe(record.address).await {
+async fn probe_delisted(address: SocketAddr) -> TargetFate {
+    match probe(address).await {
         ProbeOutcome::Open => TargetFate::Alive,
         ProbeOutcome::Refused | ProbeOutcome::Unknown => TargetFate::Ended,
     }
 }
 
 impl OpenProbe {
-    fn close(self, gateway: &Gateway, fate: TargetFate) {
+    /// Counts and logs the fate of the target. If it ended, all requests without an answer there are suspects.
+    fn close(mut self, gateway: &Gateway, fate: TargetFate) {
+        if fate == TargetFate::Ended {
+            let unanswered = gateway.probes.unanswered.borrow_mut().take(&self.life);
+            self.suspects.extend(unanswered);
+        }
         gateway
             .metrics
             .target_fates
@@ -221,14 +244,14 @@
         if gateway.decisions.admits(LineKind::State) {
             let digests: Vec<String> = self.suspects.iter().map(RequestDigest::short).collect();
             info!(gateway.logger, "target broke off";
-                "target" => self.record.name.as_str(), "life" => self.record.born, "fate" => fate.as_str(),
+                "target" => self.life.target.as_str(), "life" => self.life.born, "fate" => fate.as_str(),
                 "requests" => digests.join(" "));
         }
         if fate == TargetFate::Ended {
-            let record = &self.record;
+            let life = &self.life;
             gateway
                 .crashes
-                .record_target_crash(&record.name, record.born, &self.suspects);
+                .record_target_crash(&life.target, life.born, &self.suspects);
         }
     }
 }
--- a/crates/ebony_gateway/src/target_run.rs
+++ b/crates/ebony_gateway/src/target_run.rs
@@ -59,6 +59,7 @@
         self.is_settled.set(true);
         // A target may answer with a failure without having run the call, which does not clear the request.
         if status.is_success() {
+            self.gateway.probes.record_completion(&self.fingerprint);
             self.gateway.crashes.record_completion(&self.fingerprint);
         }
         let failures = self.gateway.board.borrow_mut().record_success(self.target);
@@ -90,7 +91,8 @@
     /// Records that the target broke off the call, and probes whether the target crashed.
     pub(crate) fn record_break(&self) {
         self.record_failure();
-        TargetProbes::probe_after_break(&self.gateway, self.target, self.fingerprint.digest());
+        let suspect = self.fingerprint.digest();
+        TargetProbes::probe_after_break(&self.gateway, self.target, &self.record, suspect);
     }
 
     /// Records that the target did not answer in time.
@@ -125,7 +127,7 @@
         self.gateway.board.borrow_mut().end(self.run);
         if !self.is_settled.get() {
             let suspect = self.fingerprint.digest();
-            TargetProbes::record_unanswered(&self.gateway, self.target, &self.record, suspect);
+            TargetProbes::record_silence(&self.gateway, &self.record, suspect);
         }
     }
 }
--- a/crates/ebony_ledger/src/lib.rs
+++ b/crates/ebony_ledger/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod limits;
 pub mod quarantine;
 pub mod tombstone;
+pub mod unanswered;
 
 /// Re-exports the ledger, its parts and its decisions.
 pub mod prelude {
@@ -48,6 +49,7 @@
         StartDecision,
     };
     pub use crate::limits::LedgerLimits;
+    pub use crate::unanswered::{CallLoss, LifeStanding, LifeVerdict, TargetLife, UnansweredTable};
 }
 
 pub use prelude::*;
--- a/crates/ebony_ledger/tests/crash_model.rs
+++ b/crates/ebony_ledger/tests/crash_model.rs
@@ -6,7 +6,12 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use ebony_ledger::{CrashPolicy, CrashReport, CrashSite, CrashStanding, CrashTracker};
+use std::net::SocketAddr;
+
+use ebony_ledger::{
+    CallLoss, CrashPolicy, CrashReport, CrashSite, CrashStanding, CrashTracker, LifeStanding, LifeVerdict,
+    TargetLife, UnansweredTable,
+};
 use ebony_types::{ClockTime, ProcessIncarnation, RequestDigest, TargetName};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -18,6 +23,8 @@
 };
 
 const SEEDS: u64 = 24;
+/// The seeds of histories in which targets fall silent.
+const SILENT_SEEDS: u64 = 12;
 const STEP: Duration = Duration::from_millis(100);
 /// Two minutes, which is long enough for the first trial.
 const STEPS: u64 = 1_200;
@@ -28,6 +35,8 @@
 const CRASHING_REQUESTS: usize = 2;
 /// Steps for which a crashed target is down.
 const DOWN_STEPS: u64 = 30;
+/// Steps within which the next incarnation of a silent target is listed and its connections break off.
+const MAX_LIST_STEPS: u64 = 10;
 /// Steps after which all gateways know of a crash that one of them noticed, even if links are broken.
 const PROPAGATION_STEPS: u64 = 30;
 /// The crashes of a request from which on it is refused, and the most further crashes that it may cause once all
@@ -45,6 +54,20 @@
 struct Target {
     incarnation: u8,
     down_until: u64,
+    /// The crashing request that ended the last incarnation.
+    culprit: Option<RequestDigest>,
+    /// The incarnation in the list, and the step from which on it is listed.
+    listed: (u8, u64),
+}
+
+/// How targets crash.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum CrashKind {
+    /// Their ports and connections close, and each gateway detects it at once.
+    Loud,
+    /// Their connections say nothing until some steps before or after the next incarnation is listed. Ports are open by
+    /// then.
+    Silent,
 }
 
 #[derive(Default)]
@@ -66,9 +89,17 @@
     /// Reports in transit: step of arrival, receiving gateway, reports.
     in_transit: Vec<(u64, usize, Vec<CrashReport>)>,
     targets: Vec<Target>,
+    kind: CrashKind,
+    /// The calls without a complete answer at each gateway.
+    unanswered: Vec<UnansweredTable>,
+    /// Calls at silent targets: step at which the gateway notices the loss, call, incarnation of the target.
+    losses: Vec<(u64, Run, u8)>,
     runs: Vec<Run>,
     /// The steps at which each crashing request crashed a target.
     crashes: Vec<Vec<u64>>,
+    /// The steps at which a gateway noticed a crash by each crashing request. A gateway that is killed before that
+    /// notices none.
+    noticed: Vec<Vec<u64>>,
     trial_until: u64,
     next_sound: u32,
     waiting: Vec<(RequestDigest, bool)>,
@@ -81,11 +112,33 @@
     RequestDigest(digest)
 }
 
+fn name(target: usize) -> TargetName {
+    TargetName::parse(&format!("t-{target}")).expect("a valid name")
+}
+
+fn site(target: usize, incarnation: u8) -> CrashSite {
+    CrashSite {
+        target: name(target),
+        incarnation: ProcessIncarnation::from_bytes([incarnation; 16]),
+    }
+}
+
+/// Returns a life of a target. Its port is the target's number.
+fn life(target: usize, incarnation: u8) -> TargetLife {
+    TargetLife {
+        target: name(target),
+        born: u64::from(incarnation),
+        address: SocketAddr::from(([10, 0, 0, 1], u16::try_from(target).expect("few targets"))),
+    }
+}
+
 impl Model {
-    fn open(seed: u64) -> Self {
+    fn open(seed: u64, kind: CrashKind) -> Self {
         let target = || Target {
             incarnation: 0,
             down_until: 0,
+            culprit: None,
+            listed: (0, 0),
         };
         Self {
             rng: StdRng::seed_from_u64(seed),
@@ -94,8 +147,12 @@
             rows: vec![Vec::new(); GATEWAYS],
             in_transit: Vec::new(),
             targets: (0..TARGETS).map(|_| target()).collect(),
+            kind,
+            unanswered: vec![UnansweredTable::open(64); GATEWAYS],
+            losses: Vec::new(),
             runs: Vec::new(),
             crashes: vec![Vec::new(); CRASHING_REQUESTS],
+            noticed: vec![Vec::new(); CRASHING_REQUESTS],
             trial_until: 0,
             next_sound: 0,
             waiting: Vec::new(),
@@ -115,11 +172,12 @@
                 self.kill();
             }
             self.finish_runs();
+            self.detect_silent_crashes();
             self.start_crashing();
             self.start_sound();
         }
-        for crashes in &self.crashes {
-            let stable = crashes
+        for (crashes, noticed) in self.crashes.iter().zip(&self.noticed) {
+            let stable = noticed
                 .get(MAX_CRASHES - 1)
                 .map(|third| third + PROPAGATION_STEPS);
             let later = crashes
@@ -148,6 +206,8 @@
         let mut tracker = CrashTracker::with_policy(1_024, POLICY);
         self.rows.iter().for_each(|row| tracker.merge(row, now));
         self.trackers[gateway] = tracker;
+        self.unanswered[gateway] = UnansweredTable::open(64);
+        self.losses.retain(|(_, run, _)| run.gateway != gateway);
         self.runs.retain(|run| run.gateway != gateway);
         self.in_transit.retain(|(_, to, _)| *to != gateway);
     }
@@ -191,19 +251,32 @@
         if self.targets[at].down_until >= self.step {
             return;
         }
-        self.crashes[usize::from(faulty.digest.0[0]) - 1].push(self.step);
-        let site = CrashSite {
-            target: TargetName::parse(&format!("t-{at}")).expect("a valid name"),
-            incarnation: ProcessIncarnation::from_bytes([self.targets[at].incarnation; 16]),
-        };
+        let number = usize::from(faulty.digest.0[0]) - 1;
+        self.crashes[number].push(self.step);
+        if self.kind == CrashKind::Loud {
+            self.noticed[number].push(self.step);
+        }
+        let incarnation = self.targets[at].incarnation;
         let mut suspects: Vec<Run> = self.runs.iter().copied().filter(|run| run.target == at).collect();
         suspects.push(faulty);
         self.runs.retain(|run| run.target != at);
+        self.targets[at].incarnation = incarnation.wrapping_add(1);
+        self.targets[at].culprit = Some(faulty.digest);
+        self.targets[at].down_until = self.step + DOWN_STEPS;
         let mut noticed = BTreeSet::new();
         for run in suspects {
-            self.trackers[run.gateway].record_crash(run.digest, site.clone(), now);
-            noticed.insert(run.gateway);
-            if run.digest.0[0] == 0 {
+            match self.kind {
+                CrashKind::Loud => {
+                    let site = site(at, incarnation);
+                    self.trackers[run.gateway].record_crash(run.digest, site, now);
+                    noticed.insert(run.gateway);
+                }
+                CrashKind::Silent => {
+                    let noticed_at = self.step + DOWN_STEPS + self.rng.random_range(0..MAX_LIST_STEPS);
+                    self.losses.push((noticed_at, run, incarnation));
+                }
+            }
+            if run.digest.0[0] == 0 && self.kind == CrashKind::Loud {
                 // The caller repeats the request.
                 self.waiting.push((run.digest, false));
             }
@@ -211,8 +284,61 @@
         noticed
             .into_iter()
             .for_each(|gateway| self.share_reports(gateway));
-        self.targets[at].incarnation = self.targets[at].incarnation.wrapping_add(1);
-        self.targets[at].down_until = self.step + DOWN_STEPS;
+        if self.kind == CrashKind::Silent {
+            let listed_at = self.step + DOWN_STEPS + self.rng.random_range(0..MAX_LIST_STEPS);
+            self.targets[at].listed = (incarnation.wrapping_add(1), listed_at);
+            // Gateways send calls to the next incarnation once it is listed.
+            self.targets[at].down_until = listed_at;
+        }
+    }
+
+    /// Keeps the calls that are lost now, and records the crashes that the list shows.
+    fn detect_silent_crashes(&mut self) {
+        let (step, now) = (self.step, self.now());
+        for (at, run, incarnation) in std::mem::take(&mut self.losses) {
+            if at > step {
+                self.losses.push((at, run, incarnation));
+                continue;
+            }
+            let loss = match self.rng.random() {
+                true => CallLoss::Broken,
+                false => CallLoss::Silent,
+            };
+            self.unanswered[run.gateway].keep(&life(run.target, incarnation), run.digest, loss, now);
+            if run.digest.0[0] == 0 {
+                self.waiting.push((run.digest, false));
+            }
+        }
+        let targets = &self.targets;
+        let standing = |life: &TargetLife| {
+            let mut listed = targets.iter().enumerate().map(|(at, target)| (at, target.listed));
+            let is_replaced = listed.any(|(at, (incarnation, listed_at))| {
+                life.target == name(at) && u64::from(incarnation) > life.born && listed_at <= step
+            });
+            match is_replaced {
+                true => LifeStanding::Replaced,
+                false => LifeStanding::Current,
+            }
+        };
+        let verdicts: Vec<_> = self
+            .unanswered
+            .iter_mut()
+            .map(|table| table.decide(now, standing))
+            .collect();
+        for (gateway, verdicts) in verdicts.into_iter().enumerate() {
+            for (life, verdict) in verdicts {
+                assert_eq!(verdict, LifeVerdict::Ended);
+                let at = usize::from(life.address.port());
+                let incarnation = u8::try_from(life.born).expect("few restarts");
+                for digest in self.unanswered[gateway].take(&life) {
+                    self.trackers[gateway].record_crash(digest, site(at, incarnation), now);
+                    if self.targets[at].culprit == Some(digest) {
+                        self.noticed[usize::from(digest.0[0]) - 1].push(step);
+                    }
+                }
+                self.share_reports(gateway);
+            }
+        }
     }
 
     /// Sends a request, and returns whether it was refused.
@@ -277,7 +403,7 @@
 fn crashing_requests_crash_few_targets_and_sound_ones_are_served() {
     let mut sum = Totals::default();
     for seed in 0..SEEDS {
-        let totals = Model::open(seed).run();
+        let totals = Model::open(seed, CrashKind::Loud).run();
         assert!(
             totals.most_later <= MAX_CRASHES,
             "seed {seed}: {} targets crashed later",
@@ -295,3 +421,24 @@
         sum.crashing_runs, sum.most_later, sum.sound_whole, sum.sound_refused, sum.sound_late
     ));
 }
+
+/// Guards against a request that is never held because its targets fall silent and come back, and their calls break off
+/// before or after the list shows that (review, case 1).
+#[test]
+fn requests_whose_targets_fall_silent_and_come_back_crash_few_targets() {
+    for seed in 0..SILENT_SEEDS {
+        let totals = Model::open(seed, CrashKind::Silent).run();
+        assert!(
+            totals.most_later <= MAX_CRASHES,
+            "seed {seed}: {} targets crashed later",
+            totals.most_later
+        );
+        // A request that is never held crashes targets for the whole time.
+        assert!(
+            totals.crashing_runs < 100,
+            "seed {seed}: {} runs",
+            totals.crashing_runs
+        );
+        assert!(totals.sound_whole > 0, "seed {seed}");
+    }
+}
