Target load of 1.6, tests of admission at a gateway process

Cause: in the model, 1.5 calls per slot left engines idle, and the usual traffic did not reach the capacity at twice its rate.

--- a/crates/ebony_dispatch/src/work_admission/work_budget.rs
+++ b/crates/ebony_dispatch/src/work_admission/work_budget.rs
@@ -9,15 +9,15 @@
 /// The share of the slots that programs keep busy at most; the rest is lost between a turn and the next.
 const USABLE_SHARE: f64 = 0.95;
 
-/// The load to which the rate is adjusted, in calls per slot with those that wait. At this load, turns take about 1.5
+/// The load to which the rate is adjusted, in calls per slot with those that wait. At this load, turns take about 1.6
 /// times as long as on idle engines. Objectives of programs are 1.5 times their time on idle engines and 0.2 s more, and
-/// the time of tool calls does not grow with the load of engines.
-const TARGET_LOAD: f64 = 1.5;
+/// the time of tool calls does not grow with the load of engines. In the model, most programs are late from 1.9 on.
+const TARGET_LOAD: f64 = 1.6;
 
 /// The load above which the budget fills more slowly, and the load at which it stops. An engine with as many waiting as
 /// running calls turns further ones away.
-const BRAKE_LOAD: f64 = 1.7;
-const STOP_LOAD: f64 = 1.97;
+const BRAKE_LOAD: f64 = 1.8;
+const STOP_LOAD: f64 = 2.0;
 
 /// The work that may be saved up, as the time in which it is earned: shorter than programs run, so that a burst of first
 /// turns cannot fill the engines twice.
--- a/crates/ebony_dispatch/tests/admission_load/main.rs
+++ b/crates/ebony_dispatch/tests/admission_load/main.rs
@@ -23,7 +23,8 @@
     Traffic {
         rule,
         gateways: 34,
-        usual_rate: 150.0,
+        // The engines complete about twice as many.
+        usual_rate: 170.0,
         multiple,
         burst: None,
         heavy: None,
