--- a/crates/ebony_dispatch/src/work_admission/mod.rs
+++ b/crates/ebony_dispatch/src/work_admission/mod.rs
@@ -177,6 +177,15 @@
         self.record_ended(now);
     }
 
+    /// Gives back the work of a program whose first turn was admitted and then refused for another reason. Does nothing
+    /// once the program has had another call.
+    pub fn withdraw(&mut self, program: &ProgramName, now: ClockTime) {
+        if let Some(start) = self.programs.withdraw(program) {
+            self.budget.give_back(start.work);
+            self.routes.withdraw_first_turn(&start.route, now);
+        }
+    }
+
     /// Records the end of a turn that was `run_time` at an engine, with the load that the engine reported.
     pub fn record_turn(
         &mut self,
@@ -224,7 +233,7 @@
         }
         self.budget.take(work);
         self.routes.record_first_turn(request.route, now);
-        self.programs.begin(request.program, request.route, now);
+        self.programs.begin(request.program, request.route, work, now);
         WorkDecision::Admitted
     }
 
--- a/crates/ebony_dispatch/src/work_admission/program_table.rs
+++ b/crates/ebony_dispatch/src/work_admission/program_table.rs
@@ -16,11 +16,22 @@
 
 #[derive(Clone, Debug)]
 struct ProgramEntry {
-    /// The route and the time of the first turn, if the program began here.
-    start: Option<(String, ClockTime)>,
+    /// The start, if the program began here.
+    start: Option<ProgramStart>,
+    /// Whether a call after the first turn was seen.
+    has_calls: bool,
     seen_at: ClockTime,
 }
 
+/// The first turn of a program that began at this gateway.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) struct ProgramStart {
+    pub(crate) route: String,
+    /// The slot seconds that were taken for it.
+    pub(crate) work: f64,
+    pub(crate) begun_at: ClockTime,
+}
+
 /// A program that ended.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct EndedProgram {
@@ -38,19 +49,40 @@
 
 impl ProgramTable {
     /// Records a program that begins at this gateway.
-    pub(crate) fn begin(&mut self, program: &ProgramName, route: &str, now: ClockTime) {
-        let start = Some((route.to_owned(), now));
-        self.insert(program, ProgramEntry { start, seen_at: now });
+    pub(crate) fn begin(&mut self, program: &ProgramName, route: &str, work: f64, now: ClockTime) {
+        let entry = ProgramEntry {
+            start: Some(ProgramStart {
+                route: route.to_owned(),
+                work,
+                begun_at: now,
+            }),
+            has_calls: false,
+            seen_at: now,
+        };
+        self.insert(program, entry);
+    }
+
+    /// Removes a program that began here and has had no other call than its first turn.
+    pub(crate) fn withdraw(&mut self, program: &ProgramName) -> Option<ProgramStart> {
+        let entry = self.programs.get(program)?;
+        if entry.has_calls || entry.start.is_none() {
+            return None;
+        }
+        self.programs.remove(program)?.start
     }
 
     /// Records a call of a program that has begun.
     pub(crate) fn record_call(&mut self, program: &ProgramName, now: ClockTime) {
         match self.programs.get_mut(program) {
-            Some(entry) => entry.seen_at = now,
+            Some(entry) => {
+                entry.seen_at = now;
+                entry.has_calls = true;
+            }
             None => self.insert(
                 program,
                 ProgramEntry {
                     start: None,
+                    has_calls: true,
                     seen_at: now,
                 },
             ),
@@ -72,9 +104,11 @@
         let is_ended = |entry: &ProgramEntry| now.since(entry.seen_at) >= SILENCE;
         let ended = self.programs.extract_if(|_, entry| is_ended(entry));
         let ended = ended.filter_map(|(_, entry)| {
-            let (route, begun_at) = entry.start?;
-            let time = entry.seen_at.since(begun_at);
-            Some(EndedProgram { route, time })
+            let start = entry.start?;
+            Some(EndedProgram {
+                time: entry.seen_at.since(start.begun_at),
+                route: start.route,
+            })
         });
         ended.collect()
     }
--- a/crates/ebony_dispatch/src/work_admission/route_needs.rs
+++ b/crates/ebony_dispatch/src/work_admission/route_needs.rs
@@ -84,6 +84,12 @@
         self.entry(route, now).recent_first_turns += 1.0;
     }
 
+    /// Takes back a first turn that was not run.
+    pub(crate) fn withdraw_first_turn(&mut self, route: &str, now: ClockTime) {
+        let need = self.entry(route, now);
+        need.recent_first_turns = (need.recent_first_turns - 1.0).max(0.0);
+    }
+
     /// Records a turn that was `run_time` at an engine, with the load that the engine reported.
     pub(crate) fn record_turn(
         &mut self,
--- a/crates/ebony_dispatch/src/work_admission/work_budget.rs
+++ b/crates/ebony_dispatch/src/work_admission/work_budget.rs
@@ -126,6 +126,11 @@
         }
     }
 
+    /// Returns work that was taken. The next filling bounds the level.
+    pub(crate) fn give_back(&mut self, work: f64) {
+        self.take(-work);
+    }
+
     pub(crate) fn take(&mut self, work: f64) {
         self.level = self.level.map(|level| level - work);
     }
--- a/crates/ebony_dispatch/tests/work_admission.rs
+++ b/crates/ebony_dispatch/tests/work_admission.rs
@@ -72,6 +72,33 @@
     assert!(reason(admit(&mut admission, "other", left, later)).is_some());
 }
 
+/// Guards against work that is taken for first turns that another rule refuses, such as a quota.
+#[test]
+fn withdrawn_programs_give_their_work_back() {
+    let now = ClockTime::from_millis(10_000);
+    let left = Duration::from_secs(4);
+    let count = |withdraws: bool| {
+        let mut admission = WorkAdmission::open(now);
+        let mut admitted = 0;
+        for number in 0..100 {
+            let name = format!("p{number}");
+            if admit(&mut admission, &name, left, now) == WorkDecision::Admitted {
+                admitted += 1;
+                if withdraws {
+                    admission.withdraw(&program(&name), now);
+                } else {
+                    // A program that has had another call is not withdrawn.
+                    admission.record_call(&program(&name), now);
+                    admission.withdraw(&program(&name), now);
+                }
+            }
+        }
+        admitted
+    };
+    let (kept, withdrawn) = (count(false), count(true));
+    assert!(withdrawn >= 2 * kept, "{withdrawn} and {kept}");
+}
+
 /// Guards against starting programs that cannot end in time, and against refusing those that can.
 #[test]
 fn programs_without_enough_time_are_refused() {
--- a/crates/ebony_gateway/src/admission.rs
+++ b/crates/ebony_gateway/src/admission.rs
@@ -110,6 +110,15 @@
     }
 }
 
+/// Gives back the work of a program whose first turn was admitted and has not run for another reason, such as its
+/// customer's quota.
+pub(crate) fn withdraw(call: &RoutedCall) {
+    if let Some(head) = call.head.program.as_ref().filter(|_| call.begins_program()) {
+        let now = call.gateway.clock.now();
+        record(call, |admission| admission.withdraw(&head.program, now));
+    }
+}
+
 /// Records a call of a program that has begun.
 pub(crate) fn record_call(call: &RoutedCall) {
     let Some(head) = &call.head.program else {
