--- a/crates/ebony_gateway/src/attempts.rs
+++ b/crates/ebony_gateway/src/attempts.rs
@@ -114,6 +114,14 @@
         }
     }
 
+    /// Returns whether the call may wait for a target with room. A call whose deadline passes meanwhile is refused at once,
+    /// so that its caller learns in time that it has not run.
+    fn can_wait_until(&self, waiting_limit: ClockTime) -> bool {
+        let gateway = &self.call.gateway;
+        let time_left = gateway.time_left(self.call.deadline).unwrap_or_default();
+        gateway.time_left(waiting_limit).is_some() && time_left > ALL_FULL_RETRY_DELAY
+    }
+
     /// Takes a token of the customer's quota unless the call has one.
     async fn take_token(&mut self, log: &mut CallLog) -> Result<()> {
         if self.token.as_ref().is_some_and(|token| !token.has_expired()) {
@@ -151,14 +159,6 @@
         }
     }
 
-    /// Returns whether the call may wait for a target with room. A call whose deadline passes meanwhile is refused at once,
-    /// so that its caller learns in time that it has not run.
-    fn can_wait_until(&self, waiting_limit: ClockTime) -> bool {
-        let gateway = &self.call.gateway;
-        let time_left = gateway.time_left(self.call.deadline).unwrap_or_default();
-        gateway.time_left(waiting_limit).is_some() && time_left > ALL_FULL_RETRY_DELAY
-    }
-
     /// Checks that the call is still wanted and may run.
     fn check_may_send(&self) -> Result<()> {
         let call = self.call;
--- a/crates/ebony_gateway/src/call.rs
+++ b/crates/ebony_gateway/src/call.rs
@@ -10,7 +10,7 @@
 use ebony_dialect::CallHead;
 use ebony_dispatch::{ProgramAdmission, ProgramGate, WorkRefusal, service_load};
 use ebony_types::rendezvous::rendezvous_weight;
-use ebony_types::{ClockTime, ProblemCode, TurnName};
+use ebony_types::{ClockTime, ProblemCode, RunVerdict, TurnName};
 use futures_util::future::try_join;
 
 use crate::admission;
@@ -94,8 +94,7 @@
         let mut call = route(gateway, request, head, payload, arrived, &mut log).await?;
         resume(&mut call, &mut log).await?;
         admit(&call, &mut log)?;
-        let turn = open_turn(&call, &mut log)?;
-        let answer = run_covered(&call, turn.as_ref(), &mut log).await?;
+        let (turn, answer) = start(&call, &mut log).await?;
         Ok::<_, CallRefusal>((call, turn, answer))
     };
     match outcome.await {
@@ -266,6 +265,20 @@
     }
 }
 
+/// Runs a call that was admitted until its answer starts.
+async fn start(call: &RoutedCall, log: &mut CallLog) -> Result<(Option<OpenTurn>, StartedAnswer)> {
+    let starting = async {
+        let turn = open_turn(call, log)?;
+        let answer = run_covered(call, turn.as_ref(), log).await?;
+        Ok((turn, answer))
+    };
+    starting.await.inspect_err(|refusal: &CallRefusal| {
+        if refusal.report.run == RunVerdict::NotRun {
+            admission::withdraw(call);
+        }
+    })
+}
+
 /// Opens the turn of a program with a budget.
 fn open_turn(call: &RoutedCall, log: &mut CallLog) -> Result<Option<OpenTurn>> {
     let (Some(program), Some(engine)) = (&call.head.program, call.engine) else {
