--- a/crates/ebony_gateway/src/quotas/manager.rs
+++ b/crates/ebony_gateway/src/quotas/manager.rs
@@ -6,7 +6,8 @@
 
 use ebony_limit::RequestRate;
 use ebony_limit::quota::{
-    IssuerView, QuotaIssuer, QuotaRole, QuotaRule, QuotaWallet, RankCache, ReachLog, WaitTicket, quota_role,
+    IssuerView, QuotaIssuer, QuotaRole, QuotaRule, QuotaWallet, RankCache, ReachChange, ReachLog, WaitTicket,
+    quota_role,
 };
 use ebony_types::{ClockTime, CustomerName};
 use slog::info;
@@ -136,11 +137,17 @@
     }
     let reach = gateway.links.reach();
     let peers: Vec<_> = reach.iter().map(|peer| peer.as_peer(now)).collect();
-    let has_changed = quotas.reach_log.borrow_mut().update(&peers, now);
+    let change = quotas.reach_log.borrow_mut().update(&peers, now);
     drop(peers);
     *quotas.reach.borrow_mut() = (now, reach);
-    if has_changed {
-        review_roles(gateway);
+    match change {
+        ReachChange::None => {}
+        ReachChange::Contacts => review_roles(gateway),
+        ReachChange::Paused => {
+            let paused = quotas.issuer.borrow_mut().len();
+            quotas.issuer.borrow_mut().retain(|_| false);
+            info!(gateway.logger, "quotas are issued anew after a pause"; "customers" => paused);
+        }
     }
 }
 
--- a/crates/ebony_limit/src/quota/mod.rs
+++ b/crates/ebony_limit/src/quota/mod.rs
@@ -25,7 +25,7 @@
     pub use super::message::{QuotaAsk, QuotaGrant, QuotaReply};
     pub use super::purse::{CallClass, QuotaStamp};
     pub use super::rank::RankCache;
-    pub use super::reach::ReachLog;
+    pub use super::reach::{ReachChange, ReachLog};
     pub use super::role::{QuotaPeer, QuotaRole, quota_role};
     pub use super::rule::{QuotaRule, RuleError};
     pub use super::wallet::{QuotaWallet, TakeOutcome, WaitTicket};
--- a/crates/ebony_limit/src/quota/reach.rs
+++ b/crates/ebony_limit/src/quota/reach.rs
@@ -5,11 +5,11 @@
 
 use ebony_types::ClockTime;
 
-use super::role::{QuotaPeer, UNHEARD_AFTER};
+use super::role::{HEARD_WITHIN, QuotaPeer, UNHEARD_AFTER};
 
-/// How long after a link was opened another gateway may not know of it: the time in which a gateway that starts is
-/// dialed by all others, and each of them has sent its first ping.
-const LINKING_TIME: Duration = Duration::from_millis(700);
+/// How long after a link was opened tokens of another issuer may be used: the time in which a gateway that starts is dialed
+/// by all others, and the lifetime of the last blocks.
+const LINKING_TIME: Duration = Duration::from_millis(900);
 
 /// Whether a gateway was heard from when it was last looked at.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -34,34 +34,56 @@
     }
 }
 
-/// Records which gateways are heard from.
+/// What has changed since the last update.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReachChange {
+    /// Nothing.
+    None,
+    /// Others are heard from than before, so that roles have to be reviewed.
+    Contacts,
+    /// This gateway did not run for so long that others may have issued tokens in its place. It has to drop its buckets.
+    Paused,
+}
+
+/// Records which gateways are heard from. It has to be updated several times in [`HEARD_WITHIN`].
 ///
 /// ```
 /// use std::time::Duration;
 /// use ebony_limit::PeerState;
+/// use ebony_limit::quota::reach::ReachChange;
 /// use ebony_limit::quota::{QuotaPeer, ReachLog};
 /// use ebony_types::ClockTime;
 ///
 /// let at = ClockTime::from_millis;
 /// let peer = |state, is_absent| QuotaPeer { name: "b", state, unheard_for: Duration::ZERO, is_absent };
 /// let mut log = ReachLog::default();
-/// assert!(log.update(&[peer(PeerState::Linked, false)], at(10_000)));
-/// assert_eq!(log.doubt_until(), at(10_700));
+/// assert_eq!(log.update(&[peer(PeerState::Linked, false)], at(10_000)), ReachChange::Contacts);
+/// assert_eq!(log.doubt_until(), at(10_900));
 /// // The gateway may be cut off and still issue tokens.
-/// assert!(log.update(&[peer(PeerState::Lost, false)], at(20_000)));
-/// assert_eq!(log.doubt_until(), at(21_400));
+/// assert_eq!(log.update(&[peer(PeerState::Lost, false)], at(11_000)), ReachChange::Contacts);
+/// assert_eq!(log.doubt_until(), at(12_400));
 /// // Its process has ended.
-/// assert!(log.update(&[peer(PeerState::Lost, true)], at(20_001)));
+/// assert_eq!(log.update(&[peer(PeerState::Lost, true)], at(11_001)), ReachChange::Contacts);
 /// assert_eq!(log.doubt_until(), at(0));
+/// assert_eq!(log.update(&[peer(PeerState::Lost, true)], at(13_500)), ReachChange::Paused);
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct ReachLog {
     contacts: HashMap<String, (PeerContact, ClockTime)>,
+    updated_at: ClockTime,
 }
 
 impl ReachLog {
-    /// Records what is known of the other gateways. Returns whether others are heard from than before.
-    pub fn update(&mut self, peers: &[QuotaPeer<'_>], now: ClockTime) -> bool {
+    /// Records what is known of the other gateways.
+    pub fn update(&mut self, peers: &[QuotaPeer<'_>], now: ClockTime) -> ReachChange {
+        let has_paused = !self.contacts.is_empty() && now.since(self.updated_at) >= HEARD_WITHIN;
+        self.updated_at = now;
+        if has_paused {
+            let contacts = self.contacts.values_mut();
+            for (contact, _) in contacts.filter(|(contact, _)| *contact == PeerContact::Heard) {
+                *contact = PeerContact::Silent;
+            }
+        }
         let mut has_changed = false;
         for peer in peers {
             let contact = PeerContact::of(peer);
@@ -90,7 +112,11 @@
             self.contacts
                 .retain(|name, _| peers.iter().any(|peer| peer.name == name));
         }
-        has_changed
+        match has_changed {
+            _ if has_paused => ReachChange::Paused,
+            true => ReachChange::Contacts,
+            false => ReachChange::None,
+        }
     }
 
     /// Returns until when another gateway may issue the tokens that this one began to issue before.
--- a/crates/ebony_limit/tests/quota_fleet/gateway.rs
+++ b/crates/ebony_limit/tests/quota_fleet/gateway.rs
@@ -4,9 +4,10 @@
 use std::time::Duration;
 
 use ebony_limit::PeerState;
+use ebony_limit::quota::role::UNHEARD_AFTER;
 use ebony_limit::quota::{
-    IssuerView, QuotaIssuer, QuotaPeer, QuotaReply, QuotaRole, QuotaWallet, RankCache, ReachLog, TakeOutcome,
-    WaitTicket, quota_role,
+    IssuerView, QuotaIssuer, QuotaPeer, QuotaReply, QuotaRole, QuotaWallet, RankCache, ReachChange, ReachLog,
+    TakeOutcome, WaitTicket, quota_role,
 };
 use ebony_types::ClockTime;
 
@@ -17,26 +18,30 @@
 /// A gateway without a link for this long is presumed to be gone.
 const PRESUMED_GONE_AFTER: Duration = Duration::from_secs(1);
 
+/// The age from which on it is determined anew which gateways are reached.
+const REVIEW_INTERVAL: Duration = Duration::from_millis(25);
+
 pub(crate) struct ModelGateway {
-    pub name: String,
+    pub(crate) name: String,
     /// The number of starts.
-    pub life: u32,
-    pub wallet: QuotaWallet,
-    pub issuer: QuotaIssuer,
-    pub ranks: RankCache,
+    pub(crate) life: u32,
+    pub(crate) wallet: QuotaWallet,
+    pub(crate) issuer: QuotaIssuer,
+    pub(crate) ranks: RankCache,
     /// The gateways on its list.
-    pub list: BTreeSet<usize>,
+    pub(crate) list: BTreeSet<usize>,
     /// When the links to others were lost.
-    pub lost_at: BTreeMap<usize, ClockTime>,
-    pub silent: BTreeSet<usize>,
+    pub(crate) lost_at: BTreeMap<usize, ClockTime>,
+    pub(crate) silent: BTreeSet<usize>,
     /// When something was last received from others.
-    pub heard_at: Vec<ClockTime>,
-    pub frozen_until: ClockTime,
-    pub cut_until: ClockTime,
-    pub reach: ReachLog,
+    pub(crate) heard_at: Vec<ClockTime>,
+    pub(crate) frozen_until: ClockTime,
+    pub(crate) cut_until: ClockTime,
+    pub(crate) reach: ReachLog,
+    pub(crate) reviewed_at: ClockTime,
     /// The version of the configuration that it knows.
-    pub version: u64,
-    pub wake_at: Option<ClockTime>,
+    pub(crate) version: u64,
+    pub(crate) wake_at: Option<ClockTime>,
 }
 
 /// The role of a gateway, with numbers in place of names.
@@ -64,6 +69,7 @@
             frozen_until: ClockTime::default(),
             cut_until: ClockTime::default(),
             reach: ReachLog::default(),
+            reviewed_at: ClockTime::default(),
             version: 0,
             wake_at: None,
         }
@@ -143,6 +149,9 @@
             let thawed = self.gateways[gateway].frozen_until;
             return self.wake(gateway, thawed);
         }
+        if self.options.has_faults {
+            self.review_roles(gateway);
+        }
         let now = self.now;
         let mut frames: BTreeMap<usize, Asks> = BTreeMap::new();
         let mut due = self.gateways[gateway].wallet.due(now);
@@ -252,7 +261,10 @@
             return self.schedule(delay, asked);
         }
         let now = self.now;
-        self.gateways[gateway].heard_at[from.0] = now;
+        if self.options.has_faults {
+            self.review_roles(gateway);
+        }
+        self.record_heard(gateway, from.0);
         let holder = self.gateways[from.0].name.clone();
         let mut replies = Vec::new();
         for mut ask in asks {
@@ -307,7 +319,7 @@
             return self.schedule(delay, answered);
         }
         let now = self.now;
-        self.gateways[gateway].heard_at[from] = now;
+        self.record_heard(gateway, from);
         self.gateways[gateway].silent.remove(&from);
         for (customer, reply) in replies {
             match reply {
@@ -359,13 +371,32 @@
         wallet.fail(customer, &rule, gateways, asked_at, now);
     }
 
+    /// Records that something was received. Roles and their review see the same state, as in a gateway, which decides on a
+    /// copy of what it knows of the others.
+    fn record_heard(&mut self, gateway: usize, other: usize) {
+        let own = &mut self.gateways[gateway];
+        let was_unheard = self.now.since(own.heard_at[other]) >= UNHEARD_AFTER;
+        own.heard_at[other] = self.now;
+        if was_unheard && self.options.has_faults {
+            own.reviewed_at = ClockTime::default();
+            self.review_roles(gateway);
+        }
+    }
+
     /// Drops the buckets of customers whose tokens a gateway no longer issues, if it hears from others than before.
     pub(crate) fn review_roles(&mut self, gateway: usize) {
+        let age = self.now.since(self.gateways[gateway].reviewed_at);
+        if age < REVIEW_INTERVAL {
+            return;
+        }
+        self.gateways[gateway].reviewed_at = self.now;
         let mut reach = std::mem::take(&mut self.gateways[gateway].reach);
-        let has_changed = reach.update(&self.peers(gateway), self.now);
+        let change = reach.update(&self.peers(gateway), self.now);
         self.gateways[gateway].reach = reach;
-        if !has_changed {
-            return;
+        match change {
+            ReachChange::None => return,
+            ReachChange::Contacts => {}
+            ReachChange::Paused => self.gateways[gateway].issuer.retain(|_| false),
         }
         for customer in 0..self.options.rates.len() {
             let customer = name_of(customer);
--- a/crates/ebony_limit/tests/quota_fleet/mod.rs
+++ b/crates/ebony_limit/tests/quota_fleet/mod.rs
@@ -32,18 +32,18 @@
 /// What is simulated.
 #[derive(Clone, Debug)]
 pub(crate) struct FleetOptions {
-    pub gateways: usize,
+    pub(crate) gateways: usize,
     /// The rates of the customers' quotas.
-    pub rates: Vec<f64>,
+    pub(crate) rates: Vec<f64>,
     /// The requests that customers send, in relation to their quotas.
-    pub demand: f64,
+    pub(crate) demand: f64,
     /// The exponent by which the part of a gateway in the requests falls with its number.
-    pub skew: f64,
+    pub(crate) skew: f64,
     /// The number of requests of each program; `None` for requests without programs.
-    pub program_steps: Option<u32>,
-    pub has_faults: bool,
-    pub has_links: bool,
-    pub run_time: Duration,
+    pub(crate) program_steps: Option<u32>,
+    pub(crate) has_faults: bool,
+    pub(crate) has_links: bool,
+    pub(crate) run_time: Duration,
 }
 
 impl Default for FleetOptions {
@@ -64,9 +64,9 @@
 /// A call of a customer.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct ModelCall {
-    pub customer: usize,
+    pub(crate) customer: usize,
     /// The number of the program's request, from 0, and when the program has to end.
-    pub step: Option<(u32, ClockTime)>,
+    pub(crate) step: Option<(u32, ClockTime)>,
 }
 
 #[derive(Clone, Debug)]
@@ -116,40 +116,40 @@
 /// What became of programs.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct ProgramCounts {
-    pub ended: u32,
+    pub(crate) ended: u32,
     /// A request after the first one was refused until the caller gave up.
-    pub broken: u32,
+    pub(crate) broken: u32,
     /// The program ended too late.
-    pub late: u32,
+    pub(crate) late: u32,
     /// Refusals of first turns, of which callers repeat some.
-    pub refused_starts: u32,
+    pub(crate) refused_starts: u32,
 }
 
 /// A version of the configuration.
 #[derive(Clone, Debug)]
 pub(crate) struct ModelVersion {
-    pub rates: Vec<f64>,
-    pub begun_at: ClockTime,
+    pub(crate) rates: Vec<f64>,
+    pub(crate) begun_at: ClockTime,
     /// When the last gateway learned of the next version.
-    pub replaced_at: Option<ClockTime>,
+    pub(crate) replaced_at: Option<ClockTime>,
 }
 
 pub(crate) struct Fleet {
-    pub options: FleetOptions,
-    pub rng: StdRng,
-    pub now: ClockTime,
+    pub(crate) options: FleetOptions,
+    pub(crate) rng: StdRng,
+    pub(crate) now: ClockTime,
     events: BTreeMap<(ClockTime, u64), Event>,
     next_event: u64,
-    pub gateways: Vec<ModelGateway>,
-    pub versions: Vec<ModelVersion>,
+    pub(crate) gateways: Vec<ModelGateway>,
+    pub(crate) versions: Vec<ModelVersion>,
     /// When requests of each customer arrived at targets.
-    pub arrivals: Vec<Vec<ClockTime>>,
-    pub programs: ProgramCounts,
-    pub refused: u32,
-    pub messages: u64,
-    pub message_bytes: u64,
+    pub(crate) arrivals: Vec<Vec<ClockTime>>,
+    pub(crate) programs: ProgramCounts,
+    pub(crate) refused: u32,
+    pub(crate) messages: u64,
+    pub(crate) message_bytes: u64,
     /// The calls that wait for tokens at each gateway.
-    pub waiting: HashMap<(usize, WaitTicket), ModelCall>,
+    pub(crate) waiting: HashMap<(usize, WaitTicket), ModelCall>,
     /// The parts of the gateways in the requests, as a running sum.
     weights: Vec<f64>,
 }
