--- a/crates/ebony_settings/src/gateway_settings.rs
+++ b/crates/ebony_settings/src/gateway_settings.rs
@@ -55,6 +55,14 @@
     pub connections: usize,
     /// A connection without a request for this long is closed.
     pub idle_time: Duration,
+    /// The most memory for what callers make the process hold, in bytes; derived from the host's memory if absent.
+    pub memory: Option<u64>,
+    /// The longest time for the head of a request.
+    pub head_time: Duration,
+    /// The longest time for the body of a request, besides the time that a slow but steady caller needs.
+    pub body_time: Duration,
+    /// A connection whose caller takes nothing of a waiting answer for this long is closed.
+    pub answer_time: Duration,
 }
 
 /// An address to listen on.
--- a/crates/ebony_settings/src/schema/gateway_keys.rs
+++ b/crates/ebony_settings/src/schema/gateway_keys.rs
@@ -1,6 +1,8 @@
 //! The keys of a gateway's settings file.
 
-use super::keys::{HOUR_MS, LOG, MINUTE_MS, REQUEST_TIMEOUT, SECOND_MS, count, duration, listener};
+use super::keys::{
+    GIB, HOUR_MS, LOG, MIB, MINUTE_MS, REQUEST_TIMEOUT, SECOND_MS, count, duration, listener, size,
+};
 use super::{AddressUse, KeySpec, SectionSpec, ValueKind};
 
 /// The whole file.
@@ -84,6 +86,32 @@
             duration(SECOND_MS, 10 * MINUTE_MS),
             "A connection without a request for this long is closed. Must exceed what the configuration allows callers.",
         ),
+        KeySpec::optional(
+            "memory",
+            size(4 * MIB, 64 * GIB),
+            "The most memory for connections, heads, bodies and unread answers of callers. By default a quarter of the \
+             host's memory, or of the process's limit if that is lower.",
+        ),
+        // The configuration allows callers 3 s in both deployments with quotas.
+        KeySpec::defaults_to(
+            "30s",
+            "head_time",
+            duration(SECOND_MS, 10 * MINUTE_MS),
+            "The longest time for the head of a request. Must exceed what the configuration allows callers.",
+        ),
+        KeySpec::defaults_to(
+            "10s",
+            "body_time",
+            duration(SECOND_MS, 10 * MINUTE_MS),
+            "The longest time for the body of a request, besides one second for each 64 KiB that have arrived.",
+        ),
+        // Longer than any route's timeout in the deployments with quotas, 4 s.
+        KeySpec::defaults_to(
+            "30s",
+            "answer_time",
+            duration(SECOND_MS, 10 * MINUTE_MS),
+            "A connection whose caller takes nothing of a waiting answer for this long is closed.",
+        ),
     ],
 };
 
--- a/crates/ebony_settings/src/schema/keys.rs
+++ b/crates/ebony_settings/src/schema/keys.rs
@@ -9,8 +9,8 @@
 pub(super) const MINUTE_MS: u64 = 60 * SECOND_MS;
 pub(super) const HOUR_MS: u64 = 60 * MINUTE_MS;
 const KIB: u64 = 1 << 10;
-const MIB: u64 = 1 << 20;
-const GIB: u64 = 1 << 30;
+pub(super) const MIB: u64 = 1 << 20;
+pub(super) const GIB: u64 = 1 << 30;
 
 /// A duration with its bounds in milliseconds.
 pub(super) const fn duration(min: u64, max: u64) -> ValueKind {
@@ -18,7 +18,7 @@
 }
 
 /// A size with its bounds in bytes.
-const fn size(min: u64, max: u64) -> ValueKind {
+pub(super) const fn size(min: u64, max: u64) -> ValueKind {
     ValueKind::Size { min, max }
 }
 
