A port accepts on without a pause unless a connection was closed for the new one

Cause: the acceptor yielded after each connection, so that connections beyond the limit of an entry's port found room (connections_beyond_the_limit_are_closed failed once).

--- a/crates/ebony_listener/src/acceptor.rs
+++ b/crates/ebony_listener/src/acceptor.rs
@@ -135,6 +135,9 @@
     /// Admits a connection while so many are open, or returns `None` to close it.
     fn admit(&self, stream: TcpStream, open: usize) -> Option<Self::Stream>;
 
+    /// Returns whether the last connection was admitted in place of another one, which has yet to end.
+    fn has_closed_one(&self) -> bool;
+
     fn report(&self, event: PortEvent);
 }
 
@@ -151,6 +154,10 @@
         (open < self.max_connections).then_some(stream)
     }
 
+    fn has_closed_one(&self) -> bool {
+        false
+    }
+
     fn report(&self, event: PortEvent) {
         (self.on_event)(event);
     }
@@ -163,6 +170,10 @@
         PortGuard::admit(self, stream, open)
     }
 
+    fn has_closed_one(&self) -> bool {
+        PortGuard::has_closed_one(self)
+    }
+
     fn report(&self, event: PortEvent) {
         PortGuard::report(self, event);
     }
@@ -203,8 +214,10 @@
                     Some(stream) => self.serve(stream),
                     None => self.gate.report(PortEvent::TooManyConnections(peer)),
                 }
-                // A connection that yielded to the new one closes before the next one is accepted.
-                tokio::task::yield_now().await;
+                if self.gate.has_closed_one() {
+                    // That connection ends before the next one is accepted.
+                    tokio::task::yield_now().await;
+                }
             }
             Err(error) => {
                 self.gate.report(PortEvent::AcceptFailed(error));
--- a/crates/ebony_listener/src/guard.rs
+++ b/crates/ebony_listener/src/guard.rs
@@ -1,6 +1,6 @@
 //! Admits the connections of a port within its limits, and closes those that exceed them.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::rc::{Rc, Weak};
 use std::time::Duration;
 
@@ -73,6 +73,7 @@
     pub(crate) times: ConnectionTimes,
     max_connections: usize,
     connections: RefCell<Vec<Weak<ConnectionState>>>,
+    has_closed_one: Cell<bool>,
     on_event: Box<dyn Fn(PortEvent)>,
 }
 
@@ -89,6 +90,7 @@
             times,
             max_connections,
             connections: RefCell::default(),
+            has_closed_one: Cell::default(),
             on_event: Box::new(on_event),
         })
     }
@@ -126,6 +128,7 @@
         let Some(((rank, _), state)) = ranked.min_by_key(|(rank, _)| *rank) else {
             return false;
         };
+        self.has_closed_one.set(true);
         state.close(match rank {
             YieldRank::SlowHead => CloseReason::SlowHead,
             YieldRank::Idle => CloseReason::Idle,
@@ -136,6 +139,11 @@
         true
     }
 
+    /// Returns whether a connection was closed for a new one since the last call.
+    pub(crate) fn has_closed_one(&self) -> bool {
+        self.has_closed_one.take()
+    }
+
     /// Makes the body yield that has made no progress for the longest time, if any is stalled.
     pub(crate) fn yield_stalled_body(&self) {
         let now = Instant::now();
