--- a/crates/ebony_gateway/src/call_log.rs
+++ b/crates/ebony_gateway/src/call_log.rs
@@ -4,11 +4,14 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use ebony_types::{ClockTime, ProblemCode, RunVerdict};
+use ebony_routing::RoutingVersion;
+use ebony_types::{ClockTime, CustomerName, ProblemCode, RunVerdict};
 
+use crate::conversations::FindError;
 use crate::crashes::RequestFingerprint;
 use crate::decision_log::LineKind;
 use crate::gateway::Gateway;
+use crate::quotas::QuotaRefusal;
 
 /// How an attempt at a target ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -77,10 +80,16 @@
     program: String,
     route: String,
     routing_version: u64,
+    /// The customer that the call is made for.
+    customer: Option<CustomerName>,
+    /// Why the call has no customer, if it was refused for that.
+    credential: Option<&'static str>,
     /// The program's budget and the turn's maximum tokens, if there is a budget.
     budget: Option<(u64, u64)>,
     /// The turn that this one continues.
     previous: Option<String>,
+    /// Why the conversation cannot be continued from that turn.
+    find_error: Option<FindError>,
     /// The numbers of records and bytes of the conversation so far.
     chain: Option<(usize, usize)>,
     /// The load of the service for which a new program was refused, in calls per slot.
@@ -95,6 +104,10 @@
     denied_permits: String,
     /// The time for which the call waited for permits.
     permit_wait: Duration,
+    /// The time for which the call waited for tokens of its customer's quota.
+    quota_wait: Duration,
+    /// Why the call is over its customer's quota.
+    quota_refusal: Option<QuotaRefusal>,
     events: u32,
     has_ended: bool,
 }
@@ -107,8 +120,11 @@
             program: program.to_owned(),
             route: String::new(),
             routing_version: 0,
+            customer: None,
+            credential: None,
             budget: None,
             previous: None,
+            find_error: None,
             chain: None,
             load: None,
             fingerprint: None,
@@ -118,14 +134,29 @@
             attempts: String::new(),
             denied_permits: String::new(),
             permit_wait: Duration::ZERO,
+            quota_wait: Duration::ZERO,
+            quota_refusal: None,
             events: 0,
             has_ended: false,
         }
     }
 
-    pub(crate) fn set_route(&mut self, route: &str, routing_version: u64) {
+    /// Sets the version of the configuration by which the call is decided.
+    pub(crate) fn set_version(&mut self, version: RoutingVersion) {
+        self.routing_version = version.0;
+    }
+
+    pub(crate) fn set_route(&mut self, route: &str) {
         route.clone_into(&mut self.route);
-        self.routing_version = routing_version;
+    }
+
+    pub(crate) fn set_customer(&mut self, customer: Option<&CustomerName>) {
+        self.customer = customer.cloned();
+    }
+
+    /// Sets why the call has no customer.
+    pub(crate) fn set_credential(&mut self, credential: &'static str) {
+        self.credential = Some(credential);
     }
 
     pub(crate) fn set_budget(&mut self, budget: u64, most_tokens: u64) {
@@ -137,6 +168,12 @@
         self.previous = Some(previous.to_owned());
     }
 
+    /// Sets why the conversation cannot be continued from the previous turn. The caller does not learn whether a turn is
+    /// absent or belongs to another customer.
+    pub(crate) fn set_find_error(&mut self, error: FindError) {
+        self.find_error = Some(error);
+    }
+
     /// Sets the size of the conversation so far.
     pub(crate) fn set_chain(&mut self, records: usize, bytes: usize) {
         self.chain = Some((records, bytes));
@@ -188,6 +225,15 @@
         self.permit_wait += wait;
     }
 
+    pub(crate) fn record_quota_wait(&mut self, wait: Duration) {
+        self.quota_wait += wait;
+    }
+
+    /// Records that the call is over its customer's quota.
+    pub(crate) fn record_quota_refusal(&mut self, refusal: QuotaRefusal) {
+        self.quota_refusal = Some(refusal);
+    }
+
     pub(crate) fn record_first_bytes(&mut self) {
         if self.first_bytes.is_none() {
             let now = self.gateway.clock.now();
@@ -234,6 +280,9 @@
                 ("caller_left", String::new(), run, LineKind::Failure)
             }
         };
+        if let Some(customer) = &self.customer {
+            self.gateway.metrics.customer_calls.count(customer, name);
+        }
         let labels = [name, run.as_str()];
         self.gateway.metrics.calls.with_label_values(&labels).inc();
         if self.gateway.decisions.admits(kind) {
@@ -257,9 +306,12 @@
             "program" => &self.program,
             "route" => &self.route,
             "routing_version" => self.routing_version,
+            "customer" => self.customer.as_ref().map(CustomerName::as_str),
+            "credential" => self.credential,
             "budget" => self.budget.map(|(budget, _)| budget),
             "most_tokens" => self.budget.map(|(_, most)| most),
             "previous" => &self.previous,
+            "previous_error" => self.find_error.map(|error| error.to_string()),
             "chain_records" => self.chain.map(|(records, _)| records),
             "chain_bytes" => self.chain.map(|(_, bytes)| bytes),
             "load" => self.load,
@@ -267,6 +319,10 @@
             "attempts" => &self.attempts,
             "denied_permits" => Some(&self.denied_permits).filter(|denied| !denied.is_empty()),
             "permit_wait_ms" => Some(self.permit_wait).filter(|wait| !wait.is_zero()).map(|wait| wait.as_millis() as u64),
+            "quota_wait_ms" => Some(self.quota_wait).filter(|wait| wait.as_millis() > 0).map(|wait| wait.as_millis() as u64),
+            "quota_rate" => self.quota_refusal.map(|refusal| refusal.rule.rate.as_per_second()),
+            "quota_burst" => self.quota_refusal.map(|refusal| refusal.rule.burst()),
+            "quota_return_ms" => self.quota_refusal.map(|refusal| refusal.retry_after.as_millis() as u64),
             "events" => self.events,
             "outcome" => outcome,
             "detail" => detail,
--- a/crates/ebony_gateway/src/intake.rs
+++ b/crates/ebony_gateway/src/intake.rs
@@ -9,12 +9,12 @@
 use actix_web::web::Payload;
 use bytes::{Bytes, BytesMut};
 use ebony_listener::{BodyError, BodyReader, ConnectionState};
-use ebony_routing::CallerLimits;
+use ebony_routing::{CallerLimits, RouteRule, RoutingTable};
 use ebony_types::ProblemCode;
 use futures_util::StreamExt;
 use http::header::{HeaderMap, HeaderName, HeaderValue};
 use http::{Method, Uri};
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, timeout, timeout_at};
 
 use crate::refusal::{CallRefusal, Result};
 
@@ -27,6 +27,13 @@
 /// The `Retry-After` of a call for whose body there was no memory. Bodies that stall give way within about a second.
 const ROOM_RETRY_AFTER: Duration = Duration::from_millis(500);
 
+/// The largest body of a refused request that is read and discarded. Turns of programs are below it.
+const MAX_DISCARDED_BYTES: usize = 64 * 1024;
+
+/// The time within which the body of a refused request has to arrive, if the connection is to stay open. It covers a
+/// body that callers send in segments of their own behind the head, and delays the refusal of those that do not.
+const DISCARD_TIMEOUT: Duration = Duration::from_millis(50);
+
 /// Header fields that are not forwarded, because they are hop-by-hop or depend on how one connection frames the
 /// message. Of a request, those that `Connection` names are dropped as well.
 const CONNECTION_FIELDS: [&str; 9] = [
@@ -180,6 +187,29 @@
         }
         Ok(reader.finish(body.freeze()))
     }
+
+    /// Discards the body of a request that was refused by its head, if it is small and arrives at once, so that the
+    /// connection can be used for the next request. Returns whether the whole body was discarded.
+    pub(crate) async fn discard(mut self) -> bool {
+        if self.length.is_some_and(|length| length > MAX_DISCARDED_BYTES) {
+            return false;
+        }
+        let reader = BodyReader::open(self.connection.take(), self.length);
+        let reading = async {
+            let mut bytes = 0;
+            loop {
+                match reader.read(self.payload.next()).await {
+                    Ok(Some(Ok(chunk))) => bytes += chunk.len(),
+                    Ok(None) => return true,
+                    Ok(Some(Err(_))) | Err(_) => return false,
+                }
+                if bytes > MAX_DISCARDED_BYTES {
+                    return false;
+                }
+            }
+        };
+        timeout(DISCARD_TIMEOUT, reading).await.unwrap_or(false)
+    }
 }
 
 fn body_too_large() -> CallRefusal {
@@ -198,6 +228,20 @@
     CallRefusal::not_run(ProblemCode::Overloaded, detail).retry_after(ROOM_RETRY_AFTER)
 }
 
+/// Returns the route of a request.
+///
+/// # Errors
+///
+/// Fails if there is none.
+pub(crate) fn find_route<'t>(head: &RequestHead, routing: &'t RoutingTable) -> Result<&'t Rc<RouteRule>> {
+    routing.route(&head.host, head.path()).ok_or_else(no_route)
+}
+
+/// Returns the refusal of a request without a route.
+pub(crate) fn no_route() -> CallRefusal {
+    CallRefusal::not_run(ProblemCode::NotFound, "no route for the host and path")
+}
+
 fn bad_request(detail: &'static str) -> CallRefusal {
     CallRefusal::not_run(ProblemCode::BadRequest, detail)
 }
--- a/crates/ebony_gateway/src/metrics.rs
+++ b/crates/ebony_gateway/src/metrics.rs
@@ -4,6 +4,8 @@
 use ebony_telemetry::metrics::Result;
 use prometheus::{Histogram, IntCounter, IntCounterVec, IntGauge};
 
+use crate::customers::CustomerCalls;
+
 /// The metrics of a gateway.
 pub(crate) struct GatewayMetrics {
     /// Calls that ended, by outcome and verdict.
@@ -14,6 +16,12 @@
     pub(crate) caller_limits: IntCounterVec,
     /// The memory that is charged for connections and bodies of callers, in bytes.
     pub(crate) caller_memory: IntGauge,
+    /// Calls that were refused for lack of a known key, by what their credential was.
+    pub(crate) unauthorized: IntCounterVec,
+    /// Calls that ended, by customer.
+    pub(crate) customer_calls: CustomerCalls,
+    /// Parts of the list of customers that could not be used as they were written, by kind.
+    pub(crate) customer_faults: IntCounterVec,
     /// Attempts at targets, by outcome.
     pub(crate) attempts: IntCounterVec,
     /// Seconds from the call to its first target.
@@ -36,6 +44,12 @@
     pub(crate) limits: IntCounterVec,
     /// Requests for permits to call limited targets, by outcome.
     pub(crate) permits: IntCounterVec,
+    /// Tokens of customers' quotas, by customer and event.
+    pub(crate) quota_tokens: IntCounterVec,
+    /// Requests for tokens of customers, by outcome.
+    pub(crate) quota_asks: IntCounterVec,
+    /// Changes of this gateway's role for the quota of a customer, by the new role.
+    pub(crate) quota_roles: IntCounterVec,
     /// Listed targets that limit their rate.
     pub(crate) limited_targets: IntGauge,
     /// Targets that broke off a call, by the result of their probe.
@@ -84,6 +98,21 @@
                 "gateway_caller_memory_bytes",
                 "Bytes of memory that are charged for connections and bodies of callers.",
             )?,
+            unauthorized: registry.counter_family(
+                "gateway_unauthorized_total",
+                "Calls that were refused for lack of a known key, by what their credential was.",
+                &["credential"],
+            )?,
+            customer_calls: CustomerCalls::open(registry.counter_family(
+                "gateway_customer_calls_total",
+                "Calls that ended, by customer and outcome.",
+                &["customer", "outcome"],
+            )?),
+            customer_faults: registry.counter_family(
+                "gateway_customer_faults_total",
+                "Parts of the list of customers that could not be used as they were written, by kind.",
+                &["kind"],
+            )?,
             attempts: registry.counter_family(
                 "gateway_attempts_total",
                 "Attempts at targets, by outcome.",
@@ -136,6 +165,21 @@
                 "Requests for permits to call limited targets, by outcome.",
                 &["outcome"],
             )?,
+            quota_tokens: registry.counter_family(
+                "gateway_quota_tokens_total",
+                "Tokens of customers' quotas, by customer and by what became of them.",
+                &["customer", "event"],
+            )?,
+            quota_asks: registry.counter_family(
+                "gateway_quota_asks_total",
+                "Requests for tokens of customers' quotas, by outcome.",
+                &["outcome"],
+            )?,
+            quota_roles: registry.counter_family(
+                "gateway_quota_roles_total",
+                "Changes of the gateway's role for the quota of a customer, by the new role.",
+                &["role"],
+            )?,
             limited_targets: registry.gauge(
                 "gateway_limited_targets",
                 "Targets that limit their request rate.",
