--- a/crates/ebony_gateway/src/call.rs
+++ b/crates/ebony_gateway/src/call.rs
@@ -21,7 +21,7 @@
 use crate::crashes::RequestFingerprint;
 use crate::gateway::{Gateway, OpenCallGuard};
 use crate::identity;
-use crate::intake::{self, RequestHead};
+use crate::intake::{self, CallerBody, RequestHead};
 use crate::open_turn::{CoverError, OpenTurn};
 use crate::refusal::{CallRefusal, NO_TARGET_RETRY_AFTER, Result};
 use crate::routed_call::{RoutedCall, affinity_key, object_key};
@@ -50,8 +50,9 @@
     let gateway = Rc::clone(&gateway);
     let arrived = gateway.clock.now();
     let guard = OpenCallGuard::open(&gateway);
+    let body = CallerBody::open(&request, payload, gateway.body_time);
     let mut response = match intake::read_head(&request) {
-        Ok(head) => serve_head(&gateway, head, payload, arrived, guard).await,
+        Ok(head) => serve_head(&gateway, head, body, arrived, guard).await,
         Err(refusal) => {
             let mut response = refusal.into_response(None, &*gateway.dialect);
             close_after(&mut response);
@@ -74,7 +75,7 @@
 async fn serve_head(
     gateway: &Rc<Gateway>,
     request: RequestHead,
-    payload: Payload,
+    body: CallerBody,
     arrived: ClockTime,
     guard: OpenCallGuard,
 ) -> HttpResponse {
@@ -91,7 +92,7 @@
         arrived,
     );
     let outcome = async {
-        let mut call = route(gateway, request, head, payload, arrived, &mut log).await?;
+        let mut call = route(gateway, request, head, body, arrived, &mut log).await?;
         resume(&mut call, &mut log).await?;
         admit(&call, &mut log)?;
         let (turn, answer) = start(&call, &mut log).await?;
@@ -114,7 +115,7 @@
     gateway: &Rc<Gateway>,
     request: RequestHead,
     head: CallHead,
-    payload: Payload,
+    body: CallerBody,
     arrived: ClockTime,
     log: &mut CallLog,
 ) -> Result<RoutedCall> {
@@ -133,12 +134,16 @@
         // Refuses the call before its body is read.
         let checked = identity::check_head(gateway, &request, &routing, log);
         if let Err(refusal) = checked {
-            let is_discarded = intake::discard_body(payload).await;
+            let is_discarded = body.discard().await;
             return Err(refusal.close_connection(!is_discarded));
         }
     }
     intake::check_size(&request, limits)?;
-    let body = intake::read_body(payload, limits).await?;
+    if let Err(refusal) = intake::find_route(&request, &routing) {
+        let is_discarded = body.discard().await;
+        return Err(refusal.close_connection(!is_discarded));
+    }
+    let body = body.read(limits).await?;
     // The configuration may have changed while the body arrived.
     let routing = gateway.routing().ok_or_else(unavailable)?;
     log.set_version(routing.version());
--- a/crates/ebony_gateway/src/metrics.rs
+++ b/crates/ebony_gateway/src/metrics.rs
@@ -14,6 +14,10 @@
     pub(crate) refusals: IntCounterVec,
     /// First turns of programs, by the decision on them.
     pub(crate) admissions: IntCounterVec,
+    /// Connections and bodies of callers that were refused or closed to keep the port's limits, by reason.
+    pub(crate) caller_limits: IntCounterVec,
+    /// The memory that is charged for connections and bodies of callers, in bytes.
+    pub(crate) caller_memory: IntGauge,
     /// Calls that were refused for lack of a known key, by what their credential was.
     pub(crate) unauthorized: IntCounterVec,
     /// Calls that ended, by customer.
@@ -96,6 +100,15 @@
                 "First turns of programs, by the decision on them.",
                 &["decision"],
             )?,
+            caller_limits: registry.counter_family(
+                "gateway_caller_limits_total",
+                "Connections and bodies of callers that were refused or closed to keep limits, by reason.",
+                &["reason"],
+            )?,
+            caller_memory: registry.gauge(
+                "gateway_caller_memory_bytes",
+                "Bytes of memory that are charged for connections and bodies of callers.",
+            )?,
             unauthorized: registry.counter_family(
                 "gateway_unauthorized_total",
                 "Calls that were refused for lack of a known key, by what their credential was.",
