--- a/crates/ebony_dispatch/tests/admission_load/engines.rs
+++ b/crates/ebony_dispatch/tests/admission_load/engines.rs
@@ -74,6 +74,7 @@
             running: self.running,
             waiting: self.queue.len() as u32,
             slots: SLOTS,
+            ..LoadNotice::default()
         }
     }
 
