First turns ask for quota at once, and late programs count as begun

Programs are now asked for without regard to that interval, a first turn waits for half of its objective, and a call of a program under way for 0.4 of its remaining time, because its program fails if it is refused twice.

Admission by work refused programs with less than half of the mean time that programs of the route took. A program with less time than half of a turn began earlier, at another gateway, and is admitted.

--- a/crates/ebony_dispatch/src/work_admission/mod.rs
+++ b/crates/ebony_dispatch/src/work_admission/mod.rs
@@ -23,9 +23,9 @@
 use route_needs::RouteNeeds;
 use work_budget::WorkBudget;
 
-/// The part of the mean time of the programs of a route that a program needs to have. The shortest programs of a route
-/// take about half of the mean.
-const NEEDED_TIME_SHARE: f64 = 0.5;
+/// A program with less time than this part of the mean time of a turn began earlier, at another gateway: a new program
+/// has time for all of its turns.
+const STARTED_TURN_SHARE: f64 = 0.5;
 
 /// The mean time to come back, as a part of the time that a program has. Half a second already makes short programs
 /// late that are admitted then; in the model, a twelfth served the most programs.
@@ -45,7 +45,7 @@
 /// Why a program may not start.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum WorkRefusal {
-    /// Its deadline passes before programs of its route end.
+    /// Its caller leaves before the first turn can be answered.
     NoTime,
     /// The engines have no room.
     NoRoom,
@@ -174,7 +174,7 @@
     /// Records a turn or tool call of a program that has begun.
     pub fn record_call(&mut self, program: &ProgramName, now: ClockTime) {
         self.programs.record_call(program, now);
-        self.record_ended(now);
+        self.programs.remove_ended(now);
     }
 
     /// Gives back the work of a program whose first turn was admitted and then refused for another reason. Does nothing
@@ -212,7 +212,7 @@
             self.programs.record_call(request.program, now);
             return WorkDecision::Admitted;
         }
-        self.record_ended(now);
+        self.programs.remove_ended(now);
         let load = self.load(now);
         self.budget.advance(slots, load, now);
         let refuse = |reason, retry_after| WorkDecision::Refused {
@@ -220,10 +220,10 @@
             retry_after,
             load: load.unwrap_or_default(),
         };
-        let mean_time = self.routes.mean_time(request.route, now).unwrap_or_default();
-        if request.time_left < mean_time.mul_f64(NEEDED_TIME_SHARE) {
-            // It cannot end in time later either.
-            return refuse(WorkRefusal::NoTime, request.time_left.max(MIN_RETURN));
+        let turn_time = self.routes.turn_time(request.route, now).unwrap_or_default();
+        if request.time_left < turn_time.mul_f64(STARTED_TURN_SHARE) {
+            self.programs.record_call(request.program, now);
+            return WorkDecision::Admitted;
         }
         let work = self.routes.work(request.route, now);
         let offered = self.offers.record(request.customer, work, now);
@@ -237,13 +237,6 @@
         WorkDecision::Admitted
     }
 
-    /// Learns from the programs that ended lately.
-    fn record_ended(&mut self, now: ClockTime) {
-        for ended in self.programs.remove_ended(now) {
-            self.routes.record_end(&ended.route, ended.time, now);
-        }
-    }
-
     /// Returns the load of the engines or of the tools, whichever is higher: programs are late if either is overloaded.
     fn load(&self, now: ClockTime) -> Option<f64> {
         let (engines, tools) = (self.engine_load.mean(now), self.tool_load.mean(now));
--- a/crates/ebony_dispatch/src/work_admission/program_table.rs
+++ b/crates/ebony_dispatch/src/work_admission/program_table.rs
@@ -29,15 +29,6 @@
     pub(crate) route: String,
     /// The slot seconds that were taken for it.
     pub(crate) work: f64,
-    pub(crate) begun_at: ClockTime,
-}
-
-/// A program that ended.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub(crate) struct EndedProgram {
-    pub(crate) route: String,
-    /// The time from the first turn to the last call that this gateway saw.
-    pub(crate) time: Duration,
 }
 
 /// The programs that are under way, as far as this gateway has seen them.
@@ -54,7 +45,6 @@
             start: Some(ProgramStart {
                 route: route.to_owned(),
                 work,
-                begun_at: now,
             }),
             has_calls: false,
             seen_at: now,
@@ -95,22 +85,14 @@
         entry.is_some_and(|entry| now.since(entry.seen_at) < SILENCE)
     }
 
-    /// Removes programs that ended, and returns those that began here. Does nothing if it was done a moment ago.
-    pub(crate) fn remove_ended(&mut self, now: ClockTime) -> Vec<EndedProgram> {
+    /// Removes programs that ended. Does nothing if it was done a moment ago.
+    pub(crate) fn remove_ended(&mut self, now: ClockTime) {
         if now.since(self.searched_at) < SEARCH_INTERVAL {
-            return Vec::new();
+            return;
         }
         self.searched_at = now;
-        let is_ended = |entry: &ProgramEntry| now.since(entry.seen_at) >= SILENCE;
-        let ended = self.programs.extract_if(|_, entry| is_ended(entry));
-        let ended = ended.filter_map(|(_, entry)| {
-            let start = entry.start?;
-            Some(EndedProgram {
-                time: entry.seen_at.since(start.begun_at),
-                route: start.route,
-            })
-        });
-        ended.collect()
+        self.programs
+            .retain(|_, entry| now.since(entry.seen_at) < SILENCE);
     }
 
     fn insert(&mut self, program: &ProgramName, entry: ProgramEntry) {
--- a/crates/ebony_dispatch/src/work_admission/route_needs.rs
+++ b/crates/ebony_dispatch/src/work_admission/route_needs.rs
@@ -27,8 +27,8 @@
 const TURN_BOUNDS: (f64, f64) = (1.0, 200.0);
 const TURN_SECONDS_BOUNDS: (f64, f64) = (0.001, 60.0);
 
-/// The number of programs that have to have ended before the mean time of programs counts.
-const MIN_ENDED: f64 = 3.0;
+/// The number of turns that have to have ended before their mean time counts.
+const MIN_TIMED_TURNS: f64 = 3.0;
 
 /// Decayed sums over the programs of a route.
 ///
@@ -41,8 +41,6 @@
     first_turns: f64,
     turns: f64,
     turn_seconds: f64,
-    ended: f64,
-    ended_seconds: f64,
     updated_at: ClockTime,
 }
 
@@ -55,8 +53,6 @@
         self.recent_first_turns *= left;
         self.turns *= factor;
         self.turn_seconds *= factor;
-        self.ended *= factor;
-        self.ended_seconds *= factor;
         self.updated_at = now;
     }
 
@@ -108,23 +104,16 @@
         need.turn_seconds += seconds.clamp(TURN_SECONDS_BOUNDS.0, TURN_SECONDS_BOUNDS.1);
     }
 
-    /// Records a program that took `time` from its first turn to its last.
-    pub(crate) fn record_end(&mut self, route: &str, time: Duration, now: ClockTime) {
-        let need = self.entry(route, now);
-        need.ended += 1.0;
-        need.ended_seconds += time.as_secs_f64();
-    }
-
     /// Returns the slot seconds that a program needs.
     pub(crate) fn work(&self, route: &str, now: ClockTime) -> f64 {
         let need = self.need(route, now);
         need.turns_of_program() * need.seconds_of_turn()
     }
 
-    /// Returns the mean time that programs take; `None` while it is unknown.
-    pub(crate) fn mean_time(&self, route: &str, now: ClockTime) -> Option<Duration> {
+    /// Returns the mean time that turns are at an engine; `None` while it is unknown.
+    pub(crate) fn turn_time(&self, route: &str, now: ClockTime) -> Option<Duration> {
         let need = self.need(route, now);
-        (need.ended >= MIN_ENDED).then(|| Duration::from_secs_f64(need.ended_seconds / need.ended))
+        (need.turns >= MIN_TIMED_TURNS).then(|| Duration::from_secs_f64(need.turn_seconds / need.turns))
     }
 
     fn need(&self, route: &str, now: ClockTime) -> RouteNeed {
--- a/crates/ebony_gateway/src/admission.rs
+++ b/crates/ebony_gateway/src/admission.rs
@@ -86,7 +86,7 @@
 
 fn refuse(reason: WorkRefusal) -> CallRefusal {
     let detail = match reason {
-        WorkRefusal::NoTime => "programs of the route take longer than the program has",
+        WorkRefusal::NoTime => "the caller leaves before the first turn of the program can be answered",
         WorkRefusal::NoRoom => "the engines are busy with other programs",
         WorkRefusal::OverShare => "the engines are busy, and the customer sends more than its share",
     };
--- a/crates/ebony_gateway/src/quotas/take.rs
+++ b/crates/ebony_gateway/src/quotas/take.rs
@@ -20,6 +20,13 @@
 /// The `Retry-After` of a call whose wait the driver did not end.
 const UNDECIDED_RETURN_DELAY: Duration = Duration::from_millis(500);
 
+/// The fraction of its remaining time for which a call of a program under way waits for a token. Its program fails if it
+/// is refused twice, and a caller comes back after a third of its time at most.
+const UNDER_WAY_WAIT_SHARE: f64 = 0.4;
+
+/// The fraction of the latency objective for which other calls wait: some round trips between gateways on busy hosts.
+const OTHER_WAIT_SHARE: f64 = 0.5;
+
 /// Why a call is over its customer's quota.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct QuotaRefusal {
@@ -41,7 +48,7 @@
     let customer = call.customer()?;
     let (rule, _) = rule_of(gateway, customer)?;
     let class = class_of(call, is_repeated);
-    let decision = decide(gateway, customer, class, call.permit_patience()).await;
+    let decision = decide(gateway, customer, class, patience(call, class)).await;
     Some(decision.map_err(|retry_after| {
         let label = gateway.metrics.customer_calls.label(customer);
         let tokens = &gateway.metrics.quota_tokens;
@@ -54,6 +61,17 @@
     }))
 }
 
+/// Returns how long a call waits for a token.
+fn patience(call: &RoutedCall, class: CallClass) -> Duration {
+    let time_left = call.gateway.time_left(call.deadline).unwrap_or_default();
+    match class {
+        CallClass::UnderWay => time_left.mul_f64(UNDER_WAY_WAIT_SHARE),
+        CallClass::Single | CallClass::FirstTurn => {
+            time_left.min(call.route.objective.mul_f64(OTHER_WAIT_SHARE))
+        }
+    }
+}
+
 fn class_of(call: &RoutedCall, is_repeated: bool) -> CallClass {
     let is_in_program = call.head.program.is_some();
     match is_in_program {
--- a/crates/ebony_limit/src/quota/purse.rs
+++ b/crates/ebony_limit/src/quota/purse.rs
@@ -118,8 +118,10 @@
         if goes_first && let Some(stamp) = self.take_held(class, now) {
             return PurseDecision::Taken(stamp);
         }
-        let has_no_program = class == CallClass::FirstTurn && self.next_program_at > now;
-        let comes_late = self.share.is_none() && self.next_ask_at >= until;
+        let is_first_turn = class == CallClass::FirstTurn;
+        let has_no_program = is_first_turn && self.next_program_at > now;
+        // Programs are asked for without regard to the interval, which holds for tokens that were lacking.
+        let comes_late = !is_first_turn && self.share.is_none() && self.next_ask_at >= until;
         if has_no_program || comes_late || self.waiting.len() >= MAX_WAITING_CALLS {
             return PurseDecision::Refused(self.return_delay(class, now));
         }
@@ -155,7 +157,14 @@
 
     /// Returns whether tokens should be asked for.
     pub(super) fn is_due(&self, now: ClockTime) -> bool {
-        self.asked_at.is_none() && self.next_ask_at <= now && (self.wants(now).0 > 0 || self.lacks_programs())
+        if self.asked_at.is_some() {
+            return false;
+        }
+        let lacks_programs = self.lacks_programs();
+        if lacks_programs && self.share.is_none() && self.next_program_at <= now {
+            return true;
+        }
+        self.next_ask_at <= now && (lacks_programs || self.wants(now).0 > 0)
     }
 
     /// Returns when tokens should be asked for, or calls stop to wait, or tokens change.
