Calls that run once pass over targets that failed lately

Change, where even load applies: such calls count 150 ms for a target that failed within 5 s, also if it has answered idempotent calls since.

--- a/crates/ebony_dispatch/src/even_load.rs
+++ b/crates/ebony_dispatch/src/even_load.rs
@@ -6,6 +6,7 @@
 //! allows, so that entries open fewer connections and get newer reports.
 
 use std::hash::{DefaultHasher, Hash, Hasher};
+use std::time::Duration;
 
 use ebony_types::{ClockTime, ServiceName};
 use rand::SeedableRng;
@@ -27,6 +28,12 @@
 /// the new connections.
 const MIN_SUBSET: usize = 8;
 
+/// How long a target that failed is passed over by calls that run at most once, and the delay in milliseconds that they
+/// accept for it. Such a call is lost if the target breaks off again, and targets that go down and up by turns break off
+/// the first calls of each turn. Idempotent calls show whether the target is back.
+const FAILURE_MEMORY: Duration = Duration::from_secs(5);
+const FAILURE_RISK_MS: f64 = 150.0;
+
 /// Which services get even load.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum EvenLoad {
@@ -90,6 +97,8 @@
     pub max_output: u64,
     /// The memory of a target of the service, in tokens, if known.
     pub memory_tokens: Option<u64>,
+    /// Whether the call must not run again if a target breaks it off.
+    pub runs_once: bool,
     /// Returns whether an idle connection to a target is open.
     pub has_idle: &'a dyn Fn(TargetKey) -> bool,
 }
@@ -99,6 +108,7 @@
         Self {
             max_output: 0,
             memory_tokens: None,
+            runs_once: false,
             has_idle: &|_| true,
         }
     }
@@ -121,7 +131,9 @@
     let compare = |best: &mut BestTarget, (key, target): &Candidate<'_>| {
         let is_home = Some(*key) == home;
         let time = expected_time(target, is_home, (demand.has_idle)(*key), call, &view);
-        best.compare(*key, time, has_long_queue(target, &view));
+        let is_risky = demand.runs_once && target.fault.has_failed_within(FAILURE_MEMORY, now);
+        let risk = if is_risky { FAILURE_RISK_MS } else { 0.0 };
+        best.compare(*key, time + risk, is_risky || has_long_queue(target, &view));
     };
     let mut best = BestTarget::default();
     if call.prompt.is_empty() {
--- a/crates/ebony_dispatch/src/fault.rs
+++ b/crates/ebony_dispatch/src/fault.rs
@@ -1,5 +1,7 @@
 //! Failures of a target, as observed by the entry's own calls.
 
+use std::time::Duration;
+
 use ebony_types::ClockTime;
 
 use crate::options::DispatchOptions;
@@ -28,6 +30,7 @@
     failures: u32,
     avoided_until: ClockTime,
     full_until: ClockTime,
+    failed_at: Option<ClockTime>,
 }
 
 impl TargetFault {
@@ -40,6 +43,7 @@
             .min(options.max_failure_backoff);
         self.failures = self.failures.saturating_add(1);
         self.avoided_until = now + backoff;
+        self.failed_at = Some(now);
     }
 
     /// Records that the target rejected a call because it was full.
@@ -63,6 +67,11 @@
         now < self.avoided_until
     }
 
+    /// Returns whether a call failed at the target within a time, also if it has answered others since.
+    pub fn has_failed_within(&self, time: Duration, now: ClockTime) -> bool {
+        self.failed_at.is_some_and(|failed| now.since(failed) < time)
+    }
+
     /// Returns whether the target lately rejected a call because it was full.
     pub fn is_full(&self, now: ClockTime) -> bool {
         now < self.full_until
--- a/crates/ebony_dispatch/tests/even_choices.rs
+++ b/crates/ebony_dispatch/tests/even_choices.rs
@@ -308,3 +308,33 @@
         assert_ne!(chosen, Some(first));
     }
 }
+
+/// Guards against calls that are lost at targets that go down and up by turns: calls that run at most once pass over a
+/// target for some time after a failure, although it has answered since, unless others are much busier.
+#[test]
+fn calls_that_run_once_pass_over_targets_that_failed() {
+    let mut entry = Entry::open("first", 6);
+    let failed = entry.keys[2];
+    let options = entry.options;
+    entry.board.record_failure(failed, &options, entry.now);
+    entry.board.record_success(failed);
+    let once = CallDemand {
+        runs_once: true,
+        ..CallDemand::default()
+    };
+    let chosen = |entry: &mut Entry, demand: &CallDemand<'_>| {
+        let names = (0..200).map(|number| format!("call-{number}"));
+        let calls = names.filter(|name| entry.place(name, false, &[], demand) == Some(2));
+        calls.count()
+    };
+    assert_eq!(chosen(&mut entry, &once), 0);
+    assert!(chosen(&mut entry, &CallDemand::default()) > 0);
+    for target in [0, 1, 3, 4, 5] {
+        entry.report(target, 8 * SLOTS, None);
+    }
+    assert!(chosen(&mut entry, &once) > 0);
+    let mut entry = Entry::open("first", 6);
+    entry.board.record_failure(entry.keys[2], &options, entry.now);
+    entry.now = entry.now + Duration::from_secs(10);
+    assert!(chosen(&mut entry, &once) > 0);
+}
--- a/crates/ebony_gateway/src/attempts.rs
+++ b/crates/ebony_gateway/src/attempts.rs
@@ -247,6 +247,7 @@
         let demand = CallDemand {
             max_output: self.call.max_output(),
             memory_tokens: self.call.engine.map(|engine| engine.memory_tokens),
+            runs_once: !self.call.route.semantics.is_repeatable(),
             has_idle: &|target| gateway.client.has_idle(target),
         };
         let board = gateway.board.borrow();
