--- a/crates/ebony_dispatch/src/expected_time.rs
+++ b/crates/ebony_dispatch/src/expected_time.rs
@@ -90,7 +90,11 @@
     let fixed = slot_time + permit_delay + domain_delay + connection_delay;
     if call.prompt.is_empty() {
         // Spreads calls over equal targets before their slots fill up.
-        return fixed + calls / slots * options.domain_delay_ms * 2.0;
+        let spread_delay = calls / slots * options.domain_delay_ms * 2.0;
+        // The share of a short run time alone is less than the cost of a new connection to the home target.
+        let is_away = call.is_sticky && !is_home;
+        let object_delay = if is_away { options.object_delay_ms } else { 0.0 };
+        return fixed + spread_delay + object_delay;
     }
     let running = calls.min(slots);
     let prefill_delay = prefill_tokens(target, is_home, call) as f64 / options.prefill_tokens_per_ms;
