Short run times no longer make equal targets look slow

The process test of objects failed in 1 of 2 runs: calls of under a millisecond vary by several times, so that the target of an object looked up to five times slower than others. Run times are compared with 1 ms added.

--- a/crates/ebony_dispatch/src/timing.rs
+++ b/crates/ebony_dispatch/src/timing.rs
@@ -15,6 +15,10 @@
 /// 3.4 ms.
 const FULL_BATCH_SHARE: f64 = 0.4;
 
+/// Added to run times before they are compared, in milliseconds: the variation of the delays at both hosts. Without it, the
+/// times of very short calls make equal targets look several times slower or faster.
+const RUN_NOISE_MS: f64 = 1.0;
+
 /// The shortest measured time, in milliseconds. Shorter ones are within the variation of the network's delay.
 const MIN_MILLIS: f64 = 0.1;
 
@@ -95,7 +99,7 @@
         let in_slot = elapsed.max(MIN_MILLIS) / (1.0 + timing.queue_rounds);
         let is_plain = self.runs.get(run).is_some_and(|run| run.is_plain);
         if is_plain {
-            self.record_time(key, WorkKind::Run, in_slot, now);
+            self.record_time(key, WorkKind::Run, in_slot + RUN_NOISE_MS, now);
         }
         let Some(target) = self.targets.get(key) else {
             return;
