--- a/review/standins-2/lab.rs
+++ b/review/standins-2/lab.rs
@@ -6,6 +6,7 @@
 
 mod prompt_parts;
 mod slow_bodies;
+mod upgrade_offer;
 
 use std::path::PathBuf;
 use std::process::exit;
@@ -32,6 +33,7 @@
     let outcome = match case.as_str() {
         "prompt-parts" => prompt_parts::play(folder, &scratch),
         "slow-bodies" => slow_bodies::play(folder, &scratch),
+        "upgrade-offer" => upgrade_offer::play(folder, &scratch),
         _ => Outcome::NotRun,
     };
     if std::env::var("KEEP").is_err() {
