--- a/review/standins-2/lab.rs
+++ b/review/standins-2/lab.rs
@@ -5,6 +5,7 @@
 mod wire;
 
 mod prompt_parts;
+mod program_names;
 mod slow_bodies;
 mod upgrade_offer;
 
@@ -34,6 +35,7 @@
         "prompt-parts" => prompt_parts::play(folder, &scratch),
         "slow-bodies" => slow_bodies::play(folder, &scratch),
         "upgrade-offer" => upgrade_offer::play(folder, &scratch),
+        "program-names" => program_names::play(folder, &scratch),
         _ => Outcome::NotRun,
     };
     if std::env::var("KEEP").is_err() {
