--- a/review/standins-2/lab.rs
+++ b/review/standins-2/lab.rs
@@ -6,6 +6,7 @@
 
 mod prompt_parts;
 mod program_names;
+mod returning;
 mod slow_bodies;
 mod upgrade_offer;
 
@@ -36,6 +37,7 @@
         "slow-bodies" => slow_bodies::play(folder, &scratch),
         "upgrade-offer" => upgrade_offer::play(folder, &scratch),
         "program-names" => program_names::play(folder, &scratch),
+        "returning" => returning::play(folder, &scratch),
         _ => Outcome::NotRun,
     };
     if std::env::var("KEEP").is_err() {
--- a/review/standins-2/platform.rs
+++ b/review/standins-2/platform.rs
@@ -38,6 +38,7 @@
     changed: Condvar,
     pub address: SocketAddr,
     start: Instant,
+    is_silent: AtomicBool,
 }
 
 /// How long the store takes for an answer, as in the site files.
@@ -52,6 +53,7 @@
             changed: Condvar::new(),
             address,
             start: Instant::now(),
+            is_silent: AtomicBool::new(false),
         });
         let serving = Arc::clone(&store);
         thread::spawn(move || {
@@ -70,10 +72,31 @@
         self.changed.notify_all();
     }
 
+    /// Sets whether the store is down and says nothing. Calls of that time are not performed, and their channels close
+    /// when it is back.
+    pub fn set_silent(&self, is_silent: bool) {
+        self.is_silent.store(is_silent, Ordering::SeqCst);
+        self.changed.notify_all();
+    }
+
+    fn waited_in_silence(&self) -> bool {
+        let has_waited = self.is_silent.load(Ordering::SeqCst);
+        while self.is_silent.load(Ordering::SeqCst) {
+            thread::sleep(Duration::from_millis(10));
+        }
+        has_waited
+    }
+
     fn serve(&self, stream: TcpStream) {
         let mut wire = Wire::new(stream);
         while let Ok(Some(request)) = wire.request() {
+            if self.waited_in_silence() {
+                return;
+            }
             let (status, body) = self.answer(&request);
+            if self.waited_in_silence() {
+                return;
+            }
             thread::sleep(STORE_TIME);
             let head = format!(
                 "HTTP/1.1 {status} X\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n",
@@ -388,10 +411,14 @@
         matches!(self.child.try_wait(), Ok(None))
     }
 
-    /// Starts the process again after its end, as the platform does: with `first_start` off.
-    pub fn restart(&mut self) {
+    pub fn kill(&mut self) {
         self.child.kill().ok();
         self.child.wait().ok();
+    }
+
+    /// Starts the process again after its end, as the platform does: with `first_start` off.
+    pub fn restart(&mut self) {
+        self.kill();
         let text = fs::read_to_string(&self.settings).expect("the settings file");
         fs::write(&self.settings, text.replace("\"first_start\":true", "\"first_start\":false")).expect("written");
         self.child = start(&self.settings, &self.log);
