--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -6,7 +6,7 @@
 [ -x target/review-2/lab ] && [ -x target/release/ebonyswitch ] || { echo "cannot run: not built"; exit 2; }
 # The driver and the gateways are one process group, so that none of them is left if the script is stopped.
 set -m
-target/review-2/lab returning "$here" &
+target/review-2/lab late-return "$here" &
 driver=$!
 trap 'kill -KILL -- "-$driver"; exit 2' INT TERM
 wait "$driver"
--- a/review/standins-2/lab.rs
+++ b/review/standins-2/lab.rs
@@ -7,8 +7,8 @@
 mod prompt_parts;
 mod program_names;
 mod returning;
+mod late_return;
 mod slow_bodies;
-mod upgrade_offer;
 
 use std::path::PathBuf;
 use std::process::exit;
@@ -35,9 +35,9 @@
     let outcome = match case.as_str() {
         "prompt-parts" => prompt_parts::play(folder, &scratch),
         "slow-bodies" => slow_bodies::play(folder, &scratch),
-        "upgrade-offer" => upgrade_offer::play(folder, &scratch),
         "program-names" => program_names::play(folder, &scratch),
         "returning" => returning::play(folder, &scratch),
+        "late-return" => late_return::play(folder, &scratch),
         _ => Outcome::NotRun,
     };
     if std::env::var("KEEP").is_err() {
