--- a/review/standins-2/lab.rs
+++ b/review/standins-2/lab.rs
@@ -4,10 +4,10 @@
 mod platform;
 mod wire;
 
-mod prompt_parts;
+mod late_return;
 mod program_names;
+mod prompt_parts;
 mod returning;
-mod late_return;
 mod slow_bodies;
 
 use std::path::PathBuf;
--- a/review/standins-2/late_return.rs
+++ b/review/standins-2/late_return.rs
@@ -32,8 +32,9 @@
     let engines: Vec<_> = (0..LEAVING + STAYING)
         .map(|number| Engine::open(&store, &format!("i-app-{number}"), "app", 0, gap))
         .collect();
-    let gateways: Vec<Gateway> =
-        (1..=3).map(|number| Gateway::open(scratch, &store, &format!("front-a-{number}"), "")).collect();
+    let gateways: Vec<Gateway> = (1..=3)
+        .map(|number| Gateway::open(scratch, &store, &format!("front-a-{number}"), ""))
+        .collect();
     if !gateways.iter().all(Gateway::wait_ready) {
         record.line("the gateways did not become ready");
         return Outcome::NotRun;
@@ -52,7 +53,9 @@
         store.remove("servers", &engine.id);
     }
     let removed = Instant::now();
-    record.line("their entries are removed, acknowledged; they serve on, and say Server-Leaving in all answers");
+    record.line(
+        "their entries are removed, acknowledged; they serve on, and say Server-Leaving in all answers",
+    );
     until(LATE);
     if has_trouble() {
         for engine in leaving {
@@ -79,10 +82,14 @@
             }
         }
     }
-    record.line(&format!("{served} of {} requests were served; {late} reached an engine later than drainMs", results.len()));
+    record.line(&format!(
+        "{served} of {} requests were served; {late} reached an engine later than drainMs",
+        results.len()
+    ));
     match late > 0 {
         true => {
-            record.line("BROKEN: requests reached engines later than drainMs after the ack that they are gone");
+            record
+                .line("BROKEN: requests reached engines later than drainMs after the ack that they are gone");
             Outcome::Broken
         }
         false => {
--- a/review/standins-2/platform.rs
+++ b/review/standins-2/platform.rs
@@ -68,7 +68,10 @@
     pub fn put(&self, table: &str, key: &str, value: &str) {
         let mut rows = self.rows.lock().unwrap();
         rows.version += 1;
-        rows.apply((table.into(), String::new(), key.into()), Some(base64(value.as_bytes())));
+        rows.apply(
+            (table.into(), String::new(), key.into()),
+            Some(base64(value.as_bytes())),
+        );
         self.changed.notify_all();
     }
 
@@ -109,7 +112,11 @@
                 "HTTP/1.1 {status} X\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n",
                 body.len()
             );
-            if wire.write(head.as_bytes()).and_then(|()| wire.write(body.as_bytes())).is_err() {
+            if wire
+                .write(head.as_bytes())
+                .and_then(|()| wire.write(body.as_bytes()))
+                .is_err()
+            {
                 return;
             }
         }
@@ -129,11 +136,18 @@
             "/rows-parts" => {
                 let table = query.get("table").cloned().unwrap_or_default();
                 let rows = self.rows.lock().unwrap();
-                let mut parts: Vec<&String> =
-                    rows.rows.keys().filter(|name| name.0 == table).map(|name| &name.1).collect();
+                let mut parts: Vec<&String> = rows
+                    .rows
+                    .keys()
+                    .filter(|name| name.0 == table)
+                    .map(|name| &name.1)
+                    .collect();
                 parts.dedup();
                 let parts: Vec<String> = parts.into_iter().map(|part| quoted(part)).collect();
-                (200, format!("{{\"parts\":[{}],\"hasMore\":false}}", parts.join(",")))
+                (
+                    200,
+                    format!("{{\"parts\":[{}],\"hasMore\":false}}", parts.join(",")),
+                )
             }
             _ => (404, "{}".into()),
         }
@@ -150,32 +164,50 @@
 
     fn page(&self, rows: &[String], version: u64) -> String {
         let now = self.start.elapsed().as_millis();
-        format!("{{\"rows\":[{}],\"hasMore\":false,\"ver\":{version},\"nowMs\":{now}}}", rows.join(","))
+        format!(
+            "{{\"rows\":[{}],\"hasMore\":false,\"ver\":{version},\"nowMs\":{now}}}",
+            rows.join(",")
+        )
     }
 
     fn read(&self, query: &HashMap<String, String>) -> (u16, String) {
         let text = |key: &str| query.get(key).cloned().unwrap_or_default();
         let (table, part, from) = (text("table"), text("part"), text("from"));
         let to = query.get("to");
-        let limit = query.get("limit").and_then(|limit| limit.parse().ok()).unwrap_or(500);
+        let limit = query
+            .get("limit")
+            .and_then(|limit| limit.parse().ok())
+            .unwrap_or(500);
         let rows = self.rows.lock().unwrap();
         let found = rows.rows.iter().filter(|(name, _)| {
             name.0 == table && name.1 == part && name.2 >= from && to.is_none_or(|to| name.2 < *to)
         });
-        let found = found.take(limit).map(|(name, (value, version))| Self::row_json(name, Some(value), *version));
+        let found = found
+            .take(limit)
+            .map(|(name, (value, version))| Self::row_json(name, Some(value), *version));
         let found: Vec<String> = found.collect();
         (200, self.page(&found, rows.version))
     }
 
     fn feed(&self, query: &HashMap<String, String>) -> (u16, String) {
         let table = query.get("table").cloned().unwrap_or_default();
-        let after: u64 = query.get("after").and_then(|after| after.parse().ok()).unwrap_or(0);
-        let wait: u64 = query.get("waitMs").and_then(|wait| wait.parse().ok()).unwrap_or(0);
+        let after: u64 = query
+            .get("after")
+            .and_then(|after| after.parse().ok())
+            .unwrap_or(0);
+        let wait: u64 = query
+            .get("waitMs")
+            .and_then(|wait| wait.parse().ok())
+            .unwrap_or(0);
         let end = Instant::now() + Duration::from_millis(wait.min(30_000));
         let mut rows = self.rows.lock().unwrap();
         loop {
-            let changed = rows.changes.iter().filter(|(version, name, _)| *version > after && name.0 == table);
-            let changed = changed.map(|(version, name, value)| Self::row_json(name, value.as_deref(), *version));
+            let changed = rows
+                .changes
+                .iter()
+                .filter(|(version, name, _)| *version > after && name.0 == table);
+            let changed =
+                changed.map(|(version, name, value)| Self::row_json(name, value.as_deref(), *version));
             let changed: Vec<String> = changed.collect();
             let now = Instant::now();
             if !changed.is_empty() || now >= end {
@@ -186,9 +218,16 @@
     }
 
     fn transact(&self, body: &[u8]) -> (u16, String) {
-        let Some(call) = Json::parse(body) else { return (400, "{}".into()) };
+        let Some(call) = Json::parse(body) else {
+            return (400, "{}".into());
+        };
         let name = |entry: &Json| -> Name {
-            let text = |key: &str| entry.get(key).map(|value| value.text().to_owned()).unwrap_or_default();
+            let text = |key: &str| {
+                entry
+                    .get(key)
+                    .map(|value| value.text().to_owned())
+                    .unwrap_or_default()
+            };
             (text("table"), text("part"), text("key"))
         };
         let list = |key: &str| call.get(key).map(|list| list.list().to_vec()).unwrap_or_default();
@@ -209,7 +248,10 @@
         }
         rows.version += 1;
         for entry in list("put") {
-            let value = entry.get("value").map(|value| value.text().to_owned()).unwrap_or_default();
+            let value = entry
+                .get("value")
+                .map(|value| value.text().to_owned())
+                .unwrap_or_default();
             rows.apply(name(&entry), Some(value));
         }
         for entry in list("remove") {
@@ -301,20 +343,35 @@
 
     fn answer(&self, wire: &mut Wire, request: &Message) -> std::io::Result<()> {
         let id = request.field("x-attempt-id").unwrap_or("").to_owned();
-        let leaving = if self.is_leaving.load(Ordering::SeqCst) { "Server-Leaving: 1\r\n" } else { "" };
-        let load = format!("X-Instance-Load: {},0,24\r\n{leaving}", self.running.load(Ordering::SeqCst));
-        if request.field("x-expect-instance").is_some_and(|expected| expected != self.id) {
+        let leaving = if self.is_leaving.load(Ordering::SeqCst) {
+            "Server-Leaving: 1\r\n"
+        } else {
+            ""
+        };
+        let load = format!(
+            "X-Instance-Load: {},0,24\r\n{leaving}",
+            self.running.load(Ordering::SeqCst)
+        );
+        if request
+            .field("x-expect-instance")
+            .is_some_and(|expected| expected != self.id)
+        {
             let head = "HTTP/1.1 421 Misdirected Request\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
             return wire.write(head.as_bytes());
         }
         self.runs.lock().unwrap().push((self.start.elapsed(), id.clone()));
-        let head = format!("HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\nX-Server-Stamp: s.{}.{id}\r\n{load}", self.id);
+        let head = format!(
+            "HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\nX-Server-Stamp: s.{}.{id}\r\n{load}",
+            self.id
+        );
         if self.events == 0 {
             thread::sleep(self.gap);
             let body = "b".repeat(ANSWER_BYTES);
             return wire.write(format!("{head}Content-Length: {}\r\n\r\n{body}", body.len()).as_bytes());
         }
-        wire.write(format!("{head}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n").as_bytes())?;
+        wire.write(
+            format!("{head}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n").as_bytes(),
+        )?;
         for number in 1..=self.events {
             thread::sleep(self.gap);
             let event = format!("id: {number}\ndata: {}\n\n", "e".repeat(70));
@@ -351,7 +408,6 @@
 
 /// A gateway as a separate process, started with the command of the deploy file. Killed when dropped.
 pub struct Gateway {
-    pub name: String,
     child: Child,
     pub front: SocketAddr,
     pub ready: SocketAddr,
@@ -360,15 +416,26 @@
 }
 
 pub fn free_port() -> u16 {
-    TcpListener::bind("127.0.0.1:0").expect("a port is free").local_addr().expect("bound").port()
+    TcpListener::bind("127.0.0.1:0")
+        .expect("a port is free")
+        .local_addr()
+        .expect("bound")
+        .port()
 }
 
 /// Starts the program of `run` in `deploy/system.toml`, whose settings file is the first argument after the role.
 fn start(settings: &PathBuf, log: &PathBuf) -> Child {
     let deploy = fs::read_to_string("deploy/system.toml").expect("run from the repository's root");
-    let run = deploy.lines().find_map(|line| line.strip_prefix("run = \"")).expect("a role runs a program");
+    let run = deploy
+        .lines()
+        .find_map(|line| line.strip_prefix("run = \""))
+        .expect("a role runs a program");
     let words: Vec<&str> = run.trim_end_matches('"').split(' ').collect();
-    let output = fs::OpenOptions::new().create(true).append(true).open(log).expect("a log file");
+    let output = fs::OpenOptions::new()
+        .create(true)
+        .append(true)
+        .open(log)
+        .expect("a log file");
     Command::new(words[0])
         .args(&words[1..words.len() - 1])
         .arg(settings)
@@ -397,7 +464,13 @@
         fs::write(&settings, text).expect("a settings file");
         let child = start(&settings, &log);
         let at = |port: u16| SocketAddr::from(([127, 0, 0, 1], port));
-        Self { name: name.into(), child, front: at(front), ready: at(ready), settings, log }
+        Self {
+            child,
+            front: at(front),
+            ready: at(ready),
+            settings,
+            log,
+        }
     }
 
     pub fn is_ready(&self) -> bool {
@@ -418,12 +491,6 @@
         false
     }
 
-    /// Sends a signal to the process that this program started.
-    pub fn signal(&self, name: &str) {
-        let pid = self.child.id().to_string();
-        Command::new("kill").arg(format!("-{name}")).arg(pid).status().ok();
-    }
-
     pub fn is_alive(&mut self) -> bool {
         matches!(self.child.try_wait(), Ok(None))
     }
@@ -437,7 +504,11 @@
     pub fn restart(&mut self) {
         self.kill();
         let text = fs::read_to_string(&self.settings).expect("the settings file");
-        fs::write(&self.settings, text.replace("\"first_start\":true", "\"first_start\":false")).expect("written");
+        fs::write(
+            &self.settings,
+            text.replace("\"first_start\":true", "\"first_start\":false"),
+        )
+        .expect("written");
         self.child = start(&self.settings, &self.log);
     }
 
@@ -445,7 +516,8 @@
     pub fn memory_kb(&self) -> u64 {
         let text = fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap_or_default();
         let line = text.lines().find_map(|line| line.strip_prefix("VmRSS:"));
-        line.and_then(|line| line.trim().split(' ').next()?.parse().ok()).unwrap_or(0)
+        line.and_then(|line| line.trim().split(' ').next()?.parse().ok())
+            .unwrap_or(0)
     }
 }
 
@@ -465,7 +537,10 @@
 impl Record {
     pub fn open(folder: &str) -> Arc<Self> {
         let file = fs::File::create(format!("{folder}/record.txt")).expect("the record can be written");
-        Arc::new(Self { file: Mutex::new(file), start: Instant::now() })
+        Arc::new(Self {
+            file: Mutex::new(file),
+            start: Instant::now(),
+        })
     }
 
     pub fn line(&self, text: &str) {
@@ -541,7 +616,11 @@
             })
         };
         let threads = (0..count).map(caller).collect();
-        Self { results, is_over, threads }
+        Self {
+            results,
+            is_over,
+            threads,
+        }
     }
 
     pub fn stop(self) -> Vec<(Instant, &'static str, String, u16)> {
--- a/review/standins-2/program_names.rs
+++ b/review/standins-2/program_names.rs
@@ -25,10 +25,12 @@
     let store = Store::open();
     store.put("op", "config", &desired_state(3));
     let gap = Duration::from_millis(5);
-    let engines: Vec<_> =
-        (1..=3).map(|number| Engine::open(&store, &format!("i-model-{number}"), "models", EVENTS, gap)).collect();
-    let gateways: Vec<Gateway> =
-        (1..=3).map(|number| Gateway::open(scratch, &store, &format!("front-a-{number}"), "")).collect();
+    let engines: Vec<_> = (1..=3)
+        .map(|number| Engine::open(&store, &format!("i-model-{number}"), "models", EVENTS, gap))
+        .collect();
+    let gateways: Vec<Gateway> = (1..=3)
+        .map(|number| Gateway::open(scratch, &store, &format!("front-a-{number}"), ""))
+        .collect();
     if !gateways.iter().all(Gateway::wait_ready) {
         record.line("the gateways did not become ready");
         return Outcome::NotRun;
@@ -36,8 +38,14 @@
     thread::sleep(Duration::from_secs(3));
     let long = format!("dossier-{}", "0123456789abcdef".repeat(9));
     let names = match has_trouble() {
-        true => [("a name of 152 bytes", long.as_str()), ("a name with spaces", "permit dossier 17")],
-        false => [("a name of 24 bytes", &long[..24]), ("a name with dashes", "permit-dossier-17")],
+        true => [
+            ("a name of 152 bytes", long.as_str()),
+            ("a name with spaces", "permit dossier 17"),
+        ],
+        false => [
+            ("a name of 24 bytes", &long[..24]),
+            ("a name with dashes", "permit-dossier-17"),
+        ],
     };
     let mut is_broken = false;
     for (kind, name) in names {
@@ -46,7 +54,9 @@
         for turn in 0..TURNS {
             // The prompt of each turn contains everything that precedes it.
             let parts: Vec<String> = (0..turn).map(|part| format!("{:x}:70", 0xa000 + part)).collect();
-            let prefix = ["5c1e07a2:512".to_owned(), "77d20b:100".to_owned()].into_iter().chain(parts);
+            let prefix = ["5c1e07a2:512".to_owned(), "77d20b:100".to_owned()]
+                .into_iter()
+                .chain(parts);
             let prefix = prefix.collect::<Vec<_>>().join(",");
             let request = format!(
                 "POST /chat/1 HTTP/1.1\r\nHost: app.example\r\nX-Attempt-Id: {:x}t{turn}\r\nX-Program-Id: {name}\r\n\
@@ -58,7 +68,8 @@
             );
             let limit = Duration::from_secs(4);
             let gateway = &gateways[turn % gateways.len()];
-            let answer = Wire::connect(gateway.front, limit).and_then(|mut wire| wire.exchange(request.as_bytes(), limit));
+            let answer = Wire::connect(gateway.front, limit)
+                .and_then(|mut wire| wire.exchange(request.as_bytes(), limit));
             let Ok(Some(answer)) = answer else {
                 statuses.push("none".to_owned());
                 continue;
@@ -69,11 +80,19 @@
                 tokens += body.matches("id: ").count() * EVENT_TOKENS;
             }
         }
-        record.line(&format!("{kind}, {name:?}: statuses of {TURNS} turns: {}", statuses.join(" ")));
-        record.line(&format!("  {tokens} tokens were handed out; budget {BUDGET}, the most of one turn {TURN_TOKENS}"));
+        record.line(&format!(
+            "{kind}, {name:?}: statuses of {TURNS} turns: {}",
+            statuses.join(" ")
+        ));
+        record.line(&format!(
+            "  {tokens} tokens were handed out; budget {BUDGET}, the most of one turn {TURN_TOKENS}"
+        ));
         is_broken |= tokens > BUDGET + TURN_TOKENS;
     }
-    let runs: usize = engines.iter().map(|engine| engine.runs.lock().unwrap().len()).sum();
+    let runs: usize = engines
+        .iter()
+        .map(|engine| engine.runs.lock().unwrap().len())
+        .sum();
     record.line(&format!("{runs} runs at engines"));
     match is_broken {
         true => {
--- a/review/standins-2/prompt_parts.rs
+++ b/review/standins-2/prompt_parts.rs
@@ -26,7 +26,13 @@
     let mut engines = Vec::new();
     for number in 1..=3 {
         let gap = Duration::from_millis(20);
-        engines.push(Engine::open(&store, &format!("i-model-{number}"), "models", 10, gap));
+        engines.push(Engine::open(
+            &store,
+            &format!("i-model-{number}"),
+            "models",
+            10,
+            gap,
+        ));
         engines.push(Engine::open(&store, &format!("i-app-{number}"), "app", 0, gap));
     }
     let mut gateway = Gateway::open(scratch, &store, "front-a-1", "");
@@ -36,7 +42,10 @@
     }
     let callers = Callers::start(vec![gateway.front], 4, Duration::from_millis(100));
     thread::sleep(Duration::from_secs(5));
-    record.line(&format!("ready; ordinary callers for 5 s; resident memory {} kB", gateway.memory_kb()));
+    record.line(&format!(
+        "ready; ordinary callers for 5 s; resident memory {} kB",
+        gateway.memory_kb()
+    ));
     let front = gateway.front;
     let mut clients = Vec::new();
     if has_trouble() {
@@ -52,7 +61,9 @@
         let memory = gateway.memory_kb();
         peak = peak.max(memory);
         record.line(&format!("resident memory {memory} kB"));
-        is_over = memory > MEMORY_KB || !gateway.is_alive() || (has_trouble() && clients.iter().all(|client| client.is_finished()));
+        is_over = memory > MEMORY_KB
+            || !gateway.is_alive()
+            || (has_trouble() && clients.iter().all(|client| client.is_finished()));
         if !has_trouble() && start.elapsed() > Duration::from_secs(30) {
             is_over = true;
         }
@@ -61,16 +72,26 @@
     let after = gateway.memory_kb();
     let results = callers.stop();
     let served = results.iter().filter(|(.., status)| *status == 200).count();
-    let runs: usize = engines.iter().map(|engine| engine.runs.lock().unwrap().len()).sum();
-    record.line(&format!("ordinary requests: {} sent, {served} answered 200; {runs} runs at engines", results.len()));
+    let runs: usize = engines
+        .iter()
+        .map(|engine| engine.runs.lock().unwrap().len())
+        .sum();
+    record.line(&format!(
+        "ordinary requests: {} sent, {served} answered 200; {runs} runs at engines",
+        results.len()
+    ));
     for client in clients {
         if client.is_finished()
             && let Ok((sent, answered)) = client.join()
         {
-            record.line(&format!("an unruly client: {sent} requests sent, {answered} answered 200"));
+            record.line(&format!(
+                "an unruly client: {sent} requests sent, {answered} answered 200"
+            ));
         }
     }
-    record.line(&format!("peak {peak} kB, 5 s later {after} kB, limit of the machine {MEMORY_KB} kB"));
+    record.line(&format!(
+        "peak {peak} kB, 5 s later {after} kB, limit of the machine {MEMORY_KB} kB"
+    ));
     if peak == 0 || !gateway.is_alive() {
         record.line("the gateway ended");
         return Outcome::Broken;
--- a/review/standins-2/returning.rs
+++ b/review/standins-2/returning.rs
@@ -36,10 +36,12 @@
     let store = Store::open();
     store.put("op", "config", &desired_state(3));
     let gap = Duration::from_millis(3);
-    let _engines: Vec<_> =
-        (1..=3).map(|number| Engine::open(&store, &format!("i-model-{number}"), "models", EVENTS, gap)).collect();
-    let mut gateways: Vec<Gateway> =
-        (1..=3).map(|number| Gateway::open(scratch, &store, &format!("front-a-{number}"), "")).collect();
+    let _engines: Vec<_> = (1..=3)
+        .map(|number| Engine::open(&store, &format!("i-model-{number}"), "models", EVENTS, gap))
+        .collect();
+    let mut gateways: Vec<Gateway> = (1..=3)
+        .map(|number| Gateway::open(scratch, &store, &format!("front-a-{number}"), ""))
+        .collect();
     if !gateways.iter().all(Gateway::wait_ready) {
         record.line("the gateways did not become ready");
         return Outcome::NotRun;
@@ -51,7 +53,9 @@
         record.line("the store falls silent");
         store.set_silent(true);
     }
-    let programs: Vec<_> = (0..PROGRAMS).map(|number| thread::spawn(move || run(number, first, second, start))).collect();
+    let programs: Vec<_> = (0..PROGRAMS)
+        .map(|number| thread::spawn(move || run(number, first, second, start)))
+        .collect();
     let until = |time: Duration| thread::sleep(time.saturating_sub(start.elapsed()));
     until(KILL);
     if has_trouble() {
@@ -66,7 +70,9 @@
     }
     let mut over = 0;
     for (number, program) in programs.into_iter().enumerate() {
-        let Ok((before, after, statuses)) = program.join() else { return Outcome::NotRun };
+        let Ok((before, after, statuses)) = program.join() else {
+            return Outcome::NotRun;
+        };
         let is_over = before + after > BUDGET + TURN_TOKENS;
         over += usize::from(is_over);
         record.line(&format!(
@@ -76,7 +82,9 @@
             statuses.join(" ")
         ));
     }
-    record.line(&format!("{over} of {PROGRAMS} programs got more than {BUDGET} + {TURN_TOKENS} tokens"));
+    record.line(&format!(
+        "{over} of {PROGRAMS} programs got more than {BUDGET} + {TURN_TOKENS} tokens"
+    ));
     match over > 0 {
         true => {
             record.line("BROKEN: a program got more tokens than its budget and the most of one turn");
@@ -113,7 +121,10 @@
     while start.elapsed() < end && tries < 3 {
         // The prompt of each turn contains everything that precedes it.
         let parts = (0..turn).map(|part| format!("{number:x}{life}{part:03x}:287"));
-        let prefix: Vec<String> = ["5c1e07a2:512".to_owned(), format!("{number:x}77d20b:100")].into_iter().chain(parts).collect();
+        let prefix: Vec<String> = ["5c1e07a2:512".to_owned(), format!("{number:x}77d20b:100")]
+            .into_iter()
+            .chain(parts)
+            .collect();
         let request = format!(
             "POST /chat/1 HTTP/1.1\r\nHost: app.example\r\nX-Attempt-Id: p{number}{life}{turn}t{tries}\r\n\
              X-Program-Id: 3fa8{number:03x}\r\nX-Session-Id: 77d2{number:03x}\r\nX-Program-Deadline-Ms: 30000\r\n\
@@ -123,7 +134,8 @@
             prefix.join(",")
         );
         let limit = Duration::from_secs(4);
-        let answer = Wire::connect(gateway, Duration::from_secs(1)).and_then(|mut wire| wire.exchange(request.as_bytes(), limit));
+        let answer = Wire::connect(gateway, Duration::from_secs(1))
+            .and_then(|mut wire| wire.exchange(request.as_bytes(), limit));
         let Ok(Some(answer)) = answer else {
             statuses.push("none".into());
             tries += 1;
@@ -131,7 +143,11 @@
             continue;
         };
         let events = String::from_utf8_lossy(&answer.body).matches("id: ").count();
-        tokens += if answer.status() == 200 { events * EVENT_TOKENS } else { 0 };
+        tokens += if answer.status() == 200 {
+            events * EVENT_TOKENS
+        } else {
+            0
+        };
         statuses.push(answer.status().to_string());
         if answer.status() == 200 && answer.is_whole {
             turn += 1;
--- a/review/standins-2/slow_bodies.rs
+++ b/review/standins-2/slow_bodies.rs
@@ -17,8 +17,12 @@
 
 /// The clients of the crowd: how many, the length of their bodies, all within `maxBodyBytes` (4,194,304), and how much of
 /// it they send at once.
-const CROWD: [(usize, usize, usize); 4] =
-    [(5, 4_000_000, 3_600_000), (5, 1_000_000, 900_000), (5, 250_000, 200_000), (60, 30_000, 0)];
+const CROWD: [(usize, usize, usize); 4] = [
+    (5, 4_000_000, 3_600_000),
+    (5, 1_000_000, 900_000),
+    (5, 250_000, 200_000),
+    (60, 30_000, 0),
+];
 
 /// The pause between two bytes of a body.
 const PAUSE: Duration = Duration::from_millis(250);
@@ -42,7 +46,13 @@
     let mut engines = Vec::new();
     for number in 1..=3 {
         let gap = Duration::from_millis(20);
-        engines.push(Engine::open(&store, &format!("i-model-{number}"), "models", 10, gap));
+        engines.push(Engine::open(
+            &store,
+            &format!("i-model-{number}"),
+            "models",
+            10,
+            gap,
+        ));
         engines.push(Engine::open(&store, &format!("i-app-{number}"), "app", 0, gap));
     }
     let mut gateway = Gateway::open(scratch, &store, "front-a-1", CALLERS_MEMORY);
@@ -68,7 +78,10 @@
                 crowd.push(thread::spawn(move || slow.play()));
             }
         }
-        record.line(&format!("a crowd of {} clients begins to send bodies slowly", crowd.len()));
+        record.line(&format!(
+            "a crowd of {} clients begins to send bodies slowly",
+            crowd.len()
+        ));
     }
     thread::sleep(LEAD);
     let began = Instant::now();
@@ -105,9 +118,17 @@
     }
     let is_alive = gateway.is_alive();
     let served = results.iter().filter(|(.., status)| *status == 200).count();
-    let runs: usize = engines.iter().map(|engine| engine.runs.lock().unwrap().len()).sum();
-    record.line(&format!("{served} of {} ordinary requests were served; {runs} runs at engines", results.len()));
-    record.line(&format!("process alive: {is_alive}; readiness missed {misses} times"));
+    let runs: usize = engines
+        .iter()
+        .map(|engine| engine.runs.lock().unwrap().len())
+        .sum();
+    record.line(&format!(
+        "{served} of {} ordinary requests were served; {runs} runs at engines",
+        results.len()
+    ));
+    record.line(&format!(
+        "process alive: {is_alive}; readiness missed {misses} times"
+    ));
     if results.is_empty() {
         return Outcome::NotRun;
     }
--- a/review/standins-2/wire.rs
+++ b/review/standins-2/wire.rs
@@ -17,7 +17,10 @@
 impl Json {
     pub fn get(&self, key: &str) -> Option<&Json> {
         match self {
-            Json::Table(entries) => entries.iter().find(|(name, _)| name == key).map(|(_, value)| value),
+            Json::Table(entries) => entries
+                .iter()
+                .find(|(name, _)| name == key)
+                .map(|(_, value)| value),
             _ => None,
         }
     }
@@ -106,10 +109,18 @@
             b'n' => self.word("null", Json::Null),
             _ => {
                 let start = self.at;
-                while self.bytes.get(self.at).is_some_and(|byte| b"+-.eE0123456789".contains(byte)) {
+                while self
+                    .bytes
+                    .get(self.at)
+                    .is_some_and(|byte| b"+-.eE0123456789".contains(byte))
+                {
                     self.at += 1;
                 }
-                std::str::from_utf8(&self.bytes[start..self.at]).ok()?.parse().ok().map(Json::Number)
+                std::str::from_utf8(&self.bytes[start..self.at])
+                    .ok()?
+                    .parse()
+                    .ok()
+                    .map(Json::Number)
             }
         }
     }
@@ -192,7 +203,10 @@
     let mut at = 0;
     while at < bytes.len() {
         let code = (bytes[at] == b'%')
-            .then(|| text.get(at + 1..at + 3).and_then(|digits| u8::from_str_radix(digits, 16).ok()))
+            .then(|| {
+                text.get(at + 1..at + 3)
+                    .and_then(|digits| u8::from_str_radix(digits, 16).ok())
+            })
             .flatten();
         match code {
             Some(code) => {
@@ -220,11 +234,10 @@
 
 impl Message {
     pub fn field(&self, name: &str) -> Option<&str> {
-        self.fields.iter().find(|(known, _)| known.eq_ignore_ascii_case(name)).map(|(_, value)| value.as_str())
-    }
-
-    pub fn method(&self) -> &str {
-        self.first.split(' ').next().unwrap_or("")
+        self.fields
+            .iter()
+            .find(|(known, _)| known.eq_ignore_ascii_case(name))
+            .map(|(_, value)| value.as_str())
     }
 
     pub fn path(&self) -> &str {
@@ -232,7 +245,11 @@
     }
 
     pub fn status(&self) -> u16 {
-        self.first.split(' ').nth(1).and_then(|text| text.parse().ok()).unwrap_or(0)
+        self.first
+            .split(' ')
+            .nth(1)
+            .and_then(|text| text.parse().ok())
+            .unwrap_or(0)
     }
 }
 
@@ -245,7 +262,10 @@
 impl Wire {
     pub fn new(stream: TcpStream) -> Self {
         stream.set_nodelay(true).ok();
-        Self { stream, buffer: Vec::new() }
+        Self {
+            stream,
+            buffer: Vec::new(),
+        }
     }
 
     pub fn connect(address: SocketAddr, limit: Duration) -> io::Result<Self> {
@@ -273,7 +293,11 @@
                 let first = lines.next().unwrap_or("").to_owned();
                 let fields = lines.filter_map(|line| line.split_once(':'));
                 let fields = fields.map(|(name, value)| (name.to_owned(), value.trim().to_owned()));
-                return Ok(Some(Message { first, fields: fields.collect(), ..Message::default() }));
+                return Ok(Some(Message {
+                    first,
+                    fields: fields.collect(),
+                    ..Message::default()
+                }));
             }
             if self.fill()? == 0 {
                 return Ok(None);
@@ -308,8 +332,12 @@
             loop {
                 let Some(line) = self.line()? else { return Ok(()) };
                 let size = line.split(';').next().unwrap_or("").trim().to_owned();
-                let Ok(size) = usize::from_str_radix(&size, 16) else { return Ok(()) };
-                let Some(piece) = self.take(size + 2)? else { return Ok(()) };
+                let Ok(size) = usize::from_str_radix(&size, 16) else {
+                    return Ok(());
+                };
+                let Some(piece) = self.take(size + 2)? else {
+                    return Ok(());
+                };
                 if size == 0 {
                     message.is_whole = true;
                     return Ok(());
@@ -317,7 +345,10 @@
                 message.body.extend_from_slice(&piece[..size]);
             }
         }
-        if let Some(length) = message.field("content-length").and_then(|text| text.parse::<usize>().ok()) {
+        if let Some(length) = message
+            .field("content-length")
+            .and_then(|text| text.parse::<usize>().ok())
+        {
             if let Some(body) = self.take(length)? {
                 message.body = body;
                 message.is_whole = true;
@@ -335,7 +366,9 @@
     }
 
     pub fn request(&mut self) -> io::Result<Option<Message>> {
-        let Some(mut message) = self.head()? else { return Ok(None) };
+        let Some(mut message) = self.head()? else {
+            return Ok(None);
+        };
         self.body(&mut message, false)?;
         Ok(message.is_whole.then_some(message))
     }
@@ -346,8 +379,12 @@
         self.stream.set_write_timeout(Some(limit))?;
         self.stream.set_read_timeout(Some(limit))?;
         self.write(request)?;
-        let Some(mut answer) = self.head()? else { return Ok(None) };
-        let left = limit.saturating_sub(start.elapsed()).max(Duration::from_millis(1));
+        let Some(mut answer) = self.head()? else {
+            return Ok(None);
+        };
+        let left = limit
+            .saturating_sub(start.elapsed())
+            .max(Duration::from_millis(1));
         self.stream.set_read_timeout(Some(left))?;
         self.body(&mut answer, true)?;
         Ok(Some(answer))
