Lines of calls name the software version of their target and the stream that they resume

Whether a gateway sends resumed streams to targets of any version could not be told from its log. A call counts as resumed if it has either of the two fields, also unreadable ones. No decision uses either yet.

--- a/crates/ebony_dialect/src/call.rs
+++ b/crates/ebony_dialect/src/call.rs
@@ -27,6 +27,33 @@
     pub budget: Option<u64>,
 }
 
+/// Whether a call begins its stream or resumes one that broke off.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub enum StreamResumption {
+    /// It begins a stream.
+    #[default]
+    Begins,
+    /// It resumes the stream whose first event was received by the attempt with this name.
+    Resumes(String),
+    /// It resumes a stream, and does not say which.
+    ResumesUnnamed,
+}
+
+impl StreamResumption {
+    /// Returns whether the call resumes a stream.
+    pub fn is_resumed(&self) -> bool {
+        *self != Self::Begins
+    }
+
+    /// Returns the name of the attempt that received the first event of the resumed stream, if the call says it.
+    pub fn attempt(&self) -> Option<&str> {
+        match self {
+            Self::Resumes(attempt) => Some(attempt),
+            Self::Begins | Self::ResumesUnnamed => None,
+        }
+    }
+}
+
 /// The decoded header fields of a call.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct CallHead {
@@ -46,6 +73,6 @@
     pub previous_turn: Option<String>,
     /// The object that the call is about, as named by the caller.
     pub object: Option<String>,
-    /// The last event of this stream that the caller has received.
-    pub resumes_after: Option<u64>,
+    /// Whether the call begins its stream or resumes one.
+    pub resumption: StreamResumption,
 }
--- a/crates/ebony_dialect/src/lib.rs
+++ b/crates/ebony_dialect/src/lib.rs
@@ -14,7 +14,7 @@
 
 pub use answer::{AnswerHead, LeavingNotice, LimitNotice, LoadFault};
 pub use attempt::AttemptHead;
-pub use call::{CallHead, ProgramHead, TokenCount};
+pub use call::{CallHead, ProgramHead, StreamResumption, TokenCount};
 pub use credential::CallerCredential;
 pub use records::{DecodeError, RecordDialect};
 
--- a/crates/ebony_dispatch/examples/decision_cost.rs
+++ b/crates/ebony_dispatch/examples/decision_cost.rs
@@ -6,7 +6,7 @@
 use ebony_dispatch::{
     DispatchOptions, EvenLoad, PlacementRequest, PromptPart, TargetBoard, TargetPhase, TargetRecord, place,
 };
-use ebony_types::{ClockTime, DomainName, ServiceName, TargetName};
+use ebony_types::{ClockTime, DomainName, ServiceName, SoftwareVersion, TargetName};
 
 const TARGETS: usize = 100;
 const CHOICES: u32 = 20_000;
@@ -21,6 +21,7 @@
             service: service.clone(),
             address: ([10, 0, 0, number as u8], 80).into(),
             domain: domain.clone(),
+            version: SoftwareVersion::parse("v1").expect("a version"),
             slots: 6,
             phase: TargetPhase::Ready,
             born: 1,
--- a/crates/ebony_dispatch/src/board.rs
+++ b/crates/ebony_dispatch/src/board.rs
@@ -6,7 +6,7 @@
 
 use ebony_limit::{LimitChange, LimitObservation, RequestRate};
 use ebony_types::rendezvous::rendezvous_weight;
-use ebony_types::{ClockTime, DomainName, ServiceName, TargetName};
+use ebony_types::{ClockTime, DomainName, ServiceName, SoftwareVersion, TargetName};
 use slotmap::{SlotMap, new_key_type};
 
 use crate::fault::TargetFault;
@@ -52,6 +52,8 @@
     pub address: SocketAddr,
     /// The failure domain.
     pub domain: DomainName,
+    /// The version of its software.
+    pub version: SoftwareVersion,
     /// The number of calls that it runs at once.
     pub slots: u32,
     /// Whether it accepts new calls.
@@ -134,13 +136,14 @@
 ///
 /// ```
 /// use ebony_dispatch::{TargetBoard, TargetChange, TargetPhase, TargetRecord};
-/// use ebony_types::{ClockTime, DomainName, ServiceName, TargetName};
+/// use ebony_types::{ClockTime, DomainName, ServiceName, SoftwareVersion, TargetName};
 ///
 /// let record = TargetRecord {
 ///     name: TargetName::parse("engine-1")?,
 ///     service: ServiceName::parse("models")?,
 ///     address: "10.0.0.1:8080".parse()?,
 ///     domain: DomainName::parse("a")?,
+///     version: SoftwareVersion::parse("v1")?,
 ///     slots: 8,
 ///     phase: TargetPhase::Ready,
 ///     born: 1,
--- a/crates/ebony_dispatch/tests/admission.rs
+++ b/crates/ebony_dispatch/tests/admission.rs
@@ -9,7 +9,7 @@
     DispatchOptions, PlacementRequest, ProgramAdmission, ProgramGate, RunKey, TargetBoard, TargetChange,
     TargetKey, TargetPhase, TargetRecord, place, service_load,
 };
-use ebony_types::{ClockTime, DomainName, ServiceName, TargetName};
+use ebony_types::{ClockTime, DomainName, ServiceName, SoftwareVersion, TargetName};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -62,6 +62,7 @@
                 service: service.clone(),
                 address: ([10, 0, 0, number as u8], 80).into(),
                 domain: domain.clone(),
+                version: SoftwareVersion::parse("v1").expect("a version"),
                 slots: SLOTS,
                 phase: TargetPhase::Ready,
                 born: 1,
--- a/crates/ebony_dispatch/tests/admission_load/gateways.rs
+++ b/crates/ebony_dispatch/tests/admission_load/gateways.rs
@@ -7,7 +7,7 @@
     DispatchOptions, ProgramAdmission, ProgramGate, ProgramRequest, RunKey, SharedSlots, TargetBoard,
     TargetChange, TargetKey, TargetPhase, TargetRecord, WorkAdmission, WorkDecision, service_load,
 };
-use ebony_types::{ClockTime, DomainName, ProgramName, ServiceName, TargetName};
+use ebony_types::{ClockTime, DomainName, ProgramName, ServiceName, SoftwareVersion, TargetName};
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
 
@@ -54,6 +54,7 @@
                 service: service.clone(),
                 address: ([10, 0, 0, number as u8], 80).into(),
                 domain: domain.clone(),
+                version: SoftwareVersion::parse("v1").expect("a version"),
                 slots: SLOTS,
                 phase: TargetPhase::Ready,
                 born: 1,
--- a/crates/ebony_dispatch/tests/even_choices.rs
+++ b/crates/ebony_dispatch/tests/even_choices.rs
@@ -10,7 +10,7 @@
     CallDemand, DispatchOptions, EvenLoad, PlacementRequest, PromptPart, TargetBoard, TargetChange,
     TargetKey, TargetPhase, TargetRecord, place_with,
 };
-use ebony_types::{ClockTime, DomainName, ServiceName, TargetName};
+use ebony_types::{ClockTime, DomainName, ServiceName, SoftwareVersion, TargetName};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -40,6 +40,7 @@
                 service: service.clone(),
                 address: ([10, 0, 0, number as u8], 80).into(),
                 domain: domain.clone(),
+                version: SoftwareVersion::parse("v1").expect("a version"),
                 slots: SLOTS,
                 phase: TargetPhase::Ready,
                 born: 1,
--- a/crates/ebony_dispatch/tests/even_load/model.rs
+++ b/crates/ebony_dispatch/tests/even_load/model.rs
@@ -9,7 +9,7 @@
     CallDemand, DispatchOptions, PlacementRequest, RunKey, TargetBoard, TargetChange, TargetKey, TargetPhase,
     TargetRecord, place_with,
 };
-use ebony_types::{ClockTime, DomainName, ServiceName, TargetName};
+use ebony_types::{ClockTime, DomainName, ServiceName, SoftwareVersion, TargetName};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -221,6 +221,7 @@
             service: service(),
             address: ([10, 0, (at / 250) as u8, (at % 250) as u8], 80).into(),
             domain: domain(),
+            version: SoftwareVersion::parse("v1").expect("a version"),
             slots: scene.slots,
             phase: TargetPhase::Ready,
             born: 1,
--- a/crates/ebony_dispatch/tests/late_entries.rs
+++ b/crates/ebony_dispatch/tests/late_entries.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use ebony_dispatch::{TargetBoard, TargetChange, TargetPhase, TargetRecord};
-use ebony_types::{ClockTime, DomainName, ServiceName, TargetName};
+use ebony_types::{ClockTime, DomainName, ServiceName, SoftwareVersion, TargetName};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -23,6 +23,7 @@
         service: ServiceName::parse("models").expect("a valid name"),
         address: ([10, 0, 0, 1], 80).into(),
         domain: DomainName::parse("a").expect("a valid name"),
+        version: SoftwareVersion::parse("v1").expect("a version"),
         slots: 8,
         phase,
         born,
--- a/crates/ebony_dispatch/tests/limits.rs
+++ b/crates/ebony_dispatch/tests/limits.rs
@@ -8,7 +8,7 @@
     TargetRecord, place, service_load,
 };
 use ebony_limit::{LimitChange, LimitObservation, PermitBucket, PermitDecision, RequestRate};
-use ebony_types::{ClockTime, DomainName, ServiceName, TargetName};
+use ebony_types::{ClockTime, DomainName, ServiceName, SoftwareVersion, TargetName};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -21,6 +21,7 @@
         service: ServiceName::parse("models").expect("a valid name"),
         address: "10.0.0.1:80".parse().expect("an address"),
         domain: DomainName::parse("a").expect("a valid name"),
+        version: SoftwareVersion::parse("v1").expect("a version"),
         slots: SLOTS,
         phase: TargetPhase::Ready,
         born,
--- a/crates/ebony_dispatch/tests/objects.rs
+++ b/crates/ebony_dispatch/tests/objects.rs
@@ -5,7 +5,7 @@
 use ebony_dispatch::{
     DispatchOptions, PlacementRequest, TargetBoard, TargetChange, TargetKey, TargetPhase, TargetRecord, place,
 };
-use ebony_types::{ClockTime, DomainName, ServiceName, TargetName};
+use ebony_types::{ClockTime, DomainName, ServiceName, SoftwareVersion, TargetName};
 
 const NOW: ClockTime = ClockTime::from_millis(1_000);
 const TARGETS: usize = 6;
@@ -29,6 +29,7 @@
                 service: ServiceName::parse("stock").expect("a name"),
                 address: ([10, 0, 0, 1], 80).into(),
                 domain: parse(if number % 2 == 0 { "a" } else { "b" }),
+                version: SoftwareVersion::parse("v1").expect("a version"),
                 slots: SLOTS,
                 phase: TargetPhase::Ready,
                 born: 1,
--- a/crates/ebony_dispatch/tests/placement.rs
+++ b/crates/ebony_dispatch/tests/placement.rs
@@ -7,7 +7,7 @@
     DispatchOptions, PlacementRequest, PlacementRule, PromptPart, TargetBoard, TargetChange,
     TargetIncarnation, TargetKey, TargetPhase, TargetRecord, place,
 };
-use ebony_types::{ClockTime, DomainName, ServiceName, TargetName};
+use ebony_types::{ClockTime, DomainName, ServiceName, SoftwareVersion, TargetName};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -23,6 +23,7 @@
         service: ServiceName::parse("models").expect("a valid name"),
         address: ([10, 0, 0, number as u8], 80).into(),
         domain: DomainName::parse(domain).expect("a valid name"),
+        version: SoftwareVersion::parse("v1").expect("a version"),
         slots: 8,
         phase: TargetPhase::Ready,
         born: 1,
--- a/crates/ebony_dispatch/tests/speed.rs
+++ b/crates/ebony_dispatch/tests/speed.rs
@@ -5,7 +5,7 @@
 use ebony_dispatch::load::LoadNotice;
 use ebony_dispatch::slowdown::{ReportedSlowdown, SlowdownFactor};
 use ebony_dispatch::{DispatchOptions, TargetBoard, TargetChange, TargetKey, TargetPhase, TargetRecord};
-use ebony_types::{ClockTime, DomainName, ServiceName, TargetName};
+use ebony_types::{ClockTime, DomainName, ServiceName, SoftwareVersion, TargetName};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -15,6 +15,7 @@
         service: ServiceName::parse("tools").expect("a valid name"),
         address: ([10, 0, 0, number as u8], 80).into(),
         domain: DomainName::parse("a").expect("a valid name"),
+        version: SoftwareVersion::parse("v1").expect("a version"),
         slots: 6,
         phase: TargetPhase::Ready,
         born,
--- a/crates/ebony_dispatch/tests/unchanged.rs
+++ b/crates/ebony_dispatch/tests/unchanged.rs
@@ -7,7 +7,7 @@
     DispatchOptions, PlacementRequest, PlacementRule, PromptPart, RunKey, TargetBoard, TargetChange,
     TargetKey, TargetPhase, TargetRecord, place,
 };
-use ebony_types::{ClockTime, DomainName, ServiceName, TargetName};
+use ebony_types::{ClockTime, DomainName, ServiceName, SoftwareVersion, TargetName};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -19,6 +19,7 @@
         service: ServiceName::parse("models").expect("a valid name"),
         address: ([10, 0, 0, number as u8], 80).into(),
         domain: DomainName::parse(if number.is_multiple_of(3) { "a" } else { "b" }).expect("a valid name"),
+        version: SoftwareVersion::parse("v1").expect("a version"),
         slots: 4 + number as u32 % 3 * 2,
         phase: TargetPhase::Ready,
         born: 1,
--- a/crates/ebony_gateway/src/attempts.rs
+++ b/crates/ebony_gateway/src/attempts.rs
@@ -41,6 +41,7 @@
         log.record_send();
         let (run, result) = attempts.send(target, permit).await?;
         let name = run.name().clone();
+        log.set_target_version(run.version());
         let (outcome, run) = match result {
             Ok((answer, head)) => match attempts.classify(&answer, &head) {
                 AttemptOutcome::Answered => match StartedAnswer::read(call, answer, head, run).await {
--- a/crates/ebony_gateway/src/call.rs
+++ b/crates/ebony_gateway/src/call.rs
@@ -91,6 +91,7 @@
         program,
         arrived,
     );
+    log.set_resumption(&head.resumption);
     let outcome = async {
         let mut call = route(gateway, request, head, body, arrived, &mut log).await?;
         resume(&mut call, &mut log).await?;
@@ -197,7 +198,7 @@
         let detail = "a turn of a kept conversation needs a name";
         return Err(CallRefusal::not_run(ProblemCode::BadRequest, detail));
     };
-    if call.head.resumes_after.is_some() {
+    if call.head.resumption.is_resumed() {
         // The gateway lacks the output before that event, so it could not record the whole turn.
         let detail = "a turn of a kept conversation has to be sent from its start";
         return Err(CallRefusal::not_run(ProblemCode::Overloaded, detail).retry_after(Duration::ZERO));
--- a/crates/ebony_gateway/src/call_log.rs
+++ b/crates/ebony_gateway/src/call_log.rs
@@ -4,8 +4,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use ebony_dialect::StreamResumption;
 use ebony_routing::RoutingVersion;
-use ebony_types::{ClockTime, CustomerName, ProblemCode, RunVerdict};
+use ebony_types::{ClockTime, CustomerName, ProblemCode, RunVerdict, SoftwareVersion};
 
 use crate::conversations::FindError;
 use crate::crashes::RequestFingerprint;
@@ -100,6 +101,11 @@
     arrived: ClockTime,
     first_sent: Option<ClockTime>,
     first_bytes: Option<ClockTime>,
+    /// The stream that the call resumes: the attempt that brought its first event, or nothing if the caller does not say
+    /// it. `None` if the call begins a stream.
+    resumed: Option<String>,
+    /// The software version of the target of the last attempt.
+    target_version: Option<SoftwareVersion>,
     /// Target and outcome of each attempt.
     attempts: String,
     /// The targets whose permit was denied, with the milliseconds until the next one was due.
@@ -134,6 +140,8 @@
             arrived,
             first_sent: None,
             first_bytes: None,
+            resumed: None,
+            target_version: None,
             attempts: String::new(),
             denied_permits: String::new(),
             permit_wait: Duration::ZERO,
@@ -182,6 +190,17 @@
         self.chain = Some((records, bytes));
     }
 
+    /// Sets which stream the call resumes, if it does.
+    pub(crate) fn set_resumption(&mut self, resumption: &StreamResumption) {
+        let attempt = resumption.attempt().unwrap_or_default();
+        self.resumed = resumption.is_resumed().then(|| attempt.to_owned());
+    }
+
+    /// Sets the software version of the target that the call is sent to.
+    pub(crate) fn set_target_version(&mut self, version: &SoftwareVersion) {
+        self.target_version = Some(version.clone());
+    }
+
     pub(crate) fn set_load(&mut self, load: f64) {
         self.load = Some(load);
     }
@@ -325,6 +344,8 @@
             "load" => self.load,
             "admission" => self.admission,
             "request" => self.request(),
+            "resumed" => &self.resumed,
+            "target_version" => self.target_version.as_ref().map(SoftwareVersion::as_str),
             "attempts" => &self.attempts,
             "denied_permits" => Some(&self.denied_permits).filter(|denied| !denied.is_empty()),
             "permit_wait_ms" => Some(self.permit_wait).filter(|wait| !wait.is_zero()).map(|wait| wait.as_millis() as u64),
--- a/crates/ebony_gateway/src/target_run.rs
+++ b/crates/ebony_gateway/src/target_run.rs
@@ -7,7 +7,7 @@
 use ebony_dispatch::load::LoadNotice;
 use ebony_dispatch::{RunKey, TargetKey, TargetRecord};
 use ebony_routing::RouteRule;
-use ebony_types::{ClockTime, TargetName};
+use ebony_types::{ClockTime, SoftwareVersion, TargetName};
 use http::StatusCode;
 use slog::info;
 
@@ -65,6 +65,11 @@
         &self.record.name
     }
 
+    /// Returns the version of the target's software, by its entry when it got the call.
+    pub(crate) fn version(&self) -> &SoftwareVersion {
+        &self.record.version
+    }
+
     /// Returns the time on the gateway's clock.
     pub(crate) fn now(&self) -> ClockTime {
         self.gateway.clock.now()
--- a/crates/ebony_gateway/src/watch.rs
+++ b/crates/ebony_gateway/src/watch.rs
@@ -299,10 +299,12 @@
         };
         let (service, domain) = (record.service.clone(), record.domain.clone());
         let (name, incarnation) = (record.name.clone(), record.incarnation());
+        let version = record.version.clone();
         let change = self.gateway.board.borrow_mut().apply(record);
         match change {
             TargetChange::Added(_) => info!(logger, "target added";
-                "target" => &row.key, "service" => service.as_str(), "domain" => domain.as_str()),
+                "target" => &row.key, "service" => service.as_str(), "domain" => domain.as_str(),
+                "version" => version.as_str()),
             TargetChange::Draining(_) => {
                 leaving::log_and_count(&self.gateway, &name, incarnation, LeavingSource::Store)
             }
--- a/crates/ebony_types/src/lib.rs
+++ b/crates/ebony_types/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod name;
 pub mod problem;
 pub mod rendezvous;
+pub mod software_version;
 pub mod verdict;
 
 /// Re-exports the types that most crates need.
@@ -26,6 +27,7 @@
         TurnName,
     };
     pub use crate::problem::{ProblemCode, ProblemReport};
+    pub use crate::software_version::SoftwareVersion;
     pub use crate::verdict::RunVerdict;
 }
 
