Streams go on only at the software version that began them

Callers got answers whose first part was written by one software version of a service and whose rest by another, with nothing in the answer to show it: 18 of 40 resumed streams with two versions in service, before and after a loss of all gateways, 40 of 40 after a version was replaced.

Cause: placement did not know versions, and nothing remembered which one had begun a stream. The class of fault is state that callers rely on over several calls and that no process keeps.

The store now has a row for each version of a service with streams, written before the first stream begins at the version. While a service has one version, the version of a stream follows from these rows and its streams need no record. While it has several, each gateway keeps the streams that it began in a row of its own, written every 50 ms at most, also those that were running when the second version came. A gateway decides from its memory, or else from a read of the store that began after the call arrived, or else by the other gateways. What follows from none of them is refused as not run, so that the caller begins anew. Without the store, a service counts as one with a single version if all linked gateways, at least half of the others, know no second one.

Why this is enough: a stream begins at a version only after the row of the version is known to exist, so that a read that begins later shows it, whatever gateway began the stream and whether it lives. The exception, a service whose only version cannot be recorded, is covered by counting listed versions too.

The row of a gateway is shared with crash reports (own_row.rs).

--- a/crates/ebony_dispatch/examples/decision_cost.rs
+++ b/crates/ebony_dispatch/examples/decision_cost.rs
@@ -4,7 +4,8 @@
 use std::time::{Duration, Instant};
 
 use ebony_dispatch::{
-    DispatchOptions, EvenLoad, PlacementRequest, PromptPart, TargetBoard, TargetPhase, TargetRecord, place,
+    DispatchOptions, EvenLoad, PlacementRequest, PromptPart, TargetBoard, TargetPhase, TargetRecord,
+    VersionRule, place,
 };
 use ebony_types::{ClockTime, DomainName, ServiceName, SoftwareVersion, TargetName};
 
@@ -47,6 +48,7 @@
                     tried: &[],
                     max_connections: 30,
                     max_permit_wait: None,
+                    versions: VersionRule::Any,
                 };
                 std::hint::black_box(place(&board, &request, &options, now));
             }
--- a/crates/ebony_dispatch/src/board.rs
+++ b/crates/ebony_dispatch/src/board.rs
@@ -400,6 +400,22 @@
         target.is_some_and(|target| target.record.phase == TargetPhase::Ready)
     }
 
+    /// Returns whether a target of the service with this software version accepts new calls.
+    pub fn has_ready_version(&self, service: &ServiceName, version: &SoftwareVersion) -> bool {
+        let mut targets = self.targets.values();
+        targets.any(|target| {
+            target.record.service == *service
+                && target.record.version == *version
+                && target.record.phase == TargetPhase::Ready
+        })
+    }
+
+    /// Returns the record of a listed target.
+    pub fn record(&self, name: &TargetName) -> Option<&TargetRecord> {
+        let key = self.names.get(name)?;
+        self.targets.get(*key).map(|target| &target.record)
+    }
+
     /// Records that a call is sent to a target, and that the target will cache its prompt.
     pub fn begin(&mut self, target: TargetKey, prompt: &[PromptPart], memory_tokens: Option<u64>) -> RunKey {
         let mut prefill = 0;
--- a/crates/ebony_dispatch/src/lib.rs
+++ b/crates/ebony_dispatch/src/lib.rs
@@ -34,7 +34,7 @@
     pub use crate::load::TargetLoad;
     pub use crate::options::{AdmissionRule, DispatchOptions, PlacementRule};
     pub use crate::permit_bar::PermitBar;
-    pub use crate::placement::{PlacementRequest, place, place_with};
+    pub use crate::placement::{PlacementRequest, VersionRule, place, place_with};
     pub use crate::prompt::PromptPart;
     pub use crate::work_admission::{ProgramRequest, SharedSlots, WorkAdmission, WorkDecision, WorkRefusal};
 }
--- a/crates/ebony_dispatch/src/placement.rs
+++ b/crates/ebony_dispatch/src/placement.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use ebony_types::rendezvous::rendezvous_weight;
-use ebony_types::{ClockTime, DomainName, ServiceName};
+use ebony_types::{ClockTime, DomainName, ServiceName, SoftwareVersion};
 
 use crate::board::{TargetBoard, TargetEntry, TargetKey, TargetPhase};
 use crate::even_load::{CallDemand, least_time, retain_with_memory};
@@ -38,6 +38,41 @@
     pub max_connections: u32,
     /// How long the call may wait for the permit of a target that limits its rate; `None` if it must not use one.
     pub max_permit_wait: Option<Duration>,
+    /// The software versions of the targets that may get the call.
+    pub versions: VersionRule<'a>,
+}
+
+/// The software versions of the targets that may get a call.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum VersionRule<'a> {
+    /// All.
+    #[default]
+    Any,
+    /// One, which began the stream that the call resumes.
+    Only(&'a SoftwareVersion),
+    /// All but these.
+    Except(&'a [SoftwareVersion]),
+}
+
+impl VersionRule<'_> {
+    /// Returns whether targets of a version may get the call.
+    ///
+    /// ```
+    /// use ebony_dispatch::VersionRule;
+    /// use ebony_types::SoftwareVersion;
+    ///
+    /// let (old, new) = (SoftwareVersion::parse("v1")?, SoftwareVersion::parse("v2")?);
+    /// assert!(VersionRule::Only(&old).allows(&old));
+    /// assert!(!VersionRule::Only(&old).allows(&new));
+    /// # Ok::<(), ebony_types::software_version::SoftwareVersionError>(())
+    /// ```
+    pub fn allows(&self, version: &SoftwareVersion) -> bool {
+        match self {
+            Self::Any => true,
+            Self::Only(only) => *only == version,
+            Self::Except(excluded) => !excluded.contains(version),
+        }
+    }
 }
 
 /// Chooses a target. Returns `None` if no target of the service takes calls or all of them were tried.
@@ -92,6 +127,7 @@
         target.record.service == *call.service
             && target.record.phase == TargetPhase::Ready
             && !call.tried.contains(key)
+            && call.versions.allows(&target.record.version)
             && may_wait_for_permit(target, call, now)
     };
     board.targets().filter(is_eligible).collect()
--- a/crates/ebony_dispatch/tests/admission.rs
+++ b/crates/ebony_dispatch/tests/admission.rs
@@ -7,7 +7,7 @@
 use ebony_dispatch::load::LoadNotice;
 use ebony_dispatch::{
     DispatchOptions, PlacementRequest, ProgramAdmission, ProgramGate, RunKey, TargetBoard, TargetChange,
-    TargetKey, TargetPhase, TargetRecord, place, service_load,
+    TargetKey, TargetPhase, TargetRecord, VersionRule, place, service_load,
 };
 use ebony_types::{ClockTime, DomainName, ServiceName, SoftwareVersion, TargetName};
 use rand::{Rng, SeedableRng};
@@ -104,6 +104,7 @@
             tried: &[],
             max_connections: u32::MAX,
             max_permit_wait: None,
+            versions: VersionRule::Any,
         };
         let target = place(&self.board, &request, &self.options, Self::now(step)).expect("a target is ready");
         let run = self.board.begin(target, &[], None);
--- a/crates/ebony_dispatch/tests/even_choices.rs
+++ b/crates/ebony_dispatch/tests/even_choices.rs
@@ -8,7 +8,7 @@
 use ebony_dispatch::slowdown::SlowdownFactor;
 use ebony_dispatch::{
     CallDemand, DispatchOptions, EvenLoad, PlacementRequest, PromptPart, TargetBoard, TargetChange,
-    TargetKey, TargetPhase, TargetRecord, place_with,
+    TargetKey, TargetPhase, TargetRecord, VersionRule, place_with,
 };
 use ebony_types::{ClockTime, DomainName, ServiceName, SoftwareVersion, TargetName};
 use rand::{Rng, SeedableRng};
@@ -81,6 +81,7 @@
             tried: &[],
             max_connections: 100,
             max_permit_wait: None,
+            versions: VersionRule::Any,
         };
         let key = place_with(&self.board, &request, demand, &self.options, self.now)?;
         self.keys.iter().position(|found| *found == key)
--- a/crates/ebony_dispatch/tests/even_load/model.rs
+++ b/crates/ebony_dispatch/tests/even_load/model.rs
@@ -7,7 +7,7 @@
 use ebony_dispatch::slowdown::SlowdownFactor;
 use ebony_dispatch::{
     CallDemand, DispatchOptions, PlacementRequest, RunKey, TargetBoard, TargetChange, TargetKey, TargetPhase,
-    TargetRecord, place_with,
+    TargetRecord, VersionRule, place_with,
 };
 use ebony_types::{ClockTime, DomainName, ServiceName, SoftwareVersion, TargetName};
 use rand::{Rng, SeedableRng};
@@ -130,6 +130,7 @@
         tried: choice.tried,
         max_connections: 30,
         max_permit_wait: None,
+        versions: VersionRule::Any,
     };
     let demand = CallDemand {
         has_idle: &|key| choice.chooser.has_idle(key, choice.now),
--- a/crates/ebony_dispatch/tests/limits.rs
+++ b/crates/ebony_dispatch/tests/limits.rs
@@ -5,7 +5,7 @@
 use ebony_dispatch::load::LoadNotice;
 use ebony_dispatch::{
     DispatchOptions, PermitBar, PlacementRequest, TargetBoard, TargetChange, TargetKey, TargetPhase,
-    TargetRecord, place, service_load,
+    TargetRecord, VersionRule, place, service_load,
 };
 use ebony_limit::{LimitChange, LimitObservation, PermitBucket, PermitDecision, RequestRate};
 use ebony_types::{ClockTime, DomainName, ServiceName, SoftwareVersion, TargetName};
@@ -62,6 +62,7 @@
         tried: &[],
         max_connections: 100,
         max_permit_wait,
+        versions: VersionRule::Any,
     };
     place(board, &request, &DispatchOptions::default(), NOW)
 }
--- a/crates/ebony_dispatch/tests/objects.rs
+++ b/crates/ebony_dispatch/tests/objects.rs
@@ -3,7 +3,8 @@
 use std::collections::HashSet;
 
 use ebony_dispatch::{
-    DispatchOptions, PlacementRequest, TargetBoard, TargetChange, TargetKey, TargetPhase, TargetRecord, place,
+    DispatchOptions, PlacementRequest, TargetBoard, TargetChange, TargetKey, TargetPhase, TargetRecord,
+    VersionRule, place,
 };
 use ebony_types::{ClockTime, DomainName, ServiceName, SoftwareVersion, TargetName};
 
@@ -57,6 +58,7 @@
             tried,
             max_connections: 100,
             max_permit_wait: None,
+            versions: VersionRule::Any,
         };
         let key = place(&self.board, &request, &DispatchOptions::default(), NOW).expect("a target");
         let mut keys = self.keys.iter();
--- a/crates/ebony_dispatch/tests/placement.rs
+++ b/crates/ebony_dispatch/tests/placement.rs
@@ -5,7 +5,7 @@
 use ebony_dispatch::load::LoadNotice;
 use ebony_dispatch::{
     DispatchOptions, PlacementRequest, PlacementRule, PromptPart, TargetBoard, TargetChange,
-    TargetIncarnation, TargetKey, TargetPhase, TargetRecord, place,
+    TargetIncarnation, TargetKey, TargetPhase, TargetRecord, VersionRule, place,
 };
 use ebony_types::{ClockTime, DomainName, ServiceName, SoftwareVersion, TargetName};
 use rand::{Rng, SeedableRng};
@@ -73,6 +73,7 @@
             tried,
             max_connections: MAX_CONNECTIONS,
             max_permit_wait: None,
+            versions: VersionRule::Any,
         };
         place(&self.board, &request, &self.options, now)
     }
--- a/crates/ebony_dispatch/tests/unchanged.rs
+++ b/crates/ebony_dispatch/tests/unchanged.rs
@@ -5,7 +5,7 @@
 use ebony_dispatch::load::LoadNotice;
 use ebony_dispatch::{
     DispatchOptions, PlacementRequest, PlacementRule, PromptPart, RunKey, TargetBoard, TargetChange,
-    TargetKey, TargetPhase, TargetRecord, place,
+    TargetKey, TargetPhase, TargetRecord, VersionRule, place,
 };
 use ebony_types::{ClockTime, DomainName, ServiceName, SoftwareVersion, TargetName};
 use rand::{Rng, SeedableRng};
@@ -61,6 +61,7 @@
             tried: &tried,
             max_connections: 12,
             max_permit_wait: None,
+            versions: VersionRule::Any,
         };
         let key = place(&board, &request, &options, now).expect("a target is ready");
         let at = keys.iter().position(|found| *found == key).expect("a known key");
--- a/crates/ebony_gateway/src/answer.rs
+++ b/crates/ebony_gateway/src/answer.rs
@@ -12,6 +12,7 @@
 use actix_web::http::header::{HeaderName, HeaderValue};
 use bytes::{Bytes, BytesMut};
 use ebony_dialect::AnswerHead;
+use ebony_dispatch::TargetRecord;
 use futures_util::stream::{self, LocalBoxStream, StreamExt};
 use http::response::Parts;
 use http_body_util::BodyExt;
@@ -150,6 +151,12 @@
         }
     }
 
+    /// Returns the target, if its answer is a stream with at least one event.
+    pub(crate) fn stream_target(&mut self) -> Option<&TargetRecord> {
+        let has_begun = self.is_stream && self.read.has_event();
+        has_begun.then(|| self.run.record())
+    }
+
     async fn read_first_bytes(&mut self) -> Result<()> {
         loop {
             let is_enough = match self.is_stream {
--- a/crates/ebony_gateway/src/attempts.rs
+++ b/crates/ebony_gateway/src/attempts.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use ebony_dialect::{AnswerHead, AttemptHead};
-use ebony_dispatch::{CallDemand, PlacementRequest, TargetKey, place_with};
+use ebony_dispatch::{CallDemand, PlacementRequest, TargetKey, VersionRule, place_with};
 use ebony_routing::{CallSemantics, CallerIdentity};
 use ebony_types::{ClockTime, ProblemCode, RunVerdict, TargetName};
 use http::Request;
@@ -41,7 +41,7 @@
         log.record_send();
         let (run, result) = attempts.send(target, permit).await?;
         let name = run.name().clone();
-        log.set_target_version(run.version());
+        log.set_target_version(&run.record().version);
         let (outcome, run) = match result {
             Ok((answer, head)) => match attempts.classify(&answer, &head) {
                 AttemptOutcome::Answered => match StartedAnswer::read(call, answer, head, run).await {
@@ -222,18 +222,41 @@
             .retry_after(retry_after)
     }
 
+    /// Chooses a target. A resumed stream goes on at the version that began it only; others begin at versions that the
+    /// store has, if there are any.
+    fn place(&self) -> Option<TargetKey> {
+        let call = self.call;
+        if let Some(version) = &call.version {
+            return self.place_by_permits(VersionRule::Only(version));
+        }
+        let unconfirmed = match call.is_stream() {
+            true => call.gateway.streams.unconfirmed_versions(&call.service),
+            false => Vec::new(),
+        };
+        let confirmed = self.place_by_permits(VersionRule::Except(&unconfirmed));
+        match unconfirmed.is_empty() {
+            true => confirmed,
+            false => confirmed.or_else(|| self.place_by_permits(VersionRule::Any)),
+        }
+    }
+
     /// Chooses a target. A call that leaves the permits of limited targets to others uses them if there is no other
     /// choice.
-    fn place(&self) -> Option<TargetKey> {
+    fn place_by_permits(&self, versions: VersionRule<'_>) -> Option<TargetKey> {
         let may_ask = self.denied_permits < MAX_DENIED_PERMITS;
         let patience = may_ask.then(|| self.call.permit_patience());
         if self.call.leaves_permits_to_others() {
-            return self.place_within(None).or_else(|| self.place_within(patience));
+            let without = self.place_within(None, versions);
+            return without.or_else(|| self.place_within(patience, versions));
         }
-        self.place_within(patience)
+        self.place_within(patience, versions)
     }
 
-    fn place_within(&self, max_permit_wait: Option<Duration>) -> Option<TargetKey> {
+    fn place_within(
+        &self,
+        max_permit_wait: Option<Duration>,
+        versions: VersionRule<'_>,
+    ) -> Option<TargetKey> {
         let gateway = &self.call.gateway;
         let request = PlacementRequest {
             service: &self.call.service,
@@ -244,6 +267,7 @@
             tried: &self.tried,
             max_connections: self.call.max_connections,
             max_permit_wait,
+            versions,
         };
         let demand = CallDemand {
             max_output: self.call.max_output(),
--- a/crates/ebony_gateway/src/call.rs
+++ b/crates/ebony_gateway/src/call.rs
@@ -95,12 +95,18 @@
     let outcome = async {
         let mut call = route(gateway, request, head, body, arrived, &mut log).await?;
         resume(&mut call, &mut log).await?;
+        call.version = gateway.streams.settle(&call, &mut log).await?;
         admit(&call, &mut log)?;
         let (turn, answer) = start(&call, &mut log).await?;
         Ok::<_, CallRefusal>((call, turn, answer))
     };
     match outcome.await {
-        Ok((call, turn, answer)) => answer::forward(call, turn, answer, log, guard),
+        Ok((call, turn, mut answer)) => {
+            if let Some(target) = answer.stream_target() {
+                gateway.streams.record_begun(&call, target);
+            }
+            answer::forward(call, turn, answer, log, guard)
+        }
         Err(refusal) => {
             log.end(CallOutcome::Refused {
                 code: refusal.report.code,
@@ -177,6 +183,7 @@
         object: object.filter(|_| engine.is_none()),
         urgency,
         service: service.clone(),
+        version: None,
         engine,
         max_connections: (connections / gateways.max(1)).max(MIN_TARGET_CONNECTIONS),
         arrived,
--- a/crates/ebony_gateway/src/call_log.rs
+++ b/crates/ebony_gateway/src/call_log.rs
@@ -104,6 +104,10 @@
     /// The stream that the call resumes: the attempt that brought its first event, or nothing if the caller does not say
     /// it. `None` if the call begins a stream.
     resumed: Option<String>,
+    /// The software version that began the resumed stream, if it is known.
+    origin: Option<SoftwareVersion>,
+    /// How that is known, or why the stream cannot be resumed.
+    origin_source: Option<&'static str>,
     /// The software version of the target of the last attempt.
     target_version: Option<SoftwareVersion>,
     /// Target and outcome of each attempt.
@@ -141,6 +145,8 @@
             first_sent: None,
             first_bytes: None,
             resumed: None,
+            origin: None,
+            origin_source: None,
             target_version: None,
             attempts: String::new(),
             denied_permits: String::new(),
@@ -196,6 +202,16 @@
         self.resumed = resumption.is_resumed().then(|| attempt.to_owned());
     }
 
+    /// Sets the software version that began the resumed stream.
+    pub(crate) fn set_origin(&mut self, version: &SoftwareVersion) {
+        self.origin = Some(version.clone());
+    }
+
+    /// Sets how the version that began the resumed stream is known, or why the stream cannot be resumed.
+    pub(crate) fn set_origin_source(&mut self, source: &'static str) {
+        self.origin_source = Some(source);
+    }
+
     /// Sets the software version of the target that the call is sent to.
     pub(crate) fn set_target_version(&mut self, version: &SoftwareVersion) {
         self.target_version = Some(version.clone());
@@ -345,6 +361,8 @@
             "admission" => self.admission,
             "request" => self.request(),
             "resumed" => &self.resumed,
+            "origin" => self.origin.as_ref().map(SoftwareVersion::as_str),
+            "origin_source" => self.origin_source,
             "target_version" => self.target_version.as_ref().map(SoftwareVersion::as_str),
             "attempts" => &self.attempts,
             "denied_permits" => Some(&self.denied_permits).filter(|denied| !denied.is_empty()),
--- a/crates/ebony_gateway/src/crashes/rows.rs
+++ b/crates/ebony_gateway/src/crashes/rows.rs
@@ -1,17 +1,15 @@
 //! Crashes in the store: one row for each gateway, in the table that all gateways follow.
 //!
-//! A gateway writes only the row with its name, so that writes of several gateways never conflict. All gateways read
-//! all rows.
+//! All gateways read all rows.
 
-use std::cell::Cell;
 use std::rc::Rc;
 
 use bytes::Bytes;
-use ebony_platform::table::{create_resolved, replace_resolved};
-use ebony_platform::{PlatformError, RowKey, RowVersion, TableService, WriteNonce};
+use ebony_platform::{PlatformError, TableService, WriteNonce};
 use ebony_wire::{CrashReport, WireError, decode, encode};
 
 use crate::fleet;
+use crate::own_row::OwnRow;
 
 /// The key prefix of the rows.
 const ROW_PREFIX: &str = "crashes:";
@@ -27,52 +25,33 @@
 pub(crate) type Result<T, E = PlatformError> = std::result::Result<T, E>;
 
 /// The row of this gateway.
-pub(crate) struct CrashRow {
-    store: Rc<dyn TableService>,
-    key: RowKey,
-    /// The version that this gateway last wrote or read.
-    version: Cell<Option<RowVersion>>,
-}
+pub(crate) struct CrashRow(OwnRow);
 
 impl CrashRow {
     pub(crate) fn open(store: Rc<dyn TableService>, process: &str) -> Self {
-        Self {
+        Self(OwnRow::open(
             store,
-            key: fleet::row_key(&format!("{ROW_PREFIX}{process}")),
-            version: Cell::default(),
-        }
+            fleet::row_key(&format!("{ROW_PREFIX}{process}")),
+        ))
     }
 
     /// Reads the reports that an earlier process of this gateway wrote, unless the row's version is already known.
     pub(crate) async fn read_unknown(&self) -> Result<Vec<CrashReport>> {
-        if self.version.get().is_some() {
-            return Ok(Vec::new());
-        }
-        let Some(row) = self.store.read(&self.key).await? else {
-            return Ok(Vec::new());
-        };
-        self.version.set(Some(row.version));
-        decode_row(&row.value).map_err(|error| PlatformError::Malformed(error.to_string()))
+        let value = self.0.read_unknown().await?;
+        let reports = value.map(|value| decode_row(&value)).transpose();
+        let reports = reports.map_err(|error| PlatformError::Malformed(error.to_string()))?;
+        Ok(reports.unwrap_or_default())
     }
 
-    /// Writes the row.
-    ///
-    /// # Errors
-    ///
-    /// After any failure the row has to be read again, because it may have been written, or removed for its age.
+    /// Writes the row; see [`OwnRow::write`].
     pub(crate) async fn write(&self, reports: Vec<CrashReport>, nonce: WriteNonce) -> Result<()> {
         let value = encode_row(reports).map_err(|error| PlatformError::Refused(error.to_string()))?;
-        let written = match self.version.take() {
-            Some(version) => replace_resolved(&*self.store, &self.key, version, value, nonce).await,
-            None => create_resolved(&*self.store, &self.key, value, nonce).await,
-        };
-        self.version.set(Some(written?));
-        Ok(())
+        self.0.write(value, nonce).await
     }
 
     /// Records that the row was removed.
     pub(crate) fn clear_version(&self) {
-        self.version.set(None);
+        self.0.clear_version();
     }
 }
 
--- a/crates/ebony_gateway/src/gateway.rs
+++ b/crates/ebony_gateway/src/gateway.rs
@@ -28,6 +28,7 @@
 use crate::links::PeerLinks;
 use crate::metrics::GatewayMetrics;
 use crate::quotas::QuotaManager;
+use crate::streams::StreamRegistry;
 use crate::target_client::TargetClient;
 
 /// A protocol for both calls and stored records.
@@ -88,6 +89,8 @@
     pub(crate) client: Rc<TargetClient>,
     pub(crate) probes: TargetProbes,
     pub(crate) crashes: Rc<CrashRegistry>,
+    /// The software versions of streams.
+    pub(crate) streams: Rc<StreamRegistry>,
     /// The longest time for the body of a request, besides the time that a slow but steady caller needs.
     pub(crate) body_time: Duration,
     /// Rows that have not been written for this long are removed.
@@ -144,6 +147,14 @@
             Rc::clone(&decisions),
             Rc::clone(&metrics),
         );
+        let streams = StreamRegistry::open(
+            Rc::clone(&table),
+            Rc::clone(&fleet),
+            Rc::clone(&links),
+            clock,
+            Rc::clone(&decisions),
+            Rc::clone(&metrics),
+        );
         let conversations = ConversationStore::open(
             table,
             Rc::clone(&links),
@@ -156,6 +167,7 @@
             dialect,
             accounts,
             conversations,
+            streams,
             fleet,
             links,
             store,
--- a/crates/ebony_gateway/src/links/messages.rs
+++ b/crates/ebony_gateway/src/links/messages.rs
@@ -5,7 +5,8 @@
 use bytes::Bytes;
 use ebony_account::{CoverRequest, LentCover};
 use ebony_limit::quota::{QuotaAsk, QuotaReply};
-use ebony_types::{ProgramName, TargetName, TurnName};
+use ebony_stream::StreamDigest;
+use ebony_types::{ProgramName, ServiceName, SoftwareVersion, TargetName, TurnName};
 use ebony_wire::CrashReport;
 use serde::{Deserialize, Serialize};
 
@@ -118,6 +119,15 @@
         /// What is asked for, for each customer.
         asks: Vec<QuotaAsk>,
     },
+    /// Asks which software version began a stream. It is only sent to gateways whose pongs say that they know it.
+    FindStream {
+        /// The number that the reply repeats.
+        number: u64,
+        /// The stream; `None` if its caller does not name it.
+        stream: Option<StreamDigest>,
+        /// The service.
+        service: ServiceName,
+    },
 }
 
 /// The reply to a request for cover: the tokens that the requesting gateway may spend, or why there are none.
@@ -135,6 +145,9 @@
         /// which a request arrives that they do not know.
         #[serde(default)]
         knows_quotas: bool,
+        /// Whether the answering gateway knows of the versions of streams. Absent in pongs of earlier builds.
+        #[serde(default)]
+        knows_streams: bool,
     },
     /// Answers a request for cover.
     Lending {
@@ -178,6 +191,15 @@
         /// The tokens, in the order of the request.
         replies: Vec<QuotaReply>,
     },
+    /// Answers the question which software version began a stream.
+    Stream {
+        /// The number of the request.
+        number: u64,
+        /// The version, if the answering gateway has a record of the stream.
+        origin: Option<SoftwareVersion>,
+        /// The versions of the service that the answering gateway knows.
+        versions: Vec<SoftwareVersion>,
+    },
 }
 
 impl PeerReply {
@@ -190,7 +212,8 @@
             | Self::Turn { number, .. }
             | Self::Permit { number, .. }
             | Self::Kept { number, .. }
-            | Self::Quota { number, .. } => Some(*number),
+            | Self::Quota { number, .. }
+            | Self::Stream { number, .. } => Some(*number),
         }
     }
 }
--- a/crates/ebony_gateway/src/links/mod.rs
+++ b/crates/ebony_gateway/src/links/mod.rs
@@ -8,6 +8,7 @@
 mod messages;
 mod quotas;
 mod server;
+mod streams;
 
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
@@ -70,6 +71,8 @@
     is_silent: Rc<Cell<bool>>,
     /// Whether the other gateway takes part in quotas; `None` until its first pong.
     knows_quotas: Rc<Cell<Option<bool>>>,
+    /// Whether the other gateway knows of the versions of streams, by its last pong.
+    knows_streams: Rc<Cell<bool>>,
 }
 
 /// The links that this gateway dialed, and those that others dialed to it.
@@ -389,6 +392,7 @@
         let reaches_store = Rc::new(Cell::new(false));
         let is_silent = Rc::new(Cell::new(false));
         let knows_quotas = Rc::new(Cell::new(None));
+        let knows_streams = Rc::new(Cell::new(false));
         let entry = DialedLink {
             incarnation,
             sender: sender.clone(),
@@ -396,6 +400,7 @@
             reaches_store: Rc::clone(&reaches_store),
             is_silent: Rc::clone(&is_silent),
             knows_quotas: Rc::clone(&knows_quotas),
+            knows_streams: Rc::clone(&knows_streams),
         };
         self.links.borrow_mut().insert(name.to_owned(), entry);
         self.unlinked_since.borrow_mut().remove(name);
@@ -408,9 +413,11 @@
                     PeerReply::Pong {
                         reaches_store: reaches,
                         knows_quotas: knows,
+                        knows_streams: knows_versions,
                     } => {
                         reaches_store.set(reaches);
                         knows_quotas.set(Some(knows));
+                        knows_streams.set(knows_versions);
                     }
                     reply => {
                         let number = reply.number();
--- a/crates/ebony_gateway/src/links/server.rs
+++ b/crates/ebony_gateway/src/links/server.rs
@@ -65,6 +65,7 @@
                 let pong = PeerReply::Pong {
                     reaches_store,
                     knows_quotas: true,
+                    knows_streams: true,
                 };
                 sender.send(&pong).ok();
             }
@@ -131,6 +132,19 @@
                 let replies = quotas::answer(&gateway, peer, asks);
                 sender.send(&PeerReply::Quota { number, replies }).ok();
             }
+            PeerRequest::FindStream {
+                number,
+                stream,
+                service,
+            } => {
+                let (origin, versions) = gateway.streams.answer_peer(stream, &service);
+                let reply = PeerReply::Stream {
+                    number,
+                    origin,
+                    versions,
+                };
+                sender.send(&reply).ok();
+            }
             PeerRequest::ShareTurn { turn, record } => gateway.conversations.cache_shared(&turn, &record),
             PeerRequest::KeepTurn { number, turn, record } => {
                 let conversations = Rc::clone(&gateway.conversations);
--- a/crates/ebony_gateway/src/metrics.rs
+++ b/crates/ebony_gateway/src/metrics.rs
@@ -60,6 +60,12 @@
     pub(crate) limited_targets: IntGauge,
     /// Targets that broke off a call, by the result of their probe.
     pub(crate) target_fates: IntCounterVec,
+    /// Calls that resume a stream, by how its version is known or why they were refused.
+    pub(crate) resumptions: IntCounterVec,
+    /// Streams whose version is known.
+    pub(crate) streams: IntGauge,
+    /// Streams of this gateway that have to be recorded and are not.
+    pub(crate) unrecorded_streams: IntGauge,
     /// Requests that were running when targets crashed.
     pub(crate) crash_requests: IntGauge,
     /// The resident memory of the process, in bytes.
@@ -210,6 +216,19 @@
                 "Targets that broke off a call, by what became of them.",
                 &["fate"],
             )?,
+            resumptions: registry.counter_family(
+                "gateway_resumptions_total",
+                "Calls that resume a stream, by how its software version is known or why they were refused.",
+                &["origin"],
+            )?,
+            streams: registry.gauge(
+                "gateway_streams",
+                "Streams whose software version is in memory.",
+            )?,
+            unrecorded_streams: registry.gauge(
+                "gateway_unrecorded_streams",
+                "Streams whose software version has to be recorded in the store and is not yet.",
+            )?,
             crash_requests: registry.gauge(
                 "gateway_crash_requests",
                 "Requests under which targets ended, cleared ones included.",
--- a/crates/ebony_gateway/src/process.rs
+++ b/crates/ebony_gateway/src/process.rs
@@ -105,6 +105,9 @@
         tokio::task::spawn_local(watch::watch_fleet(Rc::clone(&gateway)));
         tokio::task::spawn_local(Rc::clone(&gateway.fleet).keep_registered());
         tokio::task::spawn_local(Rc::clone(&gateway.crashes).maintain_row());
+        tokio::task::spawn_local(Rc::clone(&gateway.streams).run_reads());
+        tokio::task::spawn_local(Rc::clone(&gateway.streams).maintain_releases());
+        tokio::task::spawn_local(Rc::clone(&gateway.streams).maintain_row());
         tokio::task::spawn_local(links::serve(Rc::clone(&gateway), self.settings.links.listen));
         tokio::task::spawn_local(Rc::clone(&gateway.links).maintain_links());
         tokio::task::spawn_local(watch::run_maintenance(Rc::clone(&gateway)));
--- a/crates/ebony_gateway/src/routed_call.rs
+++ b/crates/ebony_gateway/src/routed_call.rs
@@ -3,9 +3,10 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
-use ebony_dialect::CallHead;
+use ebony_dialect::{CallHead, StreamResumption};
 use ebony_routing::{CallerIdentity, EngineRule, RouteRule};
-use ebony_types::{ClockTime, CustomerName, ServiceName};
+use ebony_stream::StreamDigest;
+use ebony_types::{ClockTime, CustomerName, ServiceName, SoftwareVersion};
 
 use crate::conversations::KeptTurn;
 use crate::crashes::{CrashPermit, RequestFingerprint};
@@ -33,6 +34,8 @@
     /// The urgency of the customer, or else of the route; 0 is the most urgent.
     pub(crate) urgency: u8,
     pub(crate) service: ServiceName,
+    /// The software version that the target must have, because it began the stream that the call resumes.
+    pub(crate) version: Option<SoftwareVersion>,
     pub(crate) engine: Option<EngineRule>,
     /// The maximum number of connections from this gateway to one target.
     pub(crate) max_connections: u32,
@@ -98,6 +101,15 @@
         self.route.semantics.is_stream()
     }
 
+    /// Returns the stream that the call begins or resumes, if its caller names it.
+    pub(crate) fn stream(&self) -> Option<StreamDigest> {
+        let attempt = match &self.head.resumption {
+            StreamResumption::Begins => self.head.call.as_deref(),
+            resumption => resumption.attempt(),
+        };
+        attempt.map(|attempt| StreamDigest::of(self.customer(), attempt))
+    }
+
     /// Returns the number of tokens that one event counts as.
     pub(crate) fn event_tokens(&self) -> u64 {
         self.engine.map_or(1, |engine| u64::from(engine.event_tokens))
--- a/crates/ebony_gateway/src/sweeper.rs
+++ b/crates/ebony_gateway/src/sweeper.rs
@@ -17,6 +17,7 @@
 use crate::conversations::rows as turns;
 use crate::crashes::rows as crashes;
 use crate::gateway::Gateway;
+use crate::streams::rows as streams;
 use crate::{accounts, fleet};
 
 /// The number of sweeps in one retention time. Rows stay for at most a sixth of it longer.
@@ -47,6 +48,7 @@
         }
         let prefixes = accounts::part_prefixes()
             .chain(turns::part_prefixes())
+            .chain(streams::part_prefixes())
             .chain([fleet::entry_prefix(), crashes::row_prefix()]);
         for prefix in prefixes {
             if !gateway.fleet.owns(&prefix) {
--- a/crates/ebony_gateway/src/target_run.rs
+++ b/crates/ebony_gateway/src/target_run.rs
@@ -7,7 +7,7 @@
 use ebony_dispatch::load::LoadNotice;
 use ebony_dispatch::{RunKey, TargetKey, TargetRecord};
 use ebony_routing::RouteRule;
-use ebony_types::{ClockTime, SoftwareVersion, TargetName};
+use ebony_types::{ClockTime, TargetName};
 use http::StatusCode;
 use slog::info;
 
@@ -65,9 +65,9 @@
         &self.record.name
     }
 
-    /// Returns the version of the target's software, by its entry when it got the call.
-    pub(crate) fn version(&self) -> &SoftwareVersion {
-        &self.record.version
+    /// Returns the target's entry in the list when it got the call.
+    pub(crate) fn record(&self) -> &TargetRecord {
+        &self.record
     }
 
     /// Returns the time on the gateway's clock.
--- a/crates/ebony_gateway/src/watch.rs
+++ b/crates/ebony_gateway/src/watch.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use ebony_dispatch::TargetChange;
+use ebony_dispatch::{TargetChange, TargetRecord};
 use ebony_platform::{FeedPage, FeedRow, PlatformError, RowVersion};
 use ebony_types::{ClockTime, TargetName};
 use slog::{info, warn};
@@ -17,6 +17,7 @@
 use crate::gateway::Gateway;
 use crate::leaving::{self, LeavingSource};
 use crate::limits;
+use crate::streams;
 
 /// The long-poll time of requests for changes of the configuration or of the list of targets. With the timeout of the
 /// answer, a silent connection is detected within 1.3 s; a draining target and a new configuration have to be noticed
@@ -208,6 +209,7 @@
         .routing_version
         .set(i64::try_from(version.0).unwrap_or(i64::MAX));
     *gateway.routing.borrow_mut() = Some(Rc::new(table));
+    streams::update_listed(gateway);
     gateway.update_health();
 }
 
@@ -225,6 +227,7 @@
             TableUpdate::Snapshot(rows) => list.replace(&rows),
             TableUpdate::Changes(rows) => list.apply_all(&rows),
         }
+        streams::update_listed(&gateway);
         gateway.has_targets.set(true);
         gateway.update_health();
         sleep(TARGET_BATCH_DELAY).await;
@@ -300,6 +303,7 @@
         let (service, domain) = (record.service.clone(), record.domain.clone());
         let (name, incarnation) = (record.name.clone(), record.incarnation());
         let version = record.version.clone();
+        self.note_replaced_version(&record);
         let change = self.gateway.board.borrow_mut().apply(record);
         match change {
             TargetChange::Added(_) => info!(logger, "target added";
@@ -315,6 +319,17 @@
         }
     }
 
+    /// Forgets the streams of a target whose entry says that it was restarted with another version.
+    fn note_replaced_version(&self, record: &TargetRecord) {
+        let board = self.gateway.board.borrow();
+        let known = board.record(&record.name);
+        let is_replaced =
+            known.is_some_and(|known| known.version != record.version && known.born <= record.born);
+        if is_replaced {
+            self.gateway.streams.forget_target(record);
+        }
+    }
+
     /// Removes a target, or marks it as unlisted for the rest of [`UNLISTED_GRACE`] after an outage of the store.
     fn remove_or_mark_unlisted(&self, name: &TargetName) {
         let now = self.gateway.clock.now();
@@ -366,9 +381,13 @@
         sleep(MAINTENANCE_INTERVAL).await;
         let now = gateway.clock.now();
         let removed = gateway.board.borrow_mut().remove_expired(now);
+        if !removed.is_empty() {
+            streams::update_listed(&gateway);
+        }
         for name in removed {
             info!(gateway.logger, "target removed"; "target" => name.as_str());
         }
+        gateway.streams.expire();
         gateway
             .client
             .prune(|target| gateway.board.borrow().is_ready(target));
--- a/crates/ebony_types/src/problem.rs
+++ b/crates/ebony_types/src/problem.rs
@@ -92,6 +92,9 @@
     OwnerUnavailable = 503, "owner_unavailable";
     /// Several targets ended while they ran the request. It is held for a while before it may be tried again.
     RequestHeld = 503, "request_held";
+    /// The stream cannot be resumed, because the software version that began it is unknown or has no target. It can be
+    /// sent again from its start.
+    NotResumable = 503, "not_resumable";
     /// The platform's table service or object store does not accept a write that the request requires.
     PlatformUnavailable = 503, "platform_unavailable";
     /// The process is stopping.
