Answers with a status that HTTP does not have are broken answers

A target whose answer had status 600, 999 or 101 had it forwarded to the caller as its answer; 000, 099, 20 and 2000 already gave a 502. The client of targets now takes an answer only if its final status is one of 200 to 599. Anything else breaks the call off: its connection is closed, what the answer says of its target is ignored, and the caller gets a 502 that says that the call may have run.

--- a/crates/ebony_gateway/src/target_client.rs
+++ b/crates/ebony_gateway/src/target_client.rs
@@ -11,7 +11,7 @@
 use bytes::Bytes;
 use ebony_dispatch::TargetKey;
 use ebony_settings::TargetLimits;
-use http::{Request, response};
+use http::{Request, StatusCode, response};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
@@ -105,6 +105,12 @@
     }
 }
 
+/// Returns whether an answer may have the status. Interim answers are read by the connection, apart from one that
+/// switches protocols, which no call asks for.
+fn is_final_status(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 /// Sends calls to targets.
 pub(crate) struct TargetClient {
     limits: TargetLimits,
@@ -165,6 +171,10 @@
         request: Request<Full<Bytes>>,
     ) -> Result<OpenAnswer, (SendFailure, Option<Request<Full<Bytes>>>)> {
         match connection.sender.try_send_request(request).await {
+            Ok(answer) if !is_final_status(answer.status()) => {
+                let failure = SendFailure::Broken(format!("invalid status {}", answer.status().as_u16()));
+                Err((failure, None))
+            }
             Ok(answer) => {
                 let (head, body) = answer.into_parts();
                 let lease = ConnectionLease {
