Answers without an end cannot fill the memory of a gateway

A faulty target that sends bytes that never become an answer had each call of a gateway keep up to 1 MB of an event, or up to 408 KB of a head, until the call ended. 100 such calls took a gateway to 170 MB with events and 66 MB with heads, where a host has 88 MB; the calls of all other callers of that host would have ended with the process. One call at a time was bounded and tested, the number of calls was not thought of.

An event has now 32 KB at most, and a connection to a target reads 32 KB ahead at most, which bounds heads as well. The bound is one for each call: no bound holds for the sum over several faulty targets.

--- a/crates/ebony_gateway/src/answer.rs
+++ b/crates/ebony_gateway/src/answer.rs
@@ -34,9 +34,9 @@
 /// than 5 KB.
 const MAX_BUFFERED_BYTES: usize = 64 * 1024;
 
-/// The maximum size of a stream event. Events of engines have less than 1 KB, but a faulty target may send bytes
-/// without end.
-const MAX_EVENT_BYTES: usize = 1024 * 1024;
+/// The maximum size of a stream event. Events of engines have less than 1 KB, but a faulty target may send bytes without
+/// end to all calls that it has.
+const MAX_EVENT_BYTES: usize = 32 * 1024;
 
 /// How long after the deadline the connection to the target is closed if the caller reads nothing. A body that is not
 /// polled cannot detect the deadline itself.
--- a/crates/ebony_gateway/src/target_client.rs
+++ b/crates/ebony_gateway/src/target_client.rs
@@ -29,6 +29,10 @@
 /// The maximum number of idle connections to one target.
 const MAX_IDLE_CONNECTIONS: usize = 16;
 
+/// The maximum size of the head of an answer, and of the bytes that a connection reads ahead. Heads of targets have less
+/// than 2 KB, but a faulty target may send one without end.
+const MAX_READ_BYTES: usize = 32 * 1024;
+
 /// The interval of TCP keepalive probes on a silent connection.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -233,7 +237,9 @@
             .map_err(|error| not_sent(error.to_string()))?;
         self.configure(&stream)
             .map_err(|error| not_sent(error.to_string()))?;
-        let (sender, connection) = http1::handshake(TokioIo::new(stream))
+        let (sender, connection) = http1::Builder::new()
+            .max_buf_size(MAX_READ_BYTES)
+            .handshake(TokioIo::new(stream))
             .await
             .map_err(|error| not_sent(error.to_string()))?;
         // Errors of the connection are reported to the call that uses it.
