Calls that come late in a graceful stop are refused, and those that run until its end are answered

A gateway that stops refuses new calls for the second part of its drain time, but it looked at that only when it had read the head of a call. A call whose body arrived later, or that waited for a target, was passed on, and when the drain time ended, calls without an answer were cut off with the process, also ones that must not be repeated: their callers learned nothing.

A call that no target has got is now refused as not run once the gateway refuses new ones. Shortly before the process ends, calls without an answer get one: 503 and not run if they were not sent, else 504 and that they may have run. A stream whose head was sent is still cut, so that it does not look complete.

--- a/crates/ebony_gateway/src/attempts.rs
+++ b/crates/ebony_gateway/src/attempts.rs
@@ -12,6 +12,7 @@
 use tokio::time::{sleep, timeout};
 
 use crate::answer::StartedAnswer;
+use crate::call::refuse_stopping;
 use crate::call_log::{AttemptOutcome, CallLog};
 use crate::crashes::registry::REQUEST_HELD_DETAIL;
 use crate::limits::permits::{self, CallPermit, PermitOutcome};
@@ -164,6 +165,10 @@
     fn check_may_send(&self) -> Result<()> {
         let call = self.call;
         let gateway = &call.gateway;
+        // The process may end before the answer of a call whose body or target came late.
+        if gateway.is_closing.get() && self.reached == 0 {
+            return Err(refuse_stopping());
+        }
         if gateway.time_left(call.deadline).is_none() {
             return Err(self.refuse(ProblemCode::DeadlineExceeded, "the deadline passed"));
         }
--- a/crates/ebony_gateway/src/call.rs
+++ b/crates/ebony_gateway/src/call.rs
@@ -100,7 +100,8 @@
         let (turn, answer) = start(&call, &mut log).await?;
         Ok::<_, CallRefusal>((call, turn, answer))
     };
-    match outcome.await {
+    let outcome = gateway.before_end(outcome).await;
+    match outcome.unwrap_or_else(|| Err(refuse_at_end(&log))) {
         Ok((call, turn, mut answer)) => {
             if let Some(target) = answer.stream_target() {
                 gateway.streams.record_begun(&call, target);
@@ -118,6 +119,22 @@
     }
 }
 
+/// Returns the refusal of a call that has no answer when the process is about to end.
+fn refuse_at_end(log: &CallLog) -> CallRefusal {
+    match log.was_sent() {
+        true => CallRefusal::may_have_run(
+            ProblemCode::DeadlineExceeded,
+            "the gateway stopped before the target answered",
+        ),
+        false => refuse_stopping(),
+    }
+}
+
+/// Returns the refusal of a call that comes too late for a stopping gateway.
+pub(crate) fn refuse_stopping() -> CallRefusal {
+    CallRefusal::not_run(ProblemCode::Draining, "the gateway is stopping").retry_after(STOPPING_RETRY_AFTER)
+}
+
 async fn route(
     gateway: &Rc<Gateway>,
     request: RequestHead,
@@ -131,8 +148,7 @@
         refusal.retry_after(NO_TARGET_RETRY_AFTER)
     };
     if gateway.is_closing.get() {
-        let refusal = CallRefusal::not_run(ProblemCode::Draining, "the gateway is stopping");
-        return Err(refusal.retry_after(STOPPING_RETRY_AFTER));
+        return Err(refuse_stopping());
     }
     let routing = gateway.routing().ok_or_else(unavailable)?;
     log.set_version(routing.version());
--- a/crates/ebony_gateway/src/gateway.rs
+++ b/crates/ebony_gateway/src/gateway.rs
@@ -2,6 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -15,9 +16,11 @@
 use ebony_settings::{GatewayPolicy, GatewaySettings};
 use ebony_telemetry::{BootClock, HealthState, MetricsRegistry};
 use ebony_types::{ClockTime, DomainName, ServiceName};
+use futures_util::future::{Either, select};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use slog::Logger;
+use tokio::sync::watch;
 
 use crate::accounts::AccountManager;
 use crate::admission::ServiceAdmissions;
@@ -100,6 +103,8 @@
     pub(crate) is_draining: Cell<bool>,
     /// Whether new calls are refused, because the process might end before their answers do.
     pub(crate) is_closing: Cell<bool>,
+    /// Set when the process is about to end. Calls without an answer are then refused.
+    pub(crate) is_ending: watch::Sender<bool>,
     pub(crate) open_calls: Cell<usize>,
     pub(crate) metrics: Rc<GatewayMetrics>,
     pub(crate) decisions: Rc<DecisionLog>,
@@ -193,6 +198,7 @@
             health,
             is_draining: Cell::default(),
             is_closing: Cell::default(),
+            is_ending: watch::Sender::new(false),
             open_calls: Cell::default(),
             decisions,
             metrics,
@@ -237,6 +243,16 @@
         self.random.borrow_mut().random()
     }
 
+    /// Runs a step of a call. Returns `None` if the process is about to end first.
+    pub(crate) async fn before_end<T>(&self, step: impl Future<Output = T>) -> Option<T> {
+        let mut is_ending = self.is_ending.subscribe();
+        let ending = is_ending.wait_for(|is_ending| *is_ending);
+        match select(pin!(step), pin!(ending)).await {
+            Either::Left((output, _)) => Some(output),
+            Either::Right(_) => None,
+        }
+    }
+
     /// Returns the time until a deadline, or `None` if it has passed.
     pub(crate) fn time_left(&self, deadline: ClockTime) -> Option<Duration> {
         let left = deadline.since(self.clock.now());
--- a/crates/ebony_gateway/src/process.rs
+++ b/crates/ebony_gateway/src/process.rs
@@ -169,6 +169,7 @@
         while self.gateway.open_calls.get() > 0 && Instant::now() < limit {
             sleep(DRAIN_POLL_INTERVAL).await;
         }
+        self.gateway.is_ending.send_replace(true);
         self.port.close(CLOSING_TIME / 2).await;
         info!(self.gateway.logger, "drained";
             "calls_left" => self.gateway.open_calls.get(), "took_ms" => start.elapsed().as_millis() as u64);
