Without the store, a stream with a single known version is resumed only if no gateway that may have begun it knows another

A lookup without the store now counts a service as one with a single version only if every other gateway vouches for that: it answers, and has known the list of targets for 10 s, or has been without a link for as long. In return, one of the gateways that reach the store reads it on behalf of the others, as for turns of conversations, so that a gateway that is cut off alone resumes streams as before.

Callers notice it when the store is away for all gateways and one of them has just been killed: streams that none of the others began are then refused as not run, with a time to return, and begin anew.

--- a/crates/ebony_gateway/src/links/messages.rs
+++ b/crates/ebony_gateway/src/links/messages.rs
@@ -127,6 +127,8 @@
         stream: Option<StreamDigest>,
         /// The service.
         service: ServiceName,
+        /// Whether the gateway reads the store if it has no record of the stream in memory.
+        reads_store: bool,
     },
 }
 
@@ -195,10 +197,12 @@
     Stream {
         /// The number of the request.
         number: u64,
-        /// The version, if the answering gateway has a record of the stream.
+        /// The version, if the answering gateway has a record of the stream, or read in the store what follows from it.
         origin: Option<SoftwareVersion>,
         /// The versions of the service that the answering gateway knows.
         versions: Vec<SoftwareVersion>,
+        /// Whether these are all versions at which it can have begun streams that may still be resumed.
+        vouches: bool,
     },
 }
 
--- a/crates/ebony_gateway/src/links/server.rs
+++ b/crates/ebony_gateway/src/links/server.rs
@@ -136,14 +136,13 @@
                 number,
                 stream,
                 service,
+                reads_store,
             } => {
-                let (origin, versions) = gateway.streams.answer_peer(stream, &service);
-                let reply = PeerReply::Stream {
-                    number,
-                    origin,
-                    versions,
-                };
-                sender.send(&reply).ok();
+                let streams = Rc::clone(&gateway.streams);
+                tokio::task::spawn_local(async move {
+                    let reply = streams.answer_peer(number, stream, &service, reads_store).await;
+                    sender.send(&reply).ok();
+                });
             }
             PeerRequest::ShareTurn { turn, record } => gateway.conversations.cache_shared(&turn, &record),
             PeerRequest::KeepTurn { number, turn, record } => {
--- a/crates/ebony_gateway/src/streams/lookup.rs
+++ b/crates/ebony_gateway/src/streams/lookup.rs
@@ -8,6 +8,7 @@
 
 use super::StreamRegistry;
 use crate::call_log::CallLog;
+use crate::links::PeerReply;
 use crate::refusal::{CallRefusal, Result};
 use crate::routed_call::RoutedCall;
 
@@ -21,7 +22,7 @@
 const MAX_PEER_LOOKUPS: usize = 8;
 
 /// The most versions of a service that a gateway sends to another one.
-pub(super) const MAX_SENT_VERSIONS: usize = 16;
+const MAX_SENT_VERSIONS: usize = 16;
 
 impl StreamRegistry {
     /// Returns the version at which a call must run, if it resumes a stream.
@@ -79,19 +80,34 @@
             return PeerFindings::default();
         }
         let _lookup = PeerLookupGuard::open(self);
-        self.links.find_stream(stream, service).await
+        let mut findings = self.links.find_stream(stream, service).await;
+        findings.is_complete &= self.vouches();
+        findings
     }
 
-    /// Answers the lookup of another gateway from memory.
-    pub(crate) fn answer_peer(
+    /// Answers the lookup of another gateway, from memory or from the store.
+    pub(crate) async fn answer_peer(
         &self,
+        number: u64,
         stream: Option<StreamDigest>,
         service: &ServiceName,
-    ) -> (Option<SoftwareVersion>, Vec<SoftwareVersion>) {
-        let book = self.book.borrow();
-        let origin = stream.and_then(|stream| book.origin(stream, service));
-        let versions = book.known_versions(service).into_iter().take(MAX_SENT_VERSIONS);
-        (origin.map(|(version, _)| version), versions.collect())
+        reads_store: bool,
+    ) -> PeerReply {
+        let origin = stream.and_then(|stream| self.book.borrow().origin(stream, service));
+        let mut origin = origin.map(|(version, _)| version);
+        if origin.is_none() && reads_store && self.read().await {
+            origin = match self.book.borrow().verdict(stream, service) {
+                StreamVerdict::At(version, _) => Some(version),
+                StreamVerdict::Unknown => None,
+            };
+        }
+        let versions = self.book.borrow().known_versions(service);
+        PeerReply::Stream {
+            number,
+            origin,
+            vouches: self.vouches() && versions.len() <= MAX_SENT_VERSIONS,
+            versions: versions.into_iter().take(MAX_SENT_VERSIONS).collect(),
+        }
     }
 }
 
--- a/crates/ebony_gateway/src/streams/registry.rs
+++ b/crates/ebony_gateway/src/streams/registry.rs
@@ -7,7 +7,7 @@
 
 use ebony_dispatch::TargetRecord;
 use ebony_platform::{TableService, WriteNonce};
-use ebony_stream::book::RESUME_WINDOW;
+use ebony_stream::book::{RESUME_WINDOW, VOUCHING_TIME};
 use ebony_stream::{ServiceRelease, StreamBook};
 use ebony_types::{ClockTime, ServiceName};
 use rand::rngs::StdRng;
@@ -57,6 +57,8 @@
     release_due: Notify,
     /// Since when recorded versions have had no listed target.
     unlisted_since: RefCell<HashMap<ServiceRelease, ClockTime>>,
+    /// When this process first knew the list of targets.
+    listed_since: Cell<Option<ClockTime>>,
     /// The number of lookups that wait for other gateways.
     pub(super) peer_lookups: Cell<usize>,
     fleet: Rc<FleetView>,
@@ -84,6 +86,7 @@
             row_due: Notify::new(),
             release_due: Notify::new(),
             unlisted_since: RefCell::default(),
+            listed_since: Cell::default(),
             peer_lookups: Cell::default(),
             fleet,
             links,
@@ -124,6 +127,9 @@
 
     /// Sets the versions of the listed targets.
     fn set_listed(&self, releases: BTreeSet<ServiceRelease>) {
+        if self.listed_since.get().is_none() {
+            self.listed_since.set(Some(self.clock.now()));
+        }
         let mut book = self.book.borrow_mut();
         book.set_listed(releases);
         if !book.unconfirmed().is_empty() {
@@ -134,6 +140,13 @@
         }
     }
 
+    /// Returns whether this process knows every version at which it, or an earlier process of this gateway, can have begun
+    /// streams that may still be resumed.
+    pub(super) fn vouches(&self) -> bool {
+        let since = self.listed_since.get();
+        since.is_some_and(|since| self.clock.now().since(since) >= VOUCHING_TIME)
+    }
+
     /// Drops streams that cannot be resumed any more, and updates gauges.
     pub(crate) fn expire(&self) {
         let mut book = self.book.borrow_mut();
--- a/crates/ebony_stream/src/book.rs
+++ b/crates/ebony_stream/src/book.rs
@@ -12,6 +12,11 @@
 /// How long a stream may be resumed after it began, unless its caller leaves earlier. Callers leave within 10 s.
 pub const RESUME_WINDOW: Duration = Duration::from_secs(30);
 
+/// How long a gateway must have known the list of targets, and how long another one must have been without a link to be
+/// left out, before a service counts as one with a single version without a look at the store. Callers of streams that
+/// began earlier have left.
+pub const VOUCHING_TIME: Duration = Duration::from_secs(10);
+
 /// How long a version counts as recorded after its row was last read or written. Rows are removed only after twice
 /// [`RESUME_WINDOW`] without a listed target of the version.
 const CONFIRMATION_TIME: Duration = Duration::from_secs(50);
@@ -68,8 +73,9 @@
     pub origin: Option<SoftwareVersion>,
     /// The versions of the service that they know.
     pub versions: BTreeSet<SoftwareVersion>,
-    /// Whether all linked gateways answered, and these are at least half of the others.
-    pub is_majority: bool,
+    /// Whether they know every version at which a stream that may still be resumed can have begun; see
+    /// [`VOUCHING_TIME`].
+    pub is_complete: bool,
 }
 
 #[derive(Clone, Debug)]
@@ -134,7 +140,8 @@
     }
 
     /// Decides where a stream of a service may be resumed after [`Self::verdict`] could not, or the store did not answer
-    /// (`has_read` is false). Then the service counts as one with a single version if most gateways know no other one.
+    /// (`has_read` is false). Then the service counts as one with a single version only if no gateway that may have begun
+    /// the stream knows another one.
     pub fn verdict_by_peers(
         &self,
         service: &ServiceName,
@@ -147,7 +154,7 @@
         let mut versions = self.known_versions(service);
         versions.extend(findings.versions);
         match (versions.pop_first(), versions.is_empty()) {
-            (Some(version), true) if !has_read && findings.is_majority => {
+            (Some(version), true) if !has_read && findings.is_complete => {
                 StreamVerdict::At(version, VersionSource::OnlyVersion)
             }
             _ => StreamVerdict::Unknown,
--- a/crates/ebony_stream/tests/model.rs
+++ b/crates/ebony_stream/tests/model.rs
@@ -6,6 +6,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
+use ebony_stream::book::VOUCHING_TIME;
 use ebony_stream::{PeerFindings, ServiceRelease, StreamBook, StreamDigest, StreamRow, StreamVerdict};
 use ebony_types::{ClockTime, ServiceName, SoftwareVersion, TargetName};
 use rand::rngs::StdRng;
@@ -39,6 +40,8 @@
     /// The versions that it believes to be listed.
     listed: BTreeSet<SoftwareVersion>,
     is_up: bool,
+    /// The step in which it first knew the list of targets, or ended.
+    since: Option<u64>,
     reaches_store: bool,
     has_adopted: bool,
 }
@@ -49,10 +52,17 @@
             book: StreamBook::default(),
             listed: BTreeSet::new(),
             is_up: true,
+            since: None,
             reaches_store: true,
             has_adopted: false,
         }
     }
+
+    fn kill(&mut self, step: u64) {
+        if std::mem::replace(&mut self.is_up, false) {
+            self.since = Some(step);
+        }
+    }
 }
 
 /// A stream that may be resumed.
@@ -143,8 +153,9 @@
     }
 
     fn inject_fault(&mut self) {
+        let step = self.step;
         if self.rng.random_bool(0.002) {
-            self.gateways.iter_mut().for_each(|gateway| gateway.is_up = false);
+            self.gateways.iter_mut().for_each(|gateway| gateway.kill(step));
         }
         if self.rng.random_bool(0.004) {
             let is_away = self.rng.random_bool(0.5);
@@ -156,7 +167,7 @@
             let draw: f64 = self.rng.random();
             let gateway = &mut self.gateways[index];
             match draw {
-                draw if draw < 0.001 => gateway.is_up = false,
+                draw if draw < 0.001 => gateway.kill(step),
                 draw if draw < 0.003 => gateway.reaches_store = !gateway.reaches_store,
                 draw if draw < 0.03 && !gateway.is_up => *gateway = ModelGateway::start(),
                 _ => {}
@@ -175,6 +186,7 @@
         }
         if learns {
             gateway.listed.clone_from(&store.listed);
+            gateway.since.get_or_insert(self.step);
             gateway.book.set_listed(gateway.listed.iter().map(release));
         }
         if self.step.is_multiple_of(WRITE_STEPS) {
@@ -244,21 +256,27 @@
         }
     }
 
-    fn look_up(&mut self, index: usize, stream: StreamDigest) -> StreamVerdict {
+    /// Decides after a read of the store by a gateway.
+    fn read(&mut self, index: usize, stream: StreamDigest) -> StreamVerdict {
         let now = self.now();
+        let book = &mut self.gateways[index].book;
+        book.confirm_all(self.store.releases.iter().cloned(), now);
+        if book.has_mixed() {
+            for row in self.store.rows.values() {
+                book.learn(row.clone(), now);
+            }
+        }
+        book.verdict(Some(stream), &service())
+    }
+
+    fn look_up(&mut self, index: usize, stream: StreamDigest) -> StreamVerdict {
         let gateway = &mut self.gateways[index];
         if let Some((version, source)) = gateway.book.origin(stream, &service()) {
             return StreamVerdict::At(version, source);
         }
         let has_read = gateway.reaches_store;
         if has_read {
-            gateway.book.confirm_all(self.store.releases.iter().cloned(), now);
-            if gateway.book.has_mixed() {
-                for row in self.store.rows.values() {
-                    gateway.book.learn(row.clone(), now);
-                }
-            }
-            let verdict = gateway.book.verdict(Some(stream), &service());
+            let verdict = self.read(index, stream);
             if verdict != StreamVerdict::Unknown {
                 return verdict;
             }
@@ -269,23 +287,36 @@
             .verdict_by_peers(&service(), has_read, findings)
     }
 
-    fn ask_peers(&self, index: usize, stream: StreamDigest) -> PeerFindings {
-        let others = self
-            .gateways
-            .iter()
-            .enumerate()
-            .filter(|(other, _)| *other != index);
-        let up: Vec<&ModelGateway> = others
-            .map(|(_, gateway)| gateway)
-            .filter(|gateway| gateway.is_up)
+    fn ask_peers(&mut self, index: usize, stream: StreamDigest) -> PeerFindings {
+        let others = (0..GATEWAYS).filter(|other| *other != index);
+        let up: Vec<usize> = others
+            .clone()
+            .filter(|other| self.gateways[*other].is_up)
             .collect();
-        let origins = up.iter().filter_map(|peer| peer.book.origin(stream, &service()));
-        let versions = up.iter().flat_map(|peer| peer.book.known_versions(&service()));
-        PeerFindings {
-            origin: origins.map(|(version, _)| version).next(),
-            versions: versions.collect(),
-            is_majority: up.len() * 2 >= GATEWAYS - 1,
+        let mut findings = PeerFindings::default();
+        for other in &up {
+            let book = &self.gateways[*other].book;
+            let origin = book.origin(stream, &service());
+            findings.origin = findings.origin.or(origin.map(|(version, _)| version));
+            findings.versions.extend(book.known_versions(&service()));
         }
+        let reader = up.iter().find(|other| self.gateways[**other].reaches_store);
+        if findings.origin.is_none()
+            && let Some(reader) = reader.copied()
+            && let StreamVerdict::At(version, _) = self.read(reader, stream)
+        {
+            findings.origin = Some(version);
+        }
+        // The process that looks up vouches for itself as well.
+        let are_all = (0..GATEWAYS).all(|other| self.has_settled(other));
+        findings.is_complete = are_all && up.len() * 2 >= GATEWAYS - 1;
+        findings
+    }
+
+    /// Returns whether a gateway has known the list, or has been gone, for so long that no stream from before matters.
+    fn has_settled(&self, index: usize) -> bool {
+        let since = self.gateways[index].since;
+        since.is_some_and(|since| STEP * (self.step - since) as u32 >= VOUCHING_TIME)
     }
 }
 
