--- a/crates/ebony_gateway/src/streams/registry.rs
+++ b/crates/ebony_gateway/src/streams/registry.rs
@@ -17,7 +17,7 @@
 use tokio::time::{sleep, timeout};
 
 use super::rows::{self, ReleaseRow, Result, StreamRows};
-use crate::decision_log::DecisionLog;
+use crate::decision_log::{DecisionLog, LineKind};
 use crate::fleet::FleetView;
 use crate::gateway::{Gateway, GatewayClock};
 use crate::links::PeerLinks;
@@ -175,7 +175,9 @@
             let waiting = self.waiting.take();
             let result = self.read_rows().await;
             self.count(if result.is_ok() { "read" } else { "read_failed" });
-            if let Err(error) = &result {
+            if let Err(error) = &result
+                && self.decisions.admits(LineKind::State)
+            {
                 warn!(self.decisions.logger, "the versions of streams cannot be read"; "error" => %error);
             }
             for sender in waiting {
@@ -241,7 +243,9 @@
             }
             while let Err(error) = self.create_releases().await {
                 self.count("release_failed");
-                warn!(self.decisions.logger, "a software version is not recorded"; "error" => %error);
+                if self.decisions.admits(LineKind::State) {
+                    warn!(self.decisions.logger, "a software version is not recorded"; "error" => %error);
+                }
                 sleep(RETRY_DELAY).await;
             }
             let due = self.release_due.notified();
--- a/crates/ebonyctl/src/run/explain.rs
+++ b/crates/ebonyctl/src/run/explain.rs
@@ -9,16 +9,16 @@
 use crate::command::ExplainArguments;
 use crate::error::{ControlError, Result};
 
-/// Members of a log line that identify its call or program, the turn that the call continues, or the digest by which a
-/// repeated request is recognized.
-const ID_MEMBERS: [&str; 5] = ["call", "program", "previous", "turn", "request"];
+/// Members of a log line that identify its call or program, the turn that the call continues, the stream that it resumes,
+/// or the digest by which a repeated request is recognized.
+const ID_MEMBERS: [&str; 6] = ["call", "program", "previous", "resumed", "turn", "request"];
 
 /// Members that are not listed after the message. Time, process and message are printed first; level and role are
 /// omitted.
 const HEAD_MEMBERS: [&str; 5] = ["ts", "process", "msg", "level", "role"];
 
 /// Messages on the state of a process as it knew it, which explain its decisions.
-const STATE_MESSAGES: [&str; 17] = [
+const STATE_MESSAGES: [&str; 21] = [
     "accounts are not recorded",
     "accounts are recorded again",
     "configuration in force",
@@ -30,12 +30,16 @@
     "readiness changed",
     "role for a customer's quota",
     "settings reloaded",
+    "software version is gone",
+    "software version is recorded",
     "some customers are not configured as written",
+    "streams are not recorded",
     "target broke off",
     "target is leaving",
     "target removed",
     "the store does not answer",
     "the store is back",
+    "the versions of streams cannot be read",
 ];
 
 /// The message that gives the number of lines that a process dropped to bound its log.
