A stream does not go on in a service to which its route moved after it began

Found by reading, when the cause of joined streams was looked for elsewhere: a record of another service counted as no record, so that a single version of the new service decided.

--- a/crates/ebony_gateway/src/streams/lookup.rs
+++ b/crates/ebony_gateway/src/streams/lookup.rs
@@ -71,7 +71,10 @@
             }
         }
         let findings = self.ask_peers(stream, service).await;
-        let verdict = self.book.borrow().verdict_by_peers(service, has_read, findings);
+        let verdict = self
+            .book
+            .borrow()
+            .verdict_by_peers(stream, service, has_read, findings);
         (verdict, has_read)
     }
 
--- a/crates/ebony_stream/src/book.rs
+++ b/crates/ebony_stream/src/book.rs
@@ -134,7 +134,9 @@
         }
         let mut versions = self.known_versions(service);
         match (versions.pop_first(), versions.is_empty()) {
-            (Some(version), true) => StreamVerdict::At(version, VersionSource::OnlyVersion),
+            (Some(version), true) if !self.is_of_other_service(stream) => {
+                StreamVerdict::At(version, VersionSource::OnlyVersion)
+            }
             _ => StreamVerdict::Unknown,
         }
     }
@@ -144,6 +146,7 @@
     /// the stream knows another one.
     pub fn verdict_by_peers(
         &self,
+        stream: Option<StreamDigest>,
         service: &ServiceName,
         has_read: bool,
         findings: PeerFindings,
@@ -154,7 +157,9 @@
         let mut versions = self.known_versions(service);
         versions.extend(findings.versions);
         match (versions.pop_first(), versions.is_empty()) {
-            (Some(version), true) if !has_read && findings.is_complete => {
+            (Some(version), true)
+                if !has_read && findings.is_complete && !self.is_of_other_service(stream) =>
+            {
                 StreamVerdict::At(version, VersionSource::OnlyVersion)
             }
             _ => StreamVerdict::Unknown,
@@ -167,11 +172,20 @@
         stream: StreamDigest,
         service: &ServiceName,
     ) -> Option<(SoftwareVersion, VersionSource)> {
+        let (release, source) = self.record(stream)?;
+        (release.service == *service).then(|| (release.version.clone(), source))
+    }
+
+    fn record(&self, stream: StreamDigest) -> Option<(&ServiceRelease, VersionSource)> {
         let own = self.own.get(&stream).map(|own| (own.release, VersionSource::Own));
         let learned = self.learned.get(&stream);
         let (key, source) = own.or(learned.map(|(key, _)| (*key, VersionSource::Record)))?;
-        let release = &self.releases.get(key)?.release;
-        (release.service == *service).then(|| (release.version.clone(), source))
+        Some((&self.releases.get(key)?.release, source))
+    }
+
+    /// Returns whether a stream without an origin in the service began in another one, from which its route has moved.
+    fn is_of_other_service(&self, stream: Option<StreamDigest>) -> bool {
+        stream.is_some_and(|stream| self.record(stream).is_some())
     }
 
     /// Returns the versions at which streams of a service may have begun. Listed ones count, because streams begin at a
--- a/crates/ebony_stream/tests/model.rs
+++ b/crates/ebony_stream/tests/model.rs
@@ -284,7 +284,7 @@
         let findings = self.ask_peers(index, stream);
         self.gateways[index]
             .book
-            .verdict_by_peers(&service(), has_read, findings)
+            .verdict_by_peers(Some(stream), &service(), has_read, findings)
     }
 
     fn ask_peers(&mut self, index: usize, stream: StreamDigest) -> PeerFindings {
