--- a/crates/ebony_gateway/src/streams/registry.rs
+++ b/crates/ebony_gateway/src/streams/registry.rs
@@ -9,7 +9,7 @@
 use ebony_platform::{TableService, WriteNonce};
 use ebony_stream::book::{RESUME_WINDOW, VOUCHING_TIME};
 use ebony_stream::{ServiceRelease, StreamBook};
-use ebony_types::{ClockTime, ServiceName};
+use ebony_types::{ClockTime, ServiceName, SoftwareVersion, TargetName};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use slog::{info, warn};
@@ -52,8 +52,11 @@
     rows: StreamRows,
     /// Lookups that wait for the next read of the store.
     waiting: RefCell<Vec<oneshot::Sender<bool>>>,
+    /// Notified when a lookup waits.
     read_due: Notify,
+    /// Notified when a stream has to be recorded.
     row_due: Notify,
+    /// Notified when a version without a row is listed.
     release_due: Notify,
     /// Since when recorded versions have had no listed target.
     unlisted_since: RefCell<HashMap<ServiceRelease, ClockTime>>,
@@ -98,7 +101,7 @@
     }
 
     /// Returns the listed versions of a service at which no stream should begin yet.
-    pub(crate) fn unconfirmed_versions(&self, service: &ServiceName) -> Vec<ebony_types::SoftwareVersion> {
+    pub(crate) fn unconfirmed_versions(&self, service: &ServiceName) -> Vec<SoftwareVersion> {
         let now = self.clock.now();
         self.book.borrow().unconfirmed_versions(service, now)
     }
@@ -121,8 +124,8 @@
     }
 
     /// Forgets the streams of a target that was restarted with another version: they may have begun after the restart.
-    pub(crate) fn forget_target(&self, record: &TargetRecord) {
-        self.book.borrow_mut().forget_target(&record.name);
+    pub(crate) fn forget_target(&self, target: &TargetName) {
+        self.book.borrow_mut().forget_target(target);
     }
 
     /// Sets the versions of the listed targets.
@@ -181,12 +184,17 @@
                 warn!(self.decisions.logger, "the versions of streams cannot be read"; "error" => %error);
             }
             for sender in waiting {
+                // The lookup may have timed out.
                 sender.send(result.is_ok()).ok();
             }
+            if let Ok(releases) = result {
+                self.remove_unlisted(&releases).await;
+            }
         }
     }
 
-    async fn read_rows(&self) -> Result<()> {
+    /// Reads the rows of versions, and those of streams if a service has several versions.
+    async fn read_rows(&self) -> Result<Vec<ReleaseRow>> {
         let began = self.clock.now();
         let releases = self.rows.read_releases().await?;
         self.apply_releases(&releases, began);
@@ -195,8 +203,7 @@
                 self.book.borrow_mut().learn(row, began);
             }
         }
-        self.remove_unlisted(&releases).await;
-        Ok(())
+        Ok(releases)
     }
 
     fn apply_releases(&self, releases: &[ReleaseRow], began: ClockTime) {
@@ -248,8 +255,8 @@
                 }
                 sleep(RETRY_DELAY).await;
             }
-            let due = self.release_due.notified();
-            if timeout(READ_INTERVAL, due).await.is_ok() && !self.creates_unconfirmed() {
+            let has_new = timeout(READ_INTERVAL, self.release_due.notified()).await.is_ok();
+            if has_new && !self.creates_unconfirmed() {
                 sleep(CREATION_DELAY).await;
             }
         }
--- a/crates/ebony_gateway/src/watch.rs
+++ b/crates/ebony_gateway/src/watch.rs
@@ -303,7 +303,7 @@
         let (service, domain) = (record.service.clone(), record.domain.clone());
         let (name, incarnation) = (record.name.clone(), record.incarnation());
         let version = record.version.clone();
-        self.note_replaced_version(&record);
+        self.forget_replaced_version(&record);
         let change = self.gateway.board.borrow_mut().apply(record);
         match change {
             TargetChange::Added(_) => info!(logger, "target added";
@@ -320,13 +320,13 @@
     }
 
     /// Forgets the streams of a target whose entry says that it was restarted with another version.
-    fn note_replaced_version(&self, record: &TargetRecord) {
+    fn forget_replaced_version(&self, record: &TargetRecord) {
         let board = self.gateway.board.borrow();
         let known = board.record(&record.name);
         let is_replaced =
             known.is_some_and(|known| known.version != record.version && known.born <= record.born);
         if is_replaced {
-            self.gateway.streams.forget_target(record);
+            self.gateway.streams.forget_target(&record.name);
         }
     }
 
--- a/crates/ebony_stream/src/book.rs
+++ b/crates/ebony_stream/src/book.rs
@@ -29,7 +29,7 @@
 
 slotmap::new_key_type! {
     /// A version of a service on the book.
-    pub struct ReleaseKey;
+    struct ReleaseKey;
 }
 
 /// How the version of a stream is known.
@@ -91,7 +91,8 @@
 #[derive(Clone, Debug)]
 struct OwnStream {
     release: ReleaseKey,
-    target: TargetName,
+    /// The target; `None` if an earlier process of this gateway began the stream.
+    target: Option<TargetName>,
     until: ClockTime,
     is_recorded: bool,
 }
@@ -204,9 +205,7 @@
 
     /// Returns whether any service has several versions.
     pub fn has_mixed(&self) -> bool {
-        self.releases
-            .values()
-            .any(|known| self.is_mixed(&known.release.service))
+        !self.mixed_releases().is_empty()
     }
 
     /// Returns the listed versions of a service at which no stream should begin yet, because their rows are not known to
@@ -271,13 +270,18 @@
         now: ClockTime,
         until: ClockTime,
     ) {
-        let begun = OwnStream {
-            release: self.key(release),
-            target,
+        let release = self.key(release);
+        let own = OwnStream {
+            release,
+            target: Some(target),
             until: until.min(now + RESUME_WINDOW),
             is_recorded: false,
         };
-        if self.own.insert(stream, begun).is_none() {
+        self.insert_own(stream, own);
+    }
+
+    fn insert_own(&mut self, stream: StreamDigest, own: OwnStream) {
+        if self.own.insert(stream, own).is_none() {
             self.own_order.push_back(stream);
         }
         if self.own.len() > MAX_OWN_STREAMS
@@ -290,7 +294,7 @@
     /// Forgets the streams that began at a target, because it was restarted with another version, and may have been so
     /// before they began.
     pub fn forget_target(&mut self, target: &TargetName) {
-        self.own.retain(|_, own| own.target != *target);
+        self.own.retain(|_, own| own.target.as_ref() != Some(target));
         let own = &self.own;
         self.own_order.retain(|stream| own.contains_key(stream));
     }
@@ -320,34 +324,42 @@
     /// Adds the streams that an earlier process of this gateway recorded, so that they stay in its row.
     pub fn adopt(&mut self, row: StreamRow, now: ClockTime) {
         for part in row.releases {
-            for stream in part.streams {
-                if !self.own.contains_key(&stream) {
-                    // No target has this name, so that the streams are not forgotten with one.
-                    let target = TargetName::parse("-").expect("a name");
-                    self.begin(stream, part.release.clone(), target, now, now + RESUME_WINDOW);
-                }
+            let release = self.key(part.release);
+            let added = part
+                .streams
+                .into_iter()
+                .filter(|stream| !self.own.contains_key(stream));
+            for stream in added.collect::<Vec<_>>() {
+                let own = OwnStream {
+                    release,
+                    target: None,
+                    until: now + RESUME_WINDOW,
+                    is_recorded: false,
+                };
+                self.insert_own(stream, own);
             }
         }
     }
 
     /// Returns the number of own streams that have to be recorded and are not.
     pub fn unrecorded(&self) -> usize {
-        let due = |own: &&OwnStream| !own.is_recorded && self.is_mixed_release(own.release);
-        self.own.values().filter(due).count()
+        let mixed = self.mixed_releases();
+        if mixed.is_empty() {
+            return 0;
+        }
+        let is_due = |own: &&OwnStream| !own.is_recorded && mixed.contains(&own.release);
+        self.own.values().filter(is_due).count()
     }
 
     /// Returns the row with all own streams that have to be recorded.
     pub fn own_row(&self) -> StreamRow {
         let mut parts: Vec<ReleaseStreams> = Vec::new();
-        for (key, known) in &self.releases {
-            if !self.is_mixed(&known.release.service) {
-                continue;
-            }
+        for key in self.mixed_releases() {
             let streams = self.own.iter().filter(|(_, own)| own.release == key);
             let mut streams: Vec<StreamDigest> = streams.map(|(stream, _)| *stream).collect();
             streams.sort_unstable();
             if !streams.is_empty() {
-                let release = known.release.clone();
+                let release = self.releases[key].release.clone();
                 parts.push(ReleaseStreams { release, streams });
             }
         }
@@ -384,9 +396,11 @@
         self.len() == 0
     }
 
-    fn is_mixed_release(&self, key: ReleaseKey) -> bool {
-        let known = self.releases.get(key);
-        known.is_some_and(|known| self.is_mixed(&known.release.service))
+    /// Returns the versions of services with several versions.
+    fn mixed_releases(&self) -> BTreeSet<ReleaseKey> {
+        let is_mixed = |known: &KnownRelease| self.is_mixed(&known.release.service);
+        let mixed = self.releases.iter().filter(|(_, known)| is_mixed(known));
+        mixed.map(|(key, _)| key).collect()
     }
 
     fn find(&self, release: &ServiceRelease) -> Option<ReleaseKey> {
--- a/crates/ebony_stream/src/lib.rs
+++ b/crates/ebony_stream/src/lib.rs
@@ -20,7 +20,7 @@
 
 /// Re-exports the book and its rows.
 pub mod prelude {
-    pub use crate::book::{PeerFindings, ReleaseKey, StreamBook, StreamVerdict, VersionSource};
+    pub use crate::book::{PeerFindings, StreamBook, StreamVerdict, VersionSource};
     pub use crate::digest::StreamDigest;
     pub use crate::row::{ReleaseStreams, ServiceRelease, StreamRow};
 }
