--- a/crates/ebony_gateway/src/streams/lookup.rs
+++ b/crates/ebony_gateway/src/streams/lookup.rs
@@ -24,6 +24,14 @@
 /// The most versions of a service that a gateway sends to another one.
 const MAX_SENT_VERSIONS: usize = 16;
 
+/// The detail that callers get when nothing tells the version that began their stream.
+const UNKNOWN_DETAIL: &str =
+    "the software version that began the stream is not known; send the call from its start";
+
+/// The detail that callers get when no target of the version accepts calls.
+const VERSION_LEFT_DETAIL: &str =
+    "no target has the software version that began the stream; send the call from its start";
+
 impl StreamRegistry {
     /// Returns the version at which a call must run, if it resumes a stream.
     ///
@@ -66,7 +74,8 @@
         let has_read = timeout(STORE_TIMEOUT, self.read()).await.unwrap_or(false);
         if has_read {
             let verdict = self.book.borrow().verdict(stream, service);
-            if verdict != StreamVerdict::Unknown {
+            // The other gateways know nothing more of a stream without a name.
+            if verdict != StreamVerdict::Unknown || stream.is_none() {
                 return (verdict, true);
             }
         }
@@ -130,11 +139,6 @@
     }
 }
 
-const UNKNOWN_DETAIL: &str =
-    "the software version that began the stream is not known; send the call from its start";
-const VERSION_LEFT_DETAIL: &str =
-    "no target has the software version that began the stream; send the call from its start";
-
 /// Returns the refusal of a call that would be refused again, so that its caller need not wait.
 fn not_resumable(detail: &'static str) -> CallRefusal {
     CallRefusal::not_run(ProblemCode::NotResumable, detail).retry_after(Duration::ZERO)
