--- a/crates/ebony_gateway/src/streams/registry.rs
+++ b/crates/ebony_gateway/src/streams/registry.rs
@@ -106,9 +106,11 @@
         self.book.borrow().unconfirmed_versions(service, now)
     }
 
-    /// Records the target that began or resumed a call's stream.
+    /// Records the target that began or resumed a call's stream. Turns of kept conversations are not resumed.
     pub(crate) fn record_begun(&self, call: &RoutedCall, target: &TargetRecord) {
-        let Some(stream) = call.stream() else { return };
+        let Some(stream) = call.stream().filter(|_| call.kept.is_none()) else {
+            return;
+        };
         let release = ServiceRelease {
             service: call.service.clone(),
             version: target.version.clone(),
